--- /dev/null
+++ b/src/mallowloft/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Kernel: plug-in registry, lifecycle, time, settings, logs and metrics."""
--- /dev/null
+++ b/src/mallowloft/kernel/lifecycle.py
@@ -0,0 +1,145 @@
+"""Start, readiness, graceful stop and state dump of one instance."""
+
+import asyncio
+from collections.abc import Iterable
+import random
+import secrets
+from typing import Any
+from typing import Protocol
+
+from mallowloft.kernel import clock as clock_lib
+from mallowloft.kernel import logs
+from mallowloft.kernel import metrics as metrics_lib
+from mallowloft.kernel import registry
+from mallowloft.kernel import settings as settings_lib
+
+_log = logs.get("kernel")
+
+
+class Plugin(Protocol):
+    """A part of an instance that the kernel starts and stops.
+
+    A class registers itself with `registry.plugins.register(name)` and is
+    constructed with the kernel. Its `requires` names the plug-ins that start
+    before it and stop after it.
+    """
+
+    requires: tuple[str, ...]
+
+    async def start(self) -> None:
+        """Starts the plug-in; returns when others may use it."""
+
+    async def stop(self, grace_s: float) -> None:
+        """Finishes work in flight within the grace period, then stops."""
+
+    def ready(self) -> bool:
+        """Whether the instance may receive callers' requests."""
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the plug-in's state as JSON-ready data."""
+
+
+def _start_order(classes_by_name: dict[str, type]) -> list[str]:
+    """Sorts plug-in names so that each follows what it requires."""
+    ordered: list[str] = []
+
+    def visit(name: str, path: tuple[str, ...]) -> None:
+        if name in path:
+            raise ValueError(f"plug-ins require each other: {path + (name,)}")
+        if name in ordered:
+            return
+        for required in classes_by_name[name].requires:
+            visit(required, (*path, name))
+        ordered.append(name)
+
+    for name in sorted(classes_by_name):
+        visit(name, ())
+    return ordered
+
+
+class Kernel:
+    """One instance: its settings, clock, random source and plug-ins.
+
+    Attributes:
+        incarnation: Random number that tells this process from earlier ones
+            with the same instance id.
+        stopping: Whether a graceful stop has begun.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        clock: clock_lib.Clock | None = None,
+        rng: random.Random | None = None,
+        incarnation: int | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock or clock_lib.MonotonicClock()
+        self.rng = rng or random.Random()
+        self.incarnation = incarnation or secrets.randbits(63)
+        self.metrics = metrics_lib.Metrics()
+        self.pauses = clock_lib.PauseDetector(self.clock)
+        self.stopping = False
+        self.plugins_by_name: dict[str, Any] = {}
+        self._order: list[str] = []
+        self._pause_task: asyncio.Task | None = None
+
+    def plugin(self, name: str) -> Any:
+        """Returns a constructed plug-in."""
+        return self.plugins_by_name[name]
+
+    def build(self, names: Iterable[str] | None = None) -> None:
+        """Constructs plug-ins in the order in which they start.
+
+        Args:
+            names: Plug-ins to construct; all registered ones by default.
+                Plug-ins that a test has put in `plugins_by_name` are kept.
+        """
+        classes_by_name = dict(registry.plugins.by_name)
+        if names is not None:
+            classes_by_name = {name: classes_by_name[name] for name in names}
+        for name, plugin in self.plugins_by_name.items():
+            classes_by_name[name] = type(plugin)
+        self._order = _start_order(classes_by_name)
+        for name in self._order:
+            if name not in self.plugins_by_name:
+                self.plugins_by_name[name] = classes_by_name[name](self)
+
+    async def start(self) -> None:
+        """Starts all plug-ins."""
+        self._pause_task = asyncio.create_task(self.pauses.run())
+        for name in self._order:
+            await self.plugins_by_name[name].start()
+        _log.info("instance_started", incarnation=self.incarnation)
+
+    def ready(self) -> bool:
+        """Whether the instance may receive callers' requests."""
+        if self.stopping:
+            return False
+        return all(plugin.ready() for plugin in self.plugins_by_name.values())
+
+    async def stop(self, grace_s: float) -> None:
+        """Stops all plug-ins in reverse order within the grace period."""
+        self.stopping = True
+        _log.info("instance_stopping", grace_s=grace_s)
+        end_s = self.clock.now() + grace_s
+        for name in reversed(self._order):
+            remaining_s = max(0.0, end_s - self.clock.now())
+            await self.plugins_by_name[name].stop(remaining_s)
+        if self._pause_task is not None:
+            self._pause_task.cancel()
+        _log.info("instance_stopped")
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the state of the instance as JSON-ready data."""
+        return {
+            "instance": self.settings.instance_id,
+            "incarnation": self.incarnation,
+            "failure_domain": self.settings.failure_domain,
+            "ready": self.ready(),
+            "stopping": self.stopping,
+            "plugins": {
+                name: plugin.dump()
+                for name, plugin in self.plugins_by_name.items()
+            },
+        }
--- /dev/null
+++ b/src/mallowloft/kernel/metrics.py
@@ -0,0 +1,120 @@
+"""Counters, gauges and latency histograms of one instance."""
+
+from collections.abc import Callable
+
+from hdrh import histogram
+import prometheus_client
+from prometheus_client import core
+
+_LOWEST_US = 1
+_HIGHEST_US = 60_000_000
+_SIGNIFICANT_DIGITS = 2
+_PERCENTILES = (50.0, 90.0, 95.0, 99.0, 99.9)
+
+
+class Latency:
+    """Latencies of one kind of event, recorded in an HDR histogram."""
+
+    def __init__(self) -> None:
+        self._histogram = histogram.HdrHistogram(
+            _LOWEST_US, _HIGHEST_US, _SIGNIFICANT_DIGITS
+        )
+
+    @property
+    def count(self) -> int:
+        """Number of recorded values."""
+        return self._histogram.get_total_count()
+
+    def record_ms(self, value_ms: float) -> None:
+        """Records one latency in milliseconds, clamped to the range."""
+        value_us = min(max(int(value_ms * 1000), _LOWEST_US), _HIGHEST_US)
+        self._histogram.record_value(value_us)
+
+    def percentile_ms(self, percentile: float) -> float:
+        """Returns a percentile in milliseconds, 0 if nothing is recorded."""
+        return self._histogram.get_value_at_percentile(percentile) / 1000
+
+
+class Metrics:
+    """All metrics of one instance.
+
+    Names are created on first use. Values are rendered in the Prometheus text
+    format.
+    """
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._counters_by_name: dict[str, prometheus_client.Counter] = {}
+        self._gauges_by_name: dict[str, Callable[[], float]] = {}
+        self._latencies: dict[str, dict[tuple[tuple[str, str], ...], Latency]]
+        self._latencies = {}
+        self._registry.register(self)
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Adds to a counter.
+
+        Args:
+            name: Metric name without the `mallowloft_` prefix.
+            amount: What is added.
+            **labels: Labels; a name always has the same label names.
+        """
+        counter = self._counters_by_name.get(name)
+        if counter is None:
+            counter = prometheus_client.Counter(
+                f"mallowloft_{name}",
+                name.replace("_", " "),
+                tuple(sorted(labels)),
+                registry=self._registry,
+            )
+            self._counters_by_name[name] = counter
+        child = counter.labels(**labels) if labels else counter
+        child.inc(amount)
+
+    def counted(self, name: str, **labels: str) -> float:
+        """Returns a counter's value, 0 if it was never counted."""
+        value = self._registry.get_sample_value(
+            f"mallowloft_{name}_total", labels
+        )
+        return value or 0.0
+
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Registers a gauge that is read when metrics are rendered."""
+        self._gauges_by_name[name] = read
+
+    def observe_ms(self, name: str, value_ms: float, **labels: str) -> None:
+        """Records a latency in milliseconds."""
+        self.latency(name, **labels).record_ms(value_ms)
+
+    def latency(self, name: str, **labels: str) -> Latency:
+        """Returns the histogram of a name and labels."""
+        by_labels = self._latencies.setdefault(name, {})
+        key = tuple(sorted(labels.items()))
+        if key not in by_labels:
+            by_labels[key] = Latency()
+        return by_labels[key]
+
+    def collect(self):
+        """Yields gauges and latency percentiles to the Prometheus library."""
+        for name, read in self._gauges_by_name.items():
+            yield core.GaugeMetricFamily(
+                f"mallowloft_{name}", name.replace("_", " "), value=read()
+            )
+        for name, by_labels in self._latencies.items():
+            label_names = [key for key, _ in next(iter(by_labels))]
+            family = core.GaugeMetricFamily(
+                f"mallowloft_{name}_ms",
+                f"{name.replace('_', ' ')} in milliseconds",
+                labels=[*label_names, "percentile"],
+            )
+            for labels, latency in by_labels.items():
+                values = [value for _, value in labels]
+                for percentile in _PERCENTILES:
+                    family.add_metric(
+                        [*values, str(percentile)],
+                        latency.percentile_ms(percentile),
+                    )
+            yield family
+
+    def render(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/src/mallowloft/messages.py
@@ -0,0 +1,396 @@
+"""Messages between instances and their codec.
+
+Messages are frozen msgspec structs rather than data classes: the codec needs
+them for tagged unions, and array-like encoding costs about a third per item.
+Times in messages are durations or readings of the named instance's own clock;
+clocks of two instances are never compared.
+"""
+
+import enum
+from typing import Any
+
+import msgspec
+import result
+
+PROTOCOL_VERSION = 1
+MAX_FRAME_BYTES = 16 << 20
+
+
+class Message(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=lambda name: name,
+):
+    """Base of all peer messages."""
+
+
+class Ping(Message):
+    """Asks whether a peer is alive; `sent_s` is the sender's clock."""
+
+    sequence: int
+    sent_s: float
+    config_digest: bytes
+
+
+class Pong(Message):
+    """Answers a ping."""
+
+    sequence: int
+    sent_s: float
+    config_digest: bytes
+    ready: bool
+
+
+class Leaving(Message):
+    """The sender stops gracefully and takes no new work.
+
+    Attributes:
+        ledger_successor: Instance that gets the outcomes of its keys, or "".
+    """
+
+    ledger_successor: str
+
+
+class MemberState(msgspec.Struct, frozen=True, array_like=True):
+    """What an instance believes of one member."""
+
+    instance: str
+    failure_domain: str
+    address: str
+    incarnation: int
+    state: str
+
+
+class MembershipDigest(Message):
+    """Members the sender has direct or indirect evidence of."""
+
+    members: tuple[MemberState, ...]
+
+
+class UpstreamLeaving(Message):
+    """Replicas that must get no new work."""
+
+    replicas: tuple[str, ...]
+
+
+class Document(msgspec.Struct, frozen=True, array_like=True):
+    """One configuration document; `value` is None for a deletion."""
+
+    path: str
+    revision: int
+    value: Any
+
+
+class ConfigDigest(Message):
+    """Accepted revision of each subtree."""
+
+    revision_by_subtree: dict[str, int]
+
+
+class ConfigRequest(Message):
+    """Asks for the documents of subtrees."""
+
+    subtrees: tuple[str, ...]
+
+
+class ConfigSubtree(msgspec.Struct, frozen=True, array_like=True):
+    """The whole content of one subtree at a revision."""
+
+    subtree: str
+    revision: int
+    documents: tuple[Document, ...]
+
+
+class ConfigSubtrees(Message):
+    """Accepted subtrees; the receiver validates them itself.
+
+    Attributes:
+        relay_to: Instances to which the receiver passes the message on.
+    """
+
+    subtrees: tuple[ConfigSubtree, ...]
+    relay_to: tuple[str, ...]
+
+
+class SubRequest(Message):
+    """Asks a dispatcher to query one replica for some shards.
+
+    Attributes:
+        attempt: Number of the attempt, unique within the sender incarnation.
+        request: Identifier of the caller's request.
+        replica: The replica to call.
+        shards: Shards wanted from it.
+        index_version: Pinned version; no other may be answered.
+        rank: Rank of the priority class, 0 is the highest.
+        remaining_ms: Time left for the attempt.
+        hedge: Whether this is a hedge of a running attempt.
+        query: The caller's query, JSON.
+    """
+
+    attempt: int
+    request: str
+    service: str
+    replica: str
+    shards: tuple[str, ...]
+    index_version: int
+    rank: int
+    remaining_ms: float
+    hedge: bool
+    query: bytes
+
+
+class Outcome(enum.StrEnum):
+    """How an attempt of a sub-request ended."""
+
+    OK = "ok"
+    WRONG_VERSION = "wrong_version"
+    REFUSED = "refused"
+    EXPIRED = "expired"
+    SHED = "shed"
+    DRAINING = "draining"
+    FAILED = "failed"
+    UNREACHABLE = "unreachable"
+    TOO_LARGE = "too_large"
+    CANCELLED = "cancelled"
+
+
+class SubReply(Message):
+    """Ends one attempt.
+
+    Attributes:
+        results: Answer of each shard, JSON.
+        versions: Index versions the replica can serve, empty if unknown.
+        queue_delay_ms: Time a new request of the same class would wait.
+        service_ms: Time the replica took, 0 if it was not called.
+        retry_after_ms: When a refused request may be tried again.
+    """
+
+    attempt: int
+    replica: str
+    outcome: Outcome
+    index_version: int
+    results: dict[str, bytes]
+    versions: tuple[int, ...]
+    queue_delay_ms: float
+    service_ms: float
+    retry_after_ms: float
+
+
+class SubQueued(Message):
+    """Tells an entry that attempts were not started within its hedge delay.
+
+    The entry does not hedge attempts that wait in a queue.
+    """
+
+    attempts: tuple[int, ...]
+    queue_delay_ms: float
+
+
+class Cancel(Message):
+    """Cancels attempts of the sender."""
+
+    attempts: tuple[int, ...]
+
+
+class SubmitOpen(Message):
+    """Asks the issuer of a key for a ticket to run it."""
+
+    exchange: int
+    key: str
+    team: str
+
+
+class SubmitTicket(Message):
+    """Allows one `SubmitGo` until `ticket` expires on the issuer's clock."""
+
+    exchange: int
+    ticket: int
+
+
+class SubmitGo(Message):
+    """Hands the submission to the issuer."""
+
+    exchange: int
+    ticket: int
+    key: str
+    team: str
+    service: str
+    shard: str
+    body: bytes
+    rank: int
+    remaining_ms: float
+
+
+class SubmitState(enum.StrEnum):
+    """Outcome of a submission."""
+
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class SubmitOutcome(Message):
+    """Answers `SubmitOpen` or `SubmitGo`.
+
+    Attributes:
+        final: Whether the outcome can no longer change.
+    """
+
+    exchange: int
+    state: SubmitState
+    reason: str
+    reply: bytes
+    final: bool
+    retry_after_ms: float
+
+
+class SlotReserve(Message):
+    """Asks a dispatcher for a slot of a replica for one submission."""
+
+    attempt: int
+    request: str
+    replica: str
+    rank: int
+    remaining_ms: float
+
+
+class SlotReady(Message):
+    """A slot is held until the ticket expires on the dispatcher's clock."""
+
+    attempt: int
+    ticket: int
+
+
+class SlotGo(Message):
+    """Uses the held slot; after this message the submission may run."""
+
+    attempt: int
+    ticket: int
+    request: str
+    shard: str
+    body: bytes
+    remaining_ms: float
+
+
+class SlotRelease(Message):
+    """Gives a reservation or a held slot back."""
+
+    attempt: int
+
+
+class SlotState(enum.StrEnum):
+    """How a reservation ended."""
+
+    DONE = "done"
+    NOT_SENT = "not_sent"
+    SHED = "shed"
+    MAYBE_RUN = "maybe_run"
+
+
+class SlotOutcome(Message):
+    """Ends a reservation."""
+
+    attempt: int
+    state: SlotState
+    reason: str
+    reply: bytes
+    retry_after_ms: float
+
+
+class LedgerEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Final outcome of one key."""
+
+    key: str
+    state: SubmitState
+    reason: str
+    reply: bytes
+
+
+class LedgerHandover(Message):
+    """Final outcomes of an incarnation that runs no key any more."""
+
+    instance: str
+    incarnation: int
+    part: int
+    parts: int
+    lifetime_s: float
+    entries: tuple[LedgerEntry, ...]
+
+
+class LedgerReceived(Message):
+    """Confirms that all parts of a handover have arrived."""
+
+    incarnation: int
+
+
+Any_ = (
+    Ping
+    | Pong
+    | Leaving
+    | MembershipDigest
+    | UpstreamLeaving
+    | ConfigDigest
+    | ConfigRequest
+    | ConfigSubtrees
+    | SubRequest
+    | SubReply
+    | SubQueued
+    | Cancel
+    | SubmitOpen
+    | SubmitTicket
+    | SubmitGo
+    | SubmitOutcome
+    | SlotReserve
+    | SlotReady
+    | SlotGo
+    | SlotRelease
+    | SlotOutcome
+    | LedgerHandover
+    | LedgerReceived
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A batch of messages from one instance to another.
+
+    Attributes:
+        version: Protocol version of the sender.
+        sender: Instance id of the sender.
+        incarnation: Incarnation of the sender.
+        address: Address at which the sender receives messages.
+        to_incarnation: Incarnation the batch is meant for, 0 if unknown. A
+            restarted receiver drops what was meant for its predecessor.
+        messages: The messages in sending order.
+    """
+
+    version: int
+    sender: str
+    incarnation: int
+    address: str
+    to_incarnation: int
+    messages: tuple[Any_, ...]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Encodes a batch as MessagePack."""
+    return _encoder.encode(envelope)
+
+
+def decode(frame: bytes) -> result.Result[Envelope, str]:
+    """Decodes a batch.
+
+    Returns:
+        The batch, or why the frame is not valid.
+    """
+    try:
+        envelope = _decoder.decode(frame)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return result.Err(str(error))
+    if envelope.version != PROTOCOL_VERSION:
+        return result.Err(f"protocol version {envelope.version}")
+    return result.Ok(envelope)
--- /dev/null
+++ b/src/mallowloft/peers.py
@@ -0,0 +1,271 @@
+"""Transport of message batches between instances over ZeroMQ."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+from typing import Protocol
+
+import zmq
+
+from mallowloft import messages
+from mallowloft.kernel import lifecycle
+from mallowloft.kernel import logs
+from mallowloft.kernel import registry
+
+_log = logs.get("peers")
+
+# A batch is closed at this many messages so that a frame stays small.
+_MAX_BATCH_MESSAGES = 256
+_HIGH_WATER_FRAMES = 10_000
+_LINGER_MS = 500
+_RECONNECT_MS = 50
+_RECONNECT_MAX_MS = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sender:
+    """Origin of a received message."""
+
+    instance: str
+    incarnation: int
+    address: str
+
+
+Handler = Callable[[Sender, Any], None]
+
+
+class Peers(Protocol):
+    """What other plug-ins use of the transport; tests replace it."""
+
+    def on(self, message_type: type, handler: Handler) -> None:
+        """Sets the handler of a message type."""
+
+    def send(self, to: str, message: messages.Message) -> bool:
+        """Queues a message; False if the peer is certainly unreachable."""
+
+    def connect(self, instance: str, address: str) -> None:
+        """Makes an instance reachable by its id."""
+
+    def disconnect(self, instance: str) -> None:
+        """Forgets an instance."""
+
+
+class Outboxes:
+    """Messages that wait for the end of the loop turn, by receiver."""
+
+    def __init__(self) -> None:
+        self._messages_by_peer: dict[str, list[messages.Message]] = {}
+
+    def add(self, peer: str, message: messages.Message) -> bool:
+        """Adds a message; True if it is the first one of this turn."""
+        first = not self._messages_by_peer
+        self._messages_by_peer.setdefault(peer, []).append(message)
+        return first
+
+    def take(self) -> list[tuple[str, tuple[messages.Message, ...]]]:
+        """Removes and returns all batches."""
+        batches = []
+        for peer, queued in self._messages_by_peer.items():
+            for start in range(0, len(queued), _MAX_BATCH_MESSAGES):
+                batch = queued[start : start + _MAX_BATCH_MESSAGES]
+                batches.append((peer, tuple(batch)))
+        self._messages_by_peer = {}
+        return batches
+
+
+class Dispatch:
+    """Handlers by message type."""
+
+    def __init__(self) -> None:
+        self._handlers_by_type: dict[type, Handler] = {}
+
+    def on(self, message_type: type, handler: Handler) -> None:
+        """Sets the handler of a message type."""
+        self._handlers_by_type[message_type] = handler
+
+    def deliver(
+        self, sender: Sender, batch: tuple[messages.Message, ...]
+    ) -> None:
+        """Calls the handlers; a failing one does not stop the batch."""
+        for message in batch:
+            handler = self._handlers_by_type.get(type(message))
+            if handler is None:
+                continue
+            try:
+                handler(sender, message)
+            except Exception:  # noqa: BLE001
+                _log.exception(
+                    "message_handler_failed",
+                    message=type(message).__name__,
+                    sender=sender.instance,
+                )
+
+
+@registry.plugins.register("peers")
+class ZeroMqPeers:
+    """One PULL socket for what arrives and one PUSH socket for each peer.
+
+    PUSH sockets queue only to completed connections (ZMQ_IMMEDIATE), so that a
+    message to a dead peer fails at once instead of reaching its successor.
+    The sockets are read without pyzmq's asyncio wrapper: one callback drains
+    all waiting frames.
+    """
+
+    requires: tuple[str, ...] = ()
+
+    def __init__(self, kernel: lifecycle.Kernel) -> None:
+        self._kernel = kernel
+        self._context = zmq.Context()
+        self._handlers = Dispatch()
+        self._outboxes = Outboxes()
+        self._sockets_by_peer: dict[str, zmq.Socket] = {}
+        self._address_by_peer: dict[str, str] = {}
+        self._incarnation_by_peer: dict[str, int] = {}
+        self._receiver: zmq.Socket | None = None
+        self._address = ""
+
+    @property
+    def address(self) -> str:
+        """Address at which this instance receives messages."""
+        return self._address
+
+    async def start(self) -> None:
+        """Binds the receiving socket."""
+        settings = self._kernel.settings
+        receiver = self._context.socket(zmq.PULL)
+        receiver.setsockopt(zmq.LINGER, 0)
+        receiver.setsockopt(zmq.RCVHWM, _HIGH_WATER_FRAMES)
+        receiver.setsockopt(zmq.MAXMSGSIZE, messages.MAX_FRAME_BYTES)
+        receiver.bind(f"tcp://{settings.host}:{settings.peer_port}")
+        self._address = receiver.getsockopt_string(zmq.LAST_ENDPOINT)
+        self._receiver = receiver
+        loop = asyncio.get_running_loop()
+        loop.add_reader(receiver.getsockopt(zmq.FD), self._receive_waiting)
+        loop.call_soon(self._receive_waiting)
+
+    async def stop(self, grace_s: float) -> None:
+        """Sends what is queued and closes all sockets."""
+        del grace_s
+        self._flush()
+        if self._receiver is not None:
+            fd = self._receiver.getsockopt(zmq.FD)
+            asyncio.get_running_loop().remove_reader(fd)
+            self._receiver.close()
+            self._receiver = None
+        for peer in list(self._sockets_by_peer):
+            self.disconnect(peer)
+        self._context.term()
+
+    def ready(self) -> bool:
+        """Whether the receiving socket is bound."""
+        return self._receiver is not None
+
+    def dump(self) -> dict[str, Any]:
+        """Returns addresses and incarnations of connected peers."""
+        return {
+            "address": self._address,
+            "address_by_peer": dict(self._address_by_peer),
+            "incarnation_by_peer": dict(self._incarnation_by_peer),
+        }
+
+    def on(self, message_type: type, handler: Handler) -> None:
+        """Sets the handler of a message type."""
+        self._handlers.on(message_type, handler)
+
+    def connect(self, instance: str, address: str) -> None:
+        """Makes an instance reachable by its id."""
+        if self._address_by_peer.get(instance) == address:
+            return
+        self.disconnect(instance)
+        socket = self._context.socket(zmq.PUSH)
+        socket.setsockopt(zmq.IMMEDIATE, 1)
+        socket.setsockopt(zmq.LINGER, _LINGER_MS)
+        socket.setsockopt(zmq.SNDHWM, _HIGH_WATER_FRAMES)
+        socket.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+        socket.connect(address)
+        self._sockets_by_peer[instance] = socket
+        self._address_by_peer[instance] = address
+
+    def disconnect(self, instance: str) -> None:
+        """Forgets an instance."""
+        socket = self._sockets_by_peer.pop(instance, None)
+        self._address_by_peer.pop(instance, None)
+        self._incarnation_by_peer.pop(instance, None)
+        if socket is not None:
+            socket.close()
+
+    def send(self, to: str, message: messages.Message) -> bool:
+        """Queues a message until the end of the loop turn.
+
+        Returns:
+            False if the receiver is unknown. True promises nothing: the
+            message may still be lost.
+        """
+        if to == self._kernel.settings.instance_id:
+            asyncio.get_running_loop().call_soon(self._deliver_own, message)
+            return True
+        if to not in self._sockets_by_peer:
+            return False
+        if self._outboxes.add(to, message):
+            asyncio.get_running_loop().call_soon(self._flush)
+        return True
+
+    def _deliver_own(self, message: messages.Message) -> None:
+        sender = Sender(
+            self._kernel.settings.instance_id,
+            self._kernel.incarnation,
+            self._address,
+        )
+        self._handlers.deliver(sender, (message,))
+
+    def _flush(self) -> None:
+        for peer, batch in self._outboxes.take():
+            socket = self._sockets_by_peer.get(peer)
+            if socket is None:
+                continue
+            frame = messages.encode(
+                messages.Envelope(
+                    version=messages.PROTOCOL_VERSION,
+                    sender=self._kernel.settings.instance_id,
+                    incarnation=self._kernel.incarnation,
+                    address=self._address,
+                    to_incarnation=self._incarnation_by_peer.get(peer, 0),
+                    messages=batch,
+                )
+            )
+            try:
+                socket.send(frame, zmq.NOBLOCK, copy=False)
+            except zmq.Again:
+                self._kernel.metrics.count("peer_frames_dropped", peer=peer)
+            else:
+                self._kernel.metrics.count("peer_bytes_sent", len(frame))
+
+    def _receive_waiting(self) -> None:
+        receiver = self._receiver
+        if receiver is None:
+            return
+        self._kernel.pauses.check()
+        # The descriptor is edge-triggered: read until nothing is left.
+        while True:
+            try:
+                frame = receiver.recv(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self._receive(frame)
+
+    def _receive(self, frame: bytes) -> None:
+        decoded = messages.decode(frame)
+        if decoded.is_err():
+            self._kernel.metrics.count("peer_frames_invalid")
+            _log.warning("peer_frame_invalid", reason=decoded.unwrap_err())
+            return
+        envelope = decoded.unwrap()
+        if envelope.to_incarnation not in (0, self._kernel.incarnation):
+            self._kernel.metrics.count("peer_frames_misdirected")
+            return
+        self._kernel.metrics.count("peer_bytes_received", len(frame))
+        self._incarnation_by_peer[envelope.sender] = envelope.incarnation
+        sender = Sender(envelope.sender, envelope.incarnation, envelope.address)
+        self._handlers.deliver(sender, envelope.messages)
