Add the thin path with stand-ins, a demo and virtual-time fakes

A query passes from a caller through an entry instance and the replica's dispatcher to upstream replicas and back, as separate processes. Submissions, hedging, configuration spread and failure detection are not there yet.

Cause of one defect found on the way: a query at the first started instance lost two shards, because messages to peers that had not connected yet were dropped. Ruled out: the edge-triggered read. Left for the membership work, which must not treat a listed instance as live before it has answered.

--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,6 @@
 
 clean:
 	rm -rf $(VENV) build dist
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m bench
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds on virtual time, counts and ratios."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,34 @@
+"""Runs all benchmarks, or those named, and prints one table."""
+
+import importlib
+import pathlib
+import sys
+
+from bench import figures
+
+
+def _load() -> None:
+    for path in sorted(pathlib.Path(__file__).parent.glob("bench_*.py")):
+        importlib.import_module(f"bench.{path.stem}")
+
+
+def main() -> int:
+    """Prints the table; exit status 1 where a bound is broken."""
+    _load()
+    names = sys.argv[1:] or sorted(figures.benchmarks.by_name)
+    print(f"{'name':58} {'value':>12} {'unit':8} {'bound':12} verdict")
+    broken = 0
+    for name in names:
+        for row in figures.benchmarks.by_name[name]():
+            bound = str(row.bound) if row.bound else ""
+            print(
+                f"{name + '.' + row.name:58} {row.value:12.4g} {row.unit:8}"
+                f" {bound:12} {row.verdict}",
+                flush=True,
+            )
+            broken += row.verdict == "BROKEN"
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/mallowloft/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface of callers and operators."""
--- /dev/null
+++ b/src/mallowloft/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: model, acceptance, store and its distribution."""
--- /dev/null
+++ b/src/mallowloft/configuration/acceptance.py
@@ -0,0 +1,74 @@
+"""Acceptance of a configuration subtree, a pure function of its content."""
+
+from collections.abc import Iterable
+import re
+from typing import Any
+
+import pydantic
+import result
+
+from mallowloft import messages
+from mallowloft.configuration import model
+from mallowloft.kernel import findings as findings_lib
+from mallowloft.kernel import registry
+
+Documents = dict[str, Any]
+
+# Document types by the pattern of their path.
+document_types: registry.Registry[type] = registry.Registry("document type")
+document_types.register(r"/operator/fleet")(model.Fleet)
+document_types.register(r"/operator/services/[^/]+")(model.Service)
+document_types.register(r"/operator/indexes/[^/]+")(model.Index)
+document_types.register(r"/operator/groups/[^/]+")(model.Group)
+document_types.register(r"/operator/teams/[^/]+")(model.Team)
+document_types.register(r"/teams/[^/]+/query")(model.TeamQuery)
+
+
+def subtree_of(path: str) -> str:
+    """Returns the subtree that a document is accepted with.
+
+    A team's whole subtree is one unit; in the operator's tree each document
+    is one.
+    """
+    parts = path.split("/")
+    if len(parts) > 2 and parts[1] == "teams":
+        return "/".join(parts[:3])
+    return path
+
+
+def _type_of(path: str) -> type | None:
+    for pattern, document_type in document_types.by_name.items():
+        if re.fullmatch(pattern, path):
+            return document_type
+    return None
+
+
+def accept(
+    documents: Iterable[messages.Document],
+) -> result.Result[Documents, findings_lib.Findings]:
+    """Checks the documents of one subtree.
+
+    Args:
+        documents: The whole content of the subtree; values of None are
+            deletions.
+
+    Returns:
+        Checked documents by path, or every fault with its place.
+    """
+    accepted: Documents = {}
+    findings = findings_lib.Findings()
+    for document in documents:
+        if document.value is None:
+            continue
+        document_type = _type_of(document.path)
+        if document_type is None:
+            findings.add(document.path, "no document is expected at this path")
+            continue
+        adapter = pydantic.TypeAdapter(document_type)
+        try:
+            accepted[document.path] = adapter.validate_python(document.value)
+        except pydantic.ValidationError as error:
+            findings.add_validation_error(document.path, error)
+    if not findings.ok:
+        return result.Err(findings)
+    return result.Ok(accepted)
--- /dev/null
+++ b/src/mallowloft/configuration/model.py
@@ -0,0 +1,186 @@
+"""Frozen data classes of the configuration documents."""
+
+from collections.abc import Mapping
+import dataclasses
+from typing import Annotated
+from typing import Literal
+
+import pydantic
+
+_STRICT = pydantic.ConfigDict(extra="forbid")
+
+Name = Annotated[
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$")
+]
+Share = Annotated[float, pydantic.Field(ge=0, le=1)]
+
+
+@dataclasses.dataclass(frozen=True)
+class Fleet:
+    """`/operator/fleet`: settings of the whole system.
+
+    Attributes:
+        classes: Priority classes, the highest first.
+        min_share: Share of starts that a waiting class gets at least.
+        hedge_share: Extra sub-requests per sub-request in the steady state.
+        hedge_share_fault: The same while a replica is known to be at fault.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    classes: Annotated[tuple[Name, ...], pydantic.Field(min_length=1)] = (
+        "paying",
+        "standard",
+        "background",
+    )
+    min_share: Share = 0.02
+    hedge_share: Share = 0.02
+    hedge_share_fault: Share = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class Replica:
+    """One upstream of a service."""
+
+    __pydantic_config__ = _STRICT
+
+    id: Name
+    url: Annotated[str, pydantic.Field(pattern=r"^https?://[^/]+$")]
+    failure_domain: Name
+    slots: Annotated[int, pydantic.Field(ge=1, le=1024)] = 2
+    connections: Annotated[int, pydantic.Field(ge=4, le=65536)] = 25
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """`/operator/services/<name>`: a set of shards with replicas."""
+
+    __pydantic_config__ = _STRICT
+
+    index: Name
+    replicas: Annotated[tuple[Replica, ...], pydantic.Field(min_length=1)]
+    protocol: Name = "http"
+
+
+ShardMap = Mapping[Name, Mapping[Name, tuple[Name, ...]]]
+
+
+@dataclasses.dataclass(frozen=True)
+class IndexVersion:
+    """One version of an index.
+
+    Attributes:
+        version: Number of the version; higher is newer.
+        shards: Replica ids by shard by service.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    version: Annotated[int, pydantic.Field(ge=1)]
+    shards: ShardMap
+
+
+@dataclasses.dataclass(frozen=True)
+class Index:
+    """`/operator/indexes/<name>`: the published versions of one index."""
+
+    __pydantic_config__ = _STRICT
+
+    versions: Annotated[tuple[IndexVersion, ...], pydantic.Field(min_length=1)]
+
+
+@dataclasses.dataclass(frozen=True)
+class Group:
+    """`/operator/groups/<name>`: services that a query may span."""
+
+    __pydantic_config__ = _STRICT
+
+    services: Annotated[tuple[Name, ...], pydantic.Field(min_length=1)]
+
+
+@dataclasses.dataclass(frozen=True)
+class Team:
+    """`/operator/teams/<name>`: what the operator grants a team.
+
+    Attributes:
+        credential_sha256: Hex SHA-256 of the team's bearer token.
+        priority: Name of the priority class.
+        targets: Services and groups the team may use, `*` for all.
+        max_in_flight: Requests of the team that one instance runs at once.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    credential_sha256: Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
+    priority: Name
+    targets: tuple[str, ...] = ("*",)
+    max_in_flight: Annotated[int, pydantic.Field(ge=1)] = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class TeamQuery:
+    """`/teams/<name>/query`: defaults that a team sets for its queries.
+
+    Attributes:
+        default_deadline_ms: Deadline of a request that names none.
+        min_coverage: Share of shards below which an answer is refused.
+        prefer: `time` returns as soon as the minimum coverage is met and a
+            straggler is left; `coverage` waits until the deadline.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    default_deadline_ms: Annotated[float, pydantic.Field(gt=0, le=60_000)] = (
+        1_000.0
+    )
+    min_coverage: Share = 0.0
+    prefer: Literal["time", "coverage"] = "time"
+
+
+@dataclasses.dataclass(frozen=True)
+class Snapshot:
+    """Everything that is accepted, as one request uses it from start to end.
+
+    Attributes:
+        revision: Highest accepted revision.
+    """
+
+    revision: int = 0
+    fleet: Fleet = dataclasses.field(default_factory=Fleet)
+    services_by_name: Mapping[str, Service] = dataclasses.field(
+        default_factory=dict
+    )
+    indexes_by_name: Mapping[str, Index] = dataclasses.field(
+        default_factory=dict
+    )
+    groups_by_name: Mapping[str, Group] = dataclasses.field(
+        default_factory=dict
+    )
+    teams_by_name: Mapping[str, Team] = dataclasses.field(default_factory=dict)
+    queries_by_team: Mapping[str, TeamQuery] = dataclasses.field(
+        default_factory=dict
+    )
+    replicas_by_id: Mapping[str, Replica] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def services_of(self, target: str) -> tuple[str, ...]:
+        """Returns the services that a target names, empty if unknown."""
+        if target in self.services_by_name:
+            return (target,)
+        group = self.groups_by_name.get(target)
+        if group is None:
+            return ()
+        return group.services
+
+    def rank_of(self, team: str) -> int:
+        """Returns the rank of a team's priority class, 0 is the highest.
+
+        A class that the fleet does not list ranks below all others.
+        """
+        classes = self.fleet.classes
+        priority = self.teams_by_name[team].priority
+        if priority in classes:
+            return classes.index(priority)
+        return len(classes)
--- /dev/null
+++ b/src/mallowloft/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatching of work to the replicas that an instance owns."""
--- /dev/null
+++ b/src/mallowloft/gather/__init__.py
@@ -0,0 +1,1 @@
+"""Scatter-gather queries with one snapshot and stated coverage."""
--- /dev/null
+++ b/src/mallowloft/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of instances and the choice of dispatchers."""
--- /dev/null
+++ b/src/mallowloft/submissions/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent requests that run at most once."""
--- /dev/null
+++ b/src/mallowloft/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of upstream replicas."""
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,237 @@
+"""Starts stand-ins and instances as processes, for tests and the demo."""
+
+import asyncio
+from collections.abc import Mapping
+import dataclasses
+import hashlib
+import os
+import pathlib
+import signal
+import sys
+from typing import Any
+
+import aiohttp
+
+from standins import serving
+
+_START_TIMEOUT_S = 20.0
+_SOURCE = pathlib.Path(__file__).resolve().parent.parent
+
+
+@dataclasses.dataclass(frozen=True)
+class ReplicaSpec:
+    """One upstream replica to start."""
+
+    id: str
+    service: str
+    failure_domain: str
+    port: int
+    slots: int = 2
+    connections: int = 25
+    connect_ms: float = 6.0
+
+    @property
+    def url(self) -> str:
+        """Base URL of the replica."""
+        return f"http://127.0.0.1:{self.port}"
+
+
+@dataclasses.dataclass
+class Instance:
+    """One running instance."""
+
+    id: str
+    failure_domain: str
+    caller_port: int
+    operator_port: int
+    peer_port: int
+    process: asyncio.subprocess.Process | None = None
+
+    @property
+    def url(self) -> str:
+        """Base URL for callers."""
+        return f"http://127.0.0.1:{self.caller_port}"
+
+    @property
+    def operator_url(self) -> str:
+        """Base URL for operators."""
+        return f"http://127.0.0.1:{self.operator_port}"
+
+    @property
+    def peer_address(self) -> str:
+        """Address for other instances."""
+        return f"tcp://127.0.0.1:{self.peer_port}"
+
+
+def team_document(token: str, priority: str) -> dict[str, Any]:
+    """Returns an operator's team document."""
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    return {"credential_sha256": digest, "priority": priority}
+
+
+class Fleet:
+    """The processes of one test or demo; always stop it."""
+
+    def __init__(self, log_path: pathlib.Path | None = None) -> None:
+        self.instances_by_id: dict[str, Instance] = {}
+        self.replicas_by_id: dict[str, ReplicaSpec] = {}
+        self.platform_url = ""
+        self.session: aiohttp.ClientSession | None = None
+        self._processes: list[asyncio.subprocess.Process] = []
+        self._log_path = log_path
+
+    async def __aenter__(self) -> "Fleet":
+        self.session = aiohttp.ClientSession()
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        await self.stop()
+
+    async def start_platform(self) -> None:
+        """Starts the platform stand-in."""
+        (port,) = serving.free_ports(1)
+        self.platform_url = f"http://127.0.0.1:{port}"
+        await self._spawn("-m", "standins.platform", "--port", str(port))
+
+    async def start_upstreams(self, specs: list[ReplicaSpec]) -> None:
+        """Starts replicas, all in one process."""
+        arguments = []
+        for spec in specs:
+            self.replicas_by_id[spec.id] = spec
+            arguments.append(
+                f"{spec.id}:{spec.port}:{spec.slots}:{spec.connections}"
+                f":{spec.connect_ms}"
+            )
+        await self._spawn("-m", "standins.upstream", *arguments)
+
+    async def start_instance(
+        self, instance_id: str, failure_domain: str, **settings: str
+    ) -> Instance:
+        """Starts an instance and waits until it is ready."""
+        instance = self.instances_by_id.get(instance_id)
+        if instance is None:
+            instance = Instance(
+                instance_id, failure_domain, *serving.free_ports(3)
+            )
+            self.instances_by_id[instance_id] = instance
+        await self.list_instances()
+        values = {
+            "instance-id": instance_id,
+            "failure-domain": failure_domain,
+            "caller-port": str(instance.caller_port),
+            "operator-port": str(instance.operator_port),
+            "peer-port": str(instance.peer_port),
+            "platform-url": self.platform_url,
+            **{key.replace("_", "-"): value for key, value in settings.items()},
+        }
+        arguments = [f"--{key}={value}" for key, value in values.items()]
+        instance.process = await self._spawn(
+            "-m", "mallowloft", "entry", *arguments, wait=False
+        )
+        await self.wait_ready(instance)
+        return instance
+
+    async def wait_ready(self, instance: Instance) -> None:
+        """Waits for the readiness endpoint."""
+        async with asyncio.timeout(_START_TIMEOUT_S):
+            while not await self._is_ready(instance):
+                if instance.process.returncode is not None:
+                    raise RuntimeError(f"{instance.id} exited")
+                await asyncio.sleep(0.05)
+
+    async def list_instances(self) -> None:
+        """Publishes all instances in the platform's list."""
+        await self.post(
+            self.platform_url + "/admin/set",
+            {
+                "instances": [
+                    {
+                        "id": item.id,
+                        "failure_domain": item.failure_domain,
+                        "peer": item.peer_address,
+                        "state": "live",
+                    }
+                    for item in self.instances_by_id.values()
+                ]
+            },
+        )
+
+    async def publish(self, values_by_path: Mapping[str, Any]) -> int:
+        """Publishes configuration documents and returns the revision."""
+        answer = await self.post(
+            self.platform_url + "/admin/publish", dict(values_by_path)
+        )
+        return answer["revision"]
+
+    async def set_replica(self, replica_id: str, **behaviour: Any) -> None:
+        """Changes the behaviour of a replica."""
+        spec = self.replicas_by_id[replica_id]
+        await self.post(spec.url + "/admin/set", behaviour)
+
+    async def journal(self, replica_id: str) -> dict[str, Any]:
+        """Returns the journal of a replica."""
+        url = self.replicas_by_id[replica_id].url + "/admin/journal"
+        async with self.session.get(url) as response:
+            return await response.json()
+
+    async def post(
+        self, url: str, body: Any, headers: Mapping[str, str] | None = None
+    ) -> Any:
+        """Posts JSON and returns the JSON answer."""
+        async with self.session.post(
+            url, json=body, headers=headers
+        ) as response:
+            return await response.json()
+
+    def signal(self, instance_id: str, number: signal.Signals) -> None:
+        """Sends a signal to an instance."""
+        self.instances_by_id[instance_id].process.send_signal(number)
+
+    async def stop(self) -> None:
+        """Ends every process that was started."""
+        for process in self._processes:
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        for process in self._processes:
+            try:
+                await asyncio.wait_for(process.wait(), 5)
+            except TimeoutError:
+                process.kill()
+                await process.wait()
+        if self.session is not None:
+            await self.session.close()
+
+    async def _is_ready(self, instance: Instance) -> bool:
+        try:
+            async with self.session.get(
+                instance.operator_url + "/readyz",
+                timeout=aiohttp.ClientTimeout(total=1),
+            ) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    async def _spawn(
+        self, *arguments: str, wait: bool = True
+    ) -> asyncio.subprocess.Process:
+        log = asyncio.subprocess.DEVNULL
+        if self._log_path is not None:
+            log = self._log_path.open("ab")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *arguments,
+            stdout=asyncio.subprocess.PIPE if wait else log,
+            stderr=log,
+            cwd=_SOURCE,
+            env={**os.environ, "PYTHONPATH": f"{_SOURCE}/src:{_SOURCE}"},
+        )
+        if not isinstance(log, int):
+            log.close()
+        self._processes.append(process)
+        if wait:
+            async with asyncio.timeout(_START_TIMEOUT_S):
+                line = await process.stdout.readline()
+            if line != b"ready\n":
+                raise RuntimeError(f"{arguments} did not start")
+        return process
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the interfaces of an instance, on virtual time."""
--- /dev/null
+++ b/tests/support/upstreams.py
@@ -0,0 +1,280 @@
+"""In-memory upstream replicas with slots, a FIFO queue and a journal."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import json
+import random
+from typing import Any
+
+from mallowloft.upstream import protocol
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """One line of a replica's journal."""
+
+    kind: str
+    time_s: float
+    replica: str
+    request: str
+    version: int = 0
+    shards: tuple[str, ...] = ()
+
+
+class FakeReplica:
+    """One replica; tests change its attributes while it runs.
+
+    Attributes:
+        service_s: Draws the time a call holds a slot.
+        slow_factor: Multiplies the service time.
+        versions: Index versions that can be served.
+    """
+
+    def __init__(
+        self,
+        replica_id: str,
+        rng: random.Random,
+        slots: int = 2,
+        connections: int = 25,
+        connect_s: float = 0.006,
+        service_s: Callable[[random.Random], float] | None = None,
+    ) -> None:
+        self.id = replica_id
+        self.rng = rng
+        self.connections_limit = connections
+        self.connect_s = connect_s
+        self.service_s = service_s or (
+            lambda rng: 0.003 * rng.lognormvariate(-0.125, 0.5)
+        )
+        self.slow_factor = 1.0
+        self.frozen = False
+        self.failing = False
+        self.draining = False
+        self.unreachable = False
+        self.max_queue = 1000
+        self.versions: tuple[int, ...] = (1,)
+        self.health_state: str | None = None
+        self.health_versions: tuple[int, ...] | None = None
+        self.journal: list[Event] = []
+        self.busy_s = 0.0
+        self.open_connections = 0
+        self.peak_connections = 0
+        self._slots = asyncio.Semaphore(slots)
+        self._waiting = 0
+        self._tasks_by_request: dict[str, asyncio.Task] = {}
+
+    def count(self, kind: str) -> int:
+        """Returns how many journal events are of a kind."""
+        return sum(event.kind == kind for event in self.journal)
+
+    def note(self, kind: str, request: str, **fields: Any) -> None:
+        """Adds a journal event."""
+        now_s = asyncio.get_running_loop().time()
+        self.journal.append(Event(kind, now_s, self.id, request, **fields))
+
+    async def run(
+        self, kind: str, request: str, version: int, shards: tuple[str, ...]
+    ) -> protocol.CallReply:
+        """Runs a call and returns its outcome; results are left empty."""
+        if self.failing:
+            self.note(f"{kind}_failed", request)
+            return protocol.CallReply(protocol.CallOutcome.FAILED)
+        if self.draining:
+            self.note(f"{kind}_refused", request)
+            return protocol.CallReply(protocol.CallOutcome.DRAINING)
+        if self._waiting >= self.max_queue:
+            self.note(f"{kind}_refused", request)
+            return protocol.CallReply(protocol.CallOutcome.SHED)
+        if version and version not in self.versions:
+            return protocol.CallReply(
+                protocol.CallOutcome.WRONG_VERSION, versions=self.versions
+            )
+        task = asyncio.current_task()
+        self._tasks_by_request[request] = task
+        self._waiting += 1
+        try:
+            async with self._slots:
+                self._waiting -= 1
+                fields = {"version": version, "shards": shards}
+                self.note(f"{kind}_started", request, **fields)
+                started_s = asyncio.get_running_loop().time()
+                try:
+                    if self.frozen:
+                        await asyncio.Event().wait()
+                    await asyncio.sleep(
+                        self.service_s(self.rng) * self.slow_factor
+                    )
+                finally:
+                    now_s = asyncio.get_running_loop().time()
+                    self.busy_s += now_s - started_s
+                self.note(f"{kind}_finished", request, **fields)
+                return protocol.CallReply(
+                    protocol.CallOutcome.OK, index_version=version
+                )
+        except asyncio.CancelledError:
+            self.note(f"{kind}_cancelled", request)
+            raise
+        finally:
+            self._tasks_by_request.pop(request, None)
+
+    def cancel(self, request: str) -> None:
+        """Cancels a call."""
+        task = self._tasks_by_request.get(request)
+        if task is not None:
+            task.cancel()
+
+
+class FakeUpstream:
+    """One instance's connections to a replica."""
+
+    def __init__(
+        self, replica: FakeReplica, max_connections: int, one_way_s: float
+    ) -> None:
+        self._replica = replica
+        self._max = max_connections
+        self._one_way_s = one_way_s
+        self._open = 0
+        self._idle = 0
+        self._returned = asyncio.Condition()
+
+    async def query(self, call: protocol.QueryCall) -> protocol.CallReply:
+        reply = await self._call(
+            "query",
+            call.request,
+            call.index_version,
+            call.shards,
+            call.deadline_ms,
+        )
+        if reply.outcome is not protocol.CallOutcome.OK:
+            return reply
+        results = {
+            shard: json.dumps(
+                [f"{self._replica.id}/{shard}@{call.index_version}"]
+            ).encode()
+            for shard in call.shards
+        }
+        return dataclasses.replace(reply, results=results)
+
+    async def submit(self, call: protocol.SubmitCall) -> protocol.CallReply:
+        reply = await self._call(
+            "submit", call.request, 0, (call.shard,), call.deadline_ms
+        )
+        if reply.outcome is protocol.CallOutcome.OK:
+            return dataclasses.replace(reply, body=call.body)
+        return reply
+
+    async def cancel(self, request: str) -> None:
+        await asyncio.sleep(self._one_way_s)
+        self._replica.cancel(request)
+
+    async def health(self) -> protocol.Health | None:
+        await asyncio.sleep(2 * self._one_way_s)
+        replica = self._replica
+        if replica.frozen or replica.unreachable:
+            return None
+        state = "draining" if replica.draining else "ok"
+        versions = replica.health_versions
+        return protocol.Health(
+            replica.health_state or state,
+            replica.versions if versions is None else versions,
+        )
+
+    async def warm(self, connections: int) -> None:
+        missing = min(connections, self._max) - self._open
+        for _ in range(missing):
+            self._connected()
+            self._idle += 1
+        if missing > 0:
+            await asyncio.sleep(self._replica.connect_s)
+
+    async def close(self) -> None:
+        self._replica.open_connections -= self._open
+        self._open = 0
+
+    def _connected(self) -> None:
+        self._open += 1
+        replica = self._replica
+        replica.open_connections += 1
+        replica.peak_connections = max(
+            replica.peak_connections, replica.open_connections
+        )
+
+    async def _connection(self) -> None:
+        async with self._returned:
+            while not self._idle and self._open >= self._max:
+                await self._returned.wait()
+            if self._idle:
+                self._idle -= 1
+                return
+            self._connected()
+        await asyncio.sleep(self._replica.connect_s)
+
+    async def _call(
+        self,
+        kind: str,
+        request: str,
+        version: int,
+        shards: tuple[str, ...],
+        deadline_ms: float,
+    ) -> protocol.CallReply:
+        if self._replica.unreachable:
+            await asyncio.sleep(2 * self._one_way_s)
+            return protocol.CallReply(protocol.CallOutcome.UNSENT)
+        await self._connection()
+        # The replica goes on with a call whose caller is gone, as a server
+        # does, until it is cancelled or its deadline passes.
+        task = asyncio.create_task(
+            self._replica.run(kind, request, version, shards)
+        )
+        try:
+            await asyncio.sleep(2 * self._one_way_s)
+            return await asyncio.wait_for(
+                asyncio.shield(task), deadline_ms / 1000
+            )
+        except TimeoutError:
+            task.cancel()
+            return protocol.CallReply(
+                protocol.CallOutcome.FAILED, reason="timeout"
+            )
+        except asyncio.CancelledError:
+            if task.cancelled():
+                return protocol.CallReply(
+                    protocol.CallOutcome.FAILED, reason="cancelled"
+                )
+            raise
+        finally:
+            self._idle += 1
+            async with self._returned:
+                self._returned.notify()
+
+
+class FakeUpstreams:
+    """Stands in for the `upstream` plug-in of one instance."""
+
+    requires: tuple[str, ...] = ()
+
+    def __init__(
+        self, replicas_by_id: dict[str, FakeReplica], one_way_s: float
+    ) -> None:
+        self._replicas_by_id = replicas_by_id
+        self._one_way_s = one_way_s
+
+    def open(
+        self, protocol_name: str, url: str, max_connections: int
+    ) -> FakeUpstream:
+        del protocol_name
+        replica = self._replicas_by_id[url.removeprefix("http://")]
+        return FakeUpstream(replica, max_connections, self._one_way_s)
+
+    async def start(self) -> None:
+        pass
+
+    async def stop(self, grace_s: float) -> None:
+        del grace_s
+
+    def ready(self) -> bool:
+        return True
+
+    def dump(self) -> dict[str, Any]:
+        return {}
--- /dev/null
+++ b/tests/support/world.py
@@ -0,0 +1,263 @@
+"""Several instances in one virtual loop, with fakes around them."""
+
+import asyncio
+import hashlib
+import random
+from typing import Any
+
+import result
+
+from mallowloft import messages
+from mallowloft.configuration import platform as platform_lib
+from mallowloft.gather import model as gather_model
+from mallowloft.kernel import clock as clock_lib
+from mallowloft.kernel import lifecycle
+from mallowloft.kernel import registry
+from mallowloft.kernel import settings as settings_lib
+from tests.support import network as network_lib
+from tests.support import upstreams as upstreams_lib
+
+_PLUGINS = ("configuration", "membership", "dispatch", "gather", "submissions")
+
+
+class FakePlatform:
+    """The platform's services as one instance reaches them."""
+
+    def __init__(self, world: "World", instance: str) -> None:
+        self._world = world
+        self._instance = instance
+
+    async def read(self, prefix: str):
+        return await self._answer("read", 0, prefix)
+
+    async def watch(self, after: int, timeout_s: float):
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_s
+        answer = await self._answer("watch", after, "/")
+        while (
+            answer.is_ok()
+            and not answer.unwrap().documents
+            and loop.time() < end_s
+        ):
+            await asyncio.sleep(0.01)
+            if self._cut():
+                return result.Err("cut")
+            answer = self._world.entries(after, "/")
+        return answer
+
+    async def instances(self):
+        await asyncio.sleep(0.002)
+        self._world.count_call("instances")
+        if self._cut():
+            return result.Err("cut")
+        return result.Ok(self._world.instance_list)
+
+    async def close(self) -> None:
+        pass
+
+    def _cut(self) -> bool:
+        world = self._world
+        return world.platform_down or self._instance in world.platform_cut
+
+    async def _answer(self, name: str, after: int, prefix: str):
+        await asyncio.sleep(0.002)
+        self._world.count_call(name)
+        if self._cut():
+            return result.Err("cut")
+        return self._world.entries(after, prefix)
+
+
+class World:
+    """The fakes and the instances of one test."""
+
+    def __init__(
+        self,
+        seed: int = 1,
+        cross_domain_s: float = 0.0015,
+        upstream_one_way_s: float = 0.0002,
+    ) -> None:
+        registry.load_plugins()
+        self.rng = random.Random(seed)
+        self.network = network_lib.Network(
+            random.Random(seed + 1), cross_domain_s
+        )
+        self.replicas_by_id: dict[str, upstreams_lib.FakeReplica] = {}
+        self.kernels_by_id: dict[str, lifecycle.Kernel] = {}
+        self.documents_by_path: dict[str, messages.Document] = {}
+        self.revision = 0
+        self.stale_revision: int | None = None
+        self.platform_down = False
+        self.platform_cut: set[str] = set()
+        self.calls_by_name: dict[str, int] = {}
+        self.call_times_s: list[float] = []
+        self.instance_list = platform_lib.InstanceList((), {})
+        self._upstream_one_way_s = upstream_one_way_s
+        self._incarnations = iter(range(1, 1_000_000))
+
+    def count_call(self, name: str) -> None:
+        """Counts a call on the platform."""
+        self.calls_by_name[name] = self.calls_by_name.get(name, 0) + 1
+        self.call_times_s.append(asyncio.get_running_loop().time())
+
+    def entries(self, after: int, prefix: str):
+        """Returns the documents that the configuration service shows."""
+        limit = self.revision
+        if self.stale_revision is not None:
+            limit = min(limit, self.stale_revision)
+        documents = tuple(
+            document
+            for document in self.documents_by_path.values()
+            if after < document.revision <= limit
+            and document.path.startswith(prefix)
+        )
+        return result.Ok(platform_lib.Entries(limit, documents))
+
+    def publish(self, values_by_path: dict[str, Any]) -> int:
+        """Publishes documents at one new revision."""
+        self.revision += 1
+        for path, value in values_by_path.items():
+            self.documents_by_path[path] = messages.Document(
+                path, self.revision, value
+            )
+        return self.revision
+
+    def publish_service(
+        self,
+        name: str,
+        replicas: dict[str, str],
+        slots: int = 2,
+        connections: int = 25,
+        index: str = "main",
+        **replica_options: Any,
+    ) -> None:
+        """Creates the fake replicas of a service and publishes it.
+
+        Args:
+            name: Name of the service.
+            replicas: Failure domain by replica id.
+            slots: Slots of each replica.
+            connections: Connection limit of each replica.
+            index: Index of the service.
+            **replica_options: Passed to `FakeReplica`.
+        """
+        for replica in replicas:
+            self.replicas_by_id[replica] = upstreams_lib.FakeReplica(
+                replica,
+                random.Random(self.rng.random()),
+                slots,
+                connections,
+                **replica_options,
+            )
+        self.publish(
+            {
+                f"/operator/services/{name}": {
+                    "index": index,
+                    "replicas": [
+                        {
+                            "id": replica,
+                            "url": f"http://{replica}",
+                            "failure_domain": domain,
+                            "slots": slots,
+                            "connections": connections,
+                        }
+                        for replica, domain in replicas.items()
+                    ],
+                }
+            }
+        )
+
+    def publish_team(self, name: str, priority: str, **query: Any) -> None:
+        """Publishes a team whose token is its name."""
+        self.publish(
+            {
+                f"/operator/teams/{name}": {
+                    "credential_sha256": hashlib.sha256(
+                        name.encode()
+                    ).hexdigest(),
+                    "priority": priority,
+                }
+            }
+        )
+        if query:
+            self.publish({f"/teams/{name}/query": query})
+
+    def kernel(
+        self, instance: str, failure_domain: str, **settings: Any
+    ) -> lifecycle.Kernel:
+        """Builds an instance without starting it."""
+        kernel = lifecycle.Kernel(
+            settings_lib.Settings(
+                instance_id=instance, failure_domain=failure_domain, **settings
+            ),
+            clock=clock_lib.LoopClock(),
+            rng=random.Random(self.rng.random()),
+            incarnation=next(self._incarnations),
+        )
+        kernel.plugins_by_name["peers"] = network_lib.FakePeers(
+            kernel, self.network
+        )
+        kernel.plugins_by_name["upstream"] = upstreams_lib.FakeUpstreams(
+            self.replicas_by_id, self._upstream_one_way_s
+        )
+        kernel.build(_PLUGINS)
+        kernel.plugin("configuration").platform = FakePlatform(self, instance)
+        self.kernels_by_id[instance] = kernel
+        return kernel
+
+    def list_instances(self, *leaving: str) -> None:
+        """Puts all built instances into the platform's list."""
+        self.instance_list = platform_lib.InstanceList(
+            tuple(
+                platform_lib.ListedInstance(
+                    name,
+                    kernel.settings.failure_domain,
+                    f"tcp://{name}",
+                    "leaving" if name in leaving else "live",
+                )
+                for name, kernel in self.kernels_by_id.items()
+            ),
+            self.instance_list.upstream_states,
+        )
+
+    async def start(self, domains_by_instance: dict[str, str]) -> None:
+        """Builds, lists and starts instances and waits until all are ready."""
+        kernels = [
+            self.kernel(instance, domain)
+            for instance, domain in domains_by_instance.items()
+        ]
+        self.list_instances()
+        for kernel in kernels:
+            await kernel.start()
+        async with asyncio.timeout(30):
+            while not all(kernel.ready() for kernel in kernels):
+                await asyncio.sleep(0.01)
+
+    def kill(self, instance: str) -> None:
+        """Takes an instance off the network at once."""
+        self.kernels_by_id[instance].plugin("peers").kill()
+
+    async def query(
+        self,
+        instance: str,
+        team: str,
+        target: str,
+        deadline_ms: float = 1000.0,
+        min_coverage: float = 0.0,
+        prefer: str = "time",
+    ):
+        """Runs a query at an instance."""
+        kernel = self.kernels_by_id[instance]
+        snapshot = kernel.plugin("configuration").store.current
+        return await kernel.plugin("gather").run(
+            gather_model.Query(
+                request=f"q-{self.rng.getrandbits(48):x}",
+                team=team,
+                snapshot=snapshot,
+                target=target,
+                rank=snapshot.rank_of(team),
+                body=b"{}",
+                deadline_ms=deadline_ms,
+                min_coverage=min_coverage,
+                prefer=prefer,
+            )
+        )
