Freeze and kill instances faithfully on the virtual loop

Cause: the fakes could only cut an instance off the network, while its timers and tasks went on; a frozen process does nothing and wakes with old beliefs. Change: callbacks carry their instance in a context variable, and the loop holds those of a frozen instance until it is thawed.

--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -7,6 +7,7 @@
 from mallowloft import messages
 from mallowloft import peers as peers_lib
 from mallowloft.kernel import lifecycle
+from tests.support import virtual
 
 SAME_DOMAIN_S = 0.0002
 
@@ -84,7 +85,12 @@
         for _ in range(copies):
             jitter_s = self._rng.random() * self.jitter_s
             asyncio.get_running_loop().call_later(
-                delay_s + jitter_s, self._deliver, sender, address, envelope
+                delay_s + jitter_s,
+                self._deliver,
+                sender,
+                address,
+                envelope,
+                context=virtual.context_of(""),
             )
 
     def _deliver(
@@ -96,7 +102,11 @@
         if receiver.instance in self.held_instances:
             self._held.append((sender, address, envelope))
             return
-        receiver.receive(envelope)
+        asyncio.get_running_loop().call_soon(
+            receiver.receive,
+            envelope,
+            context=virtual.context_of(receiver.instance),
+        )
 
 
 class FakePeers:
--- a/tests/support/upstreams.py
+++ b/tests/support/upstreams.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from mallowloft.upstream import protocol
+from tests.support import virtual
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -225,7 +226,8 @@
         # The replica goes on with a call whose caller is gone, as a server
         # does, until it is cancelled or its deadline passes.
         task = asyncio.create_task(
-            self._replica.run(kind, request, version, shards)
+            self._replica.run(kind, request, version, shards),
+            context=virtual.context_of(""),
         )
         try:
             await asyncio.sleep(2 * self._one_way_s)
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -1,6 +1,7 @@
 """Several instances in one virtual loop, with fakes around them."""
 
 import asyncio
+from collections.abc import Coroutine
 import hashlib
 import random
 from typing import Any
@@ -16,6 +17,7 @@
 from mallowloft.kernel import settings as settings_lib
 from tests.support import network as network_lib
 from tests.support import upstreams as upstreams_lib
+from tests.support import virtual
 
 _PLUGINS = ("configuration", "membership", "dispatch", "gather", "submissions")
 
@@ -227,14 +229,30 @@
         ]
         self.list_instances()
         for kernel in kernels:
-            await kernel.start()
+            await self.run_at(kernel.settings.instance_id, kernel.start())
         async with asyncio.timeout(30):
             while not all(kernel.ready() for kernel in kernels):
                 await asyncio.sleep(0.01)
 
+    async def run_at(
+        self, instance: str, coroutine: Coroutine[Any, Any, Any]
+    ) -> Any:
+        """Runs a coroutine as part of an instance, frozen or killed with it."""
+        context = virtual.context_of(instance)
+        return await asyncio.create_task(coroutine, context=context)
+
     def kill(self, instance: str) -> None:
-        """Takes an instance off the network at once."""
+        """Ends an instance at once; what it sent to upstreams goes on."""
         self.kernels_by_id[instance].plugin("peers").kill()
+        asyncio.get_running_loop().freeze(instance)
+
+    def freeze(self, instance: str) -> None:
+        """Stops an instance as SIGSTOP does; its sockets still take data."""
+        asyncio.get_running_loop().freeze(instance)
+
+    def thaw(self, instance: str) -> None:
+        """Continues a frozen instance."""
+        asyncio.get_running_loop().thaw(instance)
 
     async def query(
         self,
@@ -248,16 +266,15 @@
         """Runs a query at an instance."""
         kernel = self.kernels_by_id[instance]
         snapshot = kernel.plugin("configuration").store.current
-        return await kernel.plugin("gather").run(
-            gather_model.Query(
-                request=f"q-{self.rng.getrandbits(48):x}",
-                team=team,
-                snapshot=snapshot,
-                target=target,
-                rank=snapshot.rank_of(team),
-                body=b"{}",
-                deadline_ms=deadline_ms,
-                min_coverage=min_coverage,
-                prefer=prefer,
-            )
+        query = gather_model.Query(
+            request=f"q-{self.rng.getrandbits(48):x}",
+            team=team,
+            snapshot=snapshot,
+            target=target,
+            rank=snapshot.rank_of(team),
+            body=b"{}",
+            deadline_ms=deadline_ms,
+            min_coverage=min_coverage,
+            prefer=prefer,
         )
+        return await self.run_at(instance, kernel.plugin("gather").run(query))
