--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios with faults, and the invariants that must hold."""
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -105,7 +105,7 @@
         asyncio.get_running_loop().call_soon(
             receiver.receive,
             envelope,
-            context=virtual.context_of(receiver.instance),
+            context=virtual.context_of(receiver.process),
         )
 
 
@@ -124,6 +124,7 @@
         self.instance = kernel.settings.instance_id
         self.failure_domain = kernel.settings.failure_domain
         self.address = f"tcp://{self.instance}"
+        self.process = f"{self.instance}#{kernel.incarnation}"
 
     async def start(self) -> None:
         self._network.attach(self)
--- a/tests/support/upstreams.py
+++ b/tests/support/upstreams.py
@@ -21,6 +21,7 @@
     request: str
     version: int = 0
     shards: tuple[str, ...] = ()
+    body: bytes = b""
 
 
 class FakeReplica:
@@ -75,7 +76,12 @@
         self.journal.append(Event(kind, now_s, self.id, request, **fields))
 
     async def run(
-        self, kind: str, request: str, version: int, shards: tuple[str, ...]
+        self,
+        kind: str,
+        request: str,
+        version: int,
+        shards: tuple[str, ...],
+        body: bytes = b"",
     ) -> protocol.CallReply:
         """Runs a call and returns its outcome; results are left empty."""
         if self.failing:
@@ -97,7 +103,7 @@
         try:
             async with self._slots:
                 self._waiting -= 1
-                fields = {"version": version, "shards": shards}
+                fields = {"version": version, "shards": shards, "body": body}
                 self.note(f"{kind}_started", request, **fields)
                 started_s = asyncio.get_running_loop().time()
                 try:
@@ -146,12 +152,16 @@
             call.index_version,
             call.shards,
             call.deadline_ms,
+            b"",
         )
         if reply.outcome is not protocol.CallOutcome.OK:
             return reply
         results = {
             shard: json.dumps(
-                [f"{self._replica.id}/{shard}@{call.index_version}"]
+                [
+                    f"{self._replica.id}/{shard}@{call.index_version}",
+                    json.loads(call.query),
+                ]
             ).encode()
             for shard in call.shards
         }
@@ -159,7 +169,12 @@
 
     async def submit(self, call: protocol.SubmitCall) -> protocol.CallReply:
         reply = await self._call(
-            "submit", call.request, 0, (call.shard,), call.deadline_ms
+            "submit",
+            call.request,
+            0,
+            (call.shard,),
+            call.deadline_ms,
+            call.body,
         )
         if reply.outcome is protocol.CallOutcome.OK:
             return dataclasses.replace(reply, body=call.body)
@@ -218,6 +233,7 @@
         version: int,
         shards: tuple[str, ...],
         deadline_ms: float,
+        body: bytes,
     ) -> protocol.CallReply:
         if self._replica.unreachable:
             await asyncio.sleep(2 * self._one_way_s)
@@ -226,7 +242,7 @@
         # The replica goes on with a call whose caller is gone, as a server
         # does, until it is cancelled or its deadline passes.
         task = asyncio.create_task(
-            self._replica.run(kind, request, version, shards),
+            self._replica.run(kind, request, version, shards, body),
             context=virtual.context_of(""),
         )
         try:
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -6,7 +6,7 @@
 import selectors
 from typing import Any
 
-# Which instance a callback belongs to; empty for the test itself.
+# The process that a callback belongs to; empty for the test itself.
 instance_name = contextvars.ContextVar("instance_name", default="")
 
 
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -221,6 +221,12 @@
             self.instance_list.upstream_states,
         )
 
+    async def start_instance(self, instance: str, domain: str) -> None:
+        """Builds, lists and starts one instance, without waiting."""
+        kernel = self.kernel(instance, domain)
+        self.list_instances()
+        await self.run_at(instance, kernel.start())
+
     async def start(self, domains_by_instance: dict[str, str]) -> None:
         """Builds, lists and starts instances and waits until all are ready."""
         kernels = [
@@ -237,22 +243,30 @@
     async def run_at(
         self, instance: str, coroutine: Coroutine[Any, Any, Any]
     ) -> Any:
-        """Runs a coroutine as part of an instance, frozen or killed with it."""
-        context = virtual.context_of(instance)
-        return await asyncio.create_task(coroutine, context=context)
+        """Runs a coroutine as part of an instance, frozen or killed with it.
+
+        A caller that gives up leaves the coroutine running, since nothing can
+        be said to a process that does not run.
+        """
+        context = virtual.context_of(self._process(instance))
+        task = asyncio.create_task(coroutine, context=context)
+        return await asyncio.shield(task)
 
     def kill(self, instance: str) -> None:
         """Ends an instance at once; what it sent to upstreams goes on."""
         self.kernels_by_id[instance].plugin("peers").kill()
-        asyncio.get_running_loop().freeze(instance)
+        asyncio.get_running_loop().freeze(self._process(instance))
 
     def freeze(self, instance: str) -> None:
         """Stops an instance as SIGSTOP does; its sockets still take data."""
-        asyncio.get_running_loop().freeze(instance)
+        asyncio.get_running_loop().freeze(self._process(instance))
 
     def thaw(self, instance: str) -> None:
         """Continues a frozen instance."""
-        asyncio.get_running_loop().thaw(instance)
+        asyncio.get_running_loop().thaw(self._process(instance))
+
+    def _process(self, instance: str) -> str:
+        return self.kernels_by_id[instance].plugin("peers").process
 
     async def query(
         self,
@@ -262,6 +276,7 @@
         deadline_ms: float = 1000.0,
         min_coverage: float = 0.0,
         prefer: str = "time",
+        body: bytes = b"{}",
     ):
         """Runs a query at an instance."""
         kernel = self.kernels_by_id[instance]
@@ -272,7 +287,7 @@
             snapshot=snapshot,
             target=target,
             rank=snapshot.rank_of(team),
-            body=b"{}",
+            body=body,
             deadline_ms=deadline_ms,
             min_coverage=min_coverage,
             prefer=prefer,
