--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -38,6 +38,7 @@
         self.version = 0
         self.alive = list(scenario.domains_by_instance)
         self._tasks: set[asyncio.Task] = set()
+        self._failures: list[BaseException] = []
         self._recorded: set[tuple[str, int, str, int]] = set()
 
     async def execute(self) -> record_lib.Record:
@@ -53,6 +54,8 @@
             self.spawn(actions.by_name[action.name](self, action))
         while self._tasks:
             await asyncio.wait(self._tasks)
+        if self._failures:
+            raise self._failures[0]
         await asyncio.sleep(_SETTLE_S)
         for replica in self.world.replicas_by_id.values():
             self.record.journal.extend(replica.journal)
@@ -168,7 +171,7 @@
     def _finished(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            raise task.exception()
+            self._failures.append(task.exception())
 
 
 async def _query(run: Run, team: str, target: str, deadline_s: float) -> None:
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -57,6 +57,11 @@
         for handle in self._held_by_instance.pop(instance, []):
             super().call_soon(self._run_held, handle)
 
+    def thaw_all(self) -> None:
+        """Thaws every instance, so that the loop can be closed."""
+        for instance in list(self._held_by_instance):
+            self.thaw(instance)
+
     def call_soon(self, callback, *args, context=None):
         """Schedules a callback, or holds it if its instance is frozen."""
         context = context or contextvars.copy_context()
@@ -97,4 +102,7 @@
 def run(coroutine: Coroutine[Any, Any, Any]) -> Any:
     """Runs a coroutine on a new virtual loop and returns its result."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-        return runner.run(coroutine)
+        try:
+            return runner.run(coroutine)
+        finally:
+            runner.get_loop().thaw_all()
