--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 
 bench: $(VENV)/.installed
 	$(BIN)/python -m bench
+
+slopes: $(VENV)/.installed
+	$(BIN)/python -m bench.slopes
