Let several plug-ins handle one type of message

Membership and submissions both act on Leaving, and Dispatch kept one handler per type: the later registration silently replaced the earlier.

Ruled out: a relay inside membership, since it would make submissions depend on the order in which membership handles the message.

Dispatch keeps a list per type. Each handler is guarded on its own, so that a failing one stops neither the batch nor the next handler.

--- a/src/mallowloft/peers.py
+++ b/src/mallowloft/peers.py
@@ -39,7 +39,7 @@
     """What other plug-ins use of the transport; tests replace it."""
 
     def on(self, message_type: type, handler: Handler) -> None:
-        """Sets the handler of a message type."""
+        """Adds a handler of a message type."""
 
     def send(self, to: str, message: messages.Message) -> bool:
         """Queues a message; False if the peer is certainly unreachable."""
@@ -78,28 +78,31 @@
     """Handlers by message type."""
 
     def __init__(self) -> None:
-        self._handlers_by_type: dict[type, Handler] = {}
+        self._handlers_by_type: dict[type, list[Handler]] = {}
 
     def on(self, message_type: type, handler: Handler) -> None:
-        """Sets the handler of a message type."""
-        self._handlers_by_type[message_type] = handler
+        """Adds a handler of a message type; handlers run in this order."""
+        self._handlers_by_type.setdefault(message_type, []).append(handler)
 
     def deliver(
         self, sender: Sender, batch: tuple[messages.Message, ...]
     ) -> None:
         """Calls the handlers; a failing one does not stop the batch."""
         for message in batch:
-            handler = self._handlers_by_type.get(type(message))
-            if handler is None:
-                continue
-            try:
-                handler(sender, message)
-            except Exception:  # noqa: BLE001
-                _log.exception(
-                    "message_handler_failed",
-                    message=type(message).__name__,
-                    sender=sender.instance,
-                )
+            for handler in self._handlers_by_type.get(type(message), ()):
+                self._call(handler, sender, message)
+
+    def _call(
+        self, handler: Handler, sender: Sender, message: messages.Message
+    ) -> None:
+        try:
+            handler(sender, message)
+        except Exception:  # noqa: BLE001
+            _log.exception(
+                "message_handler_failed",
+                message=type(message).__name__,
+                sender=sender.instance,
+            )
 
 
 @registry.plugins.register("peers")
@@ -170,7 +173,7 @@
         }
 
     def on(self, message_type: type, handler: Handler) -> None:
-        """Sets the handler of a message type."""
+        """Adds a handler of a message type."""
         self._handlers.on(message_type, handler)
 
     def connect(self, instance: str, address: str) -> None:
