Add idempotency keys and the ledger of their records

A non-idempotent request may run at most once (I5). The key names the only incarnation that may run it and is authenticated with a secret of that incarnation; the ledger holds one record per key.

Ruled out: - A record per issued key: most issued keys wait unused for minutes. Keys are numbered, and a live key without a record is fresh. - Evicting records at the size limit: the key would look fresh again. The limit is on issuing, per instance and per team; only replies are dropped for space, and then the outcome is unknown. - Comparing bodies only in SubmitGo: a repeat with a different body would get the outcome of the first body from SubmitOpen. SubmitOpen carries a digest of team, service, shard and body.

Messages: SubmitOpen gains digest, SubmitGo gains request, SubmitState gains mismatch and expired; LedgerEntry, LedgerHandover and LedgerReceived are extended and LedgerHeld is new (used by the handover). Model: Mismatch, a NotRun that says nothing of the key's own submission.

--- a/src/mallowloft/messages.py
+++ b/src/mallowloft/messages.py
@@ -194,11 +194,18 @@
 
 
 class SubmitOpen(Message):
-    """Asks the issuer of a key for a ticket to run it."""
+    """Asks the issuer of a key for a ticket to run it, or for its outcome.
+
+    Attributes:
+        exchange: Number of the sender's copy, unique among its incarnations.
+        digest: Digest of team, service, shard and body, so that the outcome
+            of a key is never given to a different submission.
+    """
 
     exchange: int
     key: str
     team: str
+    digest: bytes
 
 
 class SubmitTicket(Message):
@@ -209,11 +216,17 @@
 
 
 class SubmitGo(Message):
-    """Hands the submission to the issuer."""
+    """Hands the submission to the issuer.
+
+    Attributes:
+        remaining_ms: Time left, counted by the issuer from the issue of the
+            ticket.
+    """
 
     exchange: int
     ticket: int
     key: str
+    request: str
     team: str
     service: str
     shard: str
@@ -223,18 +236,25 @@
 
 
 class SubmitState(enum.StrEnum):
-    """Outcome of a submission."""
+    """Outcome of a submission.
+
+    MISMATCH refuses a key that belongs to a different submission. EXPIRED
+    means that the key never runs any more and that no record of it is left.
+    """
 
     DONE = "done"
     NOT_RUN = "not_run"
     UNKNOWN = "unknown"
+    MISMATCH = "mismatch"
+    EXPIRED = "expired"
 
 
 class SubmitOutcome(Message):
     """Answers `SubmitOpen` or `SubmitGo`.
 
     Attributes:
-        final: Whether the outcome can no longer change.
+        final: Whether to stop waiting. An unknown outcome that is not final
+            says that the submission is running.
     """
 
     exchange: int
@@ -299,28 +319,56 @@
 
 
 class LedgerEntry(msgspec.Struct, frozen=True, array_like=True):
-    """Final outcome of one key."""
+    """Final outcome of one key.
+
+    Attributes:
+        digest: Digest of the submission that the key belongs to.
+    """
 
     key: str
+    digest: bytes
     state: SubmitState
     reason: str
     reply: bytes
 
 
 class LedgerHandover(Message):
-    """Final outcomes of an incarnation that runs no key any more."""
+    """A part of the final ledger of an incarnation that runs no key any more.
+
+    Attributes:
+        instance: Instance that issued the keys.
+        incarnation: Its incarnation.
+        first_sequence: Keys with a lower sequence number have expired. Any
+            other key that no part lists never ran.
+        lifetime_s: How long the outcomes are of use.
+    """
 
     instance: str
     incarnation: int
     part: int
     parts: int
+    first_sequence: int
     lifetime_s: float
     entries: tuple[LedgerEntry, ...]
 
 
 class LedgerReceived(Message):
-    """Confirms that all parts of a handover have arrived."""
+    """Answers a handover once.
+
+    Attributes:
+        accepted: Whether all parts have arrived and are kept; False if the
+            receiver does not take the ledger at all.
+    """
 
+    instance: str
+    incarnation: int
+    accepted: bool
+
+
+class LedgerHeld(Message):
+    """Tells that the sender holds the final ledger of an incarnation."""
+
+    instance: str
     incarnation: int
 
 
@@ -348,6 +396,7 @@
     | SlotOutcome
     | LedgerHandover
     | LedgerReceived
+    | LedgerHeld
 )
 
 
--- a/src/mallowloft/submissions/model.py
+++ b/src/mallowloft/submissions/model.py
@@ -1,6 +1,9 @@
-"""Submissions and their three distinct outcomes."""
+"""Submissions and their distinct outcomes."""
 
 import dataclasses
+import hashlib
+
+_DIGEST_BYTES = 16
 
 
 @dataclasses.dataclass(frozen=True)
@@ -10,7 +13,8 @@
     Attributes:
         request: Identifier that logs and answers carry.
         key: Idempotency key issued by an instance.
-        first_send: The caller declares that it never sent this key before.
+        first_send: The caller declares that it never sent this key before
+            and sends no other copy while it waits for this one.
     """
 
     request: str
@@ -23,6 +27,20 @@
     deadline_ms: float
     first_send: bool
 
+    @property
+    def digest(self) -> bytes:
+        """Digest of what a repeat must have in common with the first copy."""
+        return digest(self.team, self.service, self.shard, self.body)
+
+
+def digest(team: str, service: str, shard: str, body: bytes) -> bytes:
+    """Returns the digest that binds a key to one submission."""
+    state = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    for part in (team.encode(), service.encode(), shard.encode(), body):
+        state.update(len(part).to_bytes(8, "big"))
+        state.update(part)
+    return state.digest()
+
 
 @dataclasses.dataclass(frozen=True)
 class Done:
@@ -39,6 +57,15 @@
     retry_after_ms: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Mismatch(NotRun):
+    """The key belongs to a different submission, or is not a valid key.
+
+    This request did not and will not run. It says nothing of the submission
+    that the key belongs to.
+    """
+
+
 @dataclasses.dataclass(frozen=True)
 class Unknown:
     """It is not known whether the submission ran.
--- /dev/null
+++ b/tests/test_submissions_ledger.py
@@ -0,0 +1,202 @@
+"""Records of keys: legal transitions, lifetime and limits."""
+
+import itertools
+
+import pytest
+
+from mallowloft import messages
+from mallowloft.submissions import keys
+from mallowloft.submissions import ledger as ledger_lib
+from mallowloft.submissions import model
+
+_RING = keys.KeyRing("i1", "d1", 7, bytes(32))
+_DIGEST = model.digest("hunters", "shop", "s0", b"1")
+_OTHER_DIGEST = model.digest("hunters", "shop", "s0", b"2")
+_LIFETIME_S = 900.0
+_STATES = ledger_lib.State
+_VERDICTS = ledger_lib.Verdict
+
+# States that a record passes to reach a state, and the legal next ones.
+_PATHS = {
+    _STATES.RESERVED: (),
+    _STATES.SENT: (_STATES.SENT,),
+    _STATES.DONE: (_STATES.SENT, _STATES.DONE),
+    _STATES.NOT_RUN: (_STATES.NOT_RUN,),
+    _STATES.UNKNOWN: (_STATES.SENT, _STATES.UNKNOWN),
+}
+_LEGAL = {
+    (_STATES.RESERVED, _STATES.SENT),
+    (_STATES.RESERVED, _STATES.NOT_RUN),
+    (_STATES.SENT, _STATES.RESERVED),
+    (_STATES.SENT, _STATES.DONE),
+    (_STATES.SENT, _STATES.NOT_RUN),
+    (_STATES.SENT, _STATES.UNKNOWN),
+    (_STATES.UNKNOWN, _STATES.DONE),
+    (_STATES.UNKNOWN, _STATES.NOT_RUN),
+}
+
+
+def _ledger(**options) -> ledger_lib.Ledger:
+    return ledger_lib.Ledger(_LIFETIME_S, **options)
+
+
+def _issue(
+    ledger: ledger_lib.Ledger, now_s: float = 0.0, team: str = "hunters"
+) -> keys.ParsedKey:
+    sequence = ledger.issue(team, 1, now_s)[0]
+    return keys.parse(_RING.issue(team, sequence, now_s)).unwrap()
+
+
+def _verdict(ledger, parsed, digest=_DIGEST, now_s=0.0):
+    return ledger.find(parsed.key, digest, now_s)[0]
+
+
+class TestTransitions:
+    """Guards against a second run and against a changed final outcome."""
+
+    def test_only_legal_steps_are_taken(self):
+        for state, target in itertools.product(_PATHS, _STATES):
+            ledger = _ledger()
+            record = ledger.reserve(_issue(ledger), _DIGEST, 0.0)
+            for step in _PATHS[state]:
+                ledger.move(record, step)
+            if (state, target) in _LEGAL:
+                ledger.move(record, target)
+                assert record.state is target
+                continue
+            with pytest.raises(ledger_lib.IllegalTransitionError):
+                ledger.move(record, target)
+            assert record.state is state
+
+    def test_a_key_is_reserved_once(self):
+        ledger = _ledger()
+        parsed = _issue(ledger)
+        record = ledger.reserve(parsed, _DIGEST, 0.0)
+        assert _verdict(ledger, parsed) is _VERDICTS.RUNNING
+        with pytest.raises(ledger_lib.IllegalTransitionError):
+            ledger.reserve(parsed, _DIGEST, 0.0)
+        ledger.move(record, _STATES.SENT)
+        ledger.move(record, _STATES.DONE, reply=b"ok")
+        assert _verdict(ledger, parsed) is _VERDICTS.FINAL
+        with pytest.raises(ledger_lib.IllegalTransitionError):
+            ledger.reserve(parsed, _DIGEST, 0.0)
+
+    def test_a_voided_key_never_runs(self):
+        ledger = _ledger()
+        parsed = _issue(ledger)
+        ledger.void(parsed, _DIGEST, "no slot", 0.0)
+        assert _verdict(ledger, parsed) is _VERDICTS.FINAL
+        with pytest.raises(ledger_lib.IllegalTransitionError):
+            ledger.reserve(parsed, _DIGEST, 0.0)
+
+    def test_another_body_is_a_mismatch_in_every_state(self):
+        for path in _PATHS.values():
+            ledger = _ledger()
+            parsed = _issue(ledger)
+            record = ledger.reserve(parsed, _DIGEST, 0.0)
+            for step in path:
+                ledger.move(record, step)
+            verdict = _verdict(ledger, parsed, _OTHER_DIGEST)
+            assert verdict is _VERDICTS.MISMATCH
+
+
+class TestLifetime:
+    """Guards against running a key whose record may be gone."""
+
+    def test_an_expired_key_never_runs(self):
+        ledger = _ledger()
+        parsed = _issue(ledger, now_s=100.0)
+        late_s = 100.0 + _LIFETIME_S
+        assert _verdict(ledger, parsed, now_s=late_s - 1) is _VERDICTS.FRESH
+        assert _verdict(ledger, parsed, now_s=late_s) is _VERDICTS.EXPIRED
+        with pytest.raises(ledger_lib.IllegalTransitionError):
+            ledger.reserve(parsed, _DIGEST, late_s)
+
+    def test_the_outcome_is_kept_until_the_key_expires(self):
+        ledger = _ledger()
+        parsed = _issue(ledger)
+        record = ledger.reserve(parsed, _DIGEST, 0.0)
+        ledger.move(record, _STATES.SENT)
+        ledger.move(record, _STATES.DONE, reply=b"ok")
+        ledger.purge(_LIFETIME_S - 1)
+        assert _verdict(ledger, parsed, now_s=_LIFETIME_S - 1) is (
+            _VERDICTS.FINAL
+        )
+        ledger.purge(_LIFETIME_S)
+        assert _verdict(ledger, parsed, now_s=_LIFETIME_S) is (
+            _VERDICTS.EXPIRED
+        )
+        assert ledger.count_by_state() == {}
+
+    def test_a_running_record_outlives_its_key(self):
+        ledger = _ledger()
+        parsed = _issue(ledger)
+        record = ledger.reserve(parsed, _DIGEST, 0.0)
+        ledger.move(record, _STATES.SENT)
+        ledger.purge(_LIFETIME_S * 2)
+        assert _verdict(ledger, parsed, now_s=_LIFETIME_S * 2) is (
+            _VERDICTS.RUNNING
+        )
+        ledger.move(record, _STATES.DONE)
+        ledger.purge(_LIFETIME_S * 2)
+        assert ledger.count_by_state() == {}
+
+
+class TestLimits:
+    """Guards against memory without bound and a team that takes it all."""
+
+    def test_live_keys_are_bounded(self):
+        ledger = _ledger(max_live_keys=8)
+        teams = [f"team-{number}" for number in range(8)]
+        issued = [len(ledger.issue(team, 2, 0.0)) for team in teams]
+        assert issued == [2, 2, 2, 2, 0, 0, 0, 0]
+        assert ledger.issue("team-7", 2, _LIFETIME_S) == [9, 10]
+
+    def test_one_team_leaves_keys_for_the_others(self):
+        ledger = _ledger(max_live_keys=8)
+        assert len(ledger.issue("hunters", 100, 0.0)) == 2
+        assert ledger.issue("hunters", 1, 1.0) == []
+        assert len(ledger.issue("others", 1, 1.0)) == 1
+
+    def test_a_dropped_reply_is_unknown_and_still_never_runs(self):
+        ledger = _ledger(max_reply_bytes=10)
+        parsed = [_issue(ledger) for _ in range(3)]
+        for item in parsed:
+            record = ledger.reserve(item, _DIGEST, 0.0)
+            ledger.move(record, _STATES.SENT)
+            ledger.move(record, _STATES.DONE, reply=b"12345")
+        records = [ledger.find(p.key, _DIGEST, 0.0)[1] for p in parsed]
+        states = [record.entry().state for record in records]
+        assert states == [
+            messages.SubmitState.UNKNOWN,
+            messages.SubmitState.DONE,
+            messages.SubmitState.DONE,
+        ]
+        assert _verdict(ledger, parsed[0]) is _VERDICTS.FINAL
+
+
+class TestClosing:
+    """Guards against a run or a changed outcome after the handover."""
+
+    def test_nothing_runs_or_changes_after_closing(self):
+        ledger = _ledger()
+        parsed = [_issue(ledger) for _ in range(4)]
+        records = [ledger.reserve(p, _DIGEST, 0.0) for p in parsed[:3]]
+        ledger.move(records[1], _STATES.SENT)
+        ledger.move(records[2], _STATES.SENT)
+        ledger.move(records[2], _STATES.DONE, reply=b"ok")
+        ledger.close()
+        assert [entry.state for entry in ledger.entries()] == [
+            messages.SubmitState.NOT_RUN,
+            messages.SubmitState.UNKNOWN,
+            messages.SubmitState.DONE,
+        ]
+        assert ledger.issue("hunters", 1, 0.0) == []
+        with pytest.raises(ledger_lib.IllegalTransitionError):
+            ledger.reserve(parsed[3], _DIGEST, 0.0)
+        with pytest.raises(ledger_lib.IllegalTransitionError):
+            ledger.move(records[1], _STATES.DONE)
+
+    def test_an_open_ledger_is_not_handed_over(self):
+        with pytest.raises(ledger_lib.IllegalTransitionError):
+            list(_ledger().entries())
