--- /dev/null
+++ b/src/mallowloft/gather/merge.py
@@ -0,0 +1,103 @@
+"""Results of one query over one index version, by shard."""
+
+from collections.abc import Iterable
+import enum
+
+import msgspec
+
+from mallowloft import messages
+from mallowloft.gather import model
+
+
+class Lack(enum.StrEnum):
+    """Why a shard is not covered; replies' outcomes are reasons as well."""
+
+    DEADLINE = "deadline"
+    INVALID_ROWS = "invalid_rows"
+    NO_DISPATCHER = "no_dispatcher"
+    NO_REPLICA = "no_replica"
+    NO_SHARD_MAP = "no_shard_map"
+    STRAGGLER = "straggler"
+
+
+def _is_json(content: bytes) -> bool:
+    try:
+        msgspec.json.decode(content)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return False
+    return True
+
+
+class Merge:
+    """Covers each shard at most once, from one index version only.
+
+    Attributes:
+        version: The pinned version.
+        results: JSON by covered shard.
+        lacking: Reason by shard that is given up; disjoint from `results`.
+    """
+
+    def __init__(self, version: int, shards: Iterable[model.Shard]) -> None:
+        self.version = version
+        self.results: dict[model.Shard, bytes] = {}
+        self.lacking: dict[model.Shard, str] = {}
+        # A dict keeps the order, so that runs repeat exactly.
+        self._open = dict.fromkeys(shards)
+        self._total = len(self._open)
+
+    @property
+    def total(self) -> int:
+        """Number of shards of the query."""
+        return self._total
+
+    @property
+    def open_shards(self) -> list[model.Shard]:
+        """Shards that are neither covered nor given up."""
+        return list(self._open)
+
+    @property
+    def settled(self) -> bool:
+        """Whether every shard is covered or given up."""
+        return not self._open
+
+    @property
+    def best_coverage(self) -> float:
+        """Coverage if every open shard is still covered."""
+        if not self._total:
+            return 0.0
+        return 1 - len(self.lacking) / self._total
+
+    def is_open(self, shard: model.Shard) -> bool:
+        """Whether a shard is neither covered nor given up."""
+        return shard in self._open
+
+    def accept(
+        self, reply: messages.SubReply, asked: Iterable[model.Shard]
+    ) -> list[model.Shard]:
+        """Takes the rows of a successful reply.
+
+        A reply of another version, or with rows of shards that were not asked
+        for, may belong to another request: none of its rows is used.
+
+        Returns:
+            The asked shards that the reply does not answer.
+        """
+        asked = tuple(asked)
+        names = {shard.shard for shard in asked}
+        if reply.index_version != self.version or reply.results.keys() - names:
+            return list(asked)
+        unanswered = []
+        for shard in asked:
+            content = reply.results.get(shard.shard)
+            if content is None or not _is_json(content):
+                unanswered.append(shard)
+            elif shard in self._open:
+                del self._open[shard]
+                self.results[shard] = content
+        return unanswered
+
+    def give_up(self, shard: model.Shard, reason: str) -> None:
+        """Marks an open shard as lacking."""
+        if shard in self._open:
+            del self._open[shard]
+            self.lacking[shard] = reason
