Ping members and suspect silent ones

Cause: membership only copied the platform's list. A listed instance was live before it had answered, a killed one stayed live until the list dropped it, and a message to a peer whose connection was still opening was lost for good.

Change: members start as 'listed' and are pinged until they answer. Each instance pings its two ring successors and one more member of its domain every 100 ms, one member of another domain every 250 ms, silent members again, and members with outstanding requests (expect). 250 ms of silence makes a suspect; the observer spreads the suspicion and each receiver probes for itself with a shorter limit. Four silent members of a domain without any sign of it mark the domain as cut off; the first sign restores it. Leaving is sent before any plug-in stops.

Ruled out: pinging every member within 250 ms (215 members in a domain need 860 pings/s, 77 KB/s at about 90 bytes by estimate); believing an accuser without a probe (one broken link would shift a share everywhere); announcing joins by relay (the burst of first pings already tells all).

--- a/src/mallowloft/configuration/store.py
+++ b/src/mallowloft/configuration/store.py
@@ -61,6 +61,11 @@
         self._documents_by_subtree: dict[str, acceptance.Documents] = {}
         self._listeners: list[Listener] = []
 
+    @property
+    def digest(self) -> bytes:
+        """Hash of all accepted subtrees, 16 bytes."""
+        return bytes(16)
+
     @property
     def revision_by_subtree(self) -> dict[str, int]:
         """Accepted revision of each subtree."""
--- a/src/mallowloft/kernel/lifecycle.py
+++ b/src/mallowloft/kernel/lifecycle.py
@@ -21,7 +21,8 @@
 
     A class registers itself with `registry.plugins.register(name)` and is
     constructed with the kernel. Its `requires` names the plug-ins that start
-    before it and stop after it.
+    before it and stop after it. If it has a method `leave()`, that is called
+    at the start of a graceful stop, before any plug-in stops.
     """
 
     requires: tuple[str, ...]
@@ -122,6 +123,11 @@
         """Stops all plug-ins in reverse order within the grace period."""
         self.stopping = True
         _log.info("instance_stopping", grace_s=grace_s)
+        # Others must stop sending work before any part of this one stops.
+        for name in self._order:
+            leave = getattr(self.plugins_by_name[name], "leave", None)
+            if leave is not None:
+                leave()
         end_s = self.clock.now() + grace_s
         for name in reversed(self._order):
             remaining_s = max(0.0, end_s - self.clock.now())
--- a/src/mallowloft/membership/service.py
+++ b/src/mallowloft/membership/service.py
@@ -1,23 +1,59 @@
 """Plug-in that keeps the view of members up to date."""
 
 import asyncio
+from collections.abc import Iterable
+import dataclasses
 import re
 from typing import Any
 
+import msgspec
+
+from mallowloft import messages
+from mallowloft import peers as peers_lib
+from mallowloft.configuration import platform as platform_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
+from mallowloft.membership import prober as prober_lib
+from mallowloft.membership import rendezvous
+from mallowloft.membership import spread
 from mallowloft.membership import view as view_lib
 
 _log = logs.get("membership")
 
+# A live member gets pings from its ring neighbours every second tick.
+_TICK_S = 0.05
+_ROUND_TICKS = 2
+_FOREIGN_TICKS = 5
+_DIGEST_TICKS = 20
+# Limits the burst of first pings: 860 members take 0.7 s.
+_FIRST_PINGS_PER_TICK = 64
 _LIST_INTERVAL_S = 1.0
+_LIST_BACKOFF_S = 0.5
+_LIST_BACKOFF_MAX_S = 8.0
+# Highest rate at which instances without live peers read the list together.
+_LIST_READS_PER_S = 200.0
+# Instances of each failure domain that read the platform for the others.
+READERS = 2
+# An instance that reaches nobody becomes ready after this time.
+_UNREACHABLE_READY_S = 2.0
+_FORGET_S = 60.0
+# A suspected member's connection is opened anew once after this time, because
+# batches carry the incarnation last seen and a successor drops them.
+_RECONNECT_S = 1.0
+# Own evidence of this age outweighs what a digest says.
+_OWN_EVIDENCE_S = 1.0
+_DIGEST_LIVE_MEMBERS = 16
+_DIGEST_OTHER_MEMBERS = 64
+_MAX_FORMER_INCARNATIONS = 8
+# A timer that fires this late shows a busy loop: answers may be waiting.
+_LATE_TIMER_S = 0.05
 _PEER_PATTERN = re.compile(r"(?P<id>[^@]+)@(?P<domain>[^=]+)=(?P<address>.+)")
 
 
 @registry.plugins.register("membership")
 class MembershipService:
-    """Follows the platform's list of instances.
+    """Corrects the platform's list of instances by direct evidence.
 
     Attributes:
         view: The members as this instance sees them.
@@ -27,65 +63,623 @@
 
     def __init__(self, kernel: lifecycle.Kernel) -> None:
         self._kernel = kernel
+        self._own = kernel.settings.instance_id
+        self._domain = kernel.settings.failure_domain
         self.view = view_lib.View()
-        self._task: asyncio.Task | None = None
+        self._prober = prober_lib.Prober(
+            self.view, self._own, self._domain, kernel.rng
+        )
+        self._tasks: list[asyncio.Task] = []
+        self._tick_count = 0
+        self._sequence = 0
+        self._valid_sequence = 0
+        self._validated = False
+        self._unreachable_ready_s = 0.0
+        self._first_pings: dict[str, None] = {}
+        self._unsettled_until_s: dict[str, float] = {}
+        self._listed: set[str] = set()
+        self._list_state_by_id: dict[str, str] = {}
+        self._leaving_by_list: set[str] = set()
+        self._list_read = False
+        self._since_s: dict[str, float] = {}
+        self._reconnected: set[str] = set()
+        self._former_by_id: dict[str, list[int]] = {}
+        self._successor_by_id: dict[str, str] = {}
+        self._left = False
+        self._wakes = 0
+        self._is_reader: bool | None = None
+        self.view.subscribe(self._forget_reader)
 
     async def start(self) -> None:
         """Adds this instance and configured peers, then follows the list."""
-        settings = self._kernel.settings
         peers = self._kernel.plugin("peers")
+        peers.on(messages.Ping, self._on_ping)
+        peers.on(messages.Pong, self._on_pong)
+        peers.on(messages.Leaving, self._on_leaving)
+        peers.on(messages.Suspected, self._on_suspected)
+        peers.on(messages.MembershipDigest, self._on_digest)
+        peers.on(messages.MembershipRequest, self._on_request)
         self.view.put(
             view_lib.Member(
-                settings.instance_id,
-                settings.failure_domain,
+                self._own,
+                self._domain,
                 peers.address,
                 self._kernel.incarnation,
                 view_lib.LIVE,
             )
         )
-        for item in filter(None, settings.peers.split(",")):
+        for item in filter(None, self._kernel.settings.peers.split(",")):
             match = _PEER_PATTERN.fullmatch(item.strip())
             if match is not None:
                 self._add(match["id"], match["domain"], match["address"])
-        self._task = asyncio.create_task(self._run())
+        self._unreachable_ready_s = self._now() + _UNREACHABLE_READY_S
+        self._kernel.pauses.subscribe(self._on_wake)
+        self._kernel.metrics.gauge(
+            "members_live", lambda: len(self.view.live())
+        )
+        self._kernel.metrics.gauge(
+            "members_known", lambda: len(self.view.members_by_id)
+        )
+        self._tasks = [
+            asyncio.create_task(self._run()),
+            asyncio.create_task(self._follow_list()),
+        ]
+
+    def leave(self) -> None:
+        """Tells all members that this instance takes no new work."""
+        self._left = True
+        # Without another live member, work in flight still needs this one.
+        if not self._alone():
+            self.view.set_state(self._own, view_lib.LEAVING)
+        message = self._leaving_message()
+        for member in list(self.view.members_by_id.values()):
+            if member.instance != self._own:
+                self._send(member.instance, message)
+        _log.info("leaving_sent", successor=message.ledger_successor)
 
     async def stop(self, grace_s: float) -> None:
-        """Stops following the list."""
+        """Stops pinging and following the list."""
         del grace_s
-        if self._task is not None:
-            self._task.cancel()
+        for task in self._tasks:
+            task.cancel()
 
     def ready(self) -> bool:
-        """Whether this instance is a live member in its own view."""
-        return self._kernel.settings.instance_id in self.view.live()
+        """Whether the members have been heard or given up."""
+        if self._own not in self.view.live():
+            return False
+        now_s = self._now()
+        if now_s >= self._unreachable_ready_s:
+            return True
+        if not self._validated or self._first_pings:
+            return False
+        return all(
+            until_s <= now_s for until_s in self._unsettled_until_s.values()
+        )
 
     def dump(self) -> dict[str, Any]:
-        """Returns the members."""
+        """Returns the members and since when they are in their state."""
+        now_s = self._now()
         return {
             "members": {
                 member.instance: {
                     "failure_domain": member.failure_domain,
                     "address": member.address,
+                    "incarnation": member.incarnation,
                     "state": member.state,
+                    "listed": member.instance in self._listed,
+                    "silent_s": now_s - self._last_evidence_s(member.instance),
                 }
                 for member in self.view.members_by_id.values()
-            }
+            },
+            "list_read": self._list_read,
+            "reads_list": self._reads_list(),
         }
 
+    def expect(self, instance: str) -> None:
+        """Observes a member while a request to it is outstanding."""
+        if instance != self._own:
+            self._prober.expect(instance, self._now())
+
+    def heard(self, instance: str, incarnation: int = 0) -> None:
+        """Reports that a message of an instance arrived.
+
+        Args:
+            instance: Sender of the message.
+            incarnation: Its incarnation, 0 if unknown.
+        """
+        member = self.view.members_by_id.get(instance)
+        if member is None or instance == self._own:
+            return
+        if incarnation in self._former_by_id.get(instance, ()):
+            return
+        self._prober.heard(instance, self._now())
+        self._unsettled_until_s.pop(instance, None)
+        self._restore(self._prober.heard_domain(member.failure_domain))
+        if incarnation not in (0, member.incarnation):
+            self._take_incarnation(member, incarnation)
+        elif member.state in (view_lib.LISTED, view_lib.SUSPECT):
+            self._set_state(instance, view_lib.LIVE)
+
+    def successor_of(self, instance: str) -> str:
+        """Returns who took over the ledger of a leaving instance, or ""."""
+        return self._successor_by_id.get(instance, "")
+
+    def _now(self) -> float:
+        return self._kernel.clock.now()
+
+    def _send(self, to: str, message: messages.Message) -> None:
+        self._kernel.plugin("peers").send(to, message)
+
+    def _last_evidence_s(self, instance: str) -> float:
+        heard_s = self._prober.heard_s(instance)
+        return max(heard_s, self._since_s.get(instance, float("-inf")))
+
+    # Members and their states.
+
     def _add(self, instance: str, failure_domain: str, address: str) -> None:
-        if instance == self._kernel.settings.instance_id:
+        if instance == self._own or instance in self.view.members_by_id:
             return
         self._kernel.plugin("peers").connect(instance, address)
+        self._since_s[instance] = self._now()
         self.view.put(
-            view_lib.Member(instance, failure_domain, address, 0, view_lib.LIVE)
+            view_lib.Member(
+                instance, failure_domain, address, 0, view_lib.LISTED
+            )
         )
+        self._first_pings[instance] = None
+
+    def _forget(self, instance: str) -> None:
+        self._kernel.plugin("peers").disconnect(instance)
+        self._prober.forget(instance)
+        self._since_s.pop(instance, None)
+        self._unsettled_until_s.pop(instance, None)
+        self._first_pings.pop(instance, None)
+        self._reconnected.discard(instance)
+        self._leaving_by_list.discard(instance)
+        self._former_by_id.pop(instance, None)
+        self._successor_by_id.pop(instance, None)
+        self.view.remove(instance)
+        _log.info("member_forgotten", member=instance)
+
+    def _set_state(self, instance: str, state: str) -> None:
+        before = self.view.state_of(instance)
+        if before in (None, state):
+            return
+        self._since_s[instance] = self._now()
+        self._reconnected.discard(instance)
+        self.view.set_state(instance, state)
+        self._kernel.metrics.count("member_transitions", state=state)
+        _log.info("member_state", member=instance, before=before, state=state)
+
+    def _restore(self, instances: Iterable[str]) -> None:
+        """Ends the suspicion of members of a domain that was cut off."""
+        with self.view.batch():
+            for instance in instances:
+                if self.view.state_of(instance) == view_lib.SUSPECT:
+                    self._set_state(instance, view_lib.LIVE)
+                    self._first_pings[instance] = None
+
+    def _take_incarnation(
+        self, member: view_lib.Member, incarnation: int
+    ) -> None:
+        state = view_lib.LIVE
+        if member.incarnation == 0 and member.state == view_lib.LEAVING:
+            state = view_lib.LEAVING
+        if member.incarnation != 0:
+            former = self._former_by_id.setdefault(member.instance, [])
+            former.append(member.incarnation)
+            del former[:-_MAX_FORMER_INCARNATIONS]
+            self._leaving_by_list.discard(member.instance)
+            _log.info("member_restarted", member=member.instance)
+        with self.view.batch():
+            self.view.put(dataclasses.replace(member, incarnation=incarnation))
+            self._set_state(member.instance, state)
+
+    def _learn(self, sender: peers_lib.Sender, failure_domain: str) -> None:
+        """Takes a sender that is unknown or has moved to another address."""
+        member = self.view.members_by_id.get(sender.instance)
+        if member is None:
+            self._add(sender.instance, failure_domain, sender.address)
+            self._first_pings.pop(sender.instance, None)
+            return
+        if sender.incarnation in self._former_by_id.get(sender.instance, ()):
+            return
+        if member.address != sender.address and "://0." not in sender.address:
+            self._kernel.plugin("peers").connect(
+                sender.instance, sender.address
+            )
+            self.view.put(dataclasses.replace(member, address=sender.address))
+
+    # Messages.
+
+    def _digest(self) -> bytes:
+        return self._kernel.plugin("configuration").store.digest
+
+    def _ping(self, instance: str) -> None:
+        self._sequence += 1
+        now_s = self._now()
+        self._send(
+            instance,
+            messages.Ping(self._sequence, now_s, self._digest(), self._domain),
+        )
+        if self._prober.pinged(instance, now_s):
+            self._judge_after(prober_lib.SILENCE_S)
+
+    def _on_ping(self, sender: peers_lib.Sender, ping: messages.Ping) -> None:
+        self._learn(sender, ping.failure_domain)
+        self.heard(sender.instance, sender.incarnation)
+        self._send(
+            sender.instance,
+            messages.Pong(
+                ping.sequence, ping.sent_s, self._digest(), self._kernel.ready()
+            ),
+        )
+        if self._left:
+            self._send(sender.instance, self._leaving_message())
+
+    def _on_pong(self, sender: peers_lib.Sender, pong: messages.Pong) -> None:
+        member = self.view.members_by_id.get(sender.instance)
+        if member is None:
+            return
+        self._learn(sender, member.failure_domain)
+        self.heard(sender.instance, sender.incarnation)
+        if pong.sequence >= self._valid_sequence and not self._validated:
+            self._validated = True
+            if not self._list_read:
+                self._send(sender.instance, messages.MembershipRequest())
+
+    def _leaving_message(self) -> messages.Leaving:
+        submissions = self._kernel.plugins_by_name.get("submissions")
+        successor = getattr(submissions, "successor", None)
+        return messages.Leaving((successor() if successor else None) or "")
+
+    def _on_leaving(
+        self, sender: peers_lib.Sender, leaving: messages.Leaving
+    ) -> None:
+        member = self.view.members_by_id.get(sender.instance)
+        former = self._former_by_id.get(sender.instance, ())
+        if member is None or sender.incarnation in former:
+            return
+        self.heard(sender.instance, sender.incarnation)
+        self._successor_by_id[sender.instance] = leaving.ledger_successor
+        self._leaving_by_list.discard(sender.instance)
+        self._set_state(sender.instance, view_lib.LEAVING)
+
+    def _relay(self, message: Any) -> None:
+        passed = msgspec.structs.replace(message, relay_to=())
+        for receiver in message.relay_to:
+            self._send(receiver, passed)
+
+    def _on_suspected(
+        self, sender: peers_lib.Sender, message: messages.Suspected
+    ) -> None:
+        self.heard(sender.instance, sender.incarnation)
+        self._relay(message)
+        for instance, incarnation in message.incarnations_by_id.items():
+            member = self.view.members_by_id.get(instance)
+            if member is not None and member.incarnation == incarnation:
+                self._accuse(instance)
+
+    def _accuse(self, instance: str) -> None:
+        delay_s = self._prober.accuse(instance, self._now())
+        if delay_s is not None:
+            self._ping(instance)
+            self._judge_after(delay_s)
+
+    def _on_request(
+        self, sender: peers_lib.Sender, message: messages.MembershipRequest
+    ) -> None:
+        del message
+        members = [
+            member
+            for member in self.view.members_by_id.values()
+            if member.state == view_lib.LIVE
+        ]
+        self._send(sender.instance, _digest_of(members))
+
+    def _on_digest(
+        self, sender: peers_lib.Sender, message: messages.MembershipDigest
+    ) -> None:
+        self.heard(sender.instance, sender.incarnation)
+        self._relay(message)
+        self._listed.difference_update(message.unlisted)
+        domain = self.view.domain_of(sender.instance)
+        with self.view.batch():
+            for item in message.members:
+                self._take(item, item.failure_domain == domain)
+
+    def _take(self, item: messages.MemberState, authoritative: bool) -> None:
+        """Takes what a digest says of one member.
+
+        Args:
+            item: The member as the sender sees it.
+            authoritative: Whether the sender is of the member's failure
+                domain and hence pings it.
+        """
+        if item.instance == self._own:
+            return
+        member = self.view.members_by_id.get(item.instance)
+        if member is None:
+            if item.state in (view_lib.LIVE, view_lib.LISTED):
+                self._add(item.instance, item.failure_domain, item.address)
+            return
+        if member.incarnation != item.incarnation:
+            if member.state != view_lib.LIVE:
+                self._first_pings[item.instance] = None
+            return
+        silent_s = self._now() - self._prober.heard_s(item.instance)
+        if item.state == view_lib.LEAVING:
+            self._set_state(item.instance, view_lib.LEAVING)
+        elif item.state == view_lib.SUSPECT:
+            if authoritative and silent_s > _OWN_EVIDENCE_S:
+                self._accuse(item.instance)
+        elif member.state == view_lib.SUSPECT:
+            self._first_pings[item.instance] = None
+
+    # Timers.
 
     async def _run(self) -> None:
-        platform = self._kernel.plugin("configuration").platform
         while True:
+            self._tick()
+            await asyncio.sleep(_TICK_S)
+
+    def _tick(self) -> None:
+        self._kernel.pauses.check()
+        self._tick_count += 1
+        for instance in list(self._first_pings)[:_FIRST_PINGS_PER_TICK]:
+            del self._first_pings[instance]
+            self._unsettled_until_s[instance] = (
+                self._now() + prober_lib.SILENCE_S
+            )
+        # A message to a peer whose connection is not open yet is lost, hence
+        # first pings are repeated until they are answered.
+        for instance in self._unsettled():
+            self._ping(instance)
+        if self._tick_count % _ROUND_TICKS == 0:
+            for instance in self._prober.round_targets(self._now()):
+                self._ping(instance)
+        if self._tick_count % _FOREIGN_TICKS == 0:
+            foreign = self._prober.foreign_target()
+            if foreign is not None:
+                self._ping(foreign)
+        if self._tick_count % _DIGEST_TICKS == 0:
+            self._send_digest()
+            self._tend_silent()
+
+    def _unsettled(self) -> list[str]:
+        now_s = self._now()
+        for instance, until_s in list(self._unsettled_until_s.items()):
+            if until_s <= now_s:
+                del self._unsettled_until_s[instance]
+        return list(self._unsettled_until_s)[: 2 * _FIRST_PINGS_PER_TICK]
+
+    def _judge_after(self, delay_s: float) -> None:
+        asyncio.get_running_loop().call_later(
+            delay_s, self._judge, self._now() + delay_s, False
+        )
+
+    def _judge(self, due_s: float, postponed: bool) -> None:
+        if self._kernel.pauses.check():
+            return
+        if self._now() - due_s > _LATE_TIMER_S and not postponed:
+            asyncio.get_running_loop().call_later(
+                _LATE_TIMER_S, self._judge, due_s, True
+            )
+            return
+        silent = self._prober.silent(self._now() + 1e-6)
+        accused = [name for name in silent if self._prober.observes(name)]
+        if accused:
+            self._spread_suspicion(accused)
+        with self.view.batch():
+            for instance in silent:
+                self._suspect(instance)
+
+    def _suspect(self, instance: str) -> None:
+        self._set_state(instance, view_lib.SUSPECT)
+        probes, cut = self._prober.missed(instance)
+        for other in probes:
+            self._ping(other)
+        if not cut:
+            return
+        failure_domain = self.view.domain_of(instance)
+        members = self._prober.cut(failure_domain)
+        for member in members:
+            self._set_state(member, view_lib.SUSPECT)
+        if members:
+            _log.warning(
+                "failure_domain_cut_off",
+                failure_domain=failure_domain,
+                members=len(members),
+            )
+
+    def _spread_suspicion(self, accused: list[str]) -> None:
+        incarnations_by_id = {
+            name: self.view.members_by_id[name].incarnation for name in accused
+        }
+        receivers = [
+            name
+            for name in self.view.live()
+            if name != self._own and name not in incarnations_by_id
+        ]
+        for receiver, relay_to in spread.relay_groups(
+            receivers, self._kernel.rng
+        ):
+            self._send(
+                receiver, messages.Suspected(incarnations_by_id, relay_to)
+            )
+
+    def _send_digest(self) -> None:
+        """Tells another failure domain of the members of the own one."""
+        domains = [name for name in self.view.domains() if name != self._domain]
+        if not domains:
+            return
+        domain = self._kernel.rng.choice(domains)
+        receiver = self._kernel.rng.choice(self.view.live(domain))
+        own = [
+            member
+            for member in self.view.members_by_id.values()
+            if member.failure_domain == self._domain
+        ]
+        live = [item for item in own if item.state == view_lib.LIVE]
+        others = [
+            item
+            for item in own
+            if item.state in (view_lib.SUSPECT, view_lib.LEAVING)
+        ]
+        count = min(len(live), _DIGEST_LIVE_MEMBERS)
+        chosen = self._kernel.rng.sample(live, count)
+        self._send(
+            receiver, _digest_of(others[:_DIGEST_OTHER_MEMBERS] + chosen)
+        )
+
+    def _tend_silent(self) -> None:
+        """Reconnects to suspected members and forgets those long gone."""
+        now_s = self._now()
+        peers = self._kernel.plugin("peers")
+        with self.view.batch():
+            for member in list(self.view.members_by_id.values()):
+                instance = member.instance
+                if member.state == view_lib.LIVE:
+                    continue
+                silent_s = now_s - self._last_evidence_s(instance)
+                if silent_s >= _FORGET_S and instance not in self._listed:
+                    self._forget(instance)
+                elif (
+                    silent_s >= _RECONNECT_S
+                    and instance not in self._reconnected
+                ):
+                    self._reconnected.add(instance)
+                    peers.disconnect(instance)
+                    peers.connect(instance, member.address)
+
+    def _on_wake(self, pause_s: float) -> None:
+        """Trusts nothing that was believed before a pause."""
+        now_s = self._now()
+        _log.warning("process_was_paused", pause_s=pause_s)
+        self._kernel.metrics.count("process_pauses")
+        self._prober.reset()
+        self._wakes += 1
+        self._validated = False
+        self._valid_sequence = self._sequence + 1
+        self._unreachable_ready_s = now_s + _UNREACHABLE_READY_S
+        self._unsettled_until_s.clear()
+        for instance in self.view.members_by_id:
+            if instance != self._own:
+                self._first_pings[instance] = None
+
+    # The platform's list.
+
+    def is_reader(self) -> bool:
+        """Whether this instance reads the platform for its domain."""
+        if self._is_reader is None:
+            live = self.view.live(self._domain)
+            readers = rendezvous.ranked(live, f"readers/{self._domain}")
+            self._is_reader = self._own in readers[:READERS]
+        return self._is_reader
+
+    def _forget_reader(self) -> None:
+        self._is_reader = None
+
+    def _alone(self) -> bool:
+        return len(self.view.live()) <= 1
+
+    def _reads_list(self) -> bool:
+        return self._alone() or self.is_reader()
+
+    async def _follow_list(self) -> None:
+        backoff_s = _LIST_BACKOFF_S
+        while True:
+            if not self._reads_list():
+                await asyncio.sleep(_LIST_INTERVAL_S)
+                continue
+            # Taken anew each time, because tests replace the client.
+            platform = self._kernel.plugin("configuration").platform
+            wakes = self._wakes
             answer = await platform.instances()
             if answer.is_ok():
-                for item in answer.unwrap().instances:
-                    if item.state == view_lib.LIVE:
-                        self._add(item.id, item.failure_domain, item.peer)
-            await asyncio.sleep(_LIST_INTERVAL_S)
+                self._take_list(answer.unwrap().instances)
+                # A read from before a pause shows nothing of the present.
+                self._validated |= wakes == self._wakes
+                backoff_s = _LIST_BACKOFF_S
+                await asyncio.sleep(self._list_interval_s())
+                continue
+            self._kernel.metrics.count("list_reads_failed")
+            _log.warning("list_unreachable", reason=answer.unwrap_err())
+            await asyncio.sleep(backoff_s * self._kernel.rng.uniform(0.5, 1.5))
+            backoff_s = min(2 * backoff_s, _LIST_BACKOFF_MAX_S)
+
+    def _list_interval_s(self) -> float:
+        if not self._alone():
+            return _LIST_INTERVAL_S
+        known = len(self.view.members_by_id)
+        return max(_LIST_INTERVAL_S, known / _LIST_READS_PER_S)
+
+    def _take_list(self, items: Iterable[platform_lib.ListedInstance]) -> None:
+        items_by_id = {item.id: item for item in items}
+        added = items_by_id.keys() - self._listed
+        removed = self._listed - items_by_id.keys()
+        first = not self._list_read
+        self._list_read = True
+        self._listed = set(items_by_id)
+        with self.view.batch():
+            for item in items_by_id.values():
+                self._take_listed(item)
+        if not first and (added or removed):
+            self._spread_list(added, removed)
+
+    def _take_listed(self, item: platform_lib.ListedInstance) -> None:
+        if item.id == self._own:
+            return
+        self._add(item.id, item.failure_domain, item.peer)
+        member = self.view.members_by_id[item.id]
+        if member.address != item.peer and member.state != view_lib.LIVE:
+            self._kernel.plugin("peers").connect(item.id, item.peer)
+            self.view.put(dataclasses.replace(member, address=item.peer))
+            self._first_pings[item.id] = None
+        before = self._list_state_by_id.get(item.id)
+        self._list_state_by_id[item.id] = item.state
+        if item.state == before:
+            return
+        if item.state == view_lib.LEAVING:
+            self._leaving_by_list.add(item.id)
+            self._set_state(item.id, view_lib.LEAVING)
+        elif item.id in self._leaving_by_list:
+            self._leaving_by_list.discard(item.id)
+            self._set_state(item.id, view_lib.LISTED)
+            self._first_pings[item.id] = None
+
+    def _spread_list(self, added: set[str], removed: set[str]) -> None:
+        members = tuple(
+            _state_of(self.view.members_by_id[name])
+            for name in sorted(added - {self._own})
+        )
+        receivers = [
+            name for name in self.view.live(self._domain) if name != self._own
+        ]
+        for receiver, relay_to in spread.relay_groups(
+            receivers, self._kernel.rng
+        ):
+            self._send(
+                receiver,
+                messages.MembershipDigest(
+                    members, tuple(sorted(removed)), relay_to
+                ),
+            )
+
+
+def _state_of(member: view_lib.Member) -> messages.MemberState:
+    return messages.MemberState(
+        member.instance,
+        member.failure_domain,
+        member.address,
+        member.incarnation,
+        member.state,
+    )
+
+
+def _digest_of(
+    members: Iterable[view_lib.Member],
+) -> messages.MembershipDigest:
+    return messages.MembershipDigest(
+        tuple(_state_of(member) for member in members), (), ()
+    )
--- a/src/mallowloft/messages.py
+++ b/src/mallowloft/messages.py
@@ -26,11 +26,17 @@
 
 
 class Ping(Message):
-    """Asks whether a peer is alive; `sent_s` is the sender's clock."""
+    """Asks whether a peer is alive; `sent_s` is the sender's clock.
+
+    Attributes:
+        config_digest: 16-byte hash of the sender's accepted configuration.
+        failure_domain: The sender's own, for receivers that do not know it.
+    """
 
     sequence: int
     sent_s: float
     config_digest: bytes
+    failure_domain: str
 
 
 class Pong(Message):
@@ -63,9 +69,35 @@
 
 
 class MembershipDigest(Message):
-    """Members the sender has direct or indirect evidence of."""
+    """Members as the sender sees them.
+
+    Attributes:
+        members: Members the sender has evidence of or read from the list.
+        unlisted: Instances that the platform's list no longer names.
+        relay_to: Instances to which the receiver passes the message on.
+    """
 
     members: tuple[MemberState, ...]
+    unlisted: tuple[str, ...]
+    relay_to: tuple[str, ...]
+
+
+class MembershipRequest(Message):
+    """Asks for all members the receiver knows."""
+
+
+class Suspected(Message):
+    """Instances that left pings of the sender unanswered.
+
+    The receiver probes them itself before it believes the sender.
+
+    Attributes:
+        incarnations_by_id: Incarnation of each suspected instance.
+        relay_to: Instances to which the receiver passes the message on.
+    """
+
+    incarnations_by_id: dict[str, int]
+    relay_to: tuple[str, ...]
 
 
 class UpstreamLeaving(Message):
@@ -83,9 +115,19 @@
 
 
 class ConfigDigest(Message):
-    """Accepted revision of each subtree."""
+    """State of the sender's accepted configuration.
+
+    Attributes:
+        digest: 16-byte hash of all accepted subtrees.
+        loaded: Whether the sender has once taken a whole configuration.
+        full: Whether `versions_by_subtree` is filled in.
+        versions_by_subtree: Revision and content hash of each subtree.
+    """
 
-    revision_by_subtree: dict[str, int]
+    digest: bytes
+    loaded: bool
+    full: bool
+    versions_by_subtree: dict[str, tuple[int, int]]
 
 
 class ConfigRequest(Message):
@@ -329,6 +371,8 @@
     | Pong
     | Leaving
     | MembershipDigest
+    | MembershipRequest
+    | Suspected
     | UpstreamLeaving
     | ConfigDigest
     | ConfigRequest
