--- a/src/mallowloft/membership/service.py
+++ b/src/mallowloft/membership/service.py
@@ -409,7 +409,11 @@
             return
         silent_s = self._now() - self._prober.heard_s(item.instance)
         if item.state == view_lib.LEAVING:
+            if member.state != view_lib.LEAVING:
+                self._leaving_by_list.add(item.instance)
             self._set_state(item.instance, view_lib.LEAVING)
+        elif item.state == view_lib.LISTED:
+            self._unleave(item.instance)
         elif item.state == view_lib.SUSPECT:
             if authoritative and silent_s > _OWN_EVIDENCE_S:
                 self._accuse(item.instance)
@@ -621,15 +625,18 @@
         first = not self._list_read
         self._list_read = True
         self._listed = set(items_by_id)
+        changed = set()
         with self.view.batch():
             for item in items_by_id.values():
-                self._take_listed(item)
-        if not first and (added or removed):
-            self._spread_list(added, removed)
+                if self._take_listed(item):
+                    changed.add(item.id)
+        if not first and (added or removed or changed):
+            self._spread_list(added | changed, removed)
 
-    def _take_listed(self, item: platform_lib.ListedInstance) -> None:
+    def _take_listed(self, item: platform_lib.ListedInstance) -> bool:
+        """Takes one entry; True if its state in the list has changed."""
         if item.id == self._own:
-            return
+            return False
         self._add(item.id, item.failure_domain, item.peer)
         member = self.view.members_by_id[item.id]
         if member.address != item.peer and member.state != view_lib.LIVE:
@@ -639,19 +646,25 @@
         before = self._list_state_by_id.get(item.id)
         self._list_state_by_id[item.id] = item.state
         if item.state == before:
-            return
+            return False
         if item.state == view_lib.LEAVING:
             self._leaving_by_list.add(item.id)
             self._set_state(item.id, view_lib.LEAVING)
-        elif item.id in self._leaving_by_list:
-            self._leaving_by_list.discard(item.id)
-            self._set_state(item.id, view_lib.LISTED)
-            self._first_pings[item.id] = None
-
-    def _spread_list(self, added: set[str], removed: set[str]) -> None:
+        else:
+            self._unleave(item.id)
+        return before is not None
+
+    def _unleave(self, instance: str) -> None:
+        """Takes back what only the list had said."""
+        if instance in self._leaving_by_list:
+            self._leaving_by_list.discard(instance)
+            self._set_state(instance, view_lib.LISTED)
+            self._first_pings[instance] = None
+
+    def _spread_list(self, changed: set[str], removed: set[str]) -> None:
         members = tuple(
             _state_of(self.view.members_by_id[name])
-            for name in sorted(added - {self._own})
+            for name in sorted(changed - {self._own})
         )
         receivers = [
             name for name in self.view.live(self._domain) if name != self._own
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -111,6 +111,7 @@
         self._outboxes = peers_lib.Outboxes()
         self._address_by_peer: dict[str, str] = {}
         self._incarnation_by_peer: dict[str, int] = {}
+        self._killed = False
         self.instance = kernel.settings.instance_id
         self.failure_domain = kernel.settings.failure_domain
         self.address = f"tcp://{self.instance}"
@@ -130,7 +131,8 @@
         return {}
 
     def kill(self) -> None:
-        """Loses everything sent to or waiting at this instance."""
+        """Loses everything sent to or by this instance from now on."""
+        self._killed = True
         self._outboxes.take()
         self._network.detach(self)
 
@@ -145,6 +147,8 @@
 
     def send(self, to: str, message: messages.Message) -> bool:
         loop = asyncio.get_running_loop()
+        if self._killed:
+            return False
         if to == self.instance:
             sender = peers_lib.Sender(
                 to, self._kernel.incarnation, self.address
