--- a/src/mallowloft/configuration/acceptance.py
+++ b/src/mallowloft/configuration/acceptance.py
@@ -1,6 +1,7 @@
 """Acceptance of a configuration subtree, a pure function of its content."""
 
 from collections.abc import Iterable
+import functools
 import re
 from typing import Any
 
@@ -43,6 +44,29 @@
     return None
 
 
+# Building an adapter costs far more than a validation.
+_adapter = functools.cache(pydantic.TypeAdapter)
+
+
+def check_value(
+    path: str, value: Any, findings: findings_lib.Findings
+) -> Any | None:
+    """Checks the value of one document.
+
+    Returns:
+        The document, or None after its faults were added to the findings.
+    """
+    document_type = _type_of(path)
+    if document_type is None:
+        findings.add(path, "no document is expected at this path")
+        return None
+    try:
+        return _adapter(document_type).validate_python(value)
+    except pydantic.ValidationError as error:
+        findings.add_validation_error(path, error)
+        return None
+
+
 def accept(
     documents: Iterable[messages.Document],
 ) -> result.Result[Documents, findings_lib.Findings]:
@@ -60,15 +84,9 @@
     for document in documents:
         if document.value is None:
             continue
-        document_type = _type_of(document.path)
-        if document_type is None:
-            findings.add(document.path, "no document is expected at this path")
-            continue
-        adapter = pydantic.TypeAdapter(document_type)
-        try:
-            accepted[document.path] = adapter.validate_python(document.value)
-        except pydantic.ValidationError as error:
-            findings.add_validation_error(document.path, error)
+        checked = check_value(document.path, document.value, findings)
+        if checked is not None:
+            accepted[document.path] = checked
     if not findings.ok:
         return result.Err(findings)
     return result.Ok(accepted)
