--- a/tests/scenarios/record.py
+++ b/tests/scenarios/record.py
@@ -82,6 +82,7 @@
         drained_s: When each leaving replica gave its first signal.
         stopped_s: When each graceful stop began, by instance.
         faulty_instances: Instances that were killed, frozen or cut off.
+        dead_instances: Instances that were killed and not started again.
     """
 
     queries: list[QueryRecord] = dataclasses.field(default_factory=list)
@@ -97,6 +98,7 @@
     drained_s: dict[str, float] = dataclasses.field(default_factory=dict)
     stopped_s: dict[str, float] = dataclasses.field(default_factory=dict)
     faulty_instances: set[str] = dataclasses.field(default_factory=set)
+    dead_instances: set[str] = dataclasses.field(default_factory=set)
     instances: set[str] = dataclasses.field(default_factory=set)
     ended_s: float = 0.0
 
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -71,6 +71,7 @@
     async def start_instance(self, instance: str, domain: str) -> None:
         """Starts an instance and records its configuration."""
         await self.world.start_instance(instance, domain)
+        self.record.dead_instances.discard(instance)
         self.record.instances.add(instance)
         kernel = self.world.kernels_by_id[instance]
         store = kernel.plugin("configuration").store
@@ -308,6 +309,7 @@
 async def _kill(run: Run, action: language.Action) -> None:
     for instance in action.names:
         run.world.kill(instance)
+        run.record.dead_instances.add(instance)
         run.record.faulty_instances.add(instance)
     if "for" in action.options:
         await asyncio.sleep(action.options["for"])
