Add keys and submissions to the callers' interface, report all faults

Cause: callers could only send queries; a fault in the path hid faults of the body, the credential check hashed against every team, a large body was read whole, a query of a caller that had left ran on, and a stopping instance refused connections before load balancers had looked at /readyz.

Change: - POST /v1/keys and POST /v1/submissions/{service} with the outcomes done (200), not_run (503, fresh key), unknown (504, this_copy_ran if known). - A refusal before the key is looked at (team limit 429, deadline) says "not run" only to a caller that declares the first copy; for a repeat it says that this copy did not run, because an earlier one may have. - Faults carry a place and a status; 401 hides which services exist. - Bodies are limited while they are read (413).

Ruled out: cancelling a submission with its caller; the outcome must be there for the repeat.

--- /dev/null
+++ b/src/mallowloft/callers/answers.py
@@ -0,0 +1,206 @@
+"""Bodies of the answers that callers get."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import functools
+import math
+from typing import Any
+
+import msgspec
+
+from mallowloft.callers import requests as checks
+from mallowloft.gather import model as gather_model
+from mallowloft.submissions import model as submissions_model
+
+_ADVICE_UNKNOWN = (
+    "repeat with the same key, at this or another instance, until the outcome"
+    " is known; with a new key the submission may run a second time"
+)
+_ADVICE_NOT_RUN = "the key is void; send the submission with the fresh key"
+_ADVICE_NOT_TAKEN = (
+    "this copy was not run and the key is unchanged; repeat with the same key"
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """Status, body and headers of one HTTP answer."""
+
+    status: int
+    body: Mapping[str, Any]
+    retry_after_ms: float | None = None
+
+    @functools.cached_property
+    def content(self) -> bytes:
+        """The body as JSON."""
+        body = dict(self.body)
+        if self.retry_after_ms is not None:
+            body["retry_after_ms"] = self.retry_after_ms
+        return msgspec.json.encode(body)
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Headers besides those every answer has.
+
+        Retry-After counts whole seconds, at least 1; the body has the exact
+        time.
+        """
+        if self.retry_after_ms is None:
+            return {}
+        return {
+            "Retry-After": str(max(1, math.ceil(self.retry_after_ms / 1000)))
+        }
+
+
+def error(
+    status: int,
+    code: str,
+    message: str,
+    retry_after_ms: float | None = None,
+    **fields: Any,
+) -> Reply:
+    """Returns an answer to a request that is refused or has faults."""
+    body = {"error": code, "message": message, **fields}
+    return Reply(status, body, retry_after_ms)
+
+
+def faults(found: checks.Faults) -> Reply:
+    """Returns every fault of a request with its place."""
+    codes = {401: "unauthorized", 404: "not_found", 413: "too_large"}
+    return error(
+        found.status,
+        codes.get(found.status, "bad_request"),
+        f"the request has {len(found.findings)} fault(s)",
+        findings=found.findings.as_list(),
+    )
+
+
+def _shards(
+    shards: Iterable[gather_model.Shard],
+) -> list[dict[str, str]]:
+    return [{"service": item.service, "shard": item.shard} for item in shards]
+
+
+def _answer_body(answer: gather_model.Answer) -> dict[str, Any]:
+    results: dict[str, dict[str, Any]] = {}
+    for shard, content in answer.results.items():
+        by_shard = results.setdefault(shard.service, {})
+        by_shard[shard.shard] = msgspec.Raw(content)
+    return {
+        "request_id": answer.request,
+        "index_version": answer.index_version,
+        "coverage": answer.coverage,
+        "complete": not answer.lacking,
+        "covered": _shards(answer.results),
+        "lacking": [
+            {"service": shard.service, "shard": shard.shard, "reason": reason}
+            for shard, reason in answer.lacking.items()
+        ],
+        "results": results,
+        "attempts": {
+            "sent": answer.attempts.sent,
+            "hedges": answer.attempts.hedges,
+            "retries": answer.attempts.retries,
+        },
+        "config_revision": answer.config_revision,
+        "elapsed_ms": round(answer.elapsed_ms, 3),
+    }
+
+
+def query(answer: gather_model.Answer) -> Reply:
+    """Returns the answer to a query."""
+    return Reply(200, _answer_body(answer))
+
+
+def query_refused(refusal: gather_model.Refusal) -> Reply:
+    """Returns the refusal of a query, with what was gathered."""
+    fields = {}
+    if refusal.answer is not None:
+        fields = _answer_body(refusal.answer)
+    return error(
+        503, refusal.code, refusal.message, refusal.retry_after_ms, **fields
+    )
+
+
+def _upstream_reply(content: bytes) -> Any:
+    """Embeds an upstream's reply; one that is not JSON becomes a string."""
+    try:
+        return msgspec.json.decode(content, type=msgspec.Raw)
+    except msgspec.DecodeError:
+        return content.decode(errors="replace")
+
+
+def done(request: str, outcome: submissions_model.Done) -> Reply:
+    """Returns the reply of a submission that ran."""
+    body = {
+        "request_id": request,
+        "outcome": "done",
+        "reply": _upstream_reply(outcome.reply),
+    }
+    return Reply(200, body)
+
+
+def not_run(
+    request: str, outcome: submissions_model.NotRun, fresh_key: str
+) -> Reply:
+    """Returns that a submission did not run and its key never will."""
+    return error(
+        503,
+        outcome.reason,
+        "the submission was not run",
+        outcome.retry_after_ms,
+        request_id=request,
+        outcome="not_run",
+        fresh_key=fresh_key,
+        advice=_ADVICE_NOT_RUN,
+    )
+
+
+def unknown(request: str, outcome: submissions_model.Unknown) -> Reply:
+    """Returns that it is not known whether a submission ran."""
+    fields: dict[str, Any] = {}
+    if outcome.this_copy_ran is not None:
+        fields["this_copy_ran"] = outcome.this_copy_ran
+    return error(
+        504,
+        outcome.reason,
+        "it is not known whether the submission ran",
+        outcome.retry_after_ms,
+        request_id=request,
+        outcome="unknown",
+        advice=_ADVICE_UNKNOWN,
+        **fields,
+    )
+
+
+def not_taken(
+    status: int,
+    code: str,
+    message: str,
+    retry_after_ms: float,
+    submission: submissions_model.Submission,
+    fresh_key: str,
+) -> Reply:
+    """Returns the refusal of a submission before its key was looked at.
+
+    An earlier copy with the same key may have run, so "not run" is said only
+    to a caller that declares this to be the first copy.
+    """
+    if submission.first_send:
+        fields = {
+            "outcome": "not_run",
+            "fresh_key": fresh_key,
+            "advice": _ADVICE_NOT_RUN,
+        }
+    else:
+        fields = {"outcome": "unknown", "advice": _ADVICE_NOT_TAKEN}
+    return error(
+        status,
+        code,
+        message,
+        retry_after_ms,
+        request_id=submission.request,
+        this_copy_ran=False,
+        **fields,
+    )
--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -51,12 +51,20 @@
         True,
     )
     stop_grace_s: Seconds = _setting("limit of a graceful stop, seconds", 20.0)
+    drain_s: Seconds = _setting(
+        "time a stopping instance still takes requests while it reports not"
+        " ready, so that load balancers can notice, seconds",
+        1.0,
+    )
     key_lifetime_s: Seconds = _setting(
         "lifetime of an idempotency key, seconds", 900.0
     )
     max_body_bytes: Annotated[int, pydantic.Field(ge=1, le=64 << 20)] = (
         _setting("largest accepted request body, bytes", 1 << 20)
     )
+    max_answer_bytes: Annotated[int, pydantic.Field(ge=1, le=1 << 30)] = (
+        _setting("largest answer to a query, bytes", 64 << 20)
+    )
     tls_certificate: str = _setting("PEM certificate chain for callers", "")
     tls_private_key: str = _setting("PEM private key for callers", "")
     log_level: Literal["debug", "info", "warning", "error"] = _setting(
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,696 @@
+"""The callers' HTTP interface, driven over sockets of the loopback."""
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import json
+from typing import Any
+
+import aiohttp
+import result
+
+from mallowloft import messages
+from mallowloft.callers import requests as checks
+from mallowloft.callers import service as callers_lib
+from mallowloft.configuration import acceptance
+from mallowloft.configuration import model as config_model
+from mallowloft.configuration import platform
+from mallowloft.configuration import store as store_lib
+from mallowloft.gather import model as gather_model
+from mallowloft.kernel import lifecycle
+from mallowloft.kernel import settings as settings_lib
+from mallowloft.submissions import model as submissions_model
+from standins import serving
+
+_TEAM = {"Authorization": "Bearer token-hunters"}
+_KEY = {"Idempotency-Key": "key-1"}
+_SHARD = gather_model.Shard("checker", "s0")
+
+
+def _team(token: str, **fields: Any) -> dict[str, Any]:
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    return {"credential_sha256": digest, "priority": "paying", **fields}
+
+
+_DOCUMENTS = {
+    "/operator/services/checker": {
+        "index": "clues",
+        "replicas": [
+            {"id": "c-a", "url": "http://127.0.0.1:1", "failure_domain": "d1"}
+        ],
+    },
+    "/operator/services/ledger": {
+        "index": "clues",
+        "replicas": [
+            {"id": "l-a", "url": "http://127.0.0.1:1", "failure_domain": "d1"}
+        ],
+    },
+    "/operator/indexes/clues": {
+        "versions": [{"version": 1, "shards": {"checker": {"s0": ["c-a"]}}}]
+    },
+    "/operator/teams/hunters": _team(
+        "token-hunters", targets=["checker"], max_in_flight=2
+    ),
+}
+
+
+class _Configuration:
+    """Accepted configuration without a platform."""
+
+    def __init__(self) -> None:
+        self.store = store_lib.Store()
+        self.is_ready = True
+        documents = [
+            messages.Document(path, 1, value)
+            for path, value in _DOCUMENTS.items()
+        ]
+        self.store.offer(
+            platform.group_by_subtree(documents, acceptance.subtree_of)
+        )
+
+    def ready(self) -> bool:
+        return self.is_ready
+
+
+class _Gather:
+    """Answers queries; a test may hold them back."""
+
+    def __init__(self) -> None:
+        self.queries: list[gather_model.Query] = []
+        self.cancelled = 0
+        self.release = asyncio.Event()
+        self.release.set()
+        self.content = b'["row"]'
+        self.refusal: gather_model.Refusal | None = None
+
+    async def run(self, query: gather_model.Query):
+        self.queries.append(query)
+        try:
+            await self.release.wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        if self.refusal is not None:
+            return result.Err(self.refusal)
+        return result.Ok(
+            gather_model.Answer(
+                request=query.request,
+                index_version=1,
+                results={_SHARD: self.content},
+                lacking={},
+                attempts=gather_model.Attempts(1),
+                config_revision=1,
+                elapsed_ms=1.0,
+            )
+        )
+
+
+class _Submissions:
+    """Returns a set outcome."""
+
+    def __init__(self) -> None:
+        self.seen: list[submissions_model.Submission] = []
+        self.release = asyncio.Event()
+        self.release.set()
+        self.finished = 0
+        self.outcome: Any = submissions_model.Done(b'{"place": 1}')
+
+    def issue(self, team: str, count: int) -> list[str]:
+        return [f"{team}-{number}" for number in range(count)]
+
+    async def submit(self, submission: submissions_model.Submission):
+        self.seen.append(submission)
+        await self.release.wait()
+        self.finished += 1
+        if isinstance(self.outcome, Exception):
+            raise self.outcome
+        return self.outcome
+
+
+@dataclasses.dataclass
+class _Answer:
+    status: int
+    body: Any
+    headers: Any
+
+    @property
+    def places(self) -> set[str]:
+        return {item["place"] for item in self.body["findings"]}
+
+
+class _Instance:
+    """The plug-in between a real socket and fakes."""
+
+    def __init__(self, **settings: Any) -> None:
+        caller_port, operator_port = serving.free_ports(2)
+        self.kernel = lifecycle.Kernel(
+            settings_lib.Settings(
+                instance_id="i1",
+                failure_domain="d1",
+                caller_port=caller_port,
+                operator_port=operator_port,
+                drain_s=0.0,
+                **settings,
+            )
+        )
+        self.configuration = _Configuration()
+        self.gather = _Gather()
+        self.submissions = _Submissions()
+        self.callers = callers_lib.CallersService(self.kernel)
+        self.kernel.plugins_by_name.update(
+            configuration=self.configuration,
+            gather=self.gather,
+            submissions=self.submissions,
+            callers=self.callers,
+        )
+        self.scheme = "http"
+        self.port = caller_port
+        self.session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "_Instance":
+        await self.callers.start()
+        self.session = aiohttp.ClientSession()
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        self.gather.release.set()
+        self.submissions.release.set()
+        await self.session.close()
+        await self.callers.stop(5.0)
+
+    async def call(
+        self,
+        path: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+        method: str = "POST",
+    ) -> _Answer:
+        content = body if isinstance(body, bytes) else json.dumps(body or {})
+        async with self.session.request(
+            method,
+            f"{self.scheme}://127.0.0.1:{self.port}{path}",
+            data=content,
+            headers=_TEAM if headers is None else headers,
+            ssl=False,
+        ) as response:
+            return _Answer(
+                response.status, await response.json(), response.headers
+            )
+
+    async def submit(self, **body: Any) -> _Answer:
+        body = {"shard": "s0", "body": {"solve": 7}, **body}
+        return await self.call(
+            "/v1/submissions/checker", body, {**_TEAM, **_KEY}
+        )
+
+    async def until(self, condition) -> None:
+        async with asyncio.timeout(10):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+
+def _run(test, **settings: Any) -> Any:
+    async def scenario():
+        async with asyncio.timeout(30), _Instance(**settings) as instance:
+            return await test(instance)
+
+    return asyncio.run(scenario())
+
+
+class TestFaults:
+    """A caller sees all faults at once and no upstream sees the request."""
+
+    def test_reports_every_fault_of_a_query(self):
+        # Guards against a report that stops at the first fault.
+        async def test(instance):
+            answer = await instance.call(
+                "/v1/query/nowhere",
+                {"deadline_ms": 0, "min_coverage": 2, "colour": "red"},
+                {**_TEAM, "X-Request-Id": "two words"},
+            )
+            return answer, instance.gather.queries
+
+        answer, queries = _run(test)
+        assert answer.status == 400
+        assert answer.places == {
+            "header.X-Request-Id",
+            "path.target",
+            "body.query",
+            "body.deadline_ms",
+            "body.min_coverage",
+            "body.colour",
+        }
+        assert not queries
+
+    def test_reports_a_malformed_body_with_its_position(self):
+        async def test(instance):
+            return await instance.call("/v1/query/checker", b'{"query": ')
+
+        answer = _run(test)
+        assert answer.status == 400
+        assert answer.places == {"body"}
+        assert "line 1 column" in answer.body["findings"][0]["message"]
+
+    def test_refuses_json_that_upstreams_cannot_read(self):
+        # Python accepts NaN and passes it on as an invalid token.
+        async def test(instance):
+            return await instance.call("/v1/query/checker", b'{"query": NaN}')
+
+        answer = _run(test)
+        assert answer.status == 400
+        assert answer.places == {"body.query"}
+
+    def test_does_not_tell_a_stranger_which_services_exist(self):
+        async def test(instance):
+            return [
+                await instance.call(
+                    f"/v1/query/{target}",
+                    {"query": 1, "deadline_ms": -1},
+                    {"Authorization": "Bearer wrong"},
+                )
+                for target in ("checker", "nowhere")
+            ]
+
+        known, unknown = _run(test)
+        assert known.status == unknown.status == 401
+        assert known.places == {"header.Authorization", "body.deadline_ms"}
+        assert known.body == unknown.body
+
+    def test_refuses_targets_that_are_unknown_or_not_granted(self):
+        async def test(instance):
+            return [
+                (await instance.call(f"/v1/query/{target}", {"query": 1}))
+                for target in ("ledger", "nowhere")
+            ]
+
+        not_granted, unknown = _run(test)
+        assert not_granted.status == 403
+        assert unknown.status == 404
+
+    def test_submission_without_key_says_how_to_get_one(self):
+        # Guards against a submission that is run although no key protects
+        # its repeats.
+        async def test(instance):
+            answer = await instance.call(
+                "/v1/submissions/checker", {"shard": "nope", "body": 1}
+            )
+            return answer, instance.submissions.seen
+
+        answer, seen = _run(test)
+        assert answer.status == 400
+        assert answer.places == {"header.Idempotency-Key", "body.shard"}
+        assert "POST /v1/keys" in answer.body["findings"][0]["message"]
+        assert not seen
+
+    def test_submission_to_a_group_or_unknown_service(self):
+        async def test(instance):
+            return await instance.call(
+                "/v1/submissions/nowhere",
+                {"shard": "s0", "body": 1},
+                {**_TEAM, **_KEY},
+            )
+
+        answer = _run(test)
+        assert answer.status == 404
+        assert answer.places == {"path.service"}
+
+    def test_unknown_path_and_method_are_answered_in_json(self):
+        async def test(instance):
+            return (
+                await instance.call("/v2/query"),
+                await instance.call("/v1/keys", method="PUT"),
+            )
+
+        path, method = _run(test)
+        assert (path.status, path.body["error"]) == (404, "not_found")
+        assert (method.status, method.body["error"]) == (405, "bad_method")
+        assert method.headers["Allow"] == "POST"
+
+
+class TestLargeBodies:
+    """A large body costs no memory and its sender sees the refusal."""
+
+    def test_declared_size_is_refused_before_reading(self):
+        # Guards against a connection that is reset while the caller still
+        # sends: the caller then never reads the refusal.
+        async def test(instance):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", instance.port
+            )
+            size = 8 << 20
+            head = (
+                "POST /v1/query/checker HTTP/1.1\r\nHost: i1\r\n"
+                "Authorization: Bearer token-hunters\r\n"
+                f"Content-Length: {size}\r\n\r\n"
+            )
+            writer.write(head.encode())
+            for _ in range(size >> 16):
+                writer.write(b"x" * (1 << 16))
+                await writer.drain()
+            answer = await reader.read()
+            writer.close()
+            return answer
+
+        answer = _run(test, max_body_bytes=1000)
+        assert answer.startswith(b"HTTP/1.1 413 ")
+        assert b'"place":"body"' in answer
+
+    def test_undeclared_size_is_refused_while_reading(self):
+        # Guards against a chunked body that is read whole before the check.
+        async def test(instance):
+            sent = 0
+
+            async def endless():
+                nonlocal sent
+                while sent < 10_000:
+                    sent += 1
+                    yield b"x" * 1000
+                    await asyncio.sleep(0.001)
+
+            async with instance.session.post(
+                f"http://127.0.0.1:{instance.port}/v1/query/checker",
+                data=endless(),
+                headers=_TEAM,
+            ) as response:
+                return response.status, sent
+
+        status, sent = _run(test, max_body_bytes=5000)
+        assert status == 413
+        assert sent < 10_000
+
+    def test_answer_over_the_limit_is_refused(self):
+        # Guards against an answer that is cut off.
+        async def test(instance):
+            instance.gather.content = b'"' + b"x" * 5000 + b'"'
+            return await instance.call("/v1/query/checker", {"query": 1})
+
+        answer = _run(test, max_answer_bytes=5000)
+        assert answer.status == 507
+        assert answer.body["error"] == "answer_too_large"
+
+    def test_large_answer_arrives_whole(self):
+        async def test(instance):
+            instance.gather.content = b'"' + b"x" * (8 << 20) + b'"'
+            return await instance.call("/v1/query/checker", {"query": 1})
+
+        answer = _run(test)
+        assert len(answer.body["results"]["checker"]["s0"]) == 8 << 20
+
+
+class TestQueries:
+    """Queries keep the caller's deadline, limits and connection."""
+
+    def test_deadline_counts_from_receipt(self):
+        # Guards against a slow upload that extends the deadline.
+        async def test(instance):
+            async def slow():
+                yield b'{"query": 1, '
+                await instance.until(
+                    lambda: instance.callers.dump()["requests_in_flight"]
+                )
+                await asyncio.sleep(0.25)
+                yield b'"deadline_ms": 5000}'
+
+            async with instance.session.post(
+                f"http://127.0.0.1:{instance.port}/v1/query/checker",
+                data=slow(),
+                headers=_TEAM,
+            ) as response:
+                await response.read()
+            return instance.gather.queries[0].deadline_ms
+
+        assert _run(test) <= 4760
+
+    def test_team_limit_is_refused_at_once(self):
+        async def test(instance):
+            instance.gather.release.clear()
+            running = [
+                asyncio.create_task(
+                    instance.call("/v1/query/checker", {"query": 1})
+                )
+                for _ in range(2)
+            ]
+            await instance.until(lambda: len(instance.gather.queries) == 2)
+            refused = await instance.call("/v1/query/checker", {"query": 1})
+            instance.gather.release.set()
+            answered = await asyncio.gather(*running)
+            again = await instance.call("/v1/query/checker", {"query": 1})
+            return refused, answered, again
+
+        refused, answered, again = _run(test)
+        assert refused.status == 429
+        assert refused.body["error"] == "team_limit"
+        assert int(refused.headers["Retry-After"]) >= 1
+        assert [item.status for item in answered] == [200, 200]
+        assert again.status == 200
+
+    def test_disconnect_cancels_the_query(self):
+        # Guards against work for a caller that is gone.
+        async def test(instance):
+            instance.gather.release.clear()
+            call = asyncio.create_task(
+                instance.call("/v1/query/checker", {"query": 1})
+            )
+            await instance.until(lambda: instance.gather.queries)
+            call.cancel()
+            await instance.until(lambda: instance.gather.cancelled)
+            await instance.until(
+                lambda: not instance.callers.dump()["requests_in_flight"]
+            )
+            return instance.kernel.metrics.counted(
+                "queries", outcome="abandoned", priority="paying"
+            )
+
+        assert _run(test) == 1
+
+    def test_refusal_carries_code_and_retry_after(self):
+        async def test(instance):
+            instance.gather.refusal = gather_model.Refusal(
+                "overloaded", "no slot before the deadline", 1500.0
+            )
+            return await instance.call("/v1/query/checker", {"query": 1})
+
+        answer = _run(test)
+        assert answer.status == 503
+        assert answer.body["error"] == "overloaded"
+        assert answer.body["retry_after_ms"] == 1500
+        assert answer.headers["Retry-After"] == "2"
+
+    def test_request_id_is_returned(self):
+        async def test(instance):
+            return await instance.call(
+                "/v1/query/checker",
+                {"query": 1},
+                {**_TEAM, "X-Request-Id": "r-7"},
+            )
+
+        answer = _run(test)
+        assert answer.headers["X-Request-Id"] == "r-7"
+        assert answer.body["request_id"] == "r-7"
+
+    def test_without_configuration_no_credential_is_called_wrong(self):
+        async def test(instance):
+            instance.configuration.is_ready = False
+            return await instance.call("/v1/query/checker", {"query": 1})
+
+        answer = _run(test)
+        assert (answer.status, answer.body["error"]) == (503, "starting")
+        assert "Retry-After" in answer.headers
+
+
+class TestCredentials:
+    """The credential check does not scan the teams."""
+
+    def test_reads_the_teams_once_per_snapshot(self):
+        class Teams(dict):
+            scans = 0
+
+            def __iter__(self):
+                self.scans += 1
+                return super().__iter__()
+
+        team = config_model.Team(**_team("secret"))
+        teams = Teams({"hunters": team})
+        snapshot = config_model.Snapshot(teams_by_name=teams)
+        credentials = checks.Credentials()
+        found = [
+            credentials.team_of(snapshot, "Bearer secret") for _ in range(50)
+        ]
+        assert set(found) == {"hunters"}
+        assert teams.scans == 1
+
+    def test_follows_a_new_snapshot(self):
+        # Guards against an index that keeps a revoked credential.
+        credentials = checks.Credentials()
+        team = config_model.Team(**_team("secret"))
+        before = config_model.Snapshot(teams_by_name={"hunters": team})
+        after = config_model.Snapshot(teams_by_name={})
+        assert credentials.team_of(before, "Bearer secret") == "hunters"
+        assert credentials.team_of(after, "Bearer secret") is None
+
+
+class TestSubmissions:
+    """The three outcomes are distinct and true."""
+
+    def test_keys(self):
+        async def test(instance):
+            return await instance.call("/v1/keys", {"count": 2})
+
+        answer = _run(test)
+        assert answer.status == 200
+        assert answer.body["keys"] == ["hunters-0", "hunters-1"]
+
+    def test_done(self):
+        async def test(instance):
+            return await instance.submit(), instance.submissions.seen[0]
+
+        answer, seen = _run(test)
+        assert answer.status == 200
+        assert answer.body["outcome"] == "done"
+        assert answer.body["reply"] == {"place": 1}
+        assert (seen.key, seen.shard, seen.body) == (
+            "key-1",
+            "s0",
+            b'{"solve": 7}',
+        )
+
+    def test_not_run(self):
+        async def test(instance):
+            instance.submissions.outcome = submissions_model.NotRun(
+                "no_slot", 400.0
+            )
+            return await instance.submit()
+
+        answer = _run(test)
+        assert answer.status == 503
+        assert answer.body["outcome"] == "not_run"
+        assert answer.body["error"] == "no_slot"
+        assert answer.body["fresh_key"] == "hunters-0"
+        assert "Retry-After" in answer.headers
+
+    def test_unknown(self):
+        async def test(instance):
+            answers = []
+            for ran in (False, None):
+                instance.submissions.outcome = submissions_model.Unknown(
+                    "issuer_lost", ran, 100.0
+                )
+                answers.append(await instance.submit())
+            return answers
+
+        this_copy_known, nothing_known = _run(test)
+        assert this_copy_known.status == 504
+        assert this_copy_known.body["outcome"] == "unknown"
+        assert this_copy_known.body["this_copy_ran"] is False
+        assert "same key" in this_copy_known.body["advice"]
+        assert "this_copy_ran" not in nothing_known.body
+
+    def test_failure_inside_is_unknown(self):
+        # Guards against a 500 that a caller takes for "not run".
+        async def test(instance):
+            instance.submissions.outcome = RuntimeError("fault")
+            return await instance.submit()
+
+        answer = _run(test)
+        assert answer.status == 504
+        assert answer.body["outcome"] == "unknown"
+        assert "this_copy_ran" not in answer.body
+
+    def test_limit_says_not_run_only_of_a_first_copy(self):
+        # Guards against "not run" for a key whose earlier copy has run.
+        async def test(instance):
+            instance.submissions.release.clear()
+            running = [asyncio.create_task(instance.submit()) for _ in range(2)]
+            await instance.until(lambda: len(instance.submissions.seen) == 2)
+            repeat = await instance.submit()
+            first = await instance.submit(first_send=True)
+            instance.submissions.release.set()
+            await asyncio.gather(*running)
+            return repeat, first, len(instance.submissions.seen)
+
+        repeat, first, seen = _run(test)
+        assert repeat.status == first.status == 429
+        assert repeat.body["outcome"] == "unknown"
+        assert repeat.body["this_copy_ran"] is False
+        assert first.body["outcome"] == "not_run"
+        assert first.body["fresh_key"] == "hunters-0"
+        assert seen == 2
+
+    def test_runs_to_its_outcome_when_the_caller_leaves(self):
+        # Guards against a disconnect that cancels a submission half-way.
+        async def test(instance):
+            instance.submissions.release.clear()
+            call = asyncio.create_task(instance.submit())
+            await instance.until(lambda: instance.submissions.seen)
+            call.cancel()
+            await asyncio.sleep(0.05)
+            instance.submissions.release.set()
+            await instance.until(lambda: instance.submissions.finished)
+
+        _run(test)
+
+
+class TestStopping:
+    """A stopping instance finishes what it has and refuses truthfully."""
+
+    def test_requests_in_flight_are_finished(self):
+        async def test(instance):
+            instance.gather.release.clear()
+            running = asyncio.create_task(
+                instance.call("/v1/query/checker", {"query": 1})
+            )
+            await instance.until(lambda: instance.gather.queries)
+            instance.kernel.stopping = True
+            stopping = asyncio.create_task(instance.callers.stop(10.0))
+            await instance.until(lambda: instance.callers.dump()["refusing"])
+            query = await instance.call("/v1/query/checker", {"query": 1})
+            submission = await instance.submit()
+            instance.gather.release.set()
+            answer = await running
+            await stopping
+            return query, submission, answer, instance.submissions.seen
+
+        query, submission, answer, seen = _run(test)
+        assert (query.status, query.body["error"]) == (503, "stopping")
+        assert submission.status == 503
+        assert submission.body["this_copy_ran"] is False
+        assert "outcome" not in submission.body
+        assert query.headers["Connection"] == "close"
+        assert "Retry-After" in query.headers
+        assert not seen
+        assert answer.status == 200
+
+    def test_requests_are_served_while_load_balancers_learn(self):
+        # Guards against refused connections before /readyz is looked at.
+        async def scenario():
+            async with _Instance() as instance:
+                kernel = instance.kernel
+                kernel.settings = dataclasses.replace(
+                    kernel.settings, drain_s=0.5
+                )
+                kernel.stopping = True
+                stopping = asyncio.create_task(instance.callers.stop(10.0))
+                await asyncio.sleep(0)
+                answer = await instance.call("/v1/query/checker", {"query": 1})
+                await stopping
+                return answer
+
+        answer = asyncio.run(scenario())
+        assert answer.status == 200
+        assert answer.headers["Connection"] == "close"
+
+    def test_idle_connections_are_closed_cleanly(self):
+        async def test(instance):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", instance.port
+            )
+            await instance.callers.stop(5.0)
+            async with asyncio.timeout(10):
+                rest = await reader.read()
+            writer.close()
+            with contextlib.suppress(ConnectionError):
+                await writer.wait_closed()
+            return rest
+
+        assert _run(test) == b""
