Order, refuse, cancel and preempt waiting work by class

Nothing is refused on an estimate while a lower class waits. Cancellation looks up the one dispatcher concerned. A query is preempted when lower classes hold all slots (budget 0.25 per start, 20 in a row); reserved starts and submissions never are. Entries get SubQueued for attempts that wait.

Calls in flight: slots plus half of them, because the next call must be at the replica when a slot gets free. The waiting one is recalled when a higher class arrives. The local request of a cancelled call is left to finish, as closing it would cost a connection (6 ms). Dispatchers take replicas over and open connections when views or configuration change; without that a preempting query waited 6 ms for its connection while the victim, requeued on an open one, took the slot back.

Fakes: a call now takes one way to the replica and one way back (both ways were spent in parallel with the service), and a call cancelled while it waits leaves the count of waiting calls.

Found by a test: at twice the capacity in one class, earliest deadline first started each call just before its deadline and 16 of 300 possible calls ended in time. Items without time to finish are dropped now, except the last one, since a stale estimate would otherwise never be corrected.

--- a/src/mallowloft/dispatch/replica.py
+++ b/src/mallowloft/dispatch/replica.py
@@ -1,10 +1,14 @@
 """Queue, slots and connections of one replica."""
 
 import asyncio
+import collections
+import dataclasses
+import itertools
 from typing import Any
 
 from mallowloft import messages
 from mallowloft.configuration import model
+from mallowloft.dispatch import limits
 from mallowloft.dispatch import queue as queue_lib
 from mallowloft.dispatch import reservations as reservations_lib
 from mallowloft.kernel import lifecycle
@@ -15,6 +19,22 @@
 
 _QUEUE_LIMIT = 512
 _POLL_S = 0.005
+# Expiry and notices of waiting are checked this often while there is work.
+_TICK_S = 0.005
+# Cancelled calls whose end the replica has not confirmed; more of them count
+# as calls in flight, so that connections are left for the others.
+_MAX_UNCONFIRMED = 2
+# A refusal at once needs an expected wait well above the time left, because
+# the estimate of the service time is rough.
+_WAIT_CERTAINTY = 0.5
+# Time that a call needs to finish, relative to the mean service time.
+_TIME_NEEDED = 1.25
+# Preemptions per start and how many may come in a row.
+_PREEMPTION_SHARE = 0.25
+_PREEMPTION_BURST = 20
+_SHED_ATTEMPTS = 3
+_SHED_BACKOFF_MIN_S = 0.001
+_MIN_NOTICE_S = 0.002
 
 _OUTCOMES = {
     protocol.CallOutcome.OK: messages.Outcome.OK,
@@ -37,12 +57,45 @@
 Key = reservations_lib.Key
 
 
+def _window(replica: model.Replica, max_connections: int) -> int:
+    """Returns how many calls may be in flight to a replica.
+
+    Two connections are left for cancellation and probes where possible.
+    """
+    ahead = (replica.slots + 1) // 2
+    return max(1, min(replica.slots + ahead, max_connections - 2))
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Call:
+    """One call in flight.
+
+    Attributes:
+        begun_s: When it took a slot of the replica, as far as can be told
+            from the order of calls; None while it waits there for a slot.
+        cancelled: The replica was asked to drop it.
+        requeue: It goes back to the queue if the replica dropped it.
+    """
+
+    call_id: str
+    rank: int
+    reserved: bool
+    sent_s: float
+    begun_s: float | None
+    cancelled: bool = False
+    requeue: bool = False
+
+
 class ReplicaDispatcher:
     """Queue, slots and connections of one replica.
 
     Queries and reservations for submissions wait in one priority queue. A
     reservation at its head holds a slot until its ticket is used, released or
     expired.
+
+    A few calls more than the replica has slots are in flight, so that a slot
+    that gets free is taken before the reply has crossed the network. A call
+    that waits at the replica is recalled when a higher class arrives.
     """
 
     def __init__(
@@ -50,6 +103,7 @@
         kernel: lifecycle.Kernel,
         replica: model.Replica,
         upstream: protocol.Upstream,
+        max_connections: int,
         reservations: reservations_lib.Reservations,
         queries: dict[Key, "ReplicaDispatcher"],
     ) -> None:
@@ -59,6 +113,7 @@
             kernel: The instance.
             replica: The replica as configured.
             upstream: Connections to it.
+            max_connections: Limit of those connections.
             reservations: Reservations of all replicas of this instance.
             queries: Dispatcher of each query that waits or runs, shared by
                 all dispatchers of this instance.
@@ -66,34 +121,66 @@
         self.replica = replica
         self._kernel = kernel
         self._upstream = upstream
+        self._max_connections = max_connections
         self._reservations = reservations
         self._queries = queries
         self._queue = queue_lib.PriorityQueue(_QUEUE_LIMIT)
-        self._running: dict[Key, asyncio.Task] = {}
+        self._calls_by_key: dict[Key, _Call] = {}
         self._held: dict[Key, asyncio.TimerHandle] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._call_numbers = itertools.count(1)
+        self._limit = limits.AimdLimit(_window(replica, max_connections))
+        self._preemptions = limits.TokenBudget(
+            _PREEMPTION_SHARE, _PREEMPTION_BURST
+        )
+        self._use = limits.SlotUse(replica.slots)
+        self._sheds_by_key: dict[Key, int] = {}
+        self._backoff_until_s = 0.0
+        self._unnoticed: collections.deque[tuple[float, Key]] = (
+            collections.deque()
+        )
         self._versions: tuple[int, ...] = ()
-        self._service_ms = 1.0
+        self._pumping = False
+        self._ticking = False
+        self._used_s = kernel.clock.now()
+
+    @property
+    def idle_s(self) -> float:
+        """Time since the last work, 0 while there is any."""
+        if self._busy():
+            return 0.0
+        return self._kernel.clock.now() - self._used_s
+
+    @property
+    def waiting(self) -> int:
+        """Number of queries and reservations in the queue."""
+        return len(self._queue)
 
     def add(self, key: Key, request: messages.SubRequest) -> None:
         """Queues a sub-request; a duplicate of one in hand is ignored."""
         if key in self._queries:
             return
         self._queries[key] = self
-        self._push(key, request)
+        self._push(self._item(key, request))
 
     def reserve(self, key: Key, request: messages.SlotReserve) -> None:
         """Queues a reservation; a duplicate is ignored."""
         now_s = self._kernel.clock.now()
-        if self._reservations.open(key, self.replica.id, now_s):
-            self._push(key, request)
+        if self._reservations.open(key, self, now_s):
+            self._push(self._item(key, request))
 
     def cancel(self, key: Key) -> None:
-        """Drops a query that waits or runs."""
-        if self._queue.remove(key) is not None:
-            del self._queries[key]
-        task = self._running.get(key)
-        if task is not None:
-            task.cancel()
+        """Drops a query that waits or runs; it is not answered."""
+        self._queue.remove(key)
+        self._queries.pop(key, None)
+        self._sheds_by_key.pop(key, None)
+        call = self._calls_by_key.get(key)
+        if call is None:
+            return
+        call.requeue = False
+        if not call.cancelled:
+            self._cancel_call(call)
+        self._pump()
 
     def abandon(self, key: Key, reason: str, answer: bool = True) -> None:
         """Ends a reservation that has not been used and frees its slot."""
@@ -117,12 +204,25 @@
             )
             return
         self._held.pop(key).cancel()
-        self._running[key] = asyncio.create_task(self._submit(key, message))
+        call = self._new_call(message.request, key, rank=0, reserved=False)
+        self._spawn(self._submit(key, call, message))
+
+    def reconfigure(self, replica: model.Replica) -> None:
+        """Takes a changed number of slots."""
+        self.replica = replica
+        self._limit = limits.AimdLimit(_window(replica, self._max_connections))
+        self._use = limits.SlotUse(replica.slots)
+        self._pump()
 
     def queue_delay_ms(self, rank: int) -> float:
-        """Returns the expected wait of a new item of a rank."""
-        waiting = self._queue.ahead_of(rank)
-        return waiting * self._service_ms / self.replica.slots
+        """Returns the expected wait of a new item of a class."""
+        return self._expected_wait_s(rank, float("inf")) * 1000
+
+    async def warm(self) -> None:
+        """Opens connections before they are needed."""
+        await self._upstream.warm(
+            min(self._max_connections, self.replica.slots + 2)
+        )
 
     async def close(self, grace_s: float) -> None:
         """Finishes what waits and runs, then closes the connections."""
@@ -137,39 +237,88 @@
         """Returns queue length, slots in use and known versions."""
         return {
             "waiting": len(self._queue),
-            "running": len(self._running),
+            "running": len(self._calls_by_key),
             "held": len(self._held),
+            "limit": self._limit.value,
             "versions": self._versions,
-            "service_ms": self._service_ms,
+            "service_ms": self._use.service_s * 1000,
         }
 
     def _busy(self) -> bool:
-        return bool(len(self._queue) or self._running or self._held)
+        return bool(len(self._queue) or self._calls_by_key or self._held)
+
+    def _spawn(self, coroutine) -> None:
+        # The loop keeps weak references to tasks only.
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
-    def _push(
+    def _item(
         self, key: Key, work: messages.SubRequest | messages.SlotReserve
-    ) -> None:
+    ) -> queue_lib.Item:
         now_s = self._kernel.clock.now()
-        refused = self._queue.push(
-            queue_lib.Item(
-                key=key,
-                rank=work.rank,
-                deadline_s=now_s + work.remaining_ms / 1000,
-                queued_s=now_s,
-                work=work,
-            )
+        return queue_lib.Item(
+            key=key,
+            rank=work.rank,
+            deadline_s=now_s + work.remaining_ms / 1000,
+            queued_s=now_s,
+            work=work,
         )
+
+    # Admission.
+
+    def _push(self, item: queue_lib.Item) -> None:
+        if self._cannot_start(item):
+            self._refuse(item, messages.Outcome.REFUSED)
+        else:
+            self._enqueue(item)
+        self._pump()
+        if item.key in self._queue:
+            self._unnoticed.append((item.queued_s, item.key))
+
+    def _enqueue(self, item: queue_lib.Item) -> None:
+        self._queue.min_share = self._min_share()
+        refused = self._queue.push(item)
         if refused is not None:
             self._refuse(refused, messages.Outcome.REFUSED)
-        self._start_waiting()
 
-    def _refuse(
-        self,
-        item: queue_lib.Item,
-        outcome: messages.Outcome,
-        retry_after_ms: float = 0.0,
-    ) -> None:
-        """Answers work that was never started."""
+    def _min_share(self) -> float:
+        store = self._kernel.plugin("configuration").store
+        return store.current.fleet.min_share
+
+    def _cannot_start(self, item: queue_lib.Item) -> bool:
+        """Whether an item will almost certainly miss its deadline here.
+
+        Nothing is refused on an estimate while a lower class waits: if the
+        estimate were wrong, the lower class would start in its place.
+        """
+        now_s = self._kernel.clock.now()
+        if item.deadline_s <= now_s:
+            return True
+        lowest = self._queue.lowest_rank()
+        if lowest is not None and lowest > item.rank:
+            return False
+        wait_s = self._expected_wait_s(item.rank, item.deadline_s)
+        return now_s + wait_s * _WAIT_CERTAINTY >= item.deadline_s
+
+    def _expected_wait_s(self, rank: int, deadline_s: float) -> float:
+        ahead = self._queue.ahead_of(rank, deadline_s) + len(self._held)
+        ahead += sum(
+            not call.cancelled and (call.rank <= rank or call.begun_s is None)
+            for call in self._calls_by_key.values()
+        )
+        slots = min(self.replica.slots, int(self._limit.value))
+        before = max(0, ahead - slots + 1)
+        share = self._use.share_left(rank, self._kernel.clock.now())
+        return before * self._use.service_s / (slots * share)
+
+    def _refuse(self, item: queue_lib.Item, outcome: messages.Outcome) -> None:
+        """Answers work that is not called; it may be tried again later."""
+        self._sheds_by_key.pop(item.key, None)
+        self._kernel.metrics.count(
+            "dispatch_refused", rank=str(item.rank), outcome=outcome.value
+        )
+        retry_after_ms = self.queue_delay_ms(item.rank)
         if item.key.kind == reservations_lib.SLOT:
             self._end_reservation(
                 item.key,
@@ -186,17 +335,251 @@
             outcome,
         )
 
-    def _start_waiting(self) -> None:
-        while len(self._running) + len(self._held) < self.replica.slots:
-            item = self._queue.pop()
-            if item is None:
+    # Starting.
+
+    def _pump(self) -> None:
+        """Starts what can start now."""
+        if self._pumping:
+            return
+        self._pumping = True
+        try:
+            self._drop_expired()
+            while self._may_start():
+                self._start(self._queue.pop())
+        finally:
+            self._pumping = False
+        self._tick_while_busy()
+
+    def _drop_expired(self) -> None:
+        """Drops what is past its deadline or has no time left to finish.
+
+        Under overload, earliest deadline first would otherwise start each
+        call just before its deadline and nearly every call would be in vain.
+        The last item is tried anyway, because the estimate may be out of date.
+        """
+        end_s = self._kernel.clock.now()
+        busy = self._slots_used() >= self.replica.slots
+        if busy:
+            # The call first waits at the replica for the next free slot.
+            end_s += self._use.service_s / self.replica.slots
+        if busy or len(self._queue) > 1:
+            end_s += self._use.service_s * _TIME_NEEDED
+        for item in self._queue.expire(end_s):
+            self._refuse(item, messages.Outcome.EXPIRED)
+
+    def _begun(self) -> list[_Call]:
+        return [
+            call
+            for call in self._calls_by_key.values()
+            if call.begun_s is not None and not call.cancelled
+        ]
+
+    def _slots_used(self) -> int:
+        return len(self._begun()) + len(self._held)
+
+    def _in_flight(self) -> int:
+        unconfirmed = sum(
+            call.cancelled for call in self._calls_by_key.values()
+        )
+        counted = len(self._calls_by_key) - unconfirmed
+        counted += max(0, unconfirmed - _MAX_UNCONFIRMED)
+        return counted + len(self._held)
+
+    def _may_start(self) -> bool:
+        """Whether the head of the queue may start, making room if needed."""
+        head = self._queue.head()
+        if head is None or self._kernel.clock.now() < self._backoff_until_s:
+            return False
+        if self._slots_used() >= self.replica.slots:
+            self._recall_below(head.rank)
+            self._preempt_below(head.rank)
+        if (
+            head.key.kind == reservations_lib.SLOT
+            and self._slots_used() >= self.replica.slots
+        ):
+            return False
+        return self._in_flight() < int(self._limit.value)
+
+    def _recall_below(self, rank: int) -> None:
+        """Takes back lower-class calls that wait at the replica.
+
+        They would get the next free slot before the waiting higher class.
+        """
+        for call in list(self._calls_by_key.values()):
+            if (
+                call.begun_s is None
+                and call.rank > rank
+                and not call.reserved
+                and not call.cancelled
+            ):
+                self._kernel.metrics.count("dispatch_recalls")
+                call.requeue = True
+                self._cancel_call(call)
+
+    def _preempt_below(self, rank: int) -> None:
+        """Cancels a running lower-class query for a waiting higher class."""
+        if not self._kernel.settings.preemption or self._held:
+            return
+        begun = self._begun()
+        if not begun or any(call.rank <= rank for call in begun):
+            return
+        victims = [call for call in begun if not call.reserved]
+        unconfirmed = sum(
+            call.cancelled for call in self._calls_by_key.values()
+        )
+        if not victims or unconfirmed >= _MAX_UNCONFIRMED:
+            return
+        if not self._preemptions.spend():
+            self._kernel.metrics.count("preemptions_over_budget")
+            return
+        # The lowest class, and within it the least work done.
+        victim = max(victims, key=lambda call: (call.rank, call.begun_s))
+        self._kernel.metrics.count("preemptions", rank=str(victim.rank))
+        victim.requeue = True
+        self._cancel_call(victim)
+
+    def _cancel_call(self, call: _Call) -> None:
+        """Asks the replica to drop a call; its own reply confirms the end.
+
+        The local request is left to finish, because giving it up would close
+        its connection, and a new one is expensive.
+        """
+        call.cancelled = True
+        self._spawn(self._upstream.cancel(call.call_id))
+        self._begin_next()
+
+    def _start(self, start: queue_lib.Start) -> None:
+        item = start.item
+        self._preemptions.earn()
+        self._kernel.metrics.count(
+            "dispatch_starts",
+            rank=str(item.rank),
+            reserved=str(start.reserved).lower(),
+        )
+        if item.key.kind == reservations_lib.SLOT:
+            self._hold(item.key)
+            return
+        call = self._new_call(
+            item.work.request, item.key, item.rank, start.reserved
+        )
+        self._spawn(self._run(item, call))
+
+    def _new_call(
+        self, request: str, key: Key, rank: int, reserved: bool
+    ) -> _Call:
+        number = next(self._call_numbers)
+        now_s = self._kernel.clock.now()
+        free = self._slots_used() < self.replica.slots
+        call = _Call(
+            # The number keeps a late cancellation from a repeated call.
+            call_id=f"{request}.{key.instance}.{key.attempt}.{number}",
+            rank=rank,
+            reserved=reserved,
+            sent_s=now_s,
+            begun_s=now_s if free else None,
+        )
+        self._calls_by_key[key] = call
+        return call
+
+    def _begin_next(self) -> None:
+        """Notes which waiting calls the replica takes into free slots."""
+        now_s = self._kernel.clock.now()
+        free = self.replica.slots - self._slots_used()
+        for call in self._calls_by_key.values():
+            if free <= 0:
+                return
+            if call.begun_s is None and not call.cancelled:
+                call.begun_s = now_s
+                free -= 1
+
+    # Calls.
+
+    async def _run(self, item: queue_lib.Item, call: _Call) -> None:
+        request: messages.SubRequest = item.work
+        reply = await self._guarded(
+            self._upstream.query(
+                protocol.QueryCall(
+                    request=call.call_id,
+                    service=request.service,
+                    index_version=request.index_version,
+                    shards=request.shards,
+                    query=request.query,
+                    deadline_ms=(item.deadline_s - call.sent_s) * 1000,
+                )
+            )
+        )
+        self._finish_call(item.key, call, reply)
+        self._settle(item, call, reply)
+        self._pump()
+
+    async def _guarded(self, call) -> protocol.CallReply:
+        """Awaits a call; a fault of a protocol plug-in leaves it open."""
+        try:
+            return await call
+        except Exception as error:  # noqa: BLE001
+            _log.exception("upstream_client_failed", replica=self.replica.id)
+            return protocol.CallReply(
+                protocol.CallOutcome.FAILED, reason=type(error).__name__
+            )
+
+    def _finish_call(
+        self, key: Key, call: _Call, reply: protocol.CallReply
+    ) -> None:
+        """Frees the slot and takes what the reply says of the replica."""
+        now_s = self._kernel.clock.now()
+        del self._calls_by_key[key]
+        self._used_s = now_s
+        begun_s = call.sent_s if call.begun_s is None else call.begun_s
+        self._begin_next()
+        if reply.outcome is protocol.CallOutcome.OK:
+            self._use.record(call.rank, now_s - begun_s, now_s)
+            self._limit.on_success()
+        if reply.outcome is protocol.CallOutcome.SHED:
+            self._on_shed(now_s)
+        self._versions = reply.versions or self._versions
+
+    def _on_shed(self, now_s: float) -> None:
+        self._kernel.metrics.count("upstream_shed")
+        service_s = max(self._use.service_s, _SHED_BACKOFF_MIN_S)
+        if self._limit.on_shed(now_s, service_s):
+            self._backoff_until_s = now_s + service_s / 2
+
+    def _settle(
+        self, item: queue_lib.Item, call: _Call, reply: protocol.CallReply
+    ) -> None:
+        """Answers a query, or puts it back into the queue."""
+        now_s = self._kernel.clock.now()
+        if item.key not in self._queries:
+            self._note_waste(call, now_s)
+            return
+        dropped = call.cancelled and call.requeue
+        if dropped and reply.outcome is protocol.CallOutcome.FAILED:
+            self._note_waste(call, now_s)
+            self._requeue(item)
+            return
+        if reply.outcome is protocol.CallOutcome.SHED:
+            sheds = self._sheds_by_key.get(item.key, 0) + 1
+            if sheds < _SHED_ATTEMPTS:
+                self._sheds_by_key[item.key] = sheds
+                self._requeue(item)
                 return
-            if item.deadline_s <= self._kernel.clock.now():
-                self._refuse(item, messages.Outcome.EXPIRED)
-            elif item.key.kind == reservations_lib.SLOT:
-                self._hold(item.key)
-            else:
-                self._running[item.key] = asyncio.create_task(self._run(item))
+        self._sheds_by_key.pop(item.key, None)
+        service_ms = (now_s - (call.begun_s or call.sent_s)) * 1000
+        self._answer(item, reply, _OUTCOMES[reply.outcome], service_ms)
+
+    def _note_waste(self, call: _Call, now_s: float) -> None:
+        if call.begun_s is not None:
+            self._kernel.metrics.count(
+                "wasted_slot_seconds", now_s - call.begun_s
+            )
+
+    def _requeue(self, item: queue_lib.Item) -> None:
+        if item.deadline_s <= self._kernel.clock.now():
+            self._refuse(item, messages.Outcome.EXPIRED)
+        else:
+            self._enqueue(item)
+
+    # Reservations.
 
     def _hold(self, key: Key) -> None:
         ticket = self._reservations.hold(key, self._kernel.clock.now())
@@ -208,24 +591,20 @@
         )
         self._send(key, messages.SlotReady(key.attempt, ticket))
 
-    async def _submit(self, key: Key, message: messages.SlotGo) -> None:
-        call_id = f"{message.request}.{key.instance}.s{key.attempt}"
-        try:
-            reply = await self._upstream.submit(
+    async def _submit(
+        self, key: Key, call: _Call, message: messages.SlotGo
+    ) -> None:
+        reply = await self._guarded(
+            self._upstream.submit(
                 protocol.SubmitCall(
-                    request=call_id,
+                    request=call.call_id,
                     shard=message.shard,
                     body=message.body,
                     deadline_ms=message.remaining_ms,
                 )
             )
-        except Exception as error:  # noqa: BLE001
-            # A fault of a protocol plug-in leaves open what was written.
-            _log.exception("upstream_client_failed", replica=self.replica.id)
-            reply = protocol.CallReply(
-                protocol.CallOutcome.FAILED, reason=type(error).__name__
-            )
-        del self._running[key]
+        )
+        self._finish_call(key, call, reply)
         self._end_reservation(
             key,
             _SLOT_STATES[reply.outcome],
@@ -256,36 +635,12 @@
         timer = self._held.pop(key, None)
         if timer is not None:
             timer.cancel()
+            self._begin_next()
         if answer:
             self._send(key, outcome)
-        self._start_waiting()
+        self._pump()
 
-    async def _run(self, item: queue_lib.Item) -> None:
-        started_s = self._kernel.clock.now()
-        request: messages.SubRequest = item.work
-        call_id = f"{request.request}.{item.key.instance}.{item.key.attempt}"
-        try:
-            reply = await self._upstream.query(
-                protocol.QueryCall(
-                    request=call_id,
-                    service=request.service,
-                    index_version=request.index_version,
-                    shards=request.shards,
-                    query=request.query,
-                    deadline_ms=(item.deadline_s - started_s) * 1000,
-                )
-            )
-        except asyncio.CancelledError:
-            await self._upstream.cancel(call_id)
-            return
-        finally:
-            del self._running[item.key]
-            self._queries.pop(item.key, None)
-            self._start_waiting()
-        service_ms = (self._kernel.clock.now() - started_s) * 1000
-        self._service_ms += (service_ms - self._service_ms) / 8
-        self._versions = reply.versions or self._versions
-        self._answer(item, reply, _OUTCOMES[reply.outcome], service_ms)
+    # Answers and notices.
 
     def _answer(
         self,
@@ -325,3 +680,37 @@
             self._kernel.metrics.count("dispatch_answers_dropped")
             return
         self._kernel.plugin("peers").send(key.instance, message)
+
+    def _tick_while_busy(self) -> None:
+        if not self._ticking and self._busy():
+            self._ticking = True
+            asyncio.get_running_loop().call_later(_TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        self._ticking = False
+        self._notice_waiting()
+        self._pump()
+        self._tick_while_busy()
+
+    def _notice_waiting(self) -> None:
+        """Tells entries which of their attempts wait for a slot here.
+
+        An attempt that is not started yet must not be hedged: the queue is
+        the cause of its delay, and a hedge would make the queue longer.
+        """
+        now_s = self._kernel.clock.now()
+        after_s = max(self._use.service_s, _MIN_NOTICE_S)
+        attempts_by_sender: dict[tuple[str, int, int], list[Key]] = {}
+        while self._unnoticed and self._unnoticed[0][0] + after_s <= now_s:
+            key = self._unnoticed.popleft()[1]
+            if key.kind == reservations_lib.QUERY and key in self._queue:
+                sender = (key.instance, key.incarnation, self._queue.rank(key))
+                attempts_by_sender.setdefault(sender, []).append(key)
+        for (_, _, rank), keys in attempts_by_sender.items():
+            self._send(
+                keys[0],
+                messages.SubQueued(
+                    tuple(key.attempt for key in keys),
+                    self.queue_delay_ms(rank),
+                ),
+            )
--- a/src/mallowloft/dispatch/reservations.py
+++ b/src/mallowloft/dispatch/reservations.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import itertools
+from typing import Any
 from typing import NamedTuple
 
 from mallowloft import messages
@@ -56,7 +57,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Record:
-    replica: str
+    owner: Any
     state: State = State.WAITING
     ticket: int = 0
     expires_s: float = 0.0
@@ -80,12 +81,12 @@
         # Used tickets up to this number are no longer remembered.
         self._forgotten_ticket = 0
 
-    def open(self, key: Key, replica: str, now_s: float) -> bool:
-        """Starts a reservation; False for a duplicate."""
+    def open(self, key: Key, owner: Any, now_s: float) -> bool:
+        """Starts a reservation that `owner` runs; False for a duplicate."""
         self._forget(now_s)
         if key in self._records_by_key:
             return False
-        self._records_by_key[key] = _Record(replica)
+        self._records_by_key[key] = _Record(owner)
         return True
 
     def hold(self, key: Key, now_s: float) -> int:
@@ -132,7 +133,7 @@
         A reservation that is unknown is remembered as ended, because its
         `SlotReserve` may arrive after its `SlotRelease`.
         """
-        record = self._records_by_key.setdefault(key, _Record(""))
+        record = self._records_by_key.setdefault(key, _Record(None))
         if record.state is State.ENDED:
             return
         record.state = State.ENDED
@@ -145,10 +146,10 @@
         record = self._records_by_key.get(key)
         return record.state if record else None
 
-    def replica(self, key: Key) -> str:
-        """Returns the replica of a reservation, "" if it is unknown."""
+    def owner(self, key: Key) -> Any:
+        """Returns who runs a reservation, None if it is unknown."""
         record = self._records_by_key.get(key)
-        return record.replica if record else ""
+        return record.owner if record else None
 
     def outcome(self, key: Key) -> messages.SlotOutcome:
         """Returns how a reservation ended."""
--- a/src/mallowloft/dispatch/service.py
+++ b/src/mallowloft/dispatch/service.py
@@ -1,21 +1,34 @@
 """Plug-in that dispatches work to the replicas of this instance."""
 
 import asyncio
+from collections.abc import Mapping
 from typing import Any
 
 from mallowloft import messages
 from mallowloft import peers as peers_lib
+from mallowloft.configuration import model as config_model
 from mallowloft.dispatch import replica as replica_lib
 from mallowloft.dispatch import reservations as reservations_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
+from mallowloft.membership import view as view_lib
 
 _log = logs.get("dispatch")
 
+# A view of the whole fleet is checked in parts, so that a change of members
+# does not stop the loop for the time of thousands of hashes.
+_REPLICAS_PER_TURN = 64
+# A dispatcher that is no longer responsible keeps its connections this long
+# after its last work: other instances may learn of the change a little later.
+_RELEASE_AFTER_S = 2.0
+_RELEASE_CHECK_S = 0.5
 # Several dispatchers may exist for a replica while membership views differ;
 # each one uses at most this fraction of the connection limit.
 _CONNECTION_DIVISOR = 4
+# Longer than any deadline of a call.
+_CLOSE_GRACE_S = 60.0
+_POLL_MARGIN_S = 0.1
 
 
 def _query_key(sender: peers_lib.Sender, attempt: int) -> reservations_lib.Key:
@@ -47,6 +60,10 @@
         self._reservations = reservations_lib.Reservations(
             kernel.rng.getrandbits(32) + 1
         )
+        self._owned: set[str] = set()
+        self._changed = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+        self._loops: list[asyncio.Task] = []
 
     async def start(self) -> None:
         """Registers message handlers."""
@@ -57,15 +74,28 @@
         peers.on(messages.SlotGo, self._on_go)
         peers.on(messages.SlotRelease, self._on_release)
         self._kernel.pauses.subscribe(self._on_wake)
+        self._kernel.plugin("membership").view.subscribe(self._changed.set)
+        self._kernel.plugin("configuration").store.subscribe(
+            lambda snapshot: self._changed.set()
+        )
+        self._changed.set()
+        self._loops = [
+            asyncio.create_task(self._follow_changes()),
+            asyncio.create_task(self._release_unowned()),
+        ]
 
     async def stop(self, grace_s: float) -> None:
         """Finishes what waits and runs."""
-        await asyncio.gather(
-            *(
-                dispatcher.close(grace_s)
-                for dispatcher in self._dispatchers_by_replica.values()
-            )
-        )
+        for task in self._loops:
+            task.cancel()
+        closing = [
+            asyncio.create_task(dispatcher.close(grace_s))
+            for dispatcher in self._dispatchers_by_replica.values()
+        ]
+        # Includes dispatchers that were released and still finish their work.
+        closing.extend(self._tasks)
+        if closing:
+            await asyncio.wait(closing, timeout=grace_s + _POLL_MARGIN_S)
 
     def ready(self) -> bool:
         """Always ready; dispatchers are created on demand."""
@@ -74,6 +104,7 @@
     def dump(self) -> dict[str, Any]:
         """Returns the state of each replica's dispatcher."""
         return {
+            "owned": sorted(self._owned),
             "reservations": self._reservations.dump(),
             "replicas": {
                 replica: dispatcher.dump()
@@ -81,6 +112,83 @@
             },
         }
 
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _follow_changes(self) -> None:
+        """Takes over replicas as soon as this instance dispatches for them."""
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            await self._take_over()
+
+    async def _take_over(self) -> None:
+        store = self._kernel.plugin("configuration").store
+        view = self._kernel.plugin("membership").view
+        replicas = store.current.replicas_by_id
+        owned = set()
+        for number, replica in enumerate(replicas.values()):
+            if number % _REPLICAS_PER_TURN == _REPLICAS_PER_TURN - 1:
+                await asyncio.sleep(0)
+            if self._is_owner(view, replica):
+                owned.add(replica.id)
+                if replica.id not in self._owned:
+                    self._open_ahead(replica.id)
+        self._owned = owned
+        self._update_changed(replicas)
+
+    def _is_owner(
+        self, view: view_lib.View, replica: config_model.Replica
+    ) -> bool:
+        chosen = view.dispatcher_for(replica.id, replica.failure_domain)
+        return chosen == self._kernel.settings.instance_id
+
+    def _open_ahead(self, replica_id: str) -> None:
+        dispatcher = self._dispatcher(replica_id)
+        if dispatcher is not None:
+            _log.info("replica_taken_over", replica=replica_id)
+            self._spawn(dispatcher.warm())
+
+    def _update_changed(
+        self, replicas: Mapping[str, config_model.Replica]
+    ) -> None:
+        """Applies changed or removed replicas to their dispatchers.
+
+        One whose connections change finishes its work with the old ones.
+        """
+        for replica_id, held in list(self._dispatchers_by_replica.items()):
+            replica = replicas.get(replica_id)
+            if replica == held.replica:
+                continue
+            if (
+                replica is not None
+                and replica.url == held.replica.url
+                and replica.connections == held.replica.connections
+            ):
+                held.reconfigure(replica)
+                continue
+            self._release(replica_id)
+            if replica_id in self._owned:
+                self._open_ahead(replica_id)
+
+    async def _release_unowned(self) -> None:
+        """Closes connections of replicas that other instances serve now."""
+        while True:
+            await asyncio.sleep(_RELEASE_CHECK_S)
+            for replica_id, dispatcher in list(
+                self._dispatchers_by_replica.items()
+            ):
+                unused = dispatcher.idle_s > _RELEASE_AFTER_S
+                if replica_id not in self._owned and unused:
+                    self._release(replica_id)
+
+    def _release(self, replica_id: str) -> None:
+        _log.info("replica_released", replica=replica_id)
+        dispatcher = self._dispatchers_by_replica.pop(replica_id)
+        self._spawn(dispatcher.close(_CLOSE_GRACE_S))
+
     def _dispatcher(
         self, replica_id: str
     ) -> replica_lib.ReplicaDispatcher | None:
@@ -90,13 +198,15 @@
         replica = store.current.replicas_by_id.get(replica_id)
         if replica is None:
             return None
+        max_connections = replica.connections // _CONNECTION_DIVISOR
         upstream = self._kernel.plugin("upstream").open(
-            "http", replica.url, replica.connections // _CONNECTION_DIVISOR
+            "http", replica.url, max_connections
         )
         dispatcher = replica_lib.ReplicaDispatcher(
             self._kernel,
             replica,
             upstream,
+            max_connections,
             self._reservations,
             self._dispatchers_by_query,
         )
@@ -151,8 +261,7 @@
             key, message.ticket, self._kernel.clock.now()
         )
         if use is reservations_lib.Use.RUN:
-            replica = self._reservations.replica(key)
-            self._dispatchers_by_replica[replica].go(key, message)
+            self._reservations.owner(key).go(key, message)
         elif use is reservations_lib.Use.NOT_SENT:
             self._refuse_ticket(sender, key)
         elif use is reservations_lib.Use.REPEAT:
@@ -164,8 +273,7 @@
         self, sender: peers_lib.Sender, key: reservations_lib.Key
     ) -> None:
         self._kernel.metrics.count("slot_tickets_refused")
-        replica = self._reservations.replica(key)
-        dispatcher = self._dispatchers_by_replica.get(replica)
+        dispatcher = self._reservations.owner(key)
         if dispatcher is None:
             self._not_sent(sender, key.attempt, "ticket not valid")
         else:
@@ -175,8 +283,7 @@
         self, sender: peers_lib.Sender, message: messages.SlotRelease
     ) -> None:
         key = _slot_key(sender, message.attempt)
-        replica = self._reservations.replica(key)
-        dispatcher = self._dispatchers_by_replica.get(replica)
+        dispatcher = self._reservations.owner(key)
         if dispatcher is not None:
             dispatcher.abandon(key, "released", answer=False)
             return
@@ -198,9 +305,6 @@
         """Takes back every ticket issued before a pause of the process."""
         held = self._reservations.held()
         for key in held:
-            replica = self._reservations.replica(key)
-            self._dispatchers_by_replica[replica].abandon(
-                key, "dispatcher was paused"
-            )
+            self._reservations.owner(key).abandon(key, "dispatcher was paused")
         if held:
             _log.warning("tickets_voided", paused_s=paused_s, count=len(held))
--- a/tests/support/upstreams.py
+++ b/tests/support/upstreams.py
@@ -60,6 +60,7 @@
         self.busy_s = 0.0
         self.open_connections = 0
         self.peak_connections = 0
+        self.running = 0
         self._slots = asyncio.Semaphore(slots)
         self._waiting = 0
         self._tasks_by_request: dict[str, asyncio.Task] = {}
@@ -93,12 +94,15 @@
         task = asyncio.current_task()
         self._tasks_by_request[request] = task
         self._waiting += 1
+        waits = True
         try:
             async with self._slots:
                 self._waiting -= 1
+                waits = False
                 fields = {"version": version, "shards": shards}
                 self.note(f"{kind}_started", request, **fields)
                 started_s = asyncio.get_running_loop().time()
+                self.running += 1
                 try:
                     if self.frozen:
                         await asyncio.Event().wait()
@@ -108,6 +112,7 @@
                 finally:
                     now_s = asyncio.get_running_loop().time()
                     self.busy_s += now_s - started_s
+                    self.running -= 1
                 self.note(f"{kind}_finished", request, **fields)
                 return protocol.CallReply(
                     protocol.CallOutcome.OK, index_version=version
@@ -116,6 +121,7 @@
             self.note(f"{kind}_cancelled", request)
             raise
         finally:
+            self._waiting -= waits
             self._tasks_by_request.pop(request, None)
 
     def cancel(self, request: str) -> None:
@@ -222,23 +228,27 @@
             await asyncio.sleep(2 * self._one_way_s)
             return protocol.CallReply(protocol.CallOutcome.UNSENT)
         await self._connection()
-        # The replica goes on with a call whose caller is gone, as a server
-        # does, until it is cancelled or its deadline passes.
-        task = asyncio.create_task(
-            self._replica.run(kind, request, version, shards)
-        )
+        task = None
         try:
-            await asyncio.sleep(2 * self._one_way_s)
-            return await asyncio.wait_for(
+            await asyncio.sleep(self._one_way_s)
+            # The replica goes on with a call whose caller is gone, as a
+            # server does, until it is cancelled or its deadline passes.
+            task = asyncio.create_task(
+                self._replica.run(kind, request, version, shards)
+            )
+            reply = await asyncio.wait_for(
                 asyncio.shield(task), deadline_ms / 1000
             )
+            await asyncio.sleep(self._one_way_s)
+            return reply
         except TimeoutError:
             task.cancel()
             return protocol.CallReply(
                 protocol.CallOutcome.FAILED, reason="timeout"
             )
         except asyncio.CancelledError:
-            if task.cancelled():
+            if task is not None and task.cancelled():
+                await asyncio.sleep(self._one_way_s)
                 return protocol.CallReply(
                     protocol.CallOutcome.FAILED, reason="cancelled"
                 )
--- a/tests/test_dispatch_slots.py
+++ b/tests/test_dispatch_slots.py
@@ -348,7 +348,7 @@
             for event in replica.journal
             if event.kind == "submit_started"
         ]
-        ran = {int(run.rpartition("s")[2]) for run in runs}
+        ran = {int(run.split(".")[2]) for run in runs}
         assert len(runs) == len(ran) > 20
         for outcome in client.of(messages.SlotOutcome):
             assert (outcome.attempt in ran) == (outcome.state is not NOT_SENT)
