--- a/src/mallowloft/callers/service.py
+++ b/src/mallowloft/callers/service.py
@@ -446,6 +446,14 @@
         keys = self._kernel.plugin("submissions").issue(
             wanted.team, wanted.count
         )
+        if not keys:
+            return answers.error(
+                503,
+                "stopping",
+                "this instance is stopping; take the key at another one",
+                _RETRY_LIMIT_MS,
+                request_id=exchange.id,
+            )
         self._kernel.metrics.count("keys_issued", len(keys))
         lifetime_s = self._kernel.settings.key_lifetime_s
         return answers.Reply(
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -7,17 +7,18 @@
 from standins import fleet as fleet_lib
 from standins import serving
 
-_FAILURE_DOMAINS = ("fukuoka-a", "fukuoka-b", "kumamoto-a")
+FAILURE_DOMAINS = ("fukuoka-a", "fukuoka-b", "kumamoto-a")
 _SERVICES = tuple(f"checker-{number:02}" for number in range(1, 7))
-_TOKEN = "demo-token"
+TOKEN = "demo-token"
 
 
-def _replica_specs() -> list[fleet_lib.ReplicaSpec]:
+def replica_specs() -> list[fleet_lib.ReplicaSpec]:
+    """Returns two replicas of each service on free ports."""
     ports = iter(serving.free_ports(2 * len(_SERVICES)))
     specs = []
     for number, service in enumerate(_SERVICES):
         for copy in range(2):
-            domain = _FAILURE_DOMAINS[(number + copy) % 3]
+            domain = FAILURE_DOMAINS[(number + copy) % 3]
             specs.append(
                 fleet_lib.ReplicaSpec(
                     f"{service}-{'ab'[copy]}", service, domain, next(ports)
@@ -31,7 +32,7 @@
     values: dict[str, object] = {
         "/operator/fleet": {"classes": ["paying", "standard", "background"]},
         "/operator/groups/checker": {"services": list(_SERVICES)},
-        "/operator/teams/hunters": fleet_lib.team_document(_TOKEN, "paying"),
+        "/operator/teams/hunters": fleet_lib.team_document(TOKEN, "paying"),
         "/teams/hunters/query": {"default_deadline_ms": 500},
     }
     shards = {}
@@ -60,20 +61,20 @@
 
 async def _demo() -> None:
     async with fleet_lib.Fleet() as fleet:
-        specs = _replica_specs()
+        specs = replica_specs()
         await fleet.start_platform()
         await fleet.start_upstreams(specs)
         await fleet.publish(documents(specs))
         starts = []
         for number in range(6):
-            domain = _FAILURE_DOMAINS[number % 3]
+            domain = FAILURE_DOMAINS[number % 3]
             starts.append(fleet.start_instance(f"entry-{number}", domain))
         await asyncio.gather(*starts)
         for instance in fleet.instances_by_id.values():
             answer = await fleet.post(
                 instance.url + "/v1/query/checker",
                 {"query": {"hint": 7}},
-                {"Authorization": f"Bearer {_TOKEN}"},
+                {"Authorization": f"Bearer {TOKEN}"},
             )
             answer.pop("results", None)
             answer.pop("covered", None)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -166,6 +166,7 @@
                 fields = {
                     "shards": call.get("shards") or [call["shard"]],
                     "version": call.get("index_version"),
+                    "body": call.get("body"),
                 }
                 self._note(f"{kind}_started", call, **fields)
                 await self._hold_slot()
