--- a/src/mallowloft/submissions/running.py
+++ b/src/mallowloft/submissions/running.py
@@ -30,6 +30,9 @@
 OUTCOME_MARGIN_S = 0.5
 # How long a late answer to a sent attempt still settles an unknown outcome.
 LATE_OUTCOME_S = 60.0
+# A replica whose call ended without a known outcome is used only if there is
+# no other for this long: each further call could cost one more "unknown".
+AVOID_S = 5.0
 RETRY_AFTER_MS = 100.0
 # Timers fire slightly early; shorter waits would only spin.
 MIN_WAIT_S = 0.001
@@ -97,6 +100,7 @@
         self._attempts = itertools.count(kernel.rng.getrandbits(_ATTEMPT_BITS))
         self._runs_by_attempt: dict[int, _Run] = {}
         self._tasks_by_run: dict[_Run, asyncio.Task] = {}
+        self._avoided_until_s: dict[str, float] = {}
 
     @property
     def in_flight(self) -> int:
@@ -208,15 +212,16 @@
 
     def _reserve_next(self, run: _Run, replicas: list[str]) -> None:
         """Reserves at the least used replica that can be reached."""
+        now_s = self._kernel.clock.now()
         used = [item.replica for item in run.reservations_by_attempt.values()]
         by_use = sorted(
             replicas,
             key=lambda replica: (
+                self._avoided_until_s.get(replica, 0.0) > now_s,
                 used.count(replica),
                 run.refusals_by_replica.get(replica, 0),
             ),
         )
-        remaining_s = run.work.end_s - self._kernel.clock.now()
         for replica in by_use:
             dispatcher = self._dispatcher(replica)
             attempt = next(self._attempts)
@@ -225,7 +230,7 @@
                 request=run.work.request,
                 replica=replica,
                 rank=run.work.rank,
-                remaining_ms=remaining_s * 1000,
+                remaining_ms=(run.work.end_s - now_s) * 1000,
             )
             if dispatcher is not None and self._send(dispatcher, message):
                 self._runs_by_attempt[attempt] = run
@@ -367,6 +372,7 @@
     ) -> None:
         self._ledger.move(run.record, state, reason, reply, run.retry_after_ms)
         if state is ledger_lib.State.UNKNOWN:
+            self._avoid(run)
             loop = asyncio.get_running_loop()
             loop.call_later(LATE_OUTCOME_S, self._forget_all, run)
         else:
@@ -375,6 +381,11 @@
         run.changed.set()
         self._on_final(run.record)
 
+    def _avoid(self, run: _Run) -> None:
+        reservation = run.reservations_by_attempt[run.sent_attempt]
+        until_s = self._kernel.clock.now() + AVOID_S
+        self._avoided_until_s[reservation.replica] = until_s
+
     def _release(self, run: _Run, attempt: int) -> None:
         reservation = run.reservations_by_attempt[attempt]
         self._forget(run, attempt)
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -1,8 +1,8 @@
-"""Instances on a virtual loop that can be frozen and killed like processes.
+"""Processes on a virtual loop that can be frozen and killed.
 
-Every callback and timer of an instance carries its name in a context
-variable. While the instance is frozen its callbacks are kept in order, as a
-stopped process keeps its timers and unread messages, and they run late.
+Every callback and timer of a process carries its name in a context variable.
+While the process is frozen its callbacks are kept in order, as a stopped
+process keeps its timers and unread messages, and they run late.
 """
 
 import asyncio
@@ -11,44 +11,50 @@
 import contextvars
 from typing import Any
 
+from mallowloft.kernel import lifecycle
 from tests.support import network as network_lib
 from tests.support import virtual
 
-_instance: contextvars.ContextVar[str] = contextvars.ContextVar(
-    "instance", default=""
+_process: contextvars.ContextVar[str] = contextvars.ContextVar(
+    "process", default=""
 )
 
 
-def context_of(instance: str) -> contextvars.Context:
-    """Returns a context in which work belongs to an instance."""
+def context_of(process: str) -> contextvars.Context:
+    """Returns a context in which work belongs to a process."""
     context = contextvars.Context()
-    context.run(_instance.set, instance)
+    context.run(_process.set, process)
     return context
 
 
+def name_of(kernel: lifecycle.Kernel) -> str:
+    """Returns the name of the process that an instance is."""
+    return f"{kernel.settings.instance_id}/{kernel.incarnation}"
+
+
 class _Guard:
-    """A callback that is kept while its instance is frozen."""
+    """A callback that is kept while its process is frozen."""
 
     def __init__(
         self,
         loop: "ProcessLoop",
-        instance: str,
+        process: str,
         callback: Callable[..., Any],
         context: contextvars.Context,
     ) -> None:
         self._loop = loop
-        self._instance = instance
+        self._process = process
         self._callback = callback
         self._context = context
         self._args: tuple[Any, ...] = ()
         self.handle: asyncio.Handle | None = None
 
     def __call__(self, *args: Any) -> None:
-        if self._instance not in self._loop.frozen:
+        if self._process not in self._loop.frozen:
             self._callback(*args)
             return
         self._args = args
-        self._loop.kept.setdefault(self._instance, []).append(self)
+        self._loop.kept.setdefault(self._process, []).append(self)
 
     def resume(self) -> None:
         """Runs the kept callback unless it was cancelled meanwhile."""
@@ -60,7 +66,7 @@
 
 
 class ProcessLoop(virtual.VirtualLoop):
-    """A virtual loop whose instances can be frozen."""
+    """A virtual loop whose processes can be frozen."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -83,21 +89,21 @@
             guarded.handle = handle
         return handle
 
-    def freeze(self, instance: str) -> None:
-        """Stops an instance without closing anything."""
-        self.frozen.add(instance)
+    def freeze(self, process: str) -> None:
+        """Stops a process without closing anything."""
+        self.frozen.add(process)
 
-    def resume(self, instance: str) -> None:
-        """Lets a frozen instance run what was kept, in order."""
-        self.frozen.discard(instance)
-        for guard in self.kept.pop(instance, []):
+    def resume(self, process: str) -> None:
+        """Lets a frozen process run what was kept, in order."""
+        self.frozen.discard(process)
+        for guard in self.kept.pop(process, []):
             guard.resume()
 
     def _guard(self, callback, context):
-        instance = context.get(_instance, "")
-        if not instance:
+        process = context.get(_process, "")
+        if not process:
             return callback
-        return _Guard(self, instance, callback, context)
+        return _Guard(self, process, callback, context)
 
 
 def run(scenario: Callable[[], Coroutine[Any, Any, Any]]) -> Any:
@@ -110,17 +116,19 @@
         finally:
             # The loop ends its tasks by cancelling them, which frozen ones
             # would never notice.
-            for instance in list(loop.frozen):
-                loop.resume(instance)
+            for process in list(loop.frozen):
+                loop.resume(process)
 
     with asyncio.Runner(loop_factory=ProcessLoop) as runner:
         return runner.run(main())
 
 
-def spawn(instance: str, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
-    """Starts a task that belongs to an instance."""
+def spawn(
+    kernel: lifecycle.Kernel, work: Coroutine[Any, Any, Any]
+) -> asyncio.Task:
+    """Starts a task that belongs to the process of an instance."""
     return asyncio.get_running_loop().create_task(
-        work, context=context_of(instance)
+        work, context=context_of(name_of(kernel))
     )
 
 
@@ -129,7 +137,7 @@
 
     Attributes:
         loss_share: Share of batches that are lost.
-        faulty_types: If set, only batches with such a message are lost.
+        drop: Says whether a batch with a message is lost.
     """
 
     def __init__(self, rng, cross_domain_s: float) -> None:
@@ -153,5 +161,5 @@
 
     def receive(self, envelope) -> None:
         asyncio.get_running_loop().call_soon(
-            super().receive, envelope, context=context_of(self.instance)
+            super().receive, envelope, context=context_of(name_of(self._kernel))
         )
--- /dev/null
+++ b/tests/support/repeats.py
@@ -0,0 +1,369 @@
+"""Callers that repeat submissions, faults, and the check of the journal."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import dataclasses
+import itertools
+import random
+from typing import Any
+
+from mallowloft.submissions import model
+from tests.support import processes
+from tests.support import submissions as support
+
+TRAFFIC_S = 1.5
+QUIET_S = 4.0
+# A caller repeats a submission for this long before it stays with the last
+# answer.
+REPEAT_S = 10.0
+_MAX_KEYS = 5
+_IMPATIENT_SHARE = 0.15
+_DECLARED_SHARE = 0.7
+_LATE_COPY_SHARE = 0.5
+_KEYS_PER_BATCH = 3
+
+Fault = Callable[[support.SubmissionWorld, random.Random], Any]
+
+
+@dataclasses.dataclass
+class _Answer:
+    """One answer to one copy.
+
+    Attributes:
+        withdrawn: The copy was declared a first send, but the caller sent
+            another one before it was answered.
+    """
+
+    outcome: model.Outcome
+    withdrawn: bool
+
+
+class Callers:
+    """Callers that send copies of submissions to any instance.
+
+    Attributes:
+        last_by_submission: What each submission's caller was left with.
+        answers_by_use: All answers by number of the key's use.
+    """
+
+    def __init__(
+        self, world: support.SubmissionWorld, rng: random.Random
+    ) -> None:
+        self._world = world
+        self._rng = rng
+        self._uses = itertools.count(1)
+        self._keys: list[str] = []
+        self.last_by_submission: dict[int, model.Outcome | None] = {}
+        self.answers_by_use: dict[int, list[_Answer]] = {}
+
+    async def run(self, count: int) -> None:
+        """Sends submissions at random times and repeats them."""
+        times_s = sorted(self._rng.random() * TRAFFIC_S for _ in range(count))
+        started_s = asyncio.get_running_loop().time()
+        tasks = []
+        for number, time_s in enumerate(times_s):
+            now_s = asyncio.get_running_loop().time()
+            await asyncio.sleep(max(0.0, started_s + time_s - now_s))
+            tasks.append(asyncio.create_task(self._submission(number)))
+        await asyncio.gather(*tasks)
+
+    async def _submission(self, number: int) -> None:
+        outcome = None
+        for _ in range(_MAX_KEYS):
+            outcome = await self._use_key()
+            self.last_by_submission[number] = outcome
+            if not isinstance(outcome, model.NotRun):
+                return
+
+    async def _use_key(self) -> model.Outcome | None:
+        use = next(self._uses)
+        self.answers_by_use[use] = []
+        declared = self._rng.random() < _DECLARED_SHARE
+        submission = self._world.submission(
+            self._key(),
+            request=f"u{use}.",
+            shard=self._rng.choice(self._world.shards),
+            body=b"%d" % use,
+            deadline_ms=self._rng.uniform(300.0, 1500.0),
+            first_send=declared,
+        )
+        outcome = await self._repeat(use, submission)
+        if (
+            isinstance(outcome, model.NotRun)
+            and not declared
+            and self._rng.random() < _LATE_COPY_SHARE
+        ):
+            await self._copy(use, submission)
+        return outcome
+
+    async def _repeat(
+        self, use: int, submission: model.Submission
+    ) -> model.Outcome | None:
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + REPEAT_S
+        last = None
+        while loop.time() < end_s:
+            outcome = await self._copy(use, submission)
+            last = outcome or last
+            if outcome and not isinstance(outcome, model.Unknown):
+                return outcome
+            submission = dataclasses.replace(submission, first_send=False)
+            await asyncio.sleep(0.1)
+        return last
+
+    async def _copy(
+        self, use: int, submission: model.Submission
+    ) -> model.Outcome | None:
+        """Sends one copy and returns its answer, None if it is late."""
+        wait_s = submission.deadline_ms / 1000 + 0.2
+        if self._rng.random() < _IMPATIENT_SHARE:
+            wait_s = self._rng.uniform(0.005, 0.1)
+        task = self._world.send(self._entry(), submission)
+        answer = _Answer(None, False)
+
+        def note(task: asyncio.Task) -> None:
+            if not task.cancelled():
+                answer.outcome = task.result()
+                self.answers_by_use[use].append(answer)
+
+        task.add_done_callback(note)
+        done, _ = await asyncio.wait({task}, timeout=wait_s)
+        if done:
+            return task.result()
+        answer.withdrawn = submission.first_send
+        return None
+
+    def _entry(self) -> str:
+        alive = [
+            name
+            for name in self._world.kernels_by_id
+            if name not in self._world.dead
+        ]
+        return self._rng.choice(alive)
+
+    def _key(self) -> str:
+        while not self._keys:
+            running = [
+                name
+                for name, kernel in self._world.kernels_by_id.items()
+                if self._world.running(name) and not kernel.stopping
+            ]
+            plugin = self._world.submissions(self._rng.choice(running))
+            self._keys = plugin.issue("hunters", _KEYS_PER_BATCH)
+        return self._keys.pop(self._rng.randrange(len(self._keys)))
+
+
+def breaches(
+    world: support.SubmissionWorld, callers: Callers
+) -> collections.Counter[str]:
+    """Compares all answers with the journals of the upstreams."""
+    found: collections.Counter[str] = collections.Counter()
+    for use, answers in callers.answers_by_use.items():
+        started = world.started(f"u{use}.")
+        if started > 1:
+            found["double run"] += 1
+        for answer in answers:
+            outcome = answer.outcome
+            if isinstance(outcome, model.Mismatch):
+                found["false mismatch"] += 1
+            elif isinstance(outcome, model.NotRun):
+                found["false not-run"] += bool(started and not answer.withdrawn)
+            elif isinstance(outcome, model.Done):
+                found["false done"] += started != 1
+                found["wrong reply"] += outcome.reply != b"%d" % use
+    return +found
+
+
+def _pick(world: support.SubmissionWorld, rng: random.Random) -> str:
+    return rng.choice(
+        [
+            name
+            for name, kernel in world.kernels_by_id.items()
+            if world.running(name) and not kernel.stopping
+        ]
+    )
+
+
+def _left(world: support.SubmissionWorld) -> int:
+    return sum(
+        world.running(name) and not kernel.stopping
+        for name, kernel in world.kernels_by_id.items()
+    )
+
+
+async def kill(world, rng) -> None:
+    """Kills an instance."""
+    if _left(world) > 2:
+        world.kill(_pick(world, rng))
+
+
+async def restart(world, rng) -> None:
+    """Kills an instance and starts a new one under the same id."""
+    if _left(world) > 2:
+        name = _pick(world, rng)
+        domain = world.kernels_by_id[name].settings.failure_domain
+        world.kill(name)
+        await asyncio.sleep(rng.uniform(0.01, 0.5))
+        await world.add(name, domain)
+
+
+async def freeze(world, rng) -> None:
+    """Freezes an instance for a while."""
+    name = _pick(world, rng)
+    world.freeze(name)
+    await asyncio.sleep(rng.uniform(0.1, 3.0))
+    world.resume(name)
+
+
+async def _cut(world, rng, pairs) -> None:
+    cuts = {frozenset(pair) for pair in pairs}
+    world.network.cuts |= cuts
+    await asyncio.sleep(rng.uniform(0.1, 3.0))
+    world.network.cuts -= cuts
+
+
+async def cut_pair(world, rng) -> None:
+    """Cuts two instances off from each other."""
+    await _cut(world, rng, [rng.sample(sorted(world.kernels_by_id), 2)])
+
+
+async def cut_instance(world, rng) -> None:
+    """Cuts one instance off from all others."""
+    one = _pick(world, rng)
+    others = [name for name in world.kernels_by_id if name != one]
+    await _cut(world, rng, [(one, other) for other in others])
+
+
+async def cut_domains(world, rng) -> None:
+    """Cuts two failure domains off from each other."""
+    await _cut(world, rng, [("a", "b")])
+
+
+async def disorder(world, rng) -> None:
+    """Duplicates and reorders messages."""
+    world.network.duplicate_share = 0.3
+    world.network.jitter_s = rng.choice([0.005, 0.05, 0.4])
+    await asyncio.sleep(rng.uniform(0.5, 3.0))
+    world.network.duplicate_share = 0.0
+    world.network.jitter_s = 0.0
+
+
+async def loss(world, rng) -> None:
+    """Loses 1 of 50 batches for a while."""
+    world.network.loss_share = 0.02
+    await asyncio.sleep(rng.uniform(0.5, 3.0))
+    world.network.loss_share = 0.0
+
+
+async def stop(world, rng) -> None:
+    """Stops an instance gracefully."""
+    if _left(world) > 2:
+        await world.stop(_pick(world, rng), rng.uniform(1.0, 5.0))
+
+
+async def _replica_fault(world, rng, **fault: Any) -> None:
+    replica = rng.choice(list(world.replicas_by_id.values()))
+    before = {name: getattr(replica, name) for name in fault}
+    for name, value in fault.items():
+        setattr(replica, name, value)
+    await asyncio.sleep(rng.uniform(0.5, 3.0))
+    for name, value in before.items():
+        setattr(replica, name, value)
+
+
+async def replica_slow(world, rng) -> None:
+    """Makes a replica 20 times slower."""
+    await _replica_fault(world, rng, slow_factor=20.0)
+
+
+async def replica_draining(world, rng) -> None:
+    """Makes a replica refuse submissions."""
+    await _replica_fault(world, rng, draining=True)
+
+
+async def replica_unreachable(world, rng) -> None:
+    """Makes a replica refuse connections."""
+    await _replica_fault(world, rng, unreachable=True)
+
+
+async def replica_failing(world, rng) -> None:
+    """Makes a replica answer with errors."""
+    await _replica_fault(world, rng, failing=True)
+
+
+FAULTS: dict[str, Fault] = {
+    fault.__name__: fault
+    for fault in (
+        kill,
+        restart,
+        freeze,
+        cut_pair,
+        cut_instance,
+        cut_domains,
+        disorder,
+        loss,
+        stop,
+        replica_slow,
+        replica_draining,
+        replica_unreachable,
+        replica_failing,
+    )
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """What one run showed.
+
+    Attributes:
+        submissions: Number of submissions, each with one caller.
+        unknown: Submissions whose caller was left without a known outcome
+            after repeating for `REPEAT_S`.
+        outcomes: Last outcomes by name.
+        messages: Messages between instances.
+    """
+
+    submissions: int
+    unknown: int
+    outcomes: collections.Counter[str]
+    breaches: collections.Counter[str]
+    messages: int
+
+
+def run(
+    seed: int,
+    fault_names: tuple[str, ...],
+    count: int = 30,
+    instances: int | None = None,
+) -> Report:
+    """Runs callers under faults on a new world and checks every answer."""
+
+    async def scenario() -> Report:
+        rng = random.Random(seed)
+        world = support.SubmissionWorld(seed)
+        number = instances or rng.randint(4, 8)
+        await world.start({f"i{n}": "ab"[n % 2] for n in range(number)})
+        callers = Callers(world, rng)
+
+        async def inject(name: str) -> None:
+            await asyncio.sleep(rng.uniform(0.1, TRAFFIC_S))
+            await FAULTS[name](world, rng)
+
+        faults = [asyncio.create_task(inject(name)) for name in fault_names]
+        await callers.run(count)
+        await asyncio.gather(*faults)
+        await asyncio.sleep(QUIET_S)
+        outcomes = collections.Counter(
+            type(outcome).__name__
+            for outcome in callers.last_by_submission.values()
+        )
+        return Report(
+            submissions=count,
+            unknown=outcomes["Unknown"] + outcomes["NoneType"],
+            outcomes=outcomes,
+            breaches=breaches(world, callers),
+            messages=sum(world.network.messages_by_type.values()),
+        )
+
+    return processes.run(scenario)
--- a/tests/support/submissions.py
+++ b/tests/support/submissions.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextvars
-import dataclasses
 import random
 from typing import Any
 
@@ -207,12 +206,19 @@
 
     def set_reachable(self, instance: str, reachable: bool) -> None:
         """Takes the result of a probe; a leaving member stays so."""
-        state = self.view.members_by_id[instance].state
-        if state != view_lib.LEAVING:
+        if not self.knows(instance, reachable):
             self.view.set_state(
                 instance, view_lib.LIVE if reachable else view_lib.SUSPECT
             )
 
+    def knows(self, instance: str, reachable: bool) -> bool:
+        """Whether the result of a probe changes nothing."""
+        state = self.view.members_by_id[instance].state
+        return state in (
+            view_lib.LEAVING,
+            view_lib.LIVE if reachable else view_lib.SUSPECT,
+        )
+
     def leave(self) -> None:
         """Tells all members that this instance stops."""
         successor = self._kernel.plugin("submissions").successor()
@@ -227,6 +233,14 @@
         self.view.set_state(sender.instance, view_lib.LEAVING)
 
 
+class _StaticPlatform(world_lib.FakePlatform):
+    """A platform whose configuration does not change after the start."""
+
+    async def watch(self, after: int, timeout_s: float):
+        await asyncio.sleep(timeout_s)
+        return self._world.entries(after, "/")
+
+
 class _DetachedUpstream:
     """Calls that go on when the calling instance is frozen or killed."""
 
@@ -282,7 +296,7 @@
         plugins["membership"] = FakeMembership(kernel)
         plugins["dispatch"] = FakeDispatch(kernel)
         kernel.build(_PLUGINS)
-        platform = world_lib.FakePlatform(self, instance)
+        platform = _StaticPlatform(self, instance)
         kernel.plugin("configuration").platform = platform
         self.kernels_by_id[instance] = kernel
         self.dead.discard(instance)
@@ -291,12 +305,12 @@
     async def add(self, instance: str, domain: str, **settings: Any) -> None:
         """Builds and starts one instance and makes it known to all."""
         kernel = self.kernel(instance, domain, **settings)
-        await processes.spawn(instance, kernel.start())
+        await processes.spawn(kernel, kernel.start())
         for name, other in self.kernels_by_id.items():
             if name in self.dead:
                 continue
-            self._in(name, other.plugin("membership").add, kernel)
-            self._in(instance, kernel.plugin("membership").add, other)
+            self._in(other, other.plugin("membership").add, kernel)
+            self._in(kernel, kernel.plugin("membership").add, other)
         while not kernel.plugin("configuration").store.current.revision:
             await asyncio.sleep(0.01)
 
@@ -312,7 +326,8 @@
     def running(self, instance: str) -> bool:
         """Whether an instance answers its callers now."""
         frozen = asyncio.get_running_loop().frozen
-        return instance not in self.dead and instance not in frozen
+        process = processes.name_of(self.kernels_by_id[instance])
+        return instance not in self.dead and process not in frozen
 
     def issue(self, instance: str, team: str = "hunters") -> str:
         """Returns one new key."""
@@ -335,7 +350,8 @@
     def send(self, instance: str, submission: model.Submission):
         """Sends a copy to an instance and returns the waiting task."""
         return processes.spawn(
-            instance, self.submissions(instance).submit(submission)
+            self.kernels_by_id[instance],
+            self.submissions(instance).submit(submission),
         )
 
     def started(self, request: str) -> int:
@@ -348,15 +364,19 @@
 
     def kill(self, instance: str) -> None:
         super().kill(instance)
-        asyncio.get_running_loop().freeze(instance)
+        self.freeze(instance)
         self.dead.add(instance)
 
     def freeze(self, instance: str) -> None:
-        asyncio.get_running_loop().freeze(instance)
+        """Stops the process of an instance."""
+        process = processes.name_of(self.kernels_by_id[instance])
+        asyncio.get_running_loop().freeze(process)
 
     def resume(self, instance: str) -> None:
+        """Lets a frozen instance go on; a killed one stays dead."""
         if instance not in self.dead:
-            asyncio.get_running_loop().resume(instance)
+            process = processes.name_of(self.kernels_by_id[instance])
+            asyncio.get_running_loop().resume(process)
 
     async def stop(self, instance: str, grace_s: float = 5.0) -> None:
         """Stops an instance gracefully."""
@@ -366,13 +386,12 @@
             kernel.plugin("membership").leave()
             await kernel.stop(grace_s)
 
-        await processes.spawn(instance, leave())
+        await processes.spawn(kernel, leave())
         self.dead.add(instance)
 
-    def _in(self, instance: str, function, *args) -> None:
-        asyncio.get_running_loop().call_soon(
-            function, *args, context=processes.context_of(instance)
-        )
+    def _in(self, kernel: lifecycle.Kernel, function, *args) -> None:
+        context = processes.context_of(processes.name_of(kernel))
+        asyncio.get_running_loop().call_soon(function, *args, context=context)
 
     async def _probe(self) -> None:
         """Gives each instance the view that pings would give it."""
@@ -389,26 +408,11 @@
         reachable = self.running(other) and self.network.reachable(
             kernels[one].plugin("peers"), kernels[other].plugin("peers")
         )
-        if reachable:
-            self._silent_since_s.pop((one, other), None)
         since_s = self._silent_since_s.setdefault((one, other), now_s)
         membership = kernels[one].plugin("membership")
         if reachable:
             del self._silent_since_s[one, other]
+        if membership.knows(other, reachable):
+            return
         if reachable or now_s - since_s >= _SUSPECT_S:
-            self._in(one, membership.set_reachable, other, reachable)
-
-
-@dataclasses.dataclass(frozen=True)
-class Answer:
-    """One answer that a caller got.
-
-    Attributes:
-        withdrawn: The caller had declared a first send and then sent another
-            copy before this answer.
-    """
-
-    use: int
-    outcome: model.Outcome
-    body: bytes
-    withdrawn: bool
+            self._in(kernels[one], membership.set_reachable, other, reachable)
