--- a/src/mallowloft/submissions/forwarding.py
+++ b/src/mallowloft/submissions/forwarding.py
@@ -16,6 +16,8 @@
 # the limit.
 OPEN_TRY_S = 0.1
 MAX_OPEN_TRY_S = 0.8
+# Timers fire slightly early; shorter waits would only repeat `SubmitOpen`.
+MIN_WAIT_S = 0.001
 # A declared first send gives up an issuer that is silent for this long: the
 # caller gets "not run" early enough to try a new key of another issuer.
 FIRST_SEND_OPEN_S = 0.5
@@ -148,7 +150,8 @@
                 return
             self._open(exchange, tries)
             tries += 1
-            await self._wait(exchange, min(try_s, end_s - now_s))
+            wait_s = max(MIN_WAIT_S, min(try_s, end_s - now_s))
+            await self._wait(exchange, wait_s)
             try_s = min(try_s * 2, MAX_OPEN_TRY_S)
 
     async def _wait(self, exchange: _Exchange, wait_s: float) -> None:
