--- a/src/mallowloft/submissions/issuing.py
+++ b/src/mallowloft/submissions/issuing.py
@@ -47,6 +47,9 @@
         self._tickets_by_number: collections.OrderedDict[int, _Ticket]
         self._tickets_by_number = collections.OrderedDict()
 
+    def __len__(self) -> int:
+        return len(self._tickets_by_number)
+
     def issue(self, sequence: int, copy: _RemoteCopy, now_s: float) -> int:
         """Returns the number of a new ticket."""
         self._purge(now_s)
--- /dev/null
+++ b/tests/test_submissions_paths.py
@@ -0,0 +1,577 @@
+"""Single scenarios: forwarding, repeats, deadlines, pauses, stop."""
+
+import asyncio
+
+import pytest
+
+from mallowloft import messages
+from mallowloft.kernel import logs
+from mallowloft.submissions import forwarding
+from mallowloft.submissions import handover
+from mallowloft.submissions import issuing
+from mallowloft.submissions import model
+from tests.support import processes
+from tests.support import submissions as support
+
+_DOMAINS = {"i1": "a", "i2": "a", "i3": "b", "i4": "b"}
+
+
+@pytest.fixture(autouse=True)
+def _quiet():
+    logs.configure("critical", "test")
+
+
+def _run(scenario):
+    """Runs a scenario with a started world of four instances."""
+
+    async def main():
+        world = support.SubmissionWorld()
+        await world.start(_DOMAINS)
+        return await scenario(world)
+
+    return processes.run(main)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+class TestOutcomes:
+    """Each copy of a submission gets the one outcome of its key."""
+
+    def test_every_instance_gives_the_same_outcome(self):
+        async def scenario(world):
+            key = world.issue("i1")
+            outcomes = [
+                await world.send(name, world.submission(key, request=name))
+                for name in ("i3", "i1", "i2", "i4")
+            ]
+            return outcomes, sum(world.started(name) for name in _DOMAINS)
+
+        outcomes, started = _run(scenario)
+        assert outcomes == [model.Done(b'"lamp"')] * 4
+        assert started == 1
+
+    def test_copies_sent_together_run_once(self):
+        async def scenario(world):
+            key = world.issue("i1")
+            copies = [
+                world.send(name, world.submission(key))
+                for name in ("i1", "i2", "i3", "i4") * 3
+            ]
+            return await asyncio.gather(*copies), world.started("q-1")
+
+        outcomes, started = _run(scenario)
+        assert set(outcomes) == {model.Done(b'"lamp"')}
+        assert started == 1
+
+    @pytest.mark.parametrize("entry", ["i1", "i3"])
+    @pytest.mark.parametrize(
+        "changed",
+        [
+            {"body": b'"rope"'},
+            {"team": "others"},
+            {"service": "desk"},
+            {"shard": "s1"},
+        ],
+    )
+    def test_a_different_repeat_is_refused(self, entry, changed):
+        async def scenario(world):
+            key = world.issue("i1")
+            await world.send("i2", world.submission(key))
+            fields = {"request": "other"} | changed
+            outcome = await world.send(entry, world.submission(key, **fields))
+            return outcome, world.started("other")
+
+        outcome, started = _run(scenario)
+        assert isinstance(outcome, model.Mismatch)
+        assert started == 0
+
+    def test_a_forged_key_is_refused(self):
+        async def scenario(world):
+            key = world.issue("i1")
+            forged = key[:-4] + ("AAAA" if key[-4:] != "AAAA" else "BBBB")
+            outcomes = [
+                await world.send(name, world.submission(text))
+                for name in ("i1", "i3")
+                for text in (forged, "made-up")
+            ]
+            return outcomes, world.started("q-1")
+
+        outcomes, started = _run(scenario)
+        assert all(isinstance(item, model.Mismatch) for item in outcomes)
+        assert started == 0
+
+    def test_shed_submission_runs_at_another_replica(self):
+        async def scenario(world):
+            world.replicas_by_id["r0a"].draining = True
+            world.replicas_by_id["r0b"].unreachable = True
+            asyncio.get_running_loop().call_later(
+                0.01, setattr, world.replicas_by_id["r0b"], "unreachable", False
+            )
+            key = world.issue("i1")
+            outcome = await world.send("i1", world.submission(key))
+            return outcome, world.started("q-1")
+
+        assert _run(scenario) == (model.Done(b'"lamp"'), 1)
+
+
+class TestDeadlines:
+    """Guards against a run after a refusal and against waiting too long."""
+
+    @pytest.mark.parametrize("entry", ["i1", "i3"])
+    def test_no_slot_in_time_voids_the_key(self, entry):
+        async def scenario(world):
+            # All slots of the shard are taken by calls that do not end.
+            for name in ("r0a", "r0b"):
+                world.replicas_by_id[name].frozen = True
+            for number in range(4):
+                blocker = world.submission(
+                    world.issue("i2"),
+                    request=f"blocker-{number}",
+                    deadline_ms=4000.0,
+                )
+                world.send("i2", blocker)
+            await asyncio.sleep(0.6)
+            key = world.issue("i1")
+            refused = await world.send(
+                entry, world.submission(key, deadline_ms=300.0)
+            )
+            for name in ("r0a", "r0b"):
+                world.replicas_by_id[name].frozen = False
+            await asyncio.sleep(6.0)
+            repeat = await world.send("i4", world.submission(key))
+            return refused, repeat, world.started("q-1")
+
+        refused, repeat, started = _run(scenario)
+        assert type(refused) is model.NotRun
+        assert type(repeat) is model.NotRun
+        assert started == 0
+
+    @pytest.mark.parametrize("entry", ["i1", "i3"])
+    def test_a_waiting_copy_ends_at_its_own_deadline(self, entry):
+        async def scenario(world):
+            for replica in world.replicas_by_id.values():
+                replica.slow_factor = 300.0
+            key = world.issue("i1")
+            first = world.send("i2", world.submission(key, deadline_ms=3000.0))
+            await asyncio.sleep(0.05)
+            started_s = _now_s()
+            second = await world.send(
+                entry, world.submission(key, deadline_ms=200.0)
+            )
+            elapsed_s = _now_s() - started_s
+            return await first, second, elapsed_s
+
+        first, second, elapsed_s = _run(scenario)
+        assert first == model.Done(b'"lamp"')
+        assert isinstance(second, model.Unknown)
+        assert second.this_copy_ran is False
+        assert elapsed_s == pytest.approx(0.2, abs=0.01)
+
+    def test_a_late_reply_answers_the_repeat(self):
+        # The upstream takes longer than the caller waits.
+        async def scenario(world):
+            for replica in world.replicas_by_id.values():
+                replica.service_s = lambda rng: 0.7
+            key = world.issue("i1")
+            submission = world.submission(key, deadline_ms=400.0)
+            first = await world.send("i3", submission)
+            repeat = await world.send("i3", submission)
+            return first, repeat, world.started("q-1")
+
+        first, repeat, started = _run(scenario)
+        assert isinstance(first, model.Unknown)
+        assert first.this_copy_ran is None
+        assert repeat == model.Done(b'"lamp"')
+        assert started == 1
+
+
+class TestUnreachableIssuer:
+    """Guards against "not run" for a key that another copy may run."""
+
+    def test_declared_first_send_is_not_run(self):
+        async def scenario(world):
+            key = world.issue("i1")
+            world.kill("i1")
+            started_s = _now_s()
+            outcome = await world.send(
+                "i3", world.submission(key, first_send=True)
+            )
+            return outcome, _now_s() - started_s
+
+        outcome, elapsed_s = _run(scenario)
+        assert type(outcome) is model.NotRun
+        assert elapsed_s <= forwarding.FIRST_SEND_OPEN_S + 0.01
+
+    def test_a_repeat_is_unknown_and_says_that_this_copy_did_not_run(self):
+        async def scenario(world):
+            key = world.issue("i1")
+            world.kill("i1")
+            return await world.send("i3", world.submission(key))
+
+        outcome = _run(scenario)
+        assert isinstance(outcome, model.Unknown)
+        assert outcome.this_copy_ran is False
+
+    def test_nothing_is_certain_after_go(self):
+        async def scenario(world):
+            world.network.drop = lambda message: isinstance(
+                message, messages.SubmitOutcome
+            )
+            key = world.issue("i1")
+            return await world.send(
+                "i3", world.submission(key, first_send=True)
+            )
+
+        outcome = _run(scenario)
+        assert isinstance(outcome, model.Unknown)
+        assert outcome.this_copy_ran is None
+
+    def test_a_false_declaration_is_noticed(self):
+        # The issuer tells that another copy runs, then it is cut off.
+        async def scenario(world):
+            for replica in world.replicas_by_id.values():
+                replica.slow_factor = 300.0
+            key = world.issue("i1")
+            world.send("i1", world.submission(key, deadline_ms=3000.0))
+            await asyncio.sleep(0.05)
+            return await world.send(
+                "i3", world.submission(key, first_send=True, deadline_ms=200.0)
+            )
+
+        assert isinstance(_run(scenario), model.Unknown)
+
+    def test_a_request_read_after_a_pause_is_no_first_send(self):
+        async def scenario(world):
+            key = world.issue("i1")
+            world.freeze("i3")
+            stale = world.send("i3", world.submission(key, first_send=True))
+            await asyncio.sleep(1.0)
+            # The caller has given up the first copy and sent another one.
+            for replica in world.replicas_by_id.values():
+                replica.slow_factor = 300.0
+            second = world.send("i4", world.submission(key, deadline_ms=3000.0))
+            await asyncio.sleep(0.1)
+            world.network.cuts.add(frozenset(("i1", "i3")))
+            world.resume("i3")
+            return await stale, await second
+
+        stale, second = _run(scenario)
+        assert isinstance(stale, model.Unknown)
+        assert second == model.Done(b'"lamp"')
+
+    @pytest.mark.parametrize(
+        "lost", [messages.SubmitOpen, messages.SubmitTicket, messages.SubmitGo]
+    )
+    def test_one_lost_message_is_made_good(self, lost):
+        async def scenario(world):
+            dropped = []
+
+            def drop(message) -> bool:
+                if isinstance(message, lost) and not dropped:
+                    dropped.append(message)
+                    return True
+                return False
+
+            world.network.drop = drop
+            key = world.issue("i1")
+            outcome = await world.send("i3", world.submission(key))
+            return outcome, world.started("q-1"), len(dropped)
+
+        assert _run(scenario) == (model.Done(b'"lamp"'), 1, 1)
+
+    def test_tries_stay_few(self):
+        # Guards against a burst of SubmitOpen near the deadline, when the
+        # remaining time is below the resolution of timers.
+        async def scenario(world):
+            key = world.issue("i1")
+            world.kill("i1")
+            for number in range(200):
+                deadline_ms = 50.0 + number * 0.7 + 1e-7 * number
+                await world.send(
+                    "i3", world.submission(key, deadline_ms=deadline_ms)
+                )
+                count = world.network.messages_by_type["SubmitOpen"]
+                assert count <= 8 * (number + 1)
+
+        _run(scenario)
+
+
+class TestFrozenIssuer:
+    """Guards against an issuer that acts on what it reads too late."""
+
+    def test_a_go_read_late_does_not_run(self):
+        async def scenario(world):
+            key = world.issue("i1")
+            submission = world.submission(key, deadline_ms=400.0)
+            sent = []
+
+            def freeze_on_go(message) -> bool:
+                if isinstance(message, messages.SubmitGo) and not sent:
+                    sent.append(message)
+                    world.freeze("i1")
+                return False
+
+            world.network.drop = freeze_on_go
+            first = await world.send("i3", submission)
+            await asyncio.sleep(issuing.TICKET_LIFETIME_S + 0.5)
+            world.resume("i1")
+            await asyncio.sleep(1.0)
+            before = world.started("q-1")
+            repeat = await world.send("i4", submission)
+            return first, before, repeat, world.started("q-1")
+
+        first, before, repeat, started = _run(scenario)
+        assert isinstance(first, model.Unknown)
+        assert first.this_copy_ran is None
+        assert before == 0
+        assert repeat == model.Done(b'"lamp"')
+        assert started == 1
+
+    def test_a_deadline_is_counted_from_the_ticket(self):
+        # The ticket is still valid, but the caller has gone.
+        async def scenario(world):
+            key = world.issue("i1")
+            sent = []
+
+            def freeze_on_go(message) -> bool:
+                if isinstance(message, messages.SubmitGo) and not sent:
+                    sent.append(message)
+                    world.freeze("i1")
+                return False
+
+            world.network.drop = freeze_on_go
+            submission = world.submission(key, deadline_ms=300.0)
+            await world.send("i3", submission)
+            await asyncio.sleep(0.7)
+            world.resume("i1")
+            await asyncio.sleep(1.0)
+            repeat = await world.send("i4", submission)
+            return repeat, world.started("q-1")
+
+        repeat, started = _run(scenario)
+        assert type(repeat) is model.NotRun
+        assert started == 0
+
+    def test_a_slot_that_was_ready_long_ago_is_not_used(self):
+        async def scenario(world):
+            key = world.issue("i1")
+            submission = world.submission(key, deadline_ms=600.0)
+            sent = []
+
+            def freeze_on_ready(message) -> bool:
+                if isinstance(message, messages.SlotReady) and not sent:
+                    sent.append(message)
+                    world.freeze("i1")
+                return False
+
+            world.network.drop = freeze_on_ready
+            world.send("i3", submission)
+            await asyncio.sleep(2.0)
+            world.resume("i1")
+            await asyncio.sleep(1.0)
+            repeat = await world.send("i4", submission)
+            return repeat, world.started("q-1"), len(sent)
+
+        repeat, started, frozen = _run(scenario)
+        assert frozen == 1
+        assert type(repeat) is model.NotRun
+        assert started == 0
+
+
+class TestTickets:
+    """Guards against a ticket that is used twice, late or by another."""
+
+    def test_single_use(self):
+        tickets = issuing.Tickets(5)
+        number = tickets.issue(1, ("i3", 9, 1), 0.0)
+        assert tickets.use(number, 1, ("i3", 9, 1), 0.5) == 0.0
+        assert tickets.use(number, 1, ("i3", 9, 1), 0.5) is None
+
+    def test_expires_on_the_local_clock(self):
+        tickets = issuing.Tickets(5)
+        number = tickets.issue(1, ("i3", 9, 1), 0.0)
+        late_s = issuing.TICKET_LIFETIME_S
+        assert tickets.use(number, 1, ("i3", 9, 1), late_s) is None
+
+    def test_bound_to_key_and_copy(self):
+        tickets = issuing.Tickets(5)
+        number = tickets.issue(1, ("i3", 9, 1), 0.0)
+        assert tickets.use(number, 2, ("i3", 9, 1), 0.1) is None
+        assert tickets.use(number, 1, ("i3", 8, 1), 0.1) is None
+        assert tickets.use(number, 1, ("i3", 9, 2), 0.1) is None
+
+    def test_their_number_is_bounded(self):
+        tickets = issuing.Tickets(1)
+        for _ in range(issuing.MAX_TICKETS + 100):
+            tickets.issue(1, ("i3", 9, 1), 0.0)
+        assert len(tickets) == issuing.MAX_TICKETS
+
+
+class TestGracefulStop:
+    """Guards against outcomes that a planned stop makes unknown."""
+
+    def test_outcomes_survive_at_every_instance(self):
+        async def scenario(world):
+            done, fresh = world.issue("i1"), world.issue("i1")
+            await world.send("i1", world.submission(done))
+            await world.stop("i1")
+            answers = [
+                (
+                    await world.send(name, world.submission(done)),
+                    await world.send(name, world.submission(fresh)),
+                )
+                for name in ("i2", "i3", "i4")
+            ]
+            return answers, world.started("q-1")
+
+        answers, started = _run(scenario)
+        for done, fresh in answers:
+            assert done == model.Done(b'"lamp"')
+            assert type(fresh) is model.NotRun
+        assert started == 1
+
+    def test_the_successor_is_of_the_same_failure_domain(self):
+        async def scenario(world):
+            await world.stop("i1")
+            first = world.submissions("i1").successor()
+            await world.stop("i2")
+            return first, world.submissions("i2").successor()
+
+        first, second = _run(scenario)
+        assert first == "i2"
+        assert second in ("i3", "i4")
+
+    def test_held_ledgers_are_passed_on(self):
+        async def scenario(world):
+            key = world.issue("i1")
+            await world.send("i1", world.submission(key))
+            await world.stop("i1")
+            await world.stop("i2")
+            last = world.submissions("i2").successor()
+            other = "i3" if last == "i4" else "i4"
+            return await world.send(other, world.submission(key))
+
+        assert _run(scenario) == model.Done(b'"lamp"')
+
+    def test_a_new_instance_learns_who_holds_a_ledger(self):
+        async def scenario(world):
+            key = world.issue("i1")
+            await world.send("i1", world.submission(key))
+            await world.stop("i1")
+            await world.add("i5", "b")
+            await asyncio.sleep(0.01)
+            started_s = _now_s()
+            outcome = await world.send("i5", world.submission(key))
+            return outcome, _now_s() - started_s
+
+        outcome, elapsed_s = _run(scenario)
+        assert outcome == model.Done(b'"lamp"')
+        assert elapsed_s < forwarding.OPEN_TRY_S
+
+    def test_submissions_in_flight_are_finished(self):
+        async def scenario(world):
+            for replica in world.replicas_by_id.values():
+                replica.slow_factor = 150.0
+            key, late = world.issue("i1"), world.issue("i1")
+            running = world.send("i3", world.submission(key))
+            await asyncio.sleep(0.05)
+            stop = asyncio.create_task(world.stop("i1"))
+            await asyncio.sleep(0.01)
+            refused = await world.send("i4", world.submission(late))
+            issued = world.submissions("i1").issue("hunters", 1)
+            await stop
+            return await running, refused, issued
+
+        running, refused, issued = _run(scenario)
+        assert running == model.Done(b'"lamp"')
+        assert type(refused) is model.NotRun
+        assert issued == []
+
+    def test_lost_handover_messages_are_repeated(self):
+        async def scenario(world):
+            dropped = []
+
+            def drop(message) -> bool:
+                lost = (messages.LedgerHandover, messages.LedgerReceived)
+                if isinstance(message, lost) and len(dropped) < 2:
+                    dropped.append(message)
+                    return True
+                return False
+
+            key = world.issue("i1")
+            await world.send("i1", world.submission(key))
+            world.network.drop = drop
+            await world.stop("i1")
+            successor = world.submissions("i1").successor()
+            return await world.send(successor, world.submission(key))
+
+        assert _run(scenario) == model.Done(b'"lamp"')
+
+
+def _handover(part: int, parts: int, keys: tuple[str, ...] = ()):
+    entries = tuple(
+        messages.LedgerEntry(key, b"", messages.SubmitState.DONE, "", b"x" * 10)
+        for key in keys
+    )
+    return messages.LedgerHandover("i1", 1, part, parts, 1, 900.0, entries)
+
+
+class TestHeldLedgers:
+    """Guards against "never ran" from a ledger that is not complete."""
+
+    def test_an_incomplete_ledger_says_nothing(self):
+        held = handover.HeldLedgers()
+        assert held.add(("i1", 1), _handover(0, 2), 0.0) is None
+        assert held.add(("i1", 1), _handover(0, 2), 0.0) is None
+        assert held.get(("i1", 1), 0.0) is None
+        assert held.add(("i1", 1), _handover(1, 2), 0.0) is True
+        assert held.get(("i1", 1), 0.0) is not None
+
+    def test_parts_of_two_senders_are_not_mixed(self):
+        held = handover.HeldLedgers()
+        held.add(("i1", 1), _handover(0, 2, ("a",)), 0.0)
+        assert held.add(("i2", 2), _handover(1, 2, ("a",)), 0.0) is None
+        assert held.get(("i1", 1), 0.0) is None
+
+    def test_a_complete_ledger_does_not_change(self):
+        held = handover.HeldLedgers()
+        held.add(("i1", 1), _handover(0, 1, ("a",)), 0.0)
+        held.add(("i2", 2), _handover(0, 1, ("b",)), 0.0)
+        assert list(held.get(("i1", 1), 0.0).entries_by_key) == ["a"]
+
+    def test_a_ledger_expires(self):
+        held = handover.HeldLedgers()
+        held.add(("i1", 1), _handover(0, 1), 0.0)
+        assert held.get(("i1", 1), 899.0) is not None
+        assert held.get(("i1", 1), 900.0) is None
+
+    @pytest.mark.parametrize(
+        "limits", [{"max_entries": 1}, {"max_reply_bytes": 15}]
+    )
+    def test_no_room_is_said(self, limits):
+        held = handover.HeldLedgers(**limits)
+        assert held.add(("i1", 1), _handover(0, 1, ("a", "b")), 0.0) is False
+        assert held.get(("i1", 1), 0.0) is None
+
+    def test_parts_stay_under_the_frame_limit(self):
+        entries = [
+            messages.LedgerEntry(
+                f"k{number}", b"", messages.SubmitState.DONE, "", b"x" * 700_000
+            )
+            for number in range(9)
+        ]
+        parts = list(handover.split(entries))
+        assert [entry for part in parts for entry in part] == entries
+        ledger = handover.FinalLedger(
+            ("i1", 1), 1, 900.0, {entry.key: entry for entry in entries}
+        )
+        for message in ledger.parts(0.0):
+            envelope = messages.Envelope(1, "i1", 1, "", 0, (message,))
+            assert len(messages.encode(envelope)) < messages.MAX_FRAME_BYTES
+        assert len(parts) == 9
+
+    def test_an_empty_ledger_is_handed_over(self):
+        # It proves that no key of the incarnation ever ran.
+        assert list(handover.split([])) == [()]
