--- a/tests/support/submissions.py
+++ b/tests/support/submissions.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextvars
-import dataclasses
 import random
 from typing import Any
 
+import msgspec
+
 from mallowloft import messages
 from mallowloft import peers as peers_lib
+from mallowloft.configuration import store as store_lib
 from mallowloft.kernel import clock as clock_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import settings as settings_lib
@@ -22,7 +24,7 @@
 _PROBE_S = 0.1
 _SUSPECT_S = 0.25
 
-_PLUGINS = ("configuration", "submissions")
+_PLUGINS = ("submissions",)
 _SLOT_STATES = {
     protocol.CallOutcome.OK: messages.SlotState.DONE,
     protocol.CallOutcome.SHED: messages.SlotState.SHED,
@@ -32,6 +34,8 @@
 
 _Attempt = tuple[str, int, int]
 
+_stores_by_documents: dict[bytes, store_lib.Store] = {}
+
 
 class Slots:
     """Reservations of one replica at its dispatcher."""
@@ -207,12 +211,19 @@
 
     def set_reachable(self, instance: str, reachable: bool) -> None:
         """Takes the result of a probe; a leaving member stays so."""
-        state = self.view.members_by_id[instance].state
-        if state != view_lib.LEAVING:
+        if not self.knows(instance, reachable):
             self.view.set_state(
                 instance, view_lib.LIVE if reachable else view_lib.SUSPECT
             )
 
+    def knows(self, instance: str, reachable: bool) -> bool:
+        """Whether the result of a probe changes nothing."""
+        state = self.view.members_by_id[instance].state
+        return state in (
+            view_lib.LEAVING,
+            view_lib.LIVE if reachable else view_lib.SUSPECT,
+        )
+
     def leave(self) -> None:
         """Tells all members that this instance stops."""
         successor = self._kernel.plugin("submissions").successor()
@@ -227,6 +238,27 @@
         self.view.set_state(sender.instance, view_lib.LEAVING)
 
 
+class FakeConfiguration:
+    """Stands in for the `configuration` plug-in; nothing changes."""
+
+    requires: tuple[str, ...] = ()
+
+    def __init__(self, store: store_lib.Store) -> None:
+        self.store = store
+
+    async def start(self) -> None:
+        pass
+
+    async def stop(self, grace_s: float) -> None:
+        del grace_s
+
+    def ready(self) -> bool:
+        return True
+
+    def dump(self) -> dict[str, Any]:
+        return {}
+
+
 class _DetachedUpstream:
     """Calls that go on when the calling instance is frozen or killed."""
 
@@ -246,6 +278,23 @@
         )
 
 
+def _accepted(documents: tuple[messages.Document, ...]) -> store_lib.Store:
+    """Returns a store with documents; worlds with the same ones share it."""
+    encoded = msgspec.json.encode(documents)
+    if encoded not in _stores_by_documents:
+        store = store_lib.Store()
+        by_subtree: dict[str, list[messages.Document]] = {}
+        for document in documents:
+            subtree = "/".join(document.path.split("/")[:2])
+            by_subtree.setdefault(subtree, []).append(document)
+        store.offer(
+            messages.ConfigSubtree(name, 1, tuple(group))
+            for name, group in by_subtree.items()
+        )
+        _stores_by_documents[encoded] = store
+    return _stores_by_documents[encoded]
+
+
 class SubmissionWorld(world_lib.World):
     """Instances that can be frozen, killed and stopped."""
 
@@ -264,6 +313,7 @@
         self.publish({"/operator/indexes/main": {"versions": versions}})
         self.publish_team("hunters", "paying")
         self.publish_team("others", "standard")
+        self._store = _accepted(tuple(self.documents_by_path.values()))
 
     def kernel(self, instance, failure_domain, **settings):
         kernel = lifecycle.Kernel(
@@ -279,11 +329,10 @@
         plugins["upstream"] = _DetachedUpstreams(
             self.replicas_by_id, self._upstream_one_way_s
         )
+        plugins["configuration"] = FakeConfiguration(self._store)
         plugins["membership"] = FakeMembership(kernel)
         plugins["dispatch"] = FakeDispatch(kernel)
         kernel.build(_PLUGINS)
-        platform = world_lib.FakePlatform(self, instance)
-        kernel.plugin("configuration").platform = platform
         self.kernels_by_id[instance] = kernel
         self.dead.discard(instance)
         return kernel
@@ -291,14 +340,12 @@
     async def add(self, instance: str, domain: str, **settings: Any) -> None:
         """Builds and starts one instance and makes it known to all."""
         kernel = self.kernel(instance, domain, **settings)
-        await processes.spawn(instance, kernel.start())
+        await processes.spawn(kernel, kernel.start())
         for name, other in self.kernels_by_id.items():
             if name in self.dead:
                 continue
-            self._in(name, other.plugin("membership").add, kernel)
-            self._in(instance, kernel.plugin("membership").add, other)
-        while not kernel.plugin("configuration").store.current.revision:
-            await asyncio.sleep(0.01)
+            self._in(other, other.plugin("membership").add, kernel)
+            self._in(kernel, kernel.plugin("membership").add, other)
 
     async def start(self, domains_by_instance, **settings) -> None:
         for instance, domain in domains_by_instance.items():
@@ -312,7 +359,8 @@
     def running(self, instance: str) -> bool:
         """Whether an instance answers its callers now."""
         frozen = asyncio.get_running_loop().frozen
-        return instance not in self.dead and instance not in frozen
+        process = processes.name_of(self.kernels_by_id[instance])
+        return instance not in self.dead and process not in frozen
 
     def issue(self, instance: str, team: str = "hunters") -> str:
         """Returns one new key."""
@@ -335,7 +383,8 @@
     def send(self, instance: str, submission: model.Submission):
         """Sends a copy to an instance and returns the waiting task."""
         return processes.spawn(
-            instance, self.submissions(instance).submit(submission)
+            self.kernels_by_id[instance],
+            self.submissions(instance).submit(submission),
         )
 
     def started(self, request: str) -> int:
@@ -348,15 +397,19 @@
 
     def kill(self, instance: str) -> None:
         super().kill(instance)
-        asyncio.get_running_loop().freeze(instance)
+        self.freeze(instance)
         self.dead.add(instance)
 
     def freeze(self, instance: str) -> None:
-        asyncio.get_running_loop().freeze(instance)
+        """Stops the process of an instance."""
+        process = processes.name_of(self.kernels_by_id[instance])
+        asyncio.get_running_loop().freeze(process)
 
     def resume(self, instance: str) -> None:
+        """Lets a frozen instance go on; a killed one stays dead."""
         if instance not in self.dead:
-            asyncio.get_running_loop().resume(instance)
+            process = processes.name_of(self.kernels_by_id[instance])
+            asyncio.get_running_loop().resume(process)
 
     async def stop(self, instance: str, grace_s: float = 5.0) -> None:
         """Stops an instance gracefully."""
@@ -366,18 +419,31 @@
             kernel.plugin("membership").leave()
             await kernel.stop(grace_s)
 
-        await processes.spawn(instance, leave())
+        await processes.spawn(kernel, leave())
         self.dead.add(instance)
 
-    def _in(self, instance: str, function, *args) -> None:
-        asyncio.get_running_loop().call_soon(
-            function, *args, context=processes.context_of(instance)
-        )
+    def _in(self, kernel: lifecycle.Kernel, function, *args) -> None:
+        context = processes.context_of(processes.name_of(kernel))
+        asyncio.get_running_loop().call_soon(function, *args, context=context)
 
     async def _probe(self) -> None:
         """Gives each instance the view that pings would give it."""
+        loop = asyncio.get_running_loop()
+        seen: Any = None
+        changed_s = 0.0
         while True:
             await asyncio.sleep(_PROBE_S)
+            state = (
+                set(loop.frozen),
+                set(self.dead),
+                set(self.network.cuts),
+                [kernel.incarnation for kernel in self.kernels_by_id.values()],
+            )
+            if state != seen:
+                seen = state
+                changed_s = loop.time()
+            if loop.time() - changed_s > 2 * _SUSPECT_S:
+                continue
             for one in self.kernels_by_id:
                 for other in self.kernels_by_id:
                     if one != other and self.running(one):
@@ -389,26 +455,11 @@
         reachable = self.running(other) and self.network.reachable(
             kernels[one].plugin("peers"), kernels[other].plugin("peers")
         )
-        if reachable:
-            self._silent_since_s.pop((one, other), None)
         since_s = self._silent_since_s.setdefault((one, other), now_s)
         membership = kernels[one].plugin("membership")
         if reachable:
             del self._silent_since_s[one, other]
+        if membership.knows(other, reachable):
+            return
         if reachable or now_s - since_s >= _SUSPECT_S:
-            self._in(one, membership.set_reachable, other, reachable)
-
-
-@dataclasses.dataclass(frozen=True)
-class Answer:
-    """One answer that a caller got.
-
-    Attributes:
-        withdrawn: The caller had declared a first send and then sent another
-            copy before this answer.
-    """
-
-    use: int
-    outcome: model.Outcome
-    body: bytes
-    withdrawn: bool
+            self._in(kernels[one], membership.set_reachable, other, reachable)
