Spread accepted configuration between peers

Cause: every instance read and watched the service itself, took the changed documents of a subtree for the whole subtree, followed a restored service down to a lower position, and lost a rejected change when its repair came in another document.

Change: - The store keeps the newest document of each path, accepted or not. A subtree's content is the union by path, so partial and whole answers merge alike in any order; deletions stay as documents. Equal revisions with different content (a restored service) are decided by content hash. - Two readers per failure domain watch the service. They push what they accept to their domain (relayed through sqrt(n) instances above 32) and to two instances of each other domain, which spread it at home unless their own readers do so within 50 to 250 ms. - Pings carry a 16-byte hash of the accepted state. A difference that lasts 150 ms starts an exchange of versions; a digest goes to a random peer each second besides. - A fresh or resumed instance asks peers of every domain and is ready when it has taken what they hold.

Ruled out: watching from the highest accepted revision (a successor would miss documents of a rejected subtree, so it reads once first); believing a push to be a whole configuration; all instances spreading news of another domain at once.

--- a/src/mallowloft/membership/service.py
+++ b/src/mallowloft/membership/service.py
@@ -316,6 +316,9 @@
         )
         if self._left:
             self._send(sender.instance, self._leaving_message())
+        self._kernel.plugin("configuration").seen_digest(
+            sender.instance, ping.config_digest
+        )
 
     def _on_pong(self, sender: peers_lib.Sender, pong: messages.Pong) -> None:
         member = self.view.members_by_id.get(sender.instance)
@@ -327,6 +330,9 @@
             self._validated = True
             if not self._list_read:
                 self._send(sender.instance, messages.MembershipRequest())
+        self._kernel.plugin("configuration").seen_digest(
+            sender.instance, pong.config_digest
+        )
 
     def _leaving_message(self) -> messages.Leaving:
         submissions = self._kernel.plugins_by_name.get("submissions")
@@ -424,7 +430,10 @@
 
     async def _run(self) -> None:
         while True:
-            self._tick()
+            try:
+                self._tick()
+            except Exception:  # noqa: BLE001
+                _log.exception("membership_tick_failed")
             await asyncio.sleep(_TICK_S)
 
     def _tick(self) -> None:
@@ -593,25 +602,34 @@
     async def _follow_list(self) -> None:
         backoff_s = _LIST_BACKOFF_S
         while True:
-            if not self._reads_list():
-                await asyncio.sleep(_LIST_INTERVAL_S)
-                continue
-            # Taken anew each time, because tests replace the client.
-            platform = self._kernel.plugin("configuration").platform
-            wakes = self._wakes
-            answer = await platform.instances()
-            if answer.is_ok():
-                self._take_list(answer.unwrap().instances)
-                # A read from before a pause shows nothing of the present.
-                self._validated |= wakes == self._wakes
+            if not self._reads_list() or await self._read_list():
                 backoff_s = _LIST_BACKOFF_S
                 await asyncio.sleep(self._list_interval_s())
                 continue
-            self._kernel.metrics.count("list_reads_failed")
-            _log.warning("list_unreachable", reason=answer.unwrap_err())
             await asyncio.sleep(backoff_s * self._kernel.rng.uniform(0.5, 1.5))
             backoff_s = min(2 * backoff_s, _LIST_BACKOFF_MAX_S)
 
+    async def _read_list(self) -> bool:
+        # Taken anew each time, because tests replace the client.
+        platform = self._kernel.plugin("configuration").platform
+        wakes = self._wakes
+        self._kernel.metrics.count("platform_calls", call="instances")
+        answer = await platform.instances()
+        if answer.is_err():
+            self._kernel.metrics.count(
+                "platform_calls_failed", call="instances"
+            )
+            _log.warning("list_unreachable", reason=answer.unwrap_err())
+            return False
+        try:
+            self._take_list(answer.unwrap().instances)
+        except Exception:  # noqa: BLE001
+            _log.exception("list_not_taken")
+            return False
+        # A read from before a pause shows nothing of the present.
+        self._validated |= wakes == self._wakes
+        return True
+
     def _list_interval_s(self) -> float:
         if not self._alone():
             return _LIST_INTERVAL_S
--- a/src/mallowloft/membership/view.py
+++ b/src/mallowloft/membership/view.py
@@ -5,8 +5,11 @@
 import contextlib
 import dataclasses
 
+from mallowloft.kernel import logs
 from mallowloft.membership import rendezvous
 
+_log = logs.get("membership")
+
 # Known, but not yet heard of: it takes no part in the choice of dispatchers.
 LISTED = "listed"
 LIVE = "live"
@@ -174,4 +177,7 @@
 
     def _notify(self) -> None:
         for listener in self._listeners:
-            listener()
+            try:
+                listener()
+            except Exception:  # noqa: BLE001
+                _log.exception("membership_listener_failed")
--- a/src/mallowloft/messages.py
+++ b/src/mallowloft/messages.py
@@ -118,12 +118,14 @@
     """State of the sender's accepted configuration.
 
     Attributes:
+        round: Number of the question, repeated by its answer.
         digest: 16-byte hash of all accepted subtrees.
         loaded: Whether the sender has once taken a whole configuration.
         full: Whether `versions_by_subtree` is filled in.
         versions_by_subtree: Revision and content hash of each subtree.
     """
 
+    round: int
     digest: bytes
     loaded: bool
     full: bool
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,669 @@
+"""Acceptance, spread and monotonicity of the configuration."""
+
+import asyncio
+import copy
+import random
+from typing import Any
+
+import pytest
+
+from mallowloft import messages
+from mallowloft.configuration import acceptance
+from mallowloft.configuration import model
+from mallowloft.configuration import platform as platform_lib
+from mallowloft.configuration import store as store_lib
+from tests.support import faults
+from tests.support import virtual
+from tests.support import world as world_lib
+
+
+def _document(path: str, revision: int, value: Any) -> messages.Document:
+    return messages.Document(path, revision, value)
+
+
+def _offer(store: store_lib.Store, *documents: messages.Document) -> None:
+    store.offer(platform_lib.group_by_subtree(documents, acceptance.subtree_of))
+
+
+def _service(*replicas: str, index: str = "main") -> dict[str, Any]:
+    return {
+        "index": index,
+        "replicas": [
+            {"id": name, "url": f"http://{name}", "failure_domain": "d1"}
+            for name in replicas
+        ],
+    }
+
+
+def _domains(count: int, domains: int = 3) -> dict[str, str]:
+    return {f"i{n}": f"d{n % domains + 1}" for n in range(count)}
+
+
+def _store(world: world_lib.World, instance: str) -> store_lib.Store:
+    return world.kernels_by_id[instance].plugin("configuration").store
+
+
+def _held(world: world_lib.World, names: list[str], revision: int) -> bool:
+    return all(
+        _store(world, name).current.revision >= revision for name in names
+    )
+
+
+def _others(world: world_lib.World, *instances: str) -> list[str]:
+    return [name for name in world.kernels_by_id if name not in instances]
+
+
+def _watchers(world: world_lib.World, domain: str | None = None) -> list[str]:
+    return [
+        name
+        for name, kernel in world.kernels_by_id.items()
+        if kernel.plugin("configuration").dump()["watching"]
+        and domain in (None, kernel.settings.failure_domain)
+    ]
+
+
+async def _start(count: int, seed: int = 1) -> world_lib.World:
+    world = world_lib.World(seed)
+    world.publish({"/operator/fleet": {}})
+    world.publish_team("hunters", "paying", min_coverage=0.1)
+    await world.start(_domains(count))
+    await asyncio.sleep(0.5)
+    return world
+
+
+def _change(world: world_lib.World, value: float) -> int:
+    return world.publish({"/teams/hunters/query": {"min_coverage": value}})
+
+
+class _Watchdog:
+    """Notes every fall of an accepted revision."""
+
+    def __init__(self) -> None:
+        self.falls: list[str] = []
+
+    def observe(self, world: world_lib.World, instance: str) -> None:
+        """Follows the store of an instance from now on."""
+        store = _store(world, instance)
+        held = dict(store.revision_by_subtree)
+
+        def check(snapshot: model.Snapshot) -> None:
+            del snapshot
+            current = store.revision_by_subtree
+            for subtree, revision in held.items():
+                if current.get(subtree, 0) < revision:
+                    self.falls.append(f"{instance} {subtree}")
+            held.update(current)
+
+        store.subscribe(check)
+
+
+@pytest.fixture
+def second_team_document():
+    """Makes a second document type part of each team's subtree."""
+    pattern = r"/teams/[^/]+/second"
+    acceptance.document_types.by_name[pattern] = model.TeamQuery
+    yield "/teams/hunters/second"
+    del acceptance.document_types.by_name[pattern]
+
+
+class TestStore:
+    """A subtree's content is what the service holds, whole or not."""
+
+    def test_partial_result_keeps_the_documents_that_did_not_change(
+        self, second_team_document
+    ):
+        store = store_lib.Store()
+        _offer(
+            store,
+            _document("/teams/hunters/query", 1, {"min_coverage": 0.5}),
+            _document(second_team_document, 2, {}),
+        )
+        _offer(store, _document(second_team_document, 3, {"prefer": "time"}))
+        assert store.current.queries_by_team["hunters"].min_coverage == 0.5
+        (subtree,) = store.subtrees(["/teams/hunters"])
+        assert [item.revision for item in subtree.documents] == [1, 3]
+
+    def test_repair_uses_documents_that_came_with_the_fault(
+        self, second_team_document
+    ):
+        """A document rejected with its subtree must not be lost."""
+        store = store_lib.Store()
+        _offer(store, _document("/teams/hunters/query", 1, {}))
+        _offer(
+            store,
+            _document("/teams/hunters/query", 2, {"min_coverage": 0.7}),
+            _document(second_team_document, 2, {"min_coverage": 7}),
+        )
+        assert store.current.queries_by_team["hunters"].min_coverage == 0.0
+        assert store.rejections_by_subtree["/teams/hunters"].revision == 2
+        _offer(store, _document(second_team_document, 3, {}))
+        assert store.current.queries_by_team["hunters"].min_coverage == 0.7
+        assert not store.rejections_by_subtree
+
+    def test_any_order_and_division_ends_in_the_same_state(
+        self, second_team_document
+    ):
+        rng = random.Random(3)
+        paths = ["/teams/hunters/query", second_team_document]
+        paths += [f"/operator/services/s{n}" for n in range(4)]
+        documents = []
+        for revision in range(1, 40):
+            path = rng.choice(paths)
+            value: Any = None
+            if rng.random() < 0.8 and path.startswith("/teams"):
+                value = {"min_coverage": rng.choice([0.1, 0.2, 3])}
+            elif rng.random() < 0.8:
+                value = _service(f"r{rng.randrange(6)}", "x" + path[-2:])
+            documents.append(_document(path, revision, value))
+        newest = {document.path: document for document in documents}
+        whole = store_lib.Store()
+        _offer(whole, *newest.values())
+        for _ in range(20):
+            store = store_lib.Store()
+            shuffled = list(newest.values())
+            rng.shuffle(shuffled)
+            while shuffled:
+                count = rng.randrange(1, 4)
+                _offer(store, *shuffled[:count])
+                del shuffled[:count]
+            assert store.digest == whole.digest
+            assert store.current == whole.current
+
+    def test_incremental_snapshot_equals_a_fresh_one(self):
+        """Replicas move between services and ids repeat."""
+        rng = random.Random(4)
+        store = store_lib.Store()
+        for revision in range(1, 150):
+            name = f"/operator/services/s{rng.randrange(5)}"
+            ids = rng.sample([f"r{n}" for n in range(12)], rng.randrange(1, 4))
+            value = None if rng.random() < 0.2 else _service(*ids)
+            _offer(store, _document(name, revision, value))
+            fresh = store_lib.Store()
+            fresh.offer(store.subtrees(store.revision_by_subtree))
+            assert fresh.current == store.current
+            assert fresh.digest == store.digest
+
+    def test_older_revision_changes_nothing(self):
+        store = store_lib.Store()
+        _offer(store, _document("/operator/fleet", 5, {"min_share": 0.1}))
+        digest = store.digest
+        _offer(store, _document("/operator/fleet", 4, {"min_share": 0.9}))
+        assert store.current.fleet.min_share == 0.1
+        assert store.digest == digest
+
+    def test_deletion_is_a_revision(self):
+        store = store_lib.Store()
+        path = "/operator/services/a"
+        _offer(store, _document(path, 1, _service("r1")))
+        _offer(store, _document(path, 2, None))
+        _offer(store, _document(path, 1, _service("r1")))
+        assert not store.current.services_by_name
+        assert not store.current.replicas_by_id
+        assert store.current.revision == 2
+
+    def test_reused_revision_ends_alike_in_both_orders(self):
+        """A restored service gives out revisions a second time."""
+        offers = [
+            _document("/operator/fleet", 5, {"min_share": share})
+            for share in (0.1, 0.2)
+        ]
+        digests = set()
+        for order in (offers, offers[::-1]):
+            store = store_lib.Store()
+            for document in order:
+                _offer(store, document)
+            digests.add(store.digest)
+        assert len(digests) == 1
+
+    def test_document_of_another_subtree_is_not_taken(self):
+        """A peer's message cannot place documents elsewhere."""
+        store = store_lib.Store()
+        foreign = _document("/operator/fleet", 9, {"min_share": 0.9})
+        store.offer([messages.ConfigSubtree("/teams/a", 9, (foreign,))])
+        assert store.current.fleet.min_share == model.Fleet().min_share
+
+    def test_failing_listener_does_not_stop_the_others(self):
+        store = store_lib.Store()
+        seen = []
+        store.subscribe(lambda snapshot: 1 / 0)
+        store.subscribe(lambda snapshot: seen.append(snapshot.revision))
+        _offer(store, _document("/operator/fleet", 5, {}))
+        assert seen == [5]
+
+
+class TestSpread:
+    """A change is in force at all reachable instances within 1 s."""
+
+    @pytest.mark.parametrize(("count", "seed"), [(9, 1), (120, 2)])
+    def test_change_reaches_all(self, count, seed):
+        async def scenario():
+            world = await _start(count, seed)
+            for value in (0.2, 0.3):
+                revision = _change(world, value)
+                names = list(world.kernels_by_id)
+                await faults.until(
+                    lambda revision=revision, names=names: _held(
+                        world, names, revision
+                    ),
+                    0.1,
+                )
+                for name in names:
+                    query = _store(world, name).current.queries_by_team
+                    assert query["hunters"].min_coverage == value
+
+        virtual.run(scenario())
+
+    def test_lost_pushes_are_repaired(self):
+        """The loss of every push must not leave an instance behind."""
+
+        async def scenario():
+            world = await _start(30)
+            victim = _others(world, *_watchers(world))[0]
+            for name in _others(world, victim):
+                world.network.cuts.add(frozenset((victim, name)))
+            revision = _change(world, 0.4)
+            await asyncio.sleep(0.1)
+            assert not _held(world, [victim], revision)
+            world.network.cuts.clear()
+            await faults.until(lambda: _held(world, [victim], revision), 0.9)
+
+        virtual.run(scenario())
+
+    def test_watchers_of_a_domain_are_killed(self):
+        async def scenario():
+            world = await _start(30)
+            killed = _watchers(world, "d1")
+            assert len(killed) == 2
+            for name in killed:
+                await faults.kill(world, name)
+            revision = _change(world, 0.5)
+            rest = _others(world, *killed)
+            await faults.until(lambda: _held(world, rest, revision), 3.0)
+            await asyncio.sleep(1.0)
+            assert len(set(_watchers(world, "d1")) - set(killed)) == 2
+            # The successors watch themselves: cut off from the other
+            # domains, theirs still follows the service.
+            for other in ("d2", "d3"):
+                world.network.cuts.add(frozenset(("d1", other)))
+            revision = _change(world, 0.6)
+            await faults.until(lambda: _held(world, rest, revision), 1.0)
+
+        virtual.run(scenario())
+
+    def test_service_unreachable_for_one_domain(self):
+        """Watchers of the other domains push across."""
+
+        async def scenario():
+            world = await _start(30)
+            near = [n for n, d in _domains(30).items() if d == "d1"]
+            world.platform_cut.update(near)
+            await asyncio.sleep(0.1)
+            revision = _change(world, 0.5)
+            await faults.until(
+                lambda: _held(world, list(world.kernels_by_id), revision), 1.0
+            )
+
+        virtual.run(scenario())
+
+    def test_cut_off_instances_go_on_and_catch_up(self):
+        async def scenario():
+            world = await _start(18)
+            near = [n for n, d in _domains(18).items() if d == "d1"]
+            for other in ("d2", "d3"):
+                world.network.cuts.add(frozenset(("d1", other)))
+            world.platform_cut.update(near)
+            old = world.revision
+            revision = _change(world, 0.5)
+            await asyncio.sleep(5)
+            assert _held(world, _others(world, *near), revision)
+            for name in near:
+                assert world.kernels_by_id[name].ready()
+                assert _store(world, name).current.revision == old
+            world.network.cuts.clear()
+            await faults.until(lambda: _held(world, near, revision), 2.0)
+
+        virtual.run(scenario())
+
+    def test_receiver_validates_what_a_peer_sends(self):
+        async def scenario():
+            world = await _start(6)
+            bad = _document("/teams/hunters/query", 99, {"min_coverage": 9})
+            subtree = messages.ConfigSubtree("/teams/hunters", 99, (bad,))
+            push = messages.ConfigSubtrees((subtree,), ("i2", "i5"))
+            world.kernels_by_id["i0"].plugin("peers").send("i3", push)
+            await asyncio.sleep(1)
+            for name in world.kernels_by_id:
+                held = _store(world, name).revision_by_subtree
+                assert held["/teams/hunters"] < 99
+            for name in ("i2", "i5"):
+                # An instance passes on nothing that it rejects itself.
+                assert not _store(world, name).rejections_by_subtree
+
+        virtual.run(scenario())
+
+
+class TestNeverReverts:
+    """Nothing makes an accepted revision fall."""
+
+    @pytest.mark.parametrize("fault", ["stale", "outage", "restored"])
+    def test_restart_of_every_instance_in_turn(self, fault):
+        async def scenario():
+            world = await _start(9)
+            old_documents = copy.copy(world.documents_by_path)
+            old_revision = world.revision
+            revision = _change(world, 0.5)
+            names = list(world.kernels_by_id)
+            await faults.until(lambda: _held(world, names, revision), 1.0)
+            if fault == "stale":
+                world.stale_revision = old_revision
+            elif fault == "outage":
+                world.platform_down = True
+            else:
+                world.documents_by_path = old_documents
+                world.revision = old_revision
+            watchdog = _Watchdog()
+            for name in names:
+                watchdog.observe(world, name)
+            if fault == "outage":
+                # Without the list a successor knows peers by its settings.
+                settings = {"peers": "i0@d1=tcp://i0,i1@d2=tcp://i1"}
+            else:
+                settings = {}
+            for name in names:
+                await faults.kill(world, name)
+                kernel = world.kernel(name, _domains(9)[name], **settings)
+                await kernel.start()
+                await faults.until(kernel.ready, 5.0)
+                assert _held(world, [name], revision)
+                watchdog.observe(world, name)
+            assert watchdog.falls == []
+
+        virtual.run(scenario())
+
+    def test_change_after_a_restored_service_counts_up_again(self):
+        """Subtrees that the backup predates still get new revisions."""
+
+        async def scenario():
+            world = await _start(6)
+            old_documents = copy.copy(world.documents_by_path)
+            old_revision = world.revision
+            for value in (0.5, 0.6, 0.7):
+                revision = _change(world, value)
+            names = list(world.kernels_by_id)
+            await faults.until(lambda: _held(world, names, revision), 1.0)
+            world.documents_by_path = old_documents
+            world.revision = old_revision
+            await asyncio.sleep(35)
+            world.publish_team("late", "paying")
+            await faults.until(
+                lambda: all(
+                    "late" in _store(world, name).current.teams_by_name
+                    for name in names
+                ),
+                1.0,
+            )
+            for name in names:
+                query = _store(world, name).current.queries_by_team["hunters"]
+                assert query.min_coverage == 0.7
+
+        virtual.run(scenario())
+
+    def test_late_and_repeated_messages(self):
+        async def scenario():
+            world = await _start(12)
+            world.network.duplicate_share = 0.5
+            world.network.jitter_s = 0.3
+            watchdog = _Watchdog()
+            for name in world.kernels_by_id:
+                watchdog.observe(world, name)
+            for number in range(20):
+                revision = _change(world, number / 20)
+                await asyncio.sleep(0.05)
+            names = list(world.kernels_by_id)
+            await faults.until(lambda: _held(world, names, revision), 2.0)
+            assert watchdog.falls == []
+
+        virtual.run(scenario())
+
+    def test_partition_with_changes_on_one_side(self):
+        async def scenario():
+            world = await _start(9)
+            watchdog = _Watchdog()
+            for name in world.kernels_by_id:
+                watchdog.observe(world, name)
+            names = list(world.kernels_by_id)
+            near = [n for n, d in _domains(9).items() if d == "d1"]
+            for _ in range(3):
+                for other in ("d2", "d3"):
+                    world.network.cuts.add(frozenset(("d1", other)))
+                world.platform_cut.update(near)
+                _change(world, world.rng.random())
+                await asyncio.sleep(2)
+                world.network.cuts.clear()
+                world.platform_cut.clear()
+                await faults.until(
+                    lambda: _held(world, names, world.revision), 5.0
+                )
+            digests = {_store(world, name).digest for name in names}
+            assert len(digests) == 1
+            assert watchdog.falls == []
+
+        virtual.run(scenario())
+
+
+class TestFaultySubtree:
+    """One team's fault affects that team's newest change only."""
+
+    def test_team_keeps_its_last_accepted_revision(self):
+        async def scenario():
+            world = await _start(9)
+            world.publish_team("shop", "paying", min_coverage=0.1)
+            names = list(world.kernels_by_id)
+            await faults.until(lambda: _held(world, names, world.revision), 1.0)
+            world.publish(
+                {
+                    "/teams/hunters/query": {"min_coverage": 9},
+                    "/teams/shop/query": {"min_coverage": 0.6},
+                }
+            )
+            await asyncio.sleep(1.0)
+            for name in names:
+                queries = _store(world, name).current.queries_by_team
+                assert queries["shop"].min_coverage == 0.6
+                assert queries["hunters"].min_coverage == 0.1
+            # A successor gets the last accepted revision from its peers.
+            kernel = await faults.restart(world, "i0")
+            await faults.until(kernel.ready, 3.0)
+            queries = _store(world, "i0").current.queries_by_team
+            assert queries["hunters"].min_coverage == 0.1
+            _change(world, 0.4)
+            await faults.until(
+                lambda: all(
+                    _store(world, name)
+                    .current.queries_by_team["hunters"]
+                    .min_coverage
+                    == 0.4
+                    for name in names
+                ),
+                1.0,
+            )
+
+        virtual.run(scenario())
+
+
+class TestRacingOperators:
+    """Two operators end with one result everywhere."""
+
+    def test_one_result_while_watchers_see_different_changes(self):
+        async def scenario():
+            world = await _start(12)
+            names = list(world.kernels_by_id)
+            domains = _domains(12)
+            for number in range(6):
+                lagging = f"d{number % 3 + 1}"
+                cut = [n for n in names if domains[n] == lagging]
+                _change(world, 0.01 * number)
+                world.platform_cut.update(cut)
+                _change(world, 0.5 + 0.01 * number)
+                world.publish_team("shop", "paying", min_coverage=0.2)
+                await asyncio.sleep(0.02)
+                world.platform_cut.clear()
+            revision = world.revision
+            await faults.until(lambda: _held(world, names, revision), 1.0)
+            assert len({_store(world, name).digest for name in names}) == 1
+            query = _store(world, "i0").current.queries_by_team["hunters"]
+            assert query.min_coverage == 0.55
+
+        virtual.run(scenario())
+
+
+class TestFreshInstance:
+    """Ready only with the highest reachable revision, and few calls."""
+
+    def test_takes_the_whole_configuration_before_it_is_ready(self):
+        async def scenario():
+            world = await _start(9)
+            for number in range(30):
+                world.publish_team(f"t{number}", "paying", min_coverage=0.1)
+            names = list(world.kernels_by_id)
+            revision = world.revision
+            await faults.until(lambda: _held(world, names, revision), 1.0)
+            world.stale_revision = 1
+            kernel = world.kernel("new", "d1")
+            world.list_instances()
+            await kernel.start()
+            while not kernel.ready():
+                await asyncio.sleep(0.002)
+            assert len(_store(world, "new").current.teams_by_name) == 31
+
+        virtual.run(scenario())
+
+    def test_calls_of_a_fresh_instance_that_is_no_watcher(self):
+        async def scenario():
+            world = await _start(30)
+            victim = _others(world, *_watchers(world))[0]
+            before = dict(world.calls_by_name)
+            kernel = await faults.restart(world, victim)
+            await faults.until(kernel.ready, 3.0)
+            assert world.calls_by_name["read"] == before["read"]
+
+        virtual.run(scenario())
+
+    def test_reads_the_service_when_no_peer_answers(self):
+        async def scenario():
+            world = await _start(6)
+            for name in _others(world):
+                world.network.cuts.add(frozenset(("new", name)))
+            kernel = world.kernel("new", "d1")
+            world.list_instances()
+            await kernel.start()
+            await faults.until(kernel.ready, 5.0)
+            assert _held(world, ["new"], world.revision)
+
+        virtual.run(scenario())
+
+    def test_not_ready_without_any_configuration(self):
+        async def scenario():
+            world = world_lib.World()
+            world.platform_down = True
+            kernel = world.kernel("new", "d1")
+            await kernel.start()
+            await asyncio.sleep(10)
+            assert not kernel.ready()
+            world.platform_down = False
+            world.publish({"/operator/fleet": {}})
+            world.list_instances()
+            await faults.until(kernel.ready, 20.0)
+
+        virtual.run(scenario())
+
+
+class TestCalls:
+    """Calls to the service grow with failure domains."""
+
+    def test_watchers_per_domain(self):
+        async def scenario(count):
+            world = await _start(count)
+            await asyncio.sleep(1.0)
+            assert len(_watchers(world)) == 6
+            before = world.calls_by_name["watch"]
+            for number in range(5):
+                _change(world, 0.1 * number)
+                await asyncio.sleep(0.3)
+            return world.calls_by_name["watch"] - before
+
+        assert virtual.run(scenario(9)) == virtual.run(scenario(60)) == 30
+
+    def test_restart_of_the_whole_fleet(self):
+        """Instances that all start at once must not all read the service."""
+
+        async def scenario():
+            world = world_lib.World(3)
+            world.publish({"/operator/fleet": {}})
+            await world.start(_domains(60))
+            return world.calls_by_name["read"]
+
+        assert virtual.run(scenario()) <= 6
+
+    def test_fleet_without_platform_backs_off(self):
+        async def scenario():
+            world = world_lib.World(3)
+            world.platform_down = True
+            for name, domain in _domains(30).items():
+                await world.kernel(name, domain).start()
+            await asyncio.sleep(30)
+            late = [at for at in world.call_times_s if at > 20]
+            return len(late) / 30 / 10
+
+        # Calls per instance and second, the list included.
+        assert virtual.run(scenario()) < 0.5
+
+
+class TestPause:
+    """A resumed instance revalidates before it takes requests."""
+
+    def test_not_ready_before_the_missed_change_is_in_force(self):
+        async def scenario():
+            world = world_lib.World()
+            world.publish({"/operator/fleet": {}})
+            world.publish_team("hunters", "paying", min_coverage=0.1)
+            kernel = world.kernel("p", "d1")
+            faults.make_pausable(kernel)
+            await world.start(_domains(9))
+            world.list_instances()
+            await kernel.start()
+            await faults.until(kernel.ready, 3.0)
+            faults.pause(world, "p")
+            revision = _change(world, 0.5)
+            await asyncio.sleep(3.0)
+            # The push that waits in the socket may be lost as well.
+            world.network._held.clear()
+            faults.resume(world, "p")
+            assert not kernel.ready()
+            while not kernel.ready():
+                await asyncio.sleep(0.002)
+            assert _held(world, ["p"], revision)
+
+        virtual.run(scenario())
+
+    def test_watcher_watches_on_after_a_pause(self):
+        async def scenario():
+            world = world_lib.World()
+            world.publish({"/operator/fleet": {}})
+            for name, domain in _domains(3).items():
+                faults.make_pausable(world.kernel(name, domain))
+            world.list_instances()
+            for kernel in world.kernels_by_id.values():
+                await kernel.start()
+            kernel = world.kernels_by_id["i0"]
+            await faults.until(kernel.ready, 5.0)
+            faults.pause(world, "i0")
+            await asyncio.sleep(3.0)
+            faults.resume(world, "i0")
+            await faults.until(kernel.ready, 3.0)
+            for name in ("i1", "i2"):
+                await faults.kill(world, name)
+            revision = world.publish({"/operator/fleet": {"min_share": 0.1}})
+            await faults.until(lambda: _held(world, ["i0"], revision), 1.0)
+
+        virtual.run(scenario())
