Make the configuration tests see seven more breaches

Cause: seven deliberate breaches survived the first tests: no digest in pings, no push to other domains, news of other domains not spread, ready without any configuration after a pause, a push taken for a whole configuration, the first answer of a peer taken as caught up, an answer from before the pause accepted, a hung watch kept after a pause.

Change: the tests remove the second way by which each state could spread (ping digests muted), reorder answers, hang the watch, and deliver the old answer. The digest of each second is tested alone as well.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -75,6 +75,12 @@
     return world.publish({"/teams/hunters/query": {"min_coverage": value}})
 
 
+def _mute_ping_digests(world: world_lib.World) -> None:
+    """Leaves pushes and the digest of each second as the only ways."""
+    for kernel in world.kernels_by_id.values():
+        kernel.plugin("configuration").seen_digest = lambda *_: None
+
+
 class _Watchdog:
     """Notes every fall of an accepted revision."""
 
@@ -253,11 +259,14 @@
 
         virtual.run(scenario())
 
-    def test_lost_pushes_are_repaired(self):
+    @pytest.mark.parametrize(("muted", "limit_s"), [(False, 0.35), (True, 3.0)])
+    def test_lost_pushes_are_repaired(self, muted, limit_s):
         """The loss of every push must not leave an instance behind."""
 
         async def scenario():
             world = await _start(30)
+            if muted:
+                _mute_ping_digests(world)
             victim = _others(world, *_watchers(world))[0]
             for name in _others(world, victim):
                 world.network.cuts.add(frozenset((victim, name)))
@@ -265,7 +274,9 @@
             await asyncio.sleep(0.1)
             assert not _held(world, [victim], revision)
             world.network.cuts.clear()
-            await faults.until(lambda: _held(world, [victim], revision), 0.9)
+            await faults.until(
+                lambda: _held(world, [victim], revision), limit_s
+            )
 
         virtual.run(scenario())
 
@@ -295,6 +306,7 @@
 
         async def scenario():
             world = await _start(30)
+            _mute_ping_digests(world)
             near = [n for n, d in _domains(30).items() if d == "d1"]
             world.platform_cut.update(near)
             await asyncio.sleep(0.1)
@@ -529,6 +541,8 @@
             revision = world.revision
             await faults.until(lambda: _held(world, names, revision), 1.0)
             world.stale_revision = 1
+            # Answers overtake each other and the content that follows them.
+            world.network.jitter_s = 0.05
             kernel = world.kernel("new", "d1")
             world.list_instances()
             await kernel.start()
@@ -567,9 +581,15 @@
             world = world_lib.World()
             world.platform_down = True
             kernel = world.kernel("new", "d1")
+            faults.make_pausable(kernel)
             await kernel.start()
             await asyncio.sleep(10)
             assert not kernel.ready()
+            faults.pause(world, "new")
+            await asyncio.sleep(2)
+            faults.resume(world, "new")
+            await asyncio.sleep(5)
+            assert not kernel.ready()
             world.platform_down = False
             world.publish({"/operator/fleet": {}})
             world.list_instances()
@@ -577,6 +597,28 @@
 
         virtual.run(scenario())
 
+    def test_a_push_is_not_a_whole_configuration(self):
+        """A peer that only got a push has nothing to be ready with."""
+
+        async def scenario():
+            world = world_lib.World()
+            world.platform_down = True
+            for name, peer in (("a", "b"), ("b", "a")):
+                kernel = world.kernel(
+                    name, "d1", peers=f"{peer}@d1=tcp://{peer}"
+                )
+                await kernel.start()
+            await asyncio.sleep(1)
+            document = _document("/operator/fleet", 3, {})
+            subtree = messages.ConfigSubtree("/operator/fleet", 3, (document,))
+            push = messages.ConfigSubtrees((subtree,), ())
+            world.kernels_by_id["b"].plugin("peers").send("a", push)
+            await asyncio.sleep(5)
+            assert _held(world, ["a"], 3)
+            assert not any(k.ready() for k in world.kernels_by_id.values())
+
+        virtual.run(scenario())
+
 
 class TestCalls:
     """Calls to the service grow with failure domains."""
@@ -646,6 +688,42 @@
 
         virtual.run(scenario())
 
+    def test_answer_from_before_the_pause_proves_nothing(self):
+        async def scenario():
+            world = world_lib.World()
+            world.publish({"/operator/fleet": {}})
+            kernel = world.kernel("p", "d1")
+            faults.make_pausable(kernel)
+            await world.start(_domains(6))
+            await kernel.start()
+            await faults.until(kernel.ready, 3.0)
+            configuration = kernel.plugin("configuration")
+            faults.pause(world, "p")
+            await asyncio.sleep(3.0)
+            for name in _others(world, "p"):
+                world.network.cuts.add(frozenset(("p", name)))
+            faults.resume(world, "p")
+            world.platform_cut.add("p")
+            await asyncio.sleep(0.1)
+            stale = messages.ConfigDigest(
+                0, configuration.store.digest, True, True, {}
+            )
+            kernel.plugin("peers").receive(
+                messages.Envelope(
+                    messages.PROTOCOL_VERSION,
+                    "i0",
+                    world.kernels_by_id["i0"].incarnation,
+                    "tcp://i0",
+                    0,
+                    (stale,),
+                )
+            )
+            await asyncio.sleep(1.0)
+            assert not configuration.ready()
+            await faults.until(configuration.ready, 2.0)
+
+        virtual.run(scenario())
+
     def test_watcher_watches_on_after_a_pause(self):
         async def scenario():
             world = world_lib.World()
@@ -657,6 +735,17 @@
                 await kernel.start()
             kernel = world.kernels_by_id["i0"]
             await faults.until(kernel.ready, 5.0)
+            platform = kernel.plugin("configuration").platform
+            watch = platform.watch
+
+            async def hang(after, timeout_s):
+                # The connection died while the process was stopped.
+                await asyncio.sleep(timeout_s)
+
+            platform.watch = hang
+            _change(world, 0.1)
+            await asyncio.sleep(0.1)
+            platform.watch = watch
             faults.pause(world, "i0")
             await asyncio.sleep(3.0)
             faults.resume(world, "i0")
