Check all settings at once, add TLS for callers and keys for peers

Cause: a wrong host, a malformed peer list, an unreadable certificate or a port given twice was found only after start, one at a time, or not at all. The transport between instances accepted anyone.

Senders are checked on the same loop (ZAP), because pyzmq's authenticator starts a thread. - Libraries log in the key=value format; latencies have a count; the metrics show resident memory and processor time.

--- a/src/mallowloft/kernel/logs.py
+++ b/src/mallowloft/kernel/logs.py
@@ -6,6 +6,20 @@
 import structlog
 
 
+class _LibraryHandler(logging.Handler):
+    """Writes what libraries log in the format of all other lines."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one record."""
+        structlog.get_logger(component="library").log(
+            record.levelno,
+            "library_message",
+            logger=record.name,
+            message=record.getMessage(),
+            exc_info=record.exc_info,
+        )
+
+
 def configure(level: str, instance: str) -> None:
     """Configures logging of the process.
 
@@ -29,6 +43,9 @@
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
         cache_logger_on_first_use=True,
     )
+    root = logging.getLogger()
+    root.handlers = [_LibraryHandler()]
+    root.setLevel(max(logging.WARNING, logging.getLevelName(level.upper())))
     structlog.contextvars.bind_contextvars(instance=instance)
 
 
--- a/src/mallowloft/kernel/metrics.py
+++ b/src/mallowloft/kernel/metrics.py
@@ -49,6 +49,8 @@
         self._latencies: dict[str, dict[tuple[tuple[str, str], ...], Latency]]
         self._latencies = {}
         self._registry.register(self)
+        # Resident memory and processor time of the process.
+        prometheus_client.ProcessCollector(registry=self._registry)
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Adds to a counter.
@@ -106,14 +108,21 @@
                 f"{name.replace('_', ' ')} in milliseconds",
                 labels=[*label_names, "percentile"],
             )
+            total = core.CounterMetricFamily(
+                f"mallowloft_{name}_recorded",
+                f"number of values of {name.replace('_', ' ')}",
+                labels=label_names,
+            )
             for labels, latency in by_labels.items():
                 values = [value for _, value in labels]
+                total.add_metric(values, latency.count)
                 for percentile in _PERCENTILES:
                     family.add_metric(
                         [*values, str(percentile)],
                         latency.percentile_ms(percentile),
                     )
             yield family
+            yield total
 
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -1,14 +1,22 @@
 """Process settings from flags and environment variables."""
 
 import argparse
+from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
+import ipaddress
+import re
+import socket
+import ssl
+import typing
 from typing import Annotated
 from typing import Any
 from typing import Literal
+import urllib.parse
 
 import pydantic
 import result
+from zmq.utils import z85
 
 from mallowloft.kernel import findings as findings_lib
 
@@ -67,25 +75,227 @@
     )
     tls_certificate: str = _setting("PEM certificate chain for callers", "")
     tls_private_key: str = _setting("PEM private key for callers", "")
+    peer_secret_key: str = _setting(
+        "CURVE secret key of this instance, Z85; set it in the environment,"
+        " flags are visible to every user of the host",
+        "",
+    )
+    peer_public_keys: str = _setting(
+        "CURVE public keys of the fleet, comma-separated id=key; * is the key"
+        " of all instances that are not named",
+        "",
+    )
+    allow_plaintext: bool = _setting(
+        "whether a non-loopback address may be used without keys", False
+    )
     log_level: Literal["debug", "info", "warning", "error"] = _setting(
         "lowest level that is logged", "info"
     )
 
 
+_PEER = re.compile(r"([^@=,\s]+)@([^@=,\s]+)=tcp://(.+):(\d{1,5})")
+_PORTS = ("caller_port", "operator_port", "peer_port")
+
+
 def _flag(name: str) -> str:
     return "--" + name.replace("_", "-")
 
 
+def _variable(name: str) -> str:
+    return _ENVIRONMENT_PREFIX + name.upper()
+
+
+def _place(name: str) -> str:
+    return f"{_flag(name)} ({_variable(name)})"
+
+
+def _items(text: str) -> Iterator[str]:
+    return filter(None, (item.strip() for item in text.split(",")))
+
+
+def public_keys(text: str) -> dict[str, bytes]:
+    """Returns the CURVE public keys by instance; `*` is all others."""
+    keys = {}
+    for item in _items(text):
+        instance, _, key = item.partition("=")
+        keys[instance] = key.encode()
+    return keys
+
+
+class _Checker:
+    """Checks that one field alone cannot make.
+
+    Only values that passed their own check are present.
+    """
+
+    def __init__(
+        self, values: Mapping[str, Any], findings: findings_lib.Findings
+    ) -> None:
+        self._values = values
+        self._findings = findings
+
+    def check(self) -> None:
+        """Adds every fault."""
+        self._check_host()
+        self._check_ports()
+        self._check_sources()
+        self._check_peers()
+        self._check_stop()
+        self._check_tls()
+        self._check_keys()
+
+    def _get(self, name: str) -> Any:
+        return self._values.get(name)
+
+    def _add(self, name: str, message: str) -> None:
+        self._findings.add(_place(name), message)
+
+    def _check_host(self) -> None:
+        host = self._get("host")
+        try:
+            address = ipaddress.ip_address(host)
+        except ValueError:
+            self._add("host", f"{host!r} is not an IP address")
+            return
+        if address.is_unspecified or address.is_multicast:
+            # Other instances send to this address.
+            self._add("host", f"{host} is not the address of one interface")
+        elif not address.is_loopback and not self._get("allow_plaintext"):
+            for name in ("tls_certificate", "peer_secret_key"):
+                if not self._get(name):
+                    self._add(
+                        name,
+                        f"is needed because {host} is not a loopback address;"
+                        " or set --allow-plaintext",
+                    )
+
+    def _check_ports(self) -> None:
+        names_by_port: dict[int, list[str]] = {}
+        for name in _PORTS:
+            port = self._get(name)
+            if port:
+                names_by_port.setdefault(port, []).append(name)
+        for port, names in names_by_port.items():
+            for name in names[1:]:
+                self._add(name, f"{port} is also {_flag(names[0])}")
+
+    def _check_sources(self) -> None:
+        url = self._get("platform_url")
+        if url is None:
+            return
+        if not url:
+            if not self._get("peers"):
+                self._add("platform_url", "is needed if --peers is empty")
+            return
+        try:
+            parts = urllib.parse.urlsplit(url)
+            valid = parts.scheme in ("http", "https") and parts.hostname
+            valid = valid and parts.port != 0 and not parts.query
+        except ValueError:
+            valid = False
+        if not valid:
+            self._add("platform_url", f"{url!r} is not an http(s) URL")
+
+    def _check_peers(self) -> None:
+        seen: set[str] = set()
+        for item in _items(self._get("peers") or ""):
+            match = _PEER.fullmatch(item)
+            if match is None:
+                self._add(
+                    "peers",
+                    f"{item!r} is not id@failure-domain=tcp://address:port",
+                )
+                continue
+            try:
+                ipaddress.ip_address(match[3].strip("[]"))
+            except ValueError:
+                self._add("peers", f"{match[3]!r} is not an IP address")
+            if not 0 < int(match[4]) < 65536:
+                self._add("peers", f"{match[4]} is not a port")
+            if match[1] in seen:
+                self._add("peers", f"{match[1]!r} is named twice")
+            seen.add(match[1])
+
+    def _check_stop(self) -> None:
+        drain_s = self._get("drain_s")
+        grace_s = self._get("stop_grace_s")
+        if None not in (drain_s, grace_s) and drain_s > grace_s:
+            self._add(
+                "drain_s",
+                f"{drain_s:g} is more than --stop-grace-s {grace_s:g}",
+            )
+
+    def _check_tls(self) -> None:
+        names = ("tls_certificate", "tls_private_key")
+        given = [name for name in names if self._get(name)]
+        for name in names:
+            if given and name not in given:
+                self._add(name, f"is needed with {_flag(given[0])}")
+        readable = True
+        for name in given:
+            try:
+                with open(self._get(name), "rb"):
+                    pass
+            except OSError as error:
+                readable = False
+                self._add(name, f"{error.filename}: {error.strerror}")
+        if len(given) < len(names) or not readable:
+            return
+        try:
+            context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+            # A password callback keeps OpenSSL from asking at the terminal.
+            context.load_cert_chain(
+                self._get(names[0]), self._get(names[1]), password=lambda: b""
+            )
+        except (ssl.SSLError, OSError) as error:
+            self._add(
+                "tls_certificate",
+                f"certificate and private key cannot be used: {error}",
+            )
+
+    def _check_keys(self) -> None:
+        names = ("peer_secret_key", "peer_public_keys")
+        given = [name for name in names if self._get(name)]
+        for name in names:
+            if given and name not in given:
+                self._add(name, f"is needed with {_flag(given[0])}")
+        # Keys are not repeated in the message: it ends up in logs.
+        if self._get("peer_secret_key") and not _is_key(
+            self._get("peer_secret_key").encode()
+        ):
+            self._add("peer_secret_key", "is not a Z85 key of 40 characters")
+        keys = public_keys(self._get("peer_public_keys") or "")
+        for instance, key in keys.items():
+            if not instance or not _is_key(key):
+                self._add(
+                    "peer_public_keys",
+                    f"the key of {instance!r} is not a Z85 key of 40"
+                    " characters",
+                )
+
+
+def _is_key(key: bytes) -> bool:
+    try:
+        return len(key) == 40 and len(z85.decode(key)) == 32
+    except (ValueError, KeyError, OverflowError):
+        return False
+
+
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Adds a flag for each setting; values stay strings until `load`."""
     for field in dataclasses.fields(Settings):
         required = field.default is dataclasses.MISSING
         default = "required" if required else f"default: {field.default!r}"
-        variable = _ENVIRONMENT_PREFIX + field.name.upper()
+        # A boolean flag without a value means true.
+        options = {}
+        if isinstance(field.default, bool):
+            options = {"nargs": "?", "const": "true"}
         parser.add_argument(
             _flag(field.name),
             metavar="VALUE",
-            help=f"{field.metadata['help']} ({variable}; {default})",
+            help=f"{field.metadata['help']} ({_variable(field.name)};"
+            f" {default})",
+            **options,
         )
 
 
@@ -99,28 +309,68 @@
         environment: Environment variables.
 
     Returns:
-        The settings, or every fault with the flag it belongs to.
+        The settings, or every fault with its flag and variable.
     """
     values = {}
     for field in dataclasses.fields(Settings):
         value = getattr(flags, field.name, None)
         if value is None:
-            value = environment.get(_ENVIRONMENT_PREFIX + field.name.upper())
+            value = environment.get(_variable(field.name))
         if value is not None:
             values[field.name] = value
     findings = findings_lib.Findings()
-    settings = None
-    try:
-        settings = pydantic.TypeAdapter(Settings).validate_python(values)
-    except pydantic.ValidationError as error:
-        for item in error.errors(include_url=False):
-            findings.add(_flag(str(item["loc"][0])), item["msg"])
-    if bool(values.get("tls_certificate")) != bool(
-        values.get("tls_private_key")
-    ):
-        findings.add(
-            "--tls-certificate", "needs --tls-private-key, and the reverse"
-        )
-    if settings is None or not findings.ok:
+    valid = _valid_fields(values, findings)
+    _Checker(valid, findings).check()
+    if not findings.ok:
         return result.Err(findings)
-    return result.Ok(settings)
+    return result.Ok(Settings(**valid))
+
+
+def _valid_fields(
+    values: Mapping[str, str], findings: findings_lib.Findings
+) -> dict[str, Any]:
+    """Returns the fields that pass their own check, with defaults.
+
+    Each field is checked alone, so that the checks across fields still run
+    for the others.
+    """
+    valid = {}
+    types = typing.get_type_hints(Settings, include_extras=True)
+    for field in dataclasses.fields(Settings):
+        if field.name not in values:
+            if field.default is dataclasses.MISSING:
+                findings.add(_place(field.name), "is required")
+            else:
+                valid[field.name] = field.default
+            continue
+        try:
+            valid[field.name] = pydantic.TypeAdapter(
+                types[field.name]
+            ).validate_python(values[field.name])
+        except pydantic.ValidationError as error:
+            for item in error.errors(include_url=False):
+                findings.add(
+                    _place(field.name),
+                    f"{item['msg']}, not {values[field.name]!r}",
+                )
+    return valid
+
+
+def check_ports_free(
+    settings: Settings, findings: findings_lib.Findings
+) -> None:
+    """Adds a fault for each port that cannot be listened on."""
+    family = socket.AF_INET6 if ":" in settings.host else socket.AF_INET
+    for name in _PORTS:
+        port = getattr(settings, name)
+        with socket.socket(family) as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((settings.host, port))
+                probe.listen()
+            except OSError as error:
+                findings.add(
+                    _place(name),
+                    f"cannot listen on {settings.host} port {port}:"
+                    f" {error.strerror}",
+                )
--- a/src/mallowloft/peers.py
+++ b/src/mallowloft/peers.py
@@ -7,11 +7,13 @@
 from typing import Protocol
 
 import zmq
+from zmq.utils import z85
 
 from mallowloft import messages
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
+from mallowloft.kernel import settings as settings_lib
 
 _log = logs.get("peers")
 
@@ -102,6 +104,81 @@
                 )
 
 
+class _Curve:
+    """Keys of this instance and of the fleet, and the check of senders.
+
+    libzmq asks a socket at a fixed inproc address (ZAP, RFC 27) whether a
+    sender's key is allowed.
+    """
+
+    _ADDRESS = "inproc://zeromq.zap.01"
+
+    def __init__(
+        self, context: zmq.Context, settings: settings_lib.Settings
+    ) -> None:
+        self._context = context
+        self._secret = settings.peer_secret_key.encode()
+        self._key_by_peer = settings_lib.public_keys(settings.peer_public_keys)
+        self._allowed = {z85.decode(key) for key in self._key_by_peer.values()}
+        self._checker: zmq.Socket | None = None
+
+    @property
+    def enabled(self) -> bool:
+        """Whether messages are encrypted and senders are checked."""
+        return bool(self._secret)
+
+    def start(self) -> None:
+        """Starts to check senders."""
+        if not self.enabled:
+            return
+        checker = self._context.socket(zmq.REP)
+        checker.setsockopt(zmq.LINGER, 0)
+        checker.bind(self._ADDRESS)
+        self._checker = checker
+        loop = asyncio.get_running_loop()
+        loop.add_reader(checker.getsockopt(zmq.FD), self._check_waiting)
+
+    def stop(self) -> None:
+        """Stops checking senders."""
+        if self._checker is None:
+            return
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._checker.getsockopt(zmq.FD))
+        self._checker.close()
+        self._checker = None
+
+    def protect_receiver(self, receiver: zmq.Socket) -> None:
+        """Makes a socket accept only senders of the fleet."""
+        if self.enabled:
+            receiver.setsockopt(zmq.CURVE_SERVER, 1)
+            receiver.setsockopt(zmq.CURVE_SECRETKEY, self._secret)
+
+    def protect_sender(self, peer: str, sender: zmq.Socket) -> bool:
+        """Makes a socket connect to one peer; False without its key."""
+        if not self.enabled:
+            return True
+        key = self._key_by_peer.get(peer) or self._key_by_peer.get("*")
+        if key is None:
+            return False
+        sender.setsockopt(zmq.CURVE_SERVERKEY, key)
+        sender.setsockopt(zmq.CURVE_SECRETKEY, self._secret)
+        sender.setsockopt(zmq.CURVE_PUBLICKEY, zmq.curve_public(self._secret))
+        return True
+
+    def _check_waiting(self) -> None:
+        while self._checker is not None:
+            try:
+                request = self._checker.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            version, number, _, address, _, mechanism, *credentials = request
+            allowed = mechanism == b"CURVE" and credentials[0] in self._allowed
+            if not allowed:
+                _log.warning("peer_key_refused", address=address.decode())
+            status = (b"200", b"OK") if allowed else (b"400", b"unknown key")
+            self._checker.send_multipart((version, number, *status, b"", b""))
+
+
 @registry.plugins.register("peers")
 class ZeroMqPeers:
     """One PULL socket for what arrives and one PUSH socket for each peer.
@@ -117,6 +194,8 @@
     def __init__(self, kernel: lifecycle.Kernel) -> None:
         self._kernel = kernel
         self._context = zmq.Context()
+        self._context.setsockopt(zmq.IPV6, 1)
+        self._curve = _Curve(self._context, kernel.settings)
         self._handlers = Dispatch()
         self._outboxes = Outboxes()
         self._sockets_by_peer: dict[str, zmq.Socket] = {}
@@ -137,7 +216,10 @@
         receiver.setsockopt(zmq.LINGER, 0)
         receiver.setsockopt(zmq.RCVHWM, _HIGH_WATER_FRAMES)
         receiver.setsockopt(zmq.MAXMSGSIZE, messages.MAX_FRAME_BYTES)
-        receiver.bind(f"tcp://{settings.host}:{settings.peer_port}")
+        self._curve.start()
+        self._curve.protect_receiver(receiver)
+        host = f"[{settings.host}]" if ":" in settings.host else settings.host
+        receiver.bind(f"tcp://{host}:{settings.peer_port}")
         self._address = receiver.getsockopt_string(zmq.LAST_ENDPOINT)
         self._receiver = receiver
         loop = asyncio.get_running_loop()
@@ -155,6 +237,7 @@
             self._receiver = None
         for peer in list(self._sockets_by_peer):
             self.disconnect(peer)
+        self._curve.stop()
         self._context.term()
 
     def ready(self) -> bool:
@@ -165,6 +248,7 @@
         """Returns addresses and incarnations of connected peers."""
         return {
             "address": self._address,
+            "encrypted": self._curve.enabled,
             "address_by_peer": dict(self._address_by_peer),
             "incarnation_by_peer": dict(self._incarnation_by_peer),
         }
@@ -184,6 +268,10 @@
         socket.setsockopt(zmq.SNDHWM, _HIGH_WATER_FRAMES)
         socket.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+        if not self._curve.protect_sender(instance, socket):
+            _log.warning("peer_key_missing", peer=instance)
+            socket.close()
+            return
         socket.connect(address)
         self._sockets_by_peer[instance] = socket
         self._address_by_peer[instance] = address
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,8 +8,10 @@
 from typing import Any
 
 import aiohttp
+import pytest
 import result
 
+from mallowloft import client as client_lib
 from mallowloft import messages
 from mallowloft.callers import requests as checks
 from mallowloft.callers import service as callers_lib
@@ -22,6 +24,7 @@
 from mallowloft.kernel import settings as settings_lib
 from mallowloft.submissions import model as submissions_model
 from standins import serving
+from tests.support import certificates
 
 _TEAM = {"Authorization": "Bearer token-hunters"}
 _KEY = {"Idempotency-Key": "key-1"}
@@ -164,7 +167,7 @@
             submissions=self.submissions,
             callers=self.callers,
         )
-        self.scheme = "http"
+        self.scheme = "https" if settings.get("tls_certificate") else "http"
         self.port = caller_port
         self.session: aiohttp.ClientSession | None = None
 
@@ -631,6 +634,35 @@
         _run(test)
 
 
+class TestTls:
+    """Callers are served over TLS when a certificate is set."""
+
+    def test_query_over_tls(self, tmp_path):
+        files = certificates.write(tmp_path / "tls")
+
+        async def test(instance):
+            answer = await instance.call("/v1/query/checker", {"query": 1})
+            async with client_lib.Client(
+                "token-hunters", str(files.certificate)
+            ) as client:
+                called = await client.call(
+                    "POST",
+                    f"https://127.0.0.1:{instance.port}/v1/query/checker",
+                    {"query": 1},
+                )
+            instance.scheme = "http"
+            with pytest.raises(aiohttp.ClientError):
+                await instance.call("/v1/query/checker", {"query": 1})
+            return answer, called.unwrap()
+
+        answer, verified = _run(
+            test,
+            tls_certificate=str(files.certificate),
+            tls_private_key=str(files.key),
+        )
+        assert answer.status == verified.status == 200
+
+
 class TestStopping:
     """A stopping instance finishes what it has and refuses truthfully."""
 
