Add query, submit, check and dump to the command line

Cause: callers and operators had only curl; nothing repeated a submission correctly, and configuration could not be checked before it was published.

`submit` keeps one key over all copies, goes to the next address after a time-out, and says "not run" only if every copy certainly did not run (exit 0 done, 3 not run, 4 unknown, 1 faults). `check` reads several files as one tree and reports all findings, also a path in two files and a name twice in one object. `dump` reads the operators' port; SIGUSR1 writes the same to the log. Pauses are counted.

--- a/src/mallowloft/cli.py
+++ b/src/mallowloft/cli.py
@@ -3,31 +3,66 @@
 import argparse
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
+import json
 import os
 import signal
 import sys
+from typing import Any
 
 import mallowloft
+from mallowloft import client as client_lib
+from mallowloft.kernel import findings as findings_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
 from mallowloft.kernel import settings as settings_lib
 
+_EXIT_OK = 0
+_EXIT_FAULTS = 1
 _EXIT_USAGE = 2
+_EXIT_NOT_RUN = 3
+_EXIT_UNKNOWN = 4
+
+_EXIT_BY_OUTCOME = {
+    "done": _EXIT_OK,
+    "faulty": _EXIT_FAULTS,
+    "not_run": _EXIT_NOT_RUN,
+    "unknown": _EXIT_UNKNOWN,
+}
+# An answer needs some time on its way after the deadline.
+_TIMEOUT_MARGIN_S = 1.0
+
+_log = logs.get("process")
 
 Command = Callable[[argparse.Namespace], int]
 
 commands: registry.Registry[Command] = registry.Registry("command")
 
 
+def _print(value: Any) -> None:
+    print(json.dumps(value, indent=2))
+
+
+def _log_state(kernel: lifecycle.Kernel) -> None:
+    _log.info("state_dump", state=json.dumps(kernel.dump(), default=str))
+
+
+def _note_pause(kernel: lifecycle.Kernel, gap_s: float) -> None:
+    kernel.metrics.count("pauses")
+    _log.warning("instance_paused", gap_ms=round(gap_s * 1000))
+
+
 async def _run_instance(settings: settings_lib.Settings) -> None:
     kernel = lifecycle.Kernel(settings)
     kernel.build()
+    kernel.pauses.subscribe(lambda gap_s: _note_pause(kernel, gap_s))
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGUSR1, _log_state, kernel)
     await kernel.start()
     await stop.wait()
     await kernel.stop(settings.stop_grace_s)
@@ -36,21 +71,261 @@
 @commands.register("entry")
 def _entry(arguments: argparse.Namespace) -> int:
     loaded = settings_lib.load(arguments, os.environ)
-    if loaded.is_err():
-        print(loaded.unwrap_err(), file=sys.stderr)
+    findings = loaded.err() or findings_lib.Findings()
+    if loaded.is_ok():
+        settings_lib.check_ports_free(loaded.unwrap(), findings)
+    if not findings.ok:
+        print(findings, file=sys.stderr)
         return _EXIT_USAGE
     settings = loaded.unwrap()
     logs.configure(settings.log_level, settings.instance_id)
     registry.load_plugins()
-    asyncio.run(_run_instance(settings))
-    return 0
+    try:
+        asyncio.run(_run_instance(settings))
+    except OSError as error:
+        # Another process may have taken a port since the check.
+        _log.error("start_failed", reason=str(error))
+        return _EXIT_FAULTS
+    return _EXIT_OK
+
+
+def _client(arguments: argparse.Namespace) -> client_lib.Client:
+    try:
+        return client_lib.Client(arguments.token, arguments.ca)
+    except OSError as error:
+        print(f"--ca {arguments.ca}: {error}", file=sys.stderr)
+        raise SystemExit(_EXIT_USAGE) from error
+
+
+@commands.register("query")
+def _query(arguments: argparse.Namespace) -> int:
+    body = {"query": arguments.query, **_options(arguments)}
+    return asyncio.run(_run_query(arguments, body))
+
+
+def _options(arguments: argparse.Namespace) -> dict[str, Any]:
+    """Returns the fields of the body that were set."""
+    names = ("deadline_ms", "min_coverage", "prefer")
+    values = {name: getattr(arguments, name, None) for name in names}
+    return {name: value for name, value in values.items() if value is not None}
+
+
+def _timeout_s(arguments: argparse.Namespace) -> float:
+    if arguments.timeout_ms is not None:
+        return arguments.timeout_ms / 1000
+    deadline_ms = arguments.deadline_ms or 10_000.0
+    return deadline_ms / 1000 + _TIMEOUT_MARGIN_S
+
+
+async def _run_query(
+    arguments: argparse.Namespace, body: Mapping[str, Any]
+) -> int:
+    path = f"/v1/query/{arguments.target}"
+    timeout_s = _timeout_s(arguments)
+    async with _client(arguments) as client:
+        for url in arguments.url:
+            called = await client.call(
+                "POST", url + path, body, None, timeout_s
+            )
+            if called.is_err():
+                print(called.unwrap_err().reason, file=sys.stderr)
+                continue
+            answer = called.unwrap()
+            if answer.status < 500 and answer.status != 429:
+                break
+        if called.is_err():
+            return _EXIT_NOT_RUN
+    _print(answer.body)
+    if answer.status == 200:
+        return _EXIT_OK
+    return _EXIT_FAULTS if "findings" in answer.body else _EXIT_NOT_RUN
+
+
+@commands.register("submit")
+def _submit(arguments: argparse.Namespace) -> int:
+    body = {
+        "shard": arguments.shard,
+        "body": arguments.body,
+        **_options(arguments),
+    }
+    outcome = asyncio.run(_run_submit(arguments, body))
+    _print(
+        {
+            "outcome": outcome.name,
+            "key": outcome.key,
+            "copies": outcome.copies,
+            "answer": outcome.detail,
+        }
+    )
+    return _EXIT_BY_OUTCOME[outcome.name]
+
+
+async def _run_submit(
+    arguments: argparse.Namespace, body: Mapping[str, Any]
+) -> client_lib.Outcome:
+    async with _client(arguments) as client:
+        submitter = client_lib.Submitter(
+            client, arguments.url, arguments.copies, _timeout_s(arguments)
+        )
+        return await submitter.submit(arguments.service, body)
+
+
+def _read_tree(
+    path: str, documents: dict[str, Any], findings: findings_lib.Findings
+) -> None:
+    """Adds the documents of one file."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            values = json.load(
+                file,
+                parse_constant=_refuse_constant,
+                object_pairs_hook=_unique_names,
+            )
+    except OSError as error:
+        findings.add(path, str(error.strerror))
+        return
+    except ValueError as error:
+        findings.add(path, f"is not JSON: {error}")
+        return
+    if not isinstance(values, dict):
+        findings.add(path, "is not an object of documents by path")
+        return
+    for document_path, value in values.items():
+        if document_path in documents:
+            findings.add(document_path, f"is also in another file than {path}")
+        documents[document_path] = value
+
+
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f"{name} is not allowed")
+
+
+def _unique_names(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Refuses a name that occurs twice; Python would drop the first value."""
+    values = dict(pairs)
+    if len(values) < len(pairs):
+        names = [name for name, _ in pairs]
+        twice = sorted({name for name in names if names.count(name) > 1})
+        raise ValueError(f"occurs twice in one object: {', '.join(twice)}")
+    return values
+
+
+@commands.register("check")
+def _check(arguments: argparse.Namespace) -> int:
+    # Imported here so that the other commands start faster.
+    from mallowloft.configuration import tree
+
+    documents: dict[str, Any] = {}
+    findings = findings_lib.Findings()
+    for path in arguments.files:
+        _read_tree(path, documents, findings)
+    for finding in tree.check_tree(documents):
+        findings.add(finding.place, finding.message)
+    if findings.ok:
+        print(f"{len(documents)} documents, no findings")
+        return _EXIT_OK
+    print(findings)
+    return _EXIT_FAULTS
+
+
+@commands.register("dump")
+def _dump(arguments: argparse.Namespace) -> int:
+    return asyncio.run(_run_dump(arguments))
+
+
+async def _run_dump(arguments: argparse.Namespace) -> int:
+    async with client_lib.Client() as client:
+        called = await client.call("GET", arguments.url[0] + "/v1/state")
+    if called.is_err():
+        print(called.unwrap_err().reason, file=sys.stderr)
+        return _EXIT_NOT_RUN
+    _print(called.unwrap().body)
+    return _EXIT_OK
 
 
 @commands.register("version")
 def _version(arguments: argparse.Namespace) -> int:
     del arguments
     print(mallowloft.__version__)
-    return 0
+    return _EXIT_OK
+
+
+def _json_value(text: str) -> Any:
+    try:
+        return json.loads(text)
+    except ValueError as error:
+        raise argparse.ArgumentTypeError(f"is not JSON: {error}") from error
+
+
+def _urls(text: str) -> list[str]:
+    urls = [item.strip().rstrip("/") for item in text.split(",")]
+    for url in urls:
+        if not url.startswith(("http://", "https://")):
+            raise argparse.ArgumentTypeError(f"{url!r} is not an http(s) URL")
+    return urls
+
+
+def _add_url(
+    parser: argparse.ArgumentParser, variable: str, help_text: str
+) -> None:
+    default = os.environ.get(variable)
+    parser.add_argument(
+        "--url",
+        type=_urls,
+        default=default,
+        required=default is None,
+        metavar="URL[,URL]",
+        help=f"{help_text} ({variable})",
+    )
+
+
+def _add_caller_arguments(parser: argparse.ArgumentParser) -> None:
+    _add_url(
+        parser,
+        "MALLOWLOFT_URL",
+        "addresses of instances, comma-separated; tried in this order",
+    )
+    parser.add_argument(
+        "--token",
+        default=os.environ.get("MALLOWLOFT_TOKEN", ""),
+        help="the team's token (MALLOWLOFT_TOKEN, which other users of the"
+        " host cannot see)",
+    )
+    parser.add_argument(
+        "--ca", default="", metavar="FILE", help="PEM certificates to trust"
+    )
+    parser.add_argument("--deadline-ms", type=float)
+    parser.add_argument(
+        "--timeout-ms", type=float, help="limit of one call (deadline + 1 s)"
+    )
+
+
+def _add_client_commands(subparsers: Any) -> None:
+    query = subparsers.add_parser("query", help="run a query")
+    query.add_argument("target", help="service or group")
+    query.add_argument("query", type=_json_value, help="the query, JSON")
+    query.add_argument("--min-coverage", type=float)
+    query.add_argument("--prefer", choices=("time", "coverage"))
+    _add_caller_arguments(query)
+    submit = subparsers.add_parser(
+        "submit",
+        help="run a submission at most once",
+        description="Fetches a key, sends the submission and repeats it with"
+        " the same key while the outcome is unknown. Exit status: 0 done,"
+        " 1 faults, 3 not run, 4 unknown.",
+    )
+    submit.add_argument("service")
+    submit.add_argument("shard")
+    submit.add_argument("body", type=_json_value, help="the body, JSON")
+    submit.add_argument(
+        "--copies",
+        type=int,
+        choices=range(1, 101),
+        default=5,
+        metavar="1..100",
+        help="copies to send at most (default: 5)",
+    )
+    _add_caller_arguments(submit)
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -60,6 +335,16 @@
     subparsers = parser.add_subparsers(dest="command", required=True)
     entry = subparsers.add_parser("entry", help="run an instance")
     settings_lib.add_arguments(entry)
+    _add_client_commands(subparsers)
+    check = subparsers.add_parser(
+        "check",
+        help="check configuration before it is published",
+        description="Checks JSON files that map paths to documents, all as"
+        " one tree. Exit status 1 if there are findings.",
+    )
+    check.add_argument("files", nargs="+", metavar="FILE")
+    dump = subparsers.add_parser("dump", help="print an instance's state")
+    _add_url(dump, "MALLOWLOFT_OPERATOR_URL", "address of the operators' port")
     subparsers.add_parser("version", help="print the version")
     return parser
 
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,452 @@
+"""Settings, logs, metrics and the subcommands of the command line."""
+
+import argparse
+import asyncio
+import io
+import json
+import logging
+import socket
+import sys
+import types
+from typing import Any
+
+import pytest
+from starlette import applications
+from starlette import responses
+from starlette import routing
+import structlog
+import zmq
+
+from mallowloft import cli
+from mallowloft.kernel import findings as findings_lib
+from mallowloft.kernel import logs
+from mallowloft.kernel import metrics as metrics_lib
+from mallowloft.kernel import settings as settings_lib
+from standins import serving
+from tests.support import certificates
+
+_BASE = {
+    "MALLOWLOFT_INSTANCE_ID": "i1",
+    "MALLOWLOFT_FAILURE_DOMAIN": "d1",
+    "MALLOWLOFT_PLATFORM_URL": "http://127.0.0.1:9",
+}
+
+
+def _load(*flags: str, **environment: str):
+    parser = argparse.ArgumentParser()
+    settings_lib.add_arguments(parser)
+    return settings_lib.load(parser.parse_args(flags), {**_BASE, **environment})
+
+
+def _faults(*flags: str, **environment: str) -> dict[str, str]:
+    """Returns the messages by flag."""
+    findings = _load(*flags, **environment).unwrap_err()
+    return {item.place.split()[0]: item.message for item in findings}
+
+
+class TestSettings:
+    """Every fault of the settings is listed with its flag and variable."""
+
+    def test_lists_all_faults_at_once(self):
+        # Guards against a restart loop that shows one fault at a time.
+        faults = _faults(
+            "--host=localhost",
+            "--operator-port=8080",
+            "--peer-port=70000",
+            "--hedging=perhaps",
+            "--peers=i2@d1=tcp://name:1,nonsense",
+            "--tls-certificate=/nonexistent/cert.pem",
+            "--peer-secret-key=short",
+            "--drain-s=60",
+            MALLOWLOFT_LOG_LEVEL="loud",
+            MALLOWLOFT_PLATFORM_URL="ftp://127.0.0.1",
+        )
+        assert set(faults) == {
+            "--host",
+            "--operator-port",
+            "--peer-port",
+            "--hedging",
+            "--peers",
+            "--tls-certificate",
+            "--tls-private-key",
+            "--peer-secret-key",
+            "--peer-public-keys",
+            "--drain-s",
+            "--log-level",
+            "--platform-url",
+        }
+        assert "'perhaps'" in faults["--hedging"]
+
+    def test_names_flag_and_variable(self):
+        parser = argparse.ArgumentParser()
+        settings_lib.add_arguments(parser)
+        findings = settings_lib.load(parser.parse_args([]), {}).unwrap_err()
+        places = [item.place for item in findings]
+        assert "--instance-id (MALLOWLOFT_INSTANCE_ID)" in places
+        assert "--failure-domain (MALLOWLOFT_FAILURE_DOMAIN)" in places
+
+    def test_flag_goes_before_variable(self):
+        settings = _load(
+            "--caller-port=9001", MALLOWLOFT_CALLER_PORT="9002"
+        ).unwrap()
+        assert settings.caller_port == 9001
+
+    @pytest.mark.parametrize(
+        ("text", "value"),
+        [("true", True), ("0", False), ("off", False), ("yes", True)],
+    )
+    def test_reads_booleans(self, text, value):
+        # Guards against "false" that counts as true because it is not empty.
+        assert _load(f"--hedging={text}").unwrap().hedging is value
+        variable = _load(MALLOWLOFT_HEDGING=text).unwrap()
+        assert variable.hedging is value
+
+    def test_boolean_flag_without_value_is_true(self):
+        settings = _load("--hedging", MALLOWLOFT_HEDGING="false").unwrap()
+        assert settings.hedging is True
+
+    def test_wildcard_address_is_refused(self):
+        # Other instances would be told to send to 0.0.0.0.
+        assert "--host" in _faults("--host=0.0.0.0")
+
+    def test_network_address_needs_keys_or_consent(self):
+        faults = _faults("--host=192.0.2.1")
+        assert set(faults) == {"--tls-certificate", "--peer-secret-key"}
+        assert _load("--host=192.0.2.1", "--allow-plaintext").is_ok()
+
+    def test_certificate_and_key_must_match(self, tmp_path):
+        first = certificates.write(tmp_path / "first")
+        second = certificates.write(tmp_path / "second")
+        faults = _faults(
+            f"--tls-certificate={first.certificate}",
+            f"--tls-private-key={second.key}",
+        )
+        assert set(faults) == {"--tls-certificate"}
+        assert _load(
+            f"--tls-certificate={first.certificate}",
+            f"--tls-private-key={first.key}",
+        ).is_ok()
+
+    def test_key_faults_do_not_show_the_key(self):
+        # The message ends up in logs.
+        secret = "x" * 39
+        faults = _faults(
+            f"--peer-secret-key={secret}", "--peer-public-keys=*=short"
+        )
+        assert secret not in str(faults)
+
+    def test_public_keys_by_instance(self):
+        public, _ = zmq.curve_keypair()
+        keys = settings_lib.public_keys(f"*={public.decode()},i2=b=c")
+        assert keys == {"*": public, "i2": b"b=c"}
+
+    def test_port_that_is_taken_is_a_fault(self):
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            port = taken.getsockname()[1]
+            settings = _load(f"--peer-port={port}").unwrap()
+            findings = findings_lib.Findings()
+            settings_lib.check_ports_free(settings, findings)
+        places = [item.place.split()[0] for item in findings]
+        assert "--peer-port" in places
+
+    def test_entry_exits_with_2(self, capsys, monkeypatch):
+        monkeypatch.delenv("MALLOWLOFT_INSTANCE_ID", raising=False)
+        assert cli.main(["entry", "--hedging=perhaps"]) == 2
+        lines = capsys.readouterr().err.splitlines()
+        assert len(lines) >= 4
+
+
+class TestLogs:
+    """Each event is one line of key=value pairs."""
+
+    @pytest.fixture(autouse=True)
+    def _restore(self):
+        root = logging.getLogger()
+        handlers, level = root.handlers, root.level
+        yield
+        root.handlers = handlers
+        root.setLevel(level)
+        structlog.reset_defaults()
+        structlog.contextvars.clear_contextvars()
+
+    def _lines(self, monkeypatch, write) -> list[str]:
+        output = io.StringIO()
+        monkeypatch.setattr(sys, "stderr", output)
+        logs.configure("info", "i1")
+        write()
+        return output.getvalue().splitlines()
+
+    def test_line_has_instance_and_fields(self, monkeypatch):
+        (line,) = self._lines(
+            monkeypatch,
+            lambda: logs.get("test").info("started", request="r-1"),
+        )
+        assert "instance=i1 event=started" in line
+        assert "request=r-1" in line
+
+    def test_caller_text_cannot_start_a_line(self, monkeypatch):
+        lines = self._lines(
+            monkeypatch,
+            lambda: logs.get("test").info("faulty", path="/a\nevent=forged"),
+        )
+        assert len(lines) == 1
+
+    def test_exceptions_and_libraries_write_one_line(self, monkeypatch):
+        # Guards against tracebacks and library messages in another format.
+        def write():
+            try:
+                raise ValueError("two\nlines")
+            except ValueError:
+                logging.getLogger("uvicorn.error").exception("failed")
+
+        (line,) = self._lines(monkeypatch, write)
+        assert "event=library_message" in line
+        assert "logger=uvicorn.error" in line
+        assert "ValueError" in line
+
+
+class TestMetrics:
+    """Rendered metrics carry what the operations page describes."""
+
+    def test_latency_has_percentiles_and_count(self):
+        metrics = metrics_lib.Metrics()
+        for value_ms in range(1, 101):
+            metrics.observe_ms("query_latency", value_ms, priority="paying")
+        text = metrics.render().decode()
+        line = (
+            'mallowloft_query_latency_ms{percentile="99.0",priority="paying"}'
+        )
+        (value,) = [
+            float(item.split()[-1])
+            for item in text.splitlines()
+            if item.startswith(line)
+        ]
+        assert 97 <= value <= 101
+        assert (
+            "mallowloft_query_latency_recorded_total"
+            '{priority="paying"} 100.0' in text
+        )
+
+    def test_shows_the_memory_of_the_process(self):
+        text = metrics_lib.Metrics().render().decode()
+        assert "process_resident_memory_bytes" in text
+
+
+class TestCheck:
+    """`check` reports all findings of all files with their place."""
+
+    @pytest.fixture(autouse=True)
+    def _tree(self, monkeypatch):
+        # The check of the tree has tests of its own.
+        self.documents: dict[str, Any] = {}
+        self.findings = findings_lib.Findings()
+
+        def check_tree(documents):
+            self.documents = documents
+            return self.findings
+
+        module = types.ModuleType("mallowloft.configuration.tree")
+        module.check_tree = check_tree
+        monkeypatch.setitem(
+            sys.modules, "mallowloft.configuration.tree", module
+        )
+        monkeypatch.setattr(
+            "mallowloft.configuration.tree", module, raising=False
+        )
+
+    def _write(self, tmp_path, name: str, content: str) -> str:
+        path = tmp_path / name
+        path.write_text(content)
+        return str(path)
+
+    def test_files_form_one_tree(self, tmp_path, capsys):
+        paths = [
+            self._write(tmp_path, "a.json", '{"/operator/fleet": {}}'),
+            self._write(tmp_path, "b.json", '{"/teams/x/query": {}}'),
+        ]
+        assert cli.main(["check", *paths]) == 0
+        assert set(self.documents) == {"/operator/fleet", "/teams/x/query"}
+        assert "2 documents" in capsys.readouterr().out
+
+    def test_reports_findings_of_every_file(self, tmp_path, capsys):
+        self.findings.add("/operator/fleet.classes", "is empty")
+        paths = [
+            self._write(tmp_path, "a.json", '{"/operator/fleet": 1}'),
+            self._write(tmp_path, "b.json", '{"/operator/fleet": 2}'),
+            self._write(tmp_path, "c.json", '{"/a": {"x": 1, "x": 2}}'),
+            self._write(tmp_path, "d.json", '{"/a": '),
+            str(tmp_path / "missing.json"),
+        ]
+        assert cli.main(["check", *paths]) == 1
+        output = capsys.readouterr().out
+        assert len(output.splitlines()) == 5
+        assert "/operator/fleet.classes: is empty" in output
+        assert "/operator/fleet: is also in another file" in output
+        assert "c.json: is not JSON: occurs twice in one object: x" in output
+        assert "d.json: is not JSON" in output
+        assert "missing.json: No such file" in output
+
+
+class _Entry:
+    """An entry instance that answers submissions from a script.
+
+    A step is a status with a body, or None for a connection that is closed
+    without an answer.
+    """
+
+    def __init__(self, *steps: tuple[int, dict[str, Any]] | None) -> None:
+        self._steps = list(steps)
+        self.keys: list[str] = []
+        self.first_sends: list[bool] = []
+        self.url = ""
+        self._app = applications.Starlette(
+            routes=[
+                routing.Route("/v1/keys", self._issue, methods=["POST"]),
+                routing.Route(
+                    "/v1/submissions/shop", self._submit, methods=["POST"]
+                ),
+                routing.Route("/v1/query/shop", self._query, methods=["POST"]),
+                routing.Route("/v1/state", self._state),
+            ]
+        )
+
+    async def start(self) -> None:
+        (port,) = serving.free_ports(1)
+        self.url = f"http://127.0.0.1:{port}"
+        self._server, _ = await serving.start(self._app, port)
+
+    def stop(self) -> None:
+        self._server.should_exit = True
+
+    async def _issue(self, request):
+        del request
+        return responses.JSONResponse({"keys": ["key-1"]})
+
+    async def _state(self, request):
+        del request
+        return responses.JSONResponse({"instance": "i1"})
+
+    async def _query(self, request):
+        return self._step(await request.json())
+
+    async def _submit(self, request):
+        body = await request.json()
+        self.keys.append(request.headers["idempotency-key"])
+        self.first_sends.append(body["first_send"])
+        return self._step(body)
+
+    def _step(self, body: dict[str, Any]):
+        del body
+        step = self._steps.pop(0)
+        if step is None:
+            return _Silent()
+        status, answer = step
+        return responses.JSONResponse(answer, status)
+
+
+class _Silent:
+    """Closes the connection without an answer."""
+
+    async def __call__(self, scope, receive, send) -> None:
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": [(b"content-length", b"10")],
+            }
+        )
+        await send({"type": "http.response.body", "body": b""})
+
+
+def _run(entries: list[_Entry], *arguments: str) -> int:
+    """Runs a subcommand against entries."""
+
+    async def scenario():
+        for entry in entries:
+            await entry.start()
+        urls = ",".join(entry.url for entry in entries)
+        try:
+            return await asyncio.to_thread(
+                cli.main, [*arguments, f"--url={urls}"]
+            )
+        finally:
+            for entry in entries:
+                entry.stop()
+
+    return asyncio.run(scenario())
+
+
+_SUBMIT = ("submit", "shop", "s0", "{}", "--copies=3")
+_DONE = (200, {"outcome": "done", "reply": 1})
+_UNKNOWN = (504, {"outcome": "unknown", "retry_after_ms": 1})
+_NOT_TAKEN = (
+    429,
+    {"outcome": "unknown", "this_copy_ran": False, "retry_after_ms": 1},
+)
+
+
+class TestSubmit:
+    """`submit` keeps one key and says only what is certain."""
+
+    def test_repeats_the_same_key_at_the_next_address(self, capsys):
+        # Guards against a repeat with a new key, which may run twice.
+        first, second = _Entry(None), _Entry(_DONE)
+        assert _run([first, second], *_SUBMIT) == 0
+        assert first.keys == second.keys == ["key-1"]
+        assert (first.first_sends, second.first_sends) == ([True], [False])
+        printed = json.loads(capsys.readouterr().out)
+        assert (printed["outcome"], printed["copies"]) == ("done", 2)
+
+    def test_unknown_stays_unknown(self, capsys):
+        assert _run([_Entry(_UNKNOWN, _UNKNOWN, _UNKNOWN)], *_SUBMIT) == 4
+        assert json.loads(capsys.readouterr().out)["outcome"] == "unknown"
+
+    def test_not_run_is_not_repeated(self):
+        entry = _Entry((503, {"outcome": "not_run", "fresh_key": "key-2"}))
+        assert _run([entry], *_SUBMIT) == 3
+        assert entry.keys == ["key-1"]
+
+    def test_copies_that_were_not_taken_are_not_run(self):
+        entry = _Entry(_NOT_TAKEN, _NOT_TAKEN, _NOT_TAKEN)
+        assert _run([entry], *_SUBMIT) == 3
+        assert entry.first_sends == [True, True, True]
+
+    def test_refusal_after_a_lost_answer_is_unknown(self):
+        # Guards against "not run" although the first copy may have run.
+        assert _run([_Entry(None, _NOT_TAKEN, _NOT_TAKEN)], *_SUBMIT) == 4
+
+    def test_faults_end_at_once(self):
+        faulty = (400, {"findings": [{"place": "body", "message": "x"}]})
+        assert _run([_Entry(faulty)], *_SUBMIT) == 1
+
+    def test_no_instance_is_not_run(self):
+        (port,) = serving.free_ports(1)
+        assert cli.main([*_SUBMIT, f"--url=http://127.0.0.1:{port}"]) == 3
+
+
+class TestQueryAndDump:
+    """`query` and `dump` print what the instance answers."""
+
+    def test_query_goes_to_the_next_address(self, capsys):
+        answer = {"coverage": 1.0}
+        entries = [_Entry((503, {"error": "stopping"})), _Entry((200, answer))]
+        assert _run(entries, "query", "shop", '{"hint": 7}') == 0
+        assert json.loads(capsys.readouterr().out) == answer
+
+    def test_query_refused(self):
+        entry = _Entry((503, {"error": "overloaded"}))
+        assert _run([entry], "query", "shop", "1") == 3
+
+    def test_query_with_faults(self):
+        entry = _Entry((400, {"findings": []}))
+        assert _run([entry], "query", "shop", "1") == 1
+
+    def test_dump(self, capsys):
+        assert _run([_Entry()], "dump") == 0
+        assert json.loads(capsys.readouterr().out) == {"instance": "i1"}
+
+    def test_version(self, capsys):
+        assert cli.main(["version"]) == 0
+        assert capsys.readouterr().out.strip()
