Let the demo run a submission twice and check what it leaves behind

Cause: the demo showed queries only, printed raw JSON, did not check whether its processes had ended, and succeeded whatever the answers were.

Change: the demo prints coverage, version and cost of each answer, sends one submission twice with one key at two instances, counts the runs in the upstreams' journals, and looks for processes that are left. It fails if an answer stays incomplete, if the submission did not run exactly once, or if a process is left.

Ruled out: waiting for a fixed time before the first query. A query right after the start may lack shards until instances have met; the demo prints it and asks again.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,15 +1,23 @@
 """Starts a small fleet, runs queries through it and prints the answers."""
 
 import asyncio
-import json
 import sys
+import time
+from typing import Any
 
+import psutil
+
+from mallowloft import client as client_lib
 from standins import fleet as fleet_lib
 from standins import serving
 
 _FAILURE_DOMAINS = ("fukuoka-a", "fukuoka-b", "kumamoto-a")
 _SERVICES = tuple(f"checker-{number:02}" for number in range(1, 7))
 _TOKEN = "demo-token"
+_TIMEOUT_S = 45.0
+# Instances that have just started may not have met each other yet.
+_MAX_QUERIES = 20
+_PAUSE_S = 0.2
 
 
 def _replica_specs() -> list[fleet_lib.ReplicaSpec]:
@@ -58,32 +66,114 @@
     return values
 
 
-async def _demo() -> None:
-    async with fleet_lib.Fleet() as fleet:
-        specs = _replica_specs()
-        await fleet.start_platform()
-        await fleet.start_upstreams(specs)
-        await fleet.publish(documents(specs))
-        starts = []
-        for number in range(6):
-            domain = _FAILURE_DOMAINS[number % 3]
-            starts.append(fleet.start_instance(f"entry-{number}", domain))
-        await asyncio.gather(*starts)
-        for instance in fleet.instances_by_id.values():
-            answer = await fleet.post(
-                instance.url + "/v1/query/checker",
-                {"query": {"hint": 7}},
-                {"Authorization": f"Bearer {_TOKEN}"},
+async def _post(
+    client: client_lib.Client, url: str, body: Any, key: str = ""
+) -> client_lib.Answer:
+    headers = {"Idempotency-Key": key} if key else {}
+    called = await client.call("POST", url, body, headers)
+    if called.is_err():
+        raise RuntimeError(called.unwrap_err().reason)
+    return called.unwrap()
+
+
+async def _query(
+    client: client_lib.Client, instance: fleet_lib.Instance
+) -> bool:
+    """Queries until the answer is complete; prints what was answered."""
+    for _ in range(_MAX_QUERIES):
+        answer = await _post(
+            client, instance.url + "/v1/query/checker", {"query": {"hint": 7}}
+        )
+        body = answer.body
+        if "coverage" not in body:
+            print(f"{instance.id}  status {answer.status}  {body}")
+        else:
+            shards = len(body["covered"]) + len(body["lacking"])
+            print(
+                f"{instance.id}  {instance.failure_domain:<10}"
+                f"  coverage {body['coverage']:.3f}"
+                f" ({len(body['covered'])} of {shards} shards)"
+                f"  version {body['index_version']}"
+                f"  {body['attempts']['sent']} sub-requests"
+                f"  {body['elapsed_ms']:.1f} ms"
             )
-            answer.pop("results", None)
-            answer.pop("covered", None)
-            print(instance.id, json.dumps(answer))
+            if body["complete"]:
+                return True
+        await asyncio.sleep(_PAUSE_S)
+    return False
+
+
+async def _submit(client: client_lib.Client, fleet: fleet_lib.Fleet) -> bool:
+    """Sends one submission twice with one key; True if it ran once."""
+    first, *_, last = fleet.instances_by_id.values()
+    issued = await _post(client, first.url + "/v1/keys", {})
+    if issued.status != 200:
+        print(f"no key: status {issued.status}  {dict(issued.body)}")
+        return False
+    key = issued.body["keys"][0]
+    print(f"key    {key}")
+    body = {"shard": f"{_SERVICES[0]}-s0", "body": {"solved": 7}}
+    answers = []
+    for instance in (first, last):
+        answer = await _post(
+            client,
+            f"{instance.url}/v1/submissions/{_SERVICES[0]}",
+            {**body, "first_send": not answers},
+            key,
+        )
+        answers.append(answer.body)
+        print(
+            f"submission at {instance.id}: {answer.body.get('outcome')}"
+            f"  {answer.body.get('reply', answer.body.get('error'))}"
+        )
+    runs = 0
+    for replica in fleet.replicas_by_id.values():
+        journal = (await fleet.journal(replica.id))["journal"]
+        runs += sum(item["event"] == "submit_started" for item in journal)
+    print(f"runs at the upstreams: {runs}")
+    same = answers[0].get("reply") == answers[1].get("reply")
+    return runs == 1 and same
+
+
+async def _run(fleet: fleet_lib.Fleet, started_s: float) -> bool:
+    specs = _replica_specs()
+    print("starting stand-ins and 6 instances in 3 failure domains", flush=True)
+    await fleet.start_platform()
+    await fleet.start_upstreams(specs)
+    await fleet.publish(documents(specs))
+    starts = []
+    for number in range(6):
+        domain = _FAILURE_DOMAINS[number % 3]
+        starts.append(fleet.start_instance(f"entry-{number}", domain))
+    await asyncio.gather(*starts)
+    print(f"ready after {time.monotonic() - started_s:.1f} s", flush=True)
+    async with client_lib.Client(_TOKEN) as client:
+        complete = [
+            await _query(client, instance)
+            for instance in fleet.instances_by_id.values()
+        ]
+        return await _submit(client, fleet) and all(complete)
+
+
+async def _demo() -> bool:
+    started_s = time.monotonic()
+    async with fleet_lib.Fleet() as fleet:
+        async with asyncio.timeout(_TIMEOUT_S):
+            succeeded = await _run(fleet, started_s)
+        print("stopping", flush=True)
+    pids = fleet.started_pids
+    left = [pid for pid in pids if psutil.pid_exists(pid)]
+    left += [child.pid for child in psutil.Process().children(recursive=True)]
+    print(f"processes started: {len(pids)}, left: {len(left)}")
+    print(f"ended after {time.monotonic() - started_s:.1f} s")
+    return succeeded and not left
 
 
 def main() -> int:
     """Runs the demo."""
-    asyncio.run(_demo())
-    return 0
+    succeeded = asyncio.run(_demo())
+    print("demo succeeded" if succeeded else "demo failed")
+    return 0 if succeeded else 1
 
 
 if __name__ == "__main__":
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 import hashlib
 import os
@@ -70,15 +71,28 @@
 
 
 class Fleet:
-    """The processes of one test or demo; always stop it."""
-
-    def __init__(self, log_path: pathlib.Path | None = None) -> None:
+    """The processes of one test or demo; always stop it.
+
+    Args:
+        log_path: File that takes the output of all processes.
+        command: Command line of the program, this checkout by default.
+        environment: Variables that instances get besides the inherited ones.
+    """
+
+    def __init__(
+        self,
+        log_path: pathlib.Path | None = None,
+        command: Sequence[str] = (sys.executable, "-m", "mallowloft"),
+        environment: Mapping[str, str] | None = None,
+    ) -> None:
         self.instances_by_id: dict[str, Instance] = {}
         self.replicas_by_id: dict[str, ReplicaSpec] = {}
         self.platform_url = ""
         self.session: aiohttp.ClientSession | None = None
         self._processes: list[asyncio.subprocess.Process] = []
         self._log_path = log_path
+        self._command = tuple(command)
+        self._environment = dict(environment or {})
 
     async def __aenter__(self) -> "Fleet":
         self.session = aiohttp.ClientSession()
@@ -87,11 +101,18 @@
     async def __aexit__(self, *exception: object) -> None:
         await self.stop()
 
+    @property
+    def started_pids(self) -> list[int]:
+        """Process ids of everything that was started."""
+        return [process.pid for process in self._processes]
+
     async def start_platform(self) -> None:
         """Starts the platform stand-in."""
         (port,) = serving.free_ports(1)
         self.platform_url = f"http://127.0.0.1:{port}"
-        await self._spawn("-m", "standins.platform", "--port", str(port))
+        await self._spawn(
+            sys.executable, "-m", "standins.platform", "--port", str(port)
+        )
 
     async def start_upstreams(self, specs: list[ReplicaSpec]) -> None:
         """Starts replicas, all in one process."""
@@ -102,7 +123,7 @@
                 f"{spec.id}:{spec.port}:{spec.slots}:{spec.connections}"
                 f":{spec.connect_ms}"
             )
-        await self._spawn("-m", "standins.upstream", *arguments)
+        await self._spawn(sys.executable, "-m", "standins.upstream", *arguments)
 
     async def start_instance(
         self, instance_id: str, failure_domain: str, **settings: str
@@ -126,7 +147,11 @@
         }
         arguments = [f"--{key}={value}" for key, value in values.items()]
         instance.process = await self._spawn(
-            "-m", "mallowloft", "entry", *arguments, wait=False
+            *self._command,
+            "entry",
+            *arguments,
+            wait=False,
+            environment=self._environment,
         )
         await self.wait_ready(instance)
         return instance
@@ -213,18 +238,24 @@
             return False
 
     async def _spawn(
-        self, *arguments: str, wait: bool = True
+        self,
+        *command: str,
+        wait: bool = True,
+        environment: Mapping[str, str] | None = None,
     ) -> asyncio.subprocess.Process:
         log = asyncio.subprocess.DEVNULL
         if self._log_path is not None:
             log = self._log_path.open("ab")
         process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            *arguments,
+            *command,
             stdout=asyncio.subprocess.PIPE if wait else log,
             stderr=log,
             cwd=_SOURCE,
-            env={**os.environ, "PYTHONPATH": f"{_SOURCE}/src:{_SOURCE}"},
+            env={
+                **os.environ,
+                "PYTHONPATH": f"{_SOURCE}/src:{_SOURCE}",
+                **(environment or {}),
+            },
         )
         if not isinstance(log, int):
             log.close()
@@ -233,5 +264,5 @@
             async with asyncio.timeout(_START_TIMEOUT_S):
                 line = await process.stdout.readline()
             if line != b"ready\n":
-                raise RuntimeError(f"{arguments} did not start")
+                raise RuntimeError(f"{command} did not start")
         return process
