Build one ELF file that starts no process and writes no file

Cause: instances have no disk and a process may start no other, which rules out the usual packers: they unpack to a directory or fork.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: test demo build bench slopes format clean
+.PHONY: test demo build build-check bench cost format clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -22,6 +22,19 @@
 demo: $(VENV)/.installed
 	$(BIN)/python -m standins.demo
 
+# One executable file; needs a C compiler and a Python with a shared library.
+build: dist/mallowloft
+
+dist/mallowloft: $(VENV)/.installed $(shell find src packing -name '*.py' -o -name '*.c')
+	$(BIN)/python -m packing.build $@
+
+build-check: dist/mallowloft
+	$(BIN)/python -m packing.verify $<
+
+# Processor time per sub-request and memory; printed, without bounds.
+cost: $(VENV)/.installed
+	$(BIN)/python -m bench.cost
+
 clean:
 	rm -rf $(VENV) build dist
 
--- /dev/null
+++ b/packing/__init__.py
@@ -0,0 +1,1 @@
+"""Builds the program as one executable file."""
--- /dev/null
+++ b/packing/build.py
@@ -0,0 +1,285 @@
+"""Packs the interpreter, its library and the program into one ELF file.
+
+The file is a small launcher followed by a ZIP archive with the standard
+library and all modules as byte code, extension modules, libpython and the
+shared libraries they need besides those of the C library.
+"""
+
+import argparse
+from collections.abc import Iterable
+from collections.abc import Iterator
+import importlib.metadata
+import os
+import pathlib
+import py_compile
+import re
+import shutil
+import struct
+import subprocess
+import sys
+import sysconfig
+import tempfile
+import zipfile
+
+from packaging import requirements
+
+_HERE = pathlib.Path(__file__).resolve().parent
+_SOURCE = _HERE.parent / "src"
+_NAME = "mallowloft"
+# Parts of the standard library that a server does not use.
+_UNUSED = frozenset(
+    (
+        "__pycache__",
+        "_tkinter",
+        "config",
+        "ensurepip",
+        "idlelib",
+        "lib-dynload",
+        "lib2to3",
+        "pydoc_data",
+        "site-packages",
+        "sqlite3",
+        "test",
+        "tests",
+        "tkinter",
+        "turtledemo",
+        "venv",
+    )
+)
+_UNUSED_EXTENSION = re.compile(
+    r"_?(test|xx|tkinter|curses|sqlite3|crypt|dbm|gdbm|nis|ossaudiodev|readline"
+    r"|ctypes_test)"
+)
+# These belong to the C library and must match the dynamic loader.
+_SYSTEM_LIBRARY = re.compile(
+    r"(linux-vdso|ld-linux.*|lib(c|m|dl|rt|pthread|util|resolv))\.so.*"
+)
+_MODULE_SUFFIX = re.compile(r"\.(cpython-\d+-[^.]+|abi3)\.so$|\.so$")
+_FIXED_TIME = (2020, 1, 1, 0, 0, 0)
+
+
+def _distributions() -> Iterator[importlib.metadata.Distribution]:
+    """Yields what the program needs at run time, found by its metadata."""
+    pending = [_NAME]
+    seen = set()
+    while pending:
+        name = re.sub(r"[-_.]+", "-", pending.pop()).lower()
+        if name in seen:
+            continue
+        seen.add(name)
+        distribution = importlib.metadata.distribution(name)
+        if name != _NAME:
+            yield distribution
+        for line in distribution.requires or ():
+            needed = requirements.Requirement(line)
+            if needed.marker is None or needed.marker.evaluate({"extra": ""}):
+                pending.append(needed.name)
+
+
+class _Archive:
+    """The ZIP archive and the list of native code in it."""
+
+    def __init__(self, file: zipfile.ZipFile, scratch: pathlib.Path) -> None:
+        self._file = file
+        self._scratch = scratch
+        self._member_by_module: dict[str, str] = {}
+        self._native_paths: list[pathlib.Path] = []
+
+    def add_standard_library(self) -> None:
+        """Adds the standard library and its extension modules."""
+        root = pathlib.Path(sysconfig.get_path("stdlib"))
+        self._add_tree(root, root)
+        extensions = root / "lib-dynload"
+        for path in sorted(extensions.glob("*.so")):
+            if not _UNUSED_EXTENSION.match(path.name):
+                content = _stripped(path, self._scratch)
+                self._add_extension(path, path.relative_to(extensions), content)
+
+    def add_program(self) -> None:
+        """Adds the program and its start module."""
+        self._add_tree(_SOURCE, _SOURCE / _NAME)
+        self._add_module(_HERE / "bootstrap.py", "__main__.py")
+
+    def add_distribution(
+        self, distribution: importlib.metadata.Distribution
+    ) -> None:
+        """Adds the modules and metadata of an installed distribution."""
+        for file in distribution.files or ():
+            path = pathlib.Path(distribution.locate_file(file))
+            relative = pathlib.Path(str(file))
+            if ".." in relative.parts or _UNUSED & set(relative.parts):
+                continue
+            if path.suffix == ".py":
+                self._add_module(path, str(relative))
+            elif path.suffix == ".so" and "_testcapi" not in path.name:
+                self._add_extension(path, relative, path.read_bytes())
+            elif path.name in ("METADATA", "entry_points.txt"):
+                self._write(str(relative), path.read_bytes())
+
+    def add_native_lists(self) -> None:
+        """Adds the shared libraries and the lists that the start reads."""
+        members = []
+        for path in _needed_libraries(self._native_paths):
+            member = f"native/{path.name}"
+            self._write(member, path.read_bytes())
+            members.append(member)
+        self._write("native/libraries.txt", "\n".join(members).encode())
+        modules = (
+            f"{module} {member}"
+            for module, member in sorted(self._member_by_module.items())
+        )
+        self._write("native/modules.txt", "\n".join(modules).encode())
+
+    def add_libpython(self) -> tuple[int, int]:
+        """Adds libpython and returns its offset and size in the file."""
+        content = _stripped(_libpython(), self._scratch)
+        member = "native/libpython.so"
+        self._write(member, content)
+        info = self._file.getinfo(member)
+        header = 30 + len(member)
+        return info.header_offset + header, len(content)
+
+    def _add_tree(self, root: pathlib.Path, directory: pathlib.Path) -> None:
+        for path in sorted(directory.rglob("*.py")):
+            relative = path.relative_to(root)
+            if not _UNUSED & set(relative.parts):
+                self._add_module(path, str(relative))
+
+    def _add_module(self, path: pathlib.Path, name: str) -> None:
+        compiled = self._scratch / "module.pyc"
+        try:
+            py_compile.compile(
+                str(path),
+                str(compiled),
+                dfile=name,
+                doraise=True,
+                invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
+            )
+        except py_compile.PyCompileError:
+            # Templates and examples that are not valid modules.
+            return
+        self._write(f"{name}c", compiled.read_bytes())
+
+    def _add_extension(
+        self, path: pathlib.Path, relative: pathlib.Path, content: bytes
+    ) -> None:
+        module = _MODULE_SUFFIX.sub("", str(relative)).replace("/", ".")
+        member = f"native/modules/{relative}"
+        self._write(member, content)
+        self._member_by_module[module] = member
+        self._native_paths.append(path)
+
+    def _write(self, name: str, content: bytes) -> None:
+        # Stored, not compressed: zlib itself is in the archive.
+        info = zipfile.ZipInfo(name, _FIXED_TIME)
+        self._file.writestr(info, content)
+
+
+def _libpython() -> pathlib.Path:
+    name = sysconfig.get_config_var("LDLIBRARY")
+    directory = sysconfig.get_config_var("LIBDIR")
+    path = pathlib.Path(directory, name)
+    if path.suffix == ".a" or not path.exists():
+        raise SystemExit(
+            f"{path}: the build needs a Python with a shared libpython"
+        )
+    return path.resolve()
+
+
+def _stripped(path: pathlib.Path, scratch: pathlib.Path) -> bytes:
+    """Returns a shared library without debug information.
+
+    Only files of the interpreter: wheels contain libraries whose layout was
+    patched and that strip may damage.
+    """
+    copy = scratch / "stripped"
+    shutil.copyfile(path, copy)
+    if shutil.which("strip"):
+        subprocess.run(["strip", "--strip-debug", str(copy)], check=True)
+    return copy.read_bytes()
+
+
+def _linked(path: pathlib.Path) -> dict[str, pathlib.Path]:
+    """Returns the shared libraries that a file needs, by SONAME."""
+    listing = subprocess.run(
+        ["ldd", str(path)], capture_output=True, text=True, check=True
+    ).stdout
+    pairs = re.findall(r"(\S+) => (/\S+)", listing)
+    return {
+        name: pathlib.Path(target)
+        for name, target in pairs
+        if not _SYSTEM_LIBRARY.fullmatch(name)
+        and not name.startswith("libpython")
+    }
+
+
+def _needed_libraries(
+    roots: Iterable[pathlib.Path],
+) -> list[pathlib.Path]:
+    """Returns all libraries, each after those it needs."""
+    ordered: dict[str, pathlib.Path] = {}
+
+    def visit(path: pathlib.Path) -> None:
+        for name, target in _linked(path).items():
+            if name not in ordered:
+                visit(target)
+                ordered.setdefault(name, target)
+
+    for root in roots:
+        visit(root)
+    return list(ordered.values())
+
+
+def _compile_launcher(target: pathlib.Path) -> None:
+    compiler = shutil.which(os.environ.get("CC", "cc"))
+    if compiler is None:
+        raise SystemExit("the build needs a C compiler (cc, or set CC)")
+    include = sysconfig.get_path("include")
+    subprocess.run(
+        [
+            compiler,
+            "-O2",
+            "-s",
+            "-Wall",
+            "-Wextra",
+            f"-I{include}",
+            str(_HERE / "launcher.c"),
+            "-o",
+            str(target),
+            "-ldl",
+        ],
+        check=True,
+    )
+
+
+def build(target: pathlib.Path) -> None:
+    """Writes the executable file."""
+    target.parent.mkdir(parents=True, exist_ok=True)
+    with tempfile.TemporaryDirectory() as directory:
+        scratch = pathlib.Path(directory)
+        packed = scratch / _NAME
+        _compile_launcher(packed)
+        with zipfile.ZipFile(packed, "a") as file:
+            archive = _Archive(file, scratch)
+            place = archive.add_libpython()
+            archive.add_standard_library()
+            for distribution in _distributions():
+                archive.add_distribution(distribution)
+            archive.add_program()
+            archive.add_native_lists()
+            file.comment = struct.pack("=QQ", *place)
+        packed.chmod(0o755)
+        shutil.move(packed, target)
+    print(f"{target}: {target.stat().st_size / 1e6:.1f} MB")
+
+
+def main() -> int:
+    """Builds the file named on the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("target", type=pathlib.Path)
+    build(parser.parse_args().target)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packing/launcher.c
@@ -0,0 +1,119 @@
+/* Runs the Python program that is appended to this executable.
+ *
+ * The file is this ELF image followed by a ZIP archive. Its comment, the last
+ * 16 bytes, gives the offset and size of libpython, which is loaded from an
+ * anonymous in-memory file. The archive is the only entry of sys.path. The
+ * process neither forks nor executes another image and writes no file.
+ */
+#define _GNU_SOURCE
+#include <Python.h>
+#include <dlfcn.h>
+#include <fcntl.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/mman.h>
+#include <sys/sendfile.h>
+#include <unistd.h>
+
+#define SELF "/proc/self/exe"
+
+static void *libpython;
+
+static void fail(const char *what) {
+    perror(what);
+    exit(1);
+}
+
+static void *symbol(const char *name) {
+    void *address = dlsym(libpython, name);
+    if (address == NULL) {
+        fprintf(stderr, "%s\n", dlerror());
+        exit(1);
+    }
+    return address;
+}
+
+static void load_libpython(void) {
+    uint64_t place[2];
+    int self = open(SELF, O_RDONLY | O_CLOEXEC);
+    if (self < 0) {
+        fail(SELF);
+    }
+    off_t end = lseek(self, -(off_t)sizeof place, SEEK_END);
+    if (end < 0 || read(self, place, sizeof place) != sizeof place) {
+        fail("archive comment");
+    }
+    int image = memfd_create("libpython", MFD_CLOEXEC);
+    if (image < 0) {
+        fail("memfd_create");
+    }
+    off_t offset = (off_t)place[0];
+    uint64_t left = place[1];
+    while (left > 0) {
+        ssize_t copied = sendfile(image, self, &offset, left);
+        if (copied <= 0) {
+            fail("sendfile");
+        }
+        left -= (uint64_t)copied;
+    }
+    close(self);
+    char path[64];
+    snprintf(path, sizeof path, "/proc/self/fd/%d", image);
+    /* Extension modules resolve the Python API from the global scope. */
+    libpython = dlopen(path, RTLD_NOW | RTLD_GLOBAL);
+    if (libpython == NULL) {
+        fprintf(stderr, "%s\n", dlerror());
+        exit(1);
+    }
+}
+
+int main(int argc, char **argv) {
+    load_libpython();
+    __typeof__(&PyPreConfig_InitIsolatedConfig) init_preconfig =
+        symbol("PyPreConfig_InitIsolatedConfig");
+    __typeof__(&Py_PreInitialize) preinitialize = symbol("Py_PreInitialize");
+    __typeof__(&PyConfig_InitIsolatedConfig) init_config =
+        symbol("PyConfig_InitIsolatedConfig");
+    __typeof__(&PyConfig_SetString) set_string = symbol("PyConfig_SetString");
+    __typeof__(&PyConfig_SetBytesArgv) set_argv =
+        symbol("PyConfig_SetBytesArgv");
+    __typeof__(&PyWideStringList_Append) append =
+        symbol("PyWideStringList_Append");
+    __typeof__(&Py_InitializeFromConfig) initialize =
+        symbol("Py_InitializeFromConfig");
+    __typeof__(&PyStatus_Exception) is_exception = symbol("PyStatus_Exception");
+    __typeof__(&Py_ExitStatusException) exit_status =
+        symbol("Py_ExitStatusException");
+    __typeof__(&Py_RunMain) run_main = symbol("Py_RunMain");
+
+    PyPreConfig preconfig;
+    init_preconfig(&preconfig);
+    preconfig.utf8_mode = 1;
+    PyStatus status = preinitialize(&preconfig);
+    if (is_exception(status)) {
+        exit_status(status);
+    }
+
+    PyConfig config;
+    init_config(&config);
+    config.site_import = 0;
+    config.write_bytecode = 0;
+    config.install_signal_handlers = 1;
+    config.parse_argv = 0;
+    config.module_search_paths_set = 1;
+    append(&config.module_search_paths, L"" SELF);
+    set_string(&config, &config.executable, L"" SELF);
+    set_string(&config, &config.prefix, L"" SELF);
+    set_string(&config, &config.exec_prefix, L"" SELF);
+    set_string(&config, &config.stdlib_dir, L"" SELF);
+    set_string(&config, &config.run_filename, L"" SELF);
+    status = set_argv(&config, argc, argv);
+    if (!is_exception(status)) {
+        status = initialize(&config);
+    }
+    if (is_exception(status)) {
+        exit_status(status);
+    }
+    return run_main();
+}
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -12,18 +12,19 @@
 from standins import serving
 
 _FAILURE_DOMAINS = ("fukuoka-a", "fukuoka-b", "kumamoto-a")
-_SERVICES = tuple(f"checker-{number:02}" for number in range(1, 7))
-_TOKEN = "demo-token"
+SERVICES = tuple(f"checker-{number:02}" for number in range(1, 7))
+TOKEN = "demo-token"
 _TIMEOUT_S = 45.0
 # Instances that have just started may not have met each other yet.
 _MAX_QUERIES = 20
 _PAUSE_S = 0.2
 
 
-def _replica_specs() -> list[fleet_lib.ReplicaSpec]:
-    ports = iter(serving.free_ports(2 * len(_SERVICES)))
+def replica_specs() -> list[fleet_lib.ReplicaSpec]:
+    """Returns two replicas of each service in different failure domains."""
+    ports = iter(serving.free_ports(2 * len(SERVICES)))
     specs = []
-    for number, service in enumerate(_SERVICES):
+    for number, service in enumerate(SERVICES):
         for copy in range(2):
             domain = _FAILURE_DOMAINS[(number + copy) % 3]
             specs.append(
@@ -38,12 +39,12 @@
     """Returns the configuration of the demo."""
     values: dict[str, object] = {
         "/operator/fleet": {"classes": ["paying", "standard", "background"]},
-        "/operator/groups/checker": {"services": list(_SERVICES)},
-        "/operator/teams/hunters": fleet_lib.team_document(_TOKEN, "paying"),
+        "/operator/groups/checker": {"services": list(SERVICES)},
+        "/operator/teams/hunters": fleet_lib.team_document(TOKEN, "paying"),
         "/teams/hunters/query": {"default_deadline_ms": 500},
     }
     shards = {}
-    for service in _SERVICES:
+    for service in SERVICES:
         replicas = [spec for spec in specs if spec.service == service]
         values[f"/operator/services/{service}"] = {
             "index": "clues",
@@ -112,12 +113,12 @@
         return False
     key = issued.body["keys"][0]
     print(f"key    {key}")
-    body = {"shard": f"{_SERVICES[0]}-s0", "body": {"solved": 7}}
+    body = {"shard": f"{SERVICES[0]}-s0", "body": {"solved": 7}}
     answers = []
     for instance in (first, last):
         answer = await _post(
             client,
-            f"{instance.url}/v1/submissions/{_SERVICES[0]}",
+            f"{instance.url}/v1/submissions/{SERVICES[0]}",
             {**body, "first_send": not answers},
             key,
         )
@@ -136,7 +137,7 @@
 
 
 async def _run(fleet: fleet_lib.Fleet, started_s: float) -> bool:
-    specs = _replica_specs()
+    specs = replica_specs()
     print("starting stand-ins and 6 instances in 3 failure domains", flush=True)
     await fleet.start_platform()
     await fleet.start_upstreams(specs)
@@ -147,7 +148,7 @@
         starts.append(fleet.start_instance(f"entry-{number}", domain))
     await asyncio.gather(*starts)
     print(f"ready after {time.monotonic() - started_s:.1f} s", flush=True)
-    async with client_lib.Client(_TOKEN) as client:
+    async with client_lib.Client(TOKEN) as client:
         complete = [
             await _query(client, instance)
             for instance in fleet.instances_by_id.values()
