--- a/tests/support/submissions.py
+++ b/tests/support/submissions.py
@@ -9,6 +9,7 @@
 
 from mallowloft import messages
 from mallowloft import peers as peers_lib
+from mallowloft.configuration import acceptance
 from mallowloft.configuration import store as store_lib
 from mallowloft.kernel import clock as clock_lib
 from mallowloft.kernel import lifecycle
@@ -285,7 +286,7 @@
         store = store_lib.Store()
         by_subtree: dict[str, list[messages.Document]] = {}
         for document in documents:
-            subtree = "/".join(document.path.split("/")[:2])
+            subtree = acceptance.subtree_of(document.path)
             by_subtree.setdefault(subtree, []).append(document)
         store.offer(
             messages.ConfigSubtree(name, 1, tuple(group))
