Write infinite values of a state dump as null

Cause: the membership dump holds an infinite age for an instance that was never heard, and JSON has no such value, so /v1/state answered 500.

--- a/src/mallowloft/callers/service.py
+++ b/src/mallowloft/callers/service.py
@@ -8,6 +8,7 @@
 import socket
 from typing import Any
 
+import msgspec
 from starlette import applications
 from starlette import exceptions
 from starlette import requests as http_requests
@@ -609,4 +610,8 @@
 
     async def _state(self, request: http_requests.Request):
         del request
-        return responses.JSONResponse(self._kernel.dump())
+        # msgspec writes infinite values as null, which JSON cannot express.
+        return responses.Response(
+            msgspec.json.encode(self._kernel.dump()),
+            media_type="application/json",
+        )
