--- a/src/mallowloft/configuration/exchange.py
+++ b/src/mallowloft/configuration/exchange.py
@@ -81,7 +81,10 @@
         self._wanted_by_peer.clear()
         self._missing_by_peer.clear()
         rng = self._kernel.rng
-        asked: set[str] = set()
+        # The readers are the first to have a configuration when a whole
+        # fleet starts.
+        readers = self._kernel.plugin("membership").readers()
+        asked = set(readers) - {self._kernel.settings.instance_id}
         for domain in self._view.domains():
             others = self._others(domain)
             own = domain == self._kernel.settings.failure_domain
--- a/src/mallowloft/membership/prober.py
+++ b/src/mallowloft/membership/prober.py
@@ -63,7 +63,10 @@
         Returns:
             Members that were suspected only because the domain was cut off.
         """
-        self._misses_by_domain.pop(failure_domain, None)
+        if self._misses_by_domain:
+            self._misses_by_domain.pop(failure_domain, None)
+        if not self._cut_by_domain:
+            return []
         return sorted(self._cut_by_domain.pop(failure_domain, ()))
 
     def heard_s(self, instance: str) -> float:
@@ -144,14 +147,12 @@
             for name in self._view.live(failure_domain)
             if name != self._own
         ]
-        members = self._view.members_by_id.values()
         self._cut_by_domain.setdefault(failure_domain, set()).update(
             live,
             (
-                member.instance
-                for member in members
-                if member.failure_domain == failure_domain
-                and member.state == view_lib.SUSPECT
+                name
+                for name in self._view.known(failure_domain)
+                if self._view.state_of(name) == view_lib.SUSPECT
             ),
         )
         for instance in live:
@@ -169,7 +170,7 @@
         for instance in self._expected_targets(now_s):
             targets[instance] = None
         for _ in range(_NOT_LIVE_PINGS):
-            following = self._next_of("not_live", self._not_live)
+            following = self._next_of("not_live", self._view.not_live)
             if following is not None:
                 targets[following] = None
         targets.pop(self._own, None)
@@ -177,23 +178,14 @@
 
     def foreign_target(self) -> str | None:
         """Returns a member of another failure domain, domains in turn."""
-        domains = sorted(
-            {
-                member.failure_domain
-                for member in self._view.members_by_id.values()
-            }
-            - {self._own_domain}
-        )
+        domains = sorted({*self._view.known_domains()} - {self._own_domain})
         if not domains:
             return None
         self._foreign_turn += 1
         failure_domain = domains[self._foreign_turn % len(domains)]
-        candidates = self._view.live(failure_domain) or [
-            member.instance
-            for member in self._view.members_by_id.values()
-            if member.failure_domain == failure_domain
-        ]
-        return self._rng.choice(candidates)
+        return self._rng.choice(
+            self._view.live(failure_domain) or self._view.known(failure_domain)
+        )
 
     def forget(self, instance: str) -> None:
         """Drops everything held of a member."""
@@ -210,13 +202,6 @@
     def _own_live(self) -> list[str]:
         return self._view.live(self._own_domain)
 
-    def _not_live(self) -> list[str]:
-        return [
-            member.instance
-            for member in self._view.members_by_id.values()
-            if member.state != view_lib.LIVE
-        ]
-
     def _expected_targets(self, now_s: float) -> list[str]:
         targets = []
         for instance, until_s in list(self._expected_until_s.items()):
--- a/src/mallowloft/membership/service.py
+++ b/src/mallowloft/membership/service.py
@@ -48,6 +48,8 @@
 _MAX_FORMER_INCARNATIONS = 8
 # A timer that fires this late shows a busy loop: answers may be waiting.
 _LATE_TIMER_S = 0.05
+# The pings of one round are sent within this time and judged together.
+_ROUND_JUDGE_S = 0.005
 _PEER_PATTERN = re.compile(r"(?P<id>[^@]+)@(?P<domain>[^=]+)=(?P<address>.+)")
 
 
@@ -77,6 +79,8 @@
         self._unreachable_ready_s = 0.0
         self._first_pings: dict[str, None] = {}
         self._unsettled_until_s: dict[str, float] = {}
+        self._settled_s = 0.0
+        self._round_judged_s = float("-inf")
         self._listed: set[str] = set()
         self._list_state_by_id: dict[str, str] = {}
         self._leaving_by_list: set[str] = set()
@@ -87,8 +91,8 @@
         self._successor_by_id: dict[str, str] = {}
         self._left = False
         self._wakes = 0
-        self._is_reader: bool | None = None
-        self.view.subscribe(self._forget_reader)
+        self._readers: list[str] | None = None
+        self.view.subscribe(self._forget_readers)
 
     async def start(self) -> None:
         """Adds this instance and configured peers, then follows the list."""
@@ -145,16 +149,14 @@
 
     def ready(self) -> bool:
         """Whether the members have been heard or given up."""
-        if self._own not in self.view.live():
+        if self.view.state_of(self._own) != view_lib.LIVE:
             return False
         now_s = self._now()
         if now_s >= self._unreachable_ready_s:
             return True
         if not self._validated or self._first_pings:
             return False
-        return all(
-            until_s <= now_s for until_s in self._unsettled_until_s.values()
-        )
+        return not self._unsettled_until_s or now_s >= self._settled_s
 
     def dump(self) -> dict[str, Any]:
         """Returns the members and since when they are in their state."""
@@ -199,6 +201,9 @@
             self._take_incarnation(member, incarnation)
         elif member.state in (view_lib.LISTED, view_lib.SUSPECT):
             self._set_state(instance, view_lib.LIVE)
+        if member.state == view_lib.LISTED:
+            # Of two instances that start together one ping is enough.
+            self._first_pings.pop(instance, None)
 
     def successor_of(self, instance: str) -> str:
         """Returns who took over the ledger of a leaving instance, or ""."""
@@ -241,13 +246,31 @@
         self.view.remove(instance)
         _log.info("member_forgotten", member=instance)
 
-    def _set_state(self, instance: str, state: str) -> None:
-        before = self.view.state_of(instance)
-        if before in (None, state):
+    def _set_state(
+        self, instance: str, state: str, incarnation: int | None = None
+    ) -> None:
+        member = self.view.members_by_id.get(instance)
+        if member is None:
+            return
+        before = member.state
+        if incarnation is None:
+            incarnation = member.incarnation
+        self.view.put(
+            view_lib.Member(
+                instance,
+                member.failure_domain,
+                member.address,
+                incarnation,
+                state,
+            )
+        )
+        if before == state:
             return
         self._since_s[instance] = self._now()
         self._reconnected.discard(instance)
-        self.view.set_state(instance, state)
+        if before == view_lib.LISTED:
+            # Every instance of the fleet passes here at each start.
+            return
         self._kernel.metrics.count("member_transitions", state=state)
         _log.info("member_state", member=instance, before=before, state=state)
 
@@ -271,9 +294,7 @@
             del former[:-_MAX_FORMER_INCARNATIONS]
             self._leaving_by_list.discard(member.instance)
             _log.info("member_restarted", member=member.instance)
-        with self.view.batch():
-            self.view.put(dataclasses.replace(member, incarnation=incarnation))
-            self._set_state(member.instance, state)
+        self._set_state(member.instance, state, incarnation)
 
     def _learn(self, sender: peers_lib.Sender, failure_domain: str) -> None:
         """Takes a sender that is unknown or has moved to another address."""
@@ -303,7 +324,7 @@
             messages.Ping(self._sequence, now_s, self._digest(), self._domain),
         )
         if self._prober.pinged(instance, now_s):
-            self._judge_after(prober_lib.SILENCE_S)
+            self._judge_round(now_s + prober_lib.SILENCE_S)
 
     def _on_ping(self, sender: peers_lib.Sender, ping: messages.Ping) -> None:
         self._learn(sender, ping.failure_domain)
@@ -441,9 +462,8 @@
         self._tick_count += 1
         for instance in list(self._first_pings)[:_FIRST_PINGS_PER_TICK]:
             del self._first_pings[instance]
-            self._unsettled_until_s[instance] = (
-                self._now() + prober_lib.SILENCE_S
-            )
+            self._settled_s = self._now() + prober_lib.SILENCE_S
+            self._unsettled_until_s[instance] = self._settled_s
         # A message to a peer whose connection is not open yet is lost, hence
         # first pings are repeated until they are answered.
         for instance in self._unsettled():
@@ -466,6 +486,13 @@
                 del self._unsettled_until_s[instance]
         return list(self._unsettled_until_s)[: 2 * _FIRST_PINGS_PER_TICK]
 
+    def _judge_round(self, due_s: float) -> None:
+        """Schedules one judgement for all pings of a round."""
+        if due_s > self._round_judged_s:
+            delay_s = due_s - self._now() + _ROUND_JUDGE_S
+            self._round_judged_s = due_s + _ROUND_JUDGE_S
+            self._judge_after(delay_s)
+
     def _judge_after(self, delay_s: float) -> None:
         asyncio.get_running_loop().call_later(
             delay_s, self._judge, self._now() + delay_s, False
@@ -529,9 +556,8 @@
         domain = self._kernel.rng.choice(domains)
         receiver = self._kernel.rng.choice(self.view.live(domain))
         own = [
-            member
-            for member in self.view.members_by_id.values()
-            if member.failure_domain == self._domain
+            self.view.members_by_id[name]
+            for name in self.view.known(self._domain)
         ]
         live = [item for item in own if item.state == view_lib.LIVE]
         others = [
@@ -584,14 +610,18 @@
 
     def is_reader(self) -> bool:
         """Whether this instance reads the platform for its domain."""
-        if self._is_reader is None:
+        return self._own in self.readers()
+
+    def readers(self) -> list[str]:
+        """Returns the instances that read the platform for this domain."""
+        if self._readers is None:
             live = self.view.live(self._domain)
-            readers = rendezvous.ranked(live, f"readers/{self._domain}")
-            self._is_reader = self._own in readers[:READERS]
-        return self._is_reader
+            ranked = rendezvous.ranked(live, f"readers/{self._domain}")
+            self._readers = ranked[:READERS]
+        return self._readers
 
-    def _forget_reader(self) -> None:
-        self._is_reader = None
+    def _forget_readers(self) -> None:
+        self._readers = None
 
     def _alone(self) -> bool:
         return len(self.view.live()) <= 1
@@ -604,7 +634,9 @@
         while True:
             if not self._reads_list() or await self._read_list():
                 backoff_s = _LIST_BACKOFF_S
-                await asyncio.sleep(self._list_interval_s())
+                await asyncio.sleep(_LIST_INTERVAL_S)
+                if self._alone():
+                    await asyncio.sleep(self._alone_interval_s())
                 continue
             await asyncio.sleep(backoff_s * self._kernel.rng.uniform(0.5, 1.5))
             backoff_s = min(2 * backoff_s, _LIST_BACKOFF_MAX_S)
@@ -630,11 +662,10 @@
         self._validated |= wakes == self._wakes
         return True
 
-    def _list_interval_s(self) -> float:
-        if not self._alone():
-            return _LIST_INTERVAL_S
+    def _alone_interval_s(self) -> float:
+        """Returns what keeps a fleet without contact under the rate."""
         known = len(self.view.members_by_id)
-        return max(_LIST_INTERVAL_S, known / _LIST_READS_PER_S)
+        return self._kernel.rng.uniform(0.0, 2 * known / _LIST_READS_PER_S)
 
     def _take_list(self, items: Iterable[platform_lib.ListedInstance]) -> None:
         items_by_id = {item.id: item for item in items}
@@ -644,8 +675,12 @@
         self._list_read = True
         self._listed = set(items_by_id)
         changed = set()
+        # In the list's order, all instances of a starting fleet would ping
+        # the same ones at the same time.
+        shuffled = list(items_by_id.values())
+        self._kernel.rng.shuffle(shuffled)
         with self.view.batch():
-            for item in items_by_id.values():
+            for item in shuffled:
                 if self._take_listed(item):
                     changed.add(item.id)
         if not first and (added or removed or changed):
--- a/src/mallowloft/membership/view.py
+++ b/src/mallowloft/membership/view.py
@@ -38,6 +38,8 @@
         self.members_by_id: dict[str, Member] = {}
         self._listeners: list[Callable[[], None]] = []
         self._live_by_domain: dict[str, dict[str, None]] = {}
+        self._known_by_domain: dict[str, dict[str, None]] = {}
+        self._not_live: dict[str, None] = {}
         # Weight and instance of the chosen dispatcher, by replica by domain.
         self._chosen_by_domain: dict[
             str, dict[str, tuple[int, str] | None]
@@ -55,6 +57,7 @@
         if held == member:
             return
         self.members_by_id[member.instance] = member
+        self._index(held, member)
         self._set_live(held, member)
         self._changed()
 
@@ -62,6 +65,7 @@
         """Removes a member."""
         held = self.members_by_id.pop(instance, None)
         if held is not None:
+            self._index(held, None)
             self._set_live(held, None)
             self._changed()
 
@@ -81,6 +85,18 @@
         member = self.members_by_id.get(instance)
         return member.failure_domain if member is not None else None
 
+    def known(self, failure_domain: str) -> list[str]:
+        """Returns all members of a failure domain, in whatever state."""
+        return list(self._known_by_domain.get(failure_domain, ()))
+
+    def known_domains(self) -> list[str]:
+        """Returns the failure domains that have a member in any state."""
+        return [name for name, known in self._known_by_domain.items() if known]
+
+    def not_live(self) -> list[str]:
+        """Returns the members that are not live."""
+        return list(self._not_live)
+
     def domains(self) -> list[str]:
         """Returns the failure domains that have a live member."""
         return [name for name, live in self._live_by_domain.items() if live]
@@ -129,6 +145,16 @@
                 self._batch_changed = False
                 self._notify()
 
+    def _index(self, before: Member | None, after: Member | None) -> None:
+        if before is not None:
+            del self._known_by_domain[before.failure_domain][before.instance]
+            self._not_live.pop(before.instance, None)
+        if after is not None:
+            known = self._known_by_domain.setdefault(after.failure_domain, {})
+            known[after.instance] = None
+            if after.state != LIVE:
+                self._not_live[after.instance] = None
+
     def _set_live(self, before: Member | None, after: Member | None) -> None:
         was = before.failure_domain if before and before.state == LIVE else None
         now = after.failure_domain if after and after.state == LIVE else None
