--- a/src/mallowloft/submissions/running.py
+++ b/src/mallowloft/submissions/running.py
@@ -33,6 +33,8 @@
 # A replica whose call ended without a known outcome is used only if there is
 # no other for this long: each further call could cost one more "unknown".
 AVOID_S = 5.0
+# The same holds for a replica that has not answered a call for this long.
+SLOW_CALL_S = 0.3
 RETRY_AFTER_MS = 100.0
 # Timers fire slightly early; shorter waits would only spin.
 MIN_WAIT_S = 0.001
@@ -72,6 +74,7 @@
         self.work = work
         self.reservations_by_attempt: dict[int, _Reservation] = {}
         self.sent_attempt: int | None = None
+        self.sent_s = 0.0
         self.changed = asyncio.Event()
         self.tries = 0
         self.next_try_s = 0.0
@@ -140,11 +143,7 @@
                 if run.record.state is ledger_lib.State.RESERVED:
                     wait_s = self._reserve(run)
                 else:
-                    wait_s = self._sent_end_s(run) - self._kernel.clock.now()
-                    wait_s = max(MIN_WAIT_S, wait_s)
-                    if self._sent_end_s(run) <= self._kernel.clock.now():
-                        reason = "the dispatcher's answer is missing"
-                        self._settle(run, ledger_lib.State.UNKNOWN, reason)
+                    wait_s = self._await_outcome(run)
                 if run.record.running:
                     await self._wait(run, wait_s)
         finally:
@@ -157,8 +156,19 @@
         except TimeoutError:
             pass
 
-    def _sent_end_s(self, run: _Run) -> float:
-        return run.work.end_s + EXTRA_RUN_S + OUTCOME_MARGIN_S
+    def _await_outcome(self, run: _Run) -> float:
+        """Returns how long to wait for the outcome of a sent run."""
+        now_s = self._kernel.clock.now()
+        end_s = run.work.end_s + EXTRA_RUN_S + OUTCOME_MARGIN_S
+        if now_s >= end_s:
+            reason = "the dispatcher's answer is missing"
+            self._settle(run, ledger_lib.State.UNKNOWN, reason)
+            return 0.0
+        slow_s = run.sent_s + SLOW_CALL_S
+        if now_s >= slow_s:
+            self._avoid(run)
+            return max(MIN_WAIT_S, end_s - now_s)
+        return max(MIN_WAIT_S, min(slow_s, end_s) - now_s)
 
     def _reserve(self, run: _Run) -> float:
         """Reserves where it is due and returns how long to wait then."""
@@ -285,6 +295,7 @@
         self._ledger.move(run.record, ledger_lib.State.SENT)
         reservation.incarnation = sender.incarnation
         run.sent_attempt = message.attempt
+        run.sent_s = self._kernel.clock.now()
         go = messages.SlotGo(
             attempt=message.attempt,
             ticket=message.ticket,
