Judge replicas by their calls and stop work to leaving ones

Change, health: outcomes of calls decide. An ejected replica still gets one call at a time, because the dispatcher does not know whether the shard has another replica. The floor of half per shard belongs to the entry. It learns the state by queue_delay_ms, which includes the time to avoid the replica and its excess over its usual service time, and by retry_after_ms of failed attempts. Time-outs of short deadlines and pauses of this process do not count.

Change, leaving: list, configuration, health endpoint or the replica's own reply, the first one counts. Queued work is answered DRAINING. A health endpoint that never admitted draining cannot end it.

Change, preemption: also next to a call of the same class, but not of a call aged 0.75 to 3 mean service times, which will end soon.

Change, direct mode: every instance calls replicas itself (dispatch/ direct.py). dispatch.receiver_for is the one place that says where work for a replica goes; GatherService.send uses it.

Fakes: service times may depend on the request; a cancelled test run no longer starts new tasks.

--- a/src/mallowloft/dispatch/limits.py
+++ b/src/mallowloft/dispatch/limits.py
@@ -23,8 +23,9 @@
         """The limit, at least 1."""
         return self._value
 
-    def on_success(self) -> None:
+    def on_success(self, took_s: float, now_s: float) -> None:
         """Raises the limit a little."""
+        del took_s, now_s
         raised = self._value + _INCREASE / self._value
         self._value = min(self.maximum, raised)
 
--- a/src/mallowloft/dispatch/replica.py
+++ b/src/mallowloft/dispatch/replica.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import dataclasses
 import itertools
 from typing import Any
 
 from mallowloft import messages
 from mallowloft.configuration import model
+from mallowloft.dispatch import health as health_lib
 from mallowloft.dispatch import limits
 from mallowloft.dispatch import queue as queue_lib
 from mallowloft.dispatch import reservations as reservations_lib
@@ -32,9 +34,22 @@
 # Preemptions per start and how many may come in a row.
 _PREEMPTION_SHARE = 0.25
 _PREEMPTION_BURST = 20
+# A call of this age, relative to the mean service time, is not preempted: it
+# will end within about half a service time, and its work would be lost. A call
+# that is older is of a long kind and tells nothing of its end.
+_SPARED_FROM = 0.75
+_SPARED_TO = 3.0
 _SHED_ATTEMPTS = 3
 _SHED_BACKOFF_MIN_S = 0.001
 _MIN_NOTICE_S = 0.002
+_PROBE_S = 1.0
+_PROBE_UNHEALTHY_S = 0.25
+# Versions that a reply has denied are not taken from the health endpoint for
+# this long, because the endpoint may lag.
+_DENIAL_S = 2.0
+# A call that ends at its deadline after less than this many mean service
+# times had a short deadline; that is no fault of the replica.
+_TIMEOUT_FACTOR = 4.0
 
 _OUTCOMES = {
     protocol.CallOutcome.OK: messages.Outcome.OK,
@@ -44,6 +59,8 @@
     protocol.CallOutcome.UNSENT: messages.Outcome.UNREACHABLE,
     protocol.CallOutcome.FAILED: messages.Outcome.FAILED,
 }
+# Reasons of FAILED that mean that the deadline passed.
+_TIMEOUTS = frozenset({"timeout", "TimeoutError", "SocketTimeoutError"})
 # WRONG_VERSION cannot answer a submission; nothing says that it did not run.
 _SLOT_STATES = {
     protocol.CallOutcome.OK: messages.SlotState.DONE,
@@ -106,6 +123,7 @@
         max_connections: int,
         reservations: reservations_lib.Reservations,
         queries: dict[Key, "ReplicaDispatcher"],
+        on_leaving: Callable[[str, bool], None],
     ) -> None:
         """Creates the dispatcher without opening connections.
 
@@ -117,6 +135,8 @@
             reservations: Reservations of all replicas of this instance.
             queries: Dispatcher of each query that waits or runs, shared by
                 all dispatchers of this instance.
+            on_leaving: Called with the replica id when it says that it
+                drains; the flag tells a reply from a health answer.
         """
         self.replica = replica
         self._kernel = kernel
@@ -124,12 +144,13 @@
         self._max_connections = max_connections
         self._reservations = reservations
         self._queries = queries
+        self._on_leaving = on_leaving
         self._queue = queue_lib.PriorityQueue(_QUEUE_LIMIT)
         self._calls_by_key: dict[Key, _Call] = {}
         self._held: dict[Key, asyncio.TimerHandle] = {}
         self._tasks: set[asyncio.Task] = set()
         self._call_numbers = itertools.count(1)
-        self._limit = limits.AimdLimit(_window(replica, max_connections))
+        self._limit = self._new_limit()
         self._preemptions = limits.TokenBudget(
             _PREEMPTION_SHARE, _PREEMPTION_BURST
         )
@@ -143,6 +164,13 @@
         self._pumping = False
         self._ticking = False
         self._used_s = kernel.clock.now()
+        self._health = health_lib.ReplicaHealth(self._used_s)
+        self._leaving = False
+        # Time of the last reply, or of the first call since all was quiet.
+        self._progress_s = self._used_s
+        self._denied_s = -_DENIAL_S
+        self.health_state = ""
+        self._probe_task: asyncio.Task | None = None
 
     @property
     def idle_s(self) -> float:
@@ -210,13 +238,49 @@
     def reconfigure(self, replica: model.Replica) -> None:
         """Takes a changed number of slots."""
         self.replica = replica
-        self._limit = limits.AimdLimit(_window(replica, self._max_connections))
+        self._limit = self._new_limit()
         self._use = limits.SlotUse(replica.slots)
         self._pump()
 
+    def leave(self) -> None:
+        """Gives no new work to the replica; calls in flight go on."""
+        if self._leaving:
+            return
+        self._leaving = True
+        for item in self._queue.take_all():
+            self._refuse(item, messages.Outcome.DRAINING)
+
+    def rejoin(self) -> None:
+        """Gives work to a replica that is back, slowly at first."""
+        if self._leaving:
+            self._leaving = False
+            self.start_cold()
+
+    def start_cold(self) -> None:
+        """Ramps up a replica that has just started."""
+        self._health.start_cold(self._kernel.clock.now())
+
+    def on_wake(self) -> None:
+        """Forgets what a pause of this process says of the replica."""
+        self._progress_s = self._kernel.clock.now()
+
+    def start_probes(self) -> None:
+        """Starts to read the health endpoint."""
+        if self._probe_task is None:
+            self._probe_task = asyncio.create_task(self._probe())
+
     def queue_delay_ms(self, rank: int) -> float:
-        """Returns the expected wait of a new item of a class."""
-        return self._expected_wait_s(rank, float("inf")) * 1000
+        """Returns the expected wait of a new item of a class.
+
+        It includes the time for which a replica at fault is better avoided
+        and by how much it is slower than usual, because entries choose by
+        this figure. The choice among replicas stays theirs: only they know
+        the other replicas of a shard and can keep the floor of half.
+        """
+        now_s = self._kernel.clock.now()
+        wait_s = self._expected_wait_s(rank, float("inf"))
+        wait_s += self._health.avoid_s(now_s) + self._health.excess_s(now_s)
+        return wait_s * 1000
 
     async def warm(self) -> None:
         """Opens connections before they are needed."""
@@ -231,6 +295,8 @@
             await asyncio.sleep(_POLL_S)
         for key in list(self._held):
             self.abandon(key, "stopping")
+        if self._probe_task is not None:
+            self._probe_task.cancel()
         await self._upstream.close()
 
     def dump(self) -> dict[str, Any]:
@@ -240,10 +306,15 @@
             "running": len(self._calls_by_key),
             "held": len(self._held),
             "limit": self._limit.value,
+            "state": self._health.update(self._kernel.clock.now()).value,
+            "leaving": self._leaving,
             "versions": self._versions,
             "service_ms": self._use.service_s * 1000,
         }
 
+    def _new_limit(self) -> limits.AimdLimit:
+        return limits.AimdLimit(_window(self.replica, self._max_connections))
+
     def _busy(self) -> bool:
         return bool(len(self._queue) or self._calls_by_key or self._held)
 
@@ -268,6 +339,12 @@
     # Admission.
 
     def _push(self, item: queue_lib.Item) -> None:
+        if self._leaving:
+            self._refuse(item, messages.Outcome.DRAINING)
+            return
+        if self._refused_by_stall():
+            self._refuse(item, messages.Outcome.UNREACHABLE)
+            return
         if self._cannot_start(item):
             self._refuse(item, messages.Outcome.REFUSED)
         else:
@@ -301,13 +378,21 @@
         wait_s = self._expected_wait_s(item.rank, item.deadline_s)
         return now_s + wait_s * _WAIT_CERTAINTY >= item.deadline_s
 
+    def _refused_by_stall(self) -> bool:
+        """Whether the replica hangs and no trial call is due."""
+        if self._health.state is not health_lib.State.STALLED:
+            return False
+        return bool(self._calls_by_key) or not self._health.take_trial(
+            self._kernel.clock.now()
+        )
+
     def _expected_wait_s(self, rank: int, deadline_s: float) -> float:
         ahead = self._queue.ahead_of(rank, deadline_s) + len(self._held)
         ahead += sum(
             not call.cancelled and (call.rank <= rank or call.begun_s is None)
             for call in self._calls_by_key.values()
         )
-        slots = min(self.replica.slots, int(self._limit.value))
+        slots = min(self.replica.slots, self._allowed())
         before = max(0, ahead - slots + 1)
         share = self._use.share_left(rank, self._kernel.clock.now())
         return before * self._use.service_s / (slots * share)
@@ -319,6 +404,9 @@
             "dispatch_refused", rank=str(item.rank), outcome=outcome.value
         )
         retry_after_ms = self.queue_delay_ms(item.rank)
+        if outcome is messages.Outcome.DRAINING:
+            # Another replica can take it at once.
+            retry_after_ms = 0.0
         if item.key.kind == reservations_lib.SLOT:
             self._end_reservation(
                 item.key,
@@ -398,7 +486,12 @@
             and self._slots_used() >= self.replica.slots
         ):
             return False
-        return self._in_flight() < int(self._limit.value)
+        return self._in_flight() < self._allowed()
+
+    def _allowed(self) -> int:
+        """Returns how many calls may be in flight now."""
+        share = self._health.allowance(self._kernel.clock.now())
+        return max(1, int(self._limit.value * share))
 
     def _recall_below(self, rank: int) -> None:
         """Takes back lower-class calls that wait at the replica.
@@ -420,10 +513,13 @@
         """Cancels a running lower-class query for a waiting higher class."""
         if not self._kernel.settings.preemption or self._held:
             return
-        begun = self._begun()
-        if not begun or any(call.rank <= rank for call in begun):
-            return
-        victims = [call for call in begun if not call.reserved]
+        victims = [
+            call
+            for call in self._begun()
+            if call.rank > rank
+            and not call.reserved
+            and not self._ends_soon(call)
+        ]
         unconfirmed = sum(
             call.cancelled for call in self._calls_by_key.values()
         )
@@ -438,6 +534,12 @@
         victim.requeue = True
         self._cancel_call(victim)
 
+    def _ends_soon(self, call: _Call) -> bool:
+        """Whether waiting for a running call beats repeating its work."""
+        age_s = self._kernel.clock.now() - call.begun_s
+        service_s = self._use.service_s
+        return _SPARED_FROM * service_s <= age_s <= _SPARED_TO * service_s
+
     def _cancel_call(self, call: _Call) -> None:
         """Asks the replica to drop a call; its own reply confirms the end.
 
@@ -469,6 +571,8 @@
     ) -> _Call:
         number = next(self._call_numbers)
         now_s = self._kernel.clock.now()
+        if not self._calls_by_key:
+            self._progress_s = now_s
         free = self._slots_used() < self.replica.slots
         call = _Call(
             # The number keeps a late cancellation from a repeated call.
@@ -533,10 +637,93 @@
         self._begin_next()
         if reply.outcome is protocol.CallOutcome.OK:
             self._use.record(call.rank, now_s - begun_s, now_s)
-            self._limit.on_success()
+            self._limit.on_success(now_s - call.sent_s, now_s)
         if reply.outcome is protocol.CallOutcome.SHED:
             self._on_shed(now_s)
-        self._versions = reply.versions or self._versions
+        if reply.outcome is protocol.CallOutcome.DRAINING:
+            self._on_leaving(self.replica.id, True)
+        self._judge(call, reply, now_s - begun_s)
+        self._take_versions(reply)
+
+    def _judge(
+        self, call: _Call, reply: protocol.CallReply, took_s: float
+    ) -> None:
+        """Takes an outcome into the replica's health."""
+        now_s = self._kernel.clock.now()
+        before = self._health.state
+        if reply.outcome is protocol.CallOutcome.OK:
+            self._health.on_ok(took_s, now_s)
+        failed = reply.outcome in (
+            protocol.CallOutcome.FAILED,
+            protocol.CallOutcome.UNSENT,
+        )
+        if failed and not call.cancelled and not self._was_short(reply, took_s):
+            self._health.on_error(now_s)
+        answered = reply.reason not in _TIMEOUTS
+        if answered and not call.cancelled:
+            self._progress_s = now_s
+        if self._health.state is not before:
+            self._note_state()
+
+    def _was_short(self, reply: protocol.CallReply, took_s: float) -> bool:
+        limit_s = _TIMEOUT_FACTOR * self._use.service_s
+        return reply.reason in _TIMEOUTS and took_s < limit_s
+
+    def _note_state(self) -> None:
+        state = self._health.state.value
+        self._kernel.metrics.count("replica_states", state=state)
+        _log.warning(
+            "replica_state",
+            replica=self.replica.id,
+            state=state,
+            avoid_s=round(self._health.avoid_s(self._kernel.clock.now()), 3),
+        )
+
+    def _take_versions(self, reply: protocol.CallReply) -> None:
+        """Keeps what the replica's own answers say of its versions."""
+        if reply.outcome is protocol.CallOutcome.WRONG_VERSION:
+            self._denied_s = self._kernel.clock.now()
+            self._versions = reply.versions or self._versions
+        served = reply.index_version
+        if served and served not in self._versions:
+            self._versions = (*self._versions, served)
+
+    # Stalls and probes.
+
+    def _check_stall(self) -> None:
+        """Gives waiting work back when nothing in flight is answered."""
+        now_s = self._kernel.clock.now()
+        if not self._calls_by_key:
+            return
+        silent_s = now_s - self._progress_s
+        if silent_s < self._health.stall_after_s():
+            return
+        if self._health.state is not health_lib.State.STALLED:
+            self._health.on_stall(now_s)
+            self._note_state()
+        for item in self._queue.take_all():
+            self._refuse(item, messages.Outcome.UNREACHABLE)
+
+    async def _probe(self) -> None:
+        while True:
+            state = self._health.update(self._kernel.clock.now())
+            healthy = state is health_lib.State.HEALTHY
+            await asyncio.sleep(_PROBE_S if healthy else _PROBE_UNHEALTHY_S)
+            try:
+                health = await self._upstream.health()
+            except Exception:  # noqa: BLE001
+                _log.exception("upstream_probe_failed", replica=self.replica.id)
+                continue
+            if health is not None:
+                self._take_health(health)
+
+    def _take_health(self, health: protocol.Health) -> None:
+        now_s = self._kernel.clock.now()
+        self._health.on_probe_answered(now_s)
+        self.health_state = health.state
+        self._on_leaving(self.replica.id, False)
+        if health.versions and now_s - self._denied_s >= _DENIAL_S:
+            self._versions = health.versions
 
     def _on_shed(self, now_s: float) -> None:
         self._kernel.metrics.count("upstream_shed")
@@ -564,6 +751,9 @@
                 self._requeue(item)
                 return
         self._sheds_by_key.pop(item.key, None)
+        if reply.outcome is protocol.CallOutcome.FAILED:
+            avoid_ms = self._health.avoid_s(now_s) * 1000
+            reply = dataclasses.replace(reply, retry_after_ms=avoid_ms)
         service_ms = (now_s - (call.begun_s or call.sent_s)) * 1000
         self._answer(item, reply, _OUTCOMES[reply.outcome], service_ms)
 
@@ -574,7 +764,9 @@
             )
 
     def _requeue(self, item: queue_lib.Item) -> None:
-        if item.deadline_s <= self._kernel.clock.now():
+        if self._leaving:
+            self._refuse(item, messages.Outcome.DRAINING)
+        elif item.deadline_s <= self._kernel.clock.now():
             self._refuse(item, messages.Outcome.EXPIRED)
         else:
             self._enqueue(item)
@@ -688,6 +880,9 @@
 
     def _tick(self) -> None:
         self._ticking = False
+        # After a pause of this process the silence says nothing.
+        self._kernel.pauses.check()
+        self._check_stall()
         self._notice_waiting()
         self._pump()
         self._tick_while_busy()
--- a/src/mallowloft/dispatch/service.py
+++ b/src/mallowloft/dispatch/service.py
@@ -1,18 +1,20 @@
 """Plug-in that dispatches work to the replicas of this instance."""
 
 import asyncio
+from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import Any
 
 from mallowloft import messages
 from mallowloft import peers as peers_lib
 from mallowloft.configuration import model as config_model
+from mallowloft.dispatch import direct
+from mallowloft.dispatch import leaving as leaving_lib
 from mallowloft.dispatch import replica as replica_lib
 from mallowloft.dispatch import reservations as reservations_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
-from mallowloft.membership import view as view_lib
 
 _log = logs.get("dispatch")
 
@@ -43,6 +45,27 @@
     )
 
 
+class _OwnedReplicas:
+    """One instance dispatches for a replica."""
+
+    dispatcher_class = replica_lib.ReplicaDispatcher
+
+    def __init__(self, kernel: lifecycle.Kernel) -> None:
+        self._kernel = kernel
+
+    def receiver_for(self, replica: config_model.Replica) -> str | None:
+        """Returns the replica's dispatcher in the current view."""
+        view = self._kernel.plugin("membership").view
+        return view.dispatcher_for(replica.id, replica.failure_domain)
+
+    def max_connections(self, replica: config_model.Replica) -> int:
+        """Returns the share of the connection limit of one dispatcher."""
+        return replica.connections // _CONNECTION_DIVISOR
+
+
+_MODES = {"dispatcher": _OwnedReplicas, "direct": direct.DirectCalls}
+
+
 @registry.plugins.register("dispatch")
 class DispatchService:
     """Queues of the replicas for which this instance dispatches."""
@@ -51,6 +74,7 @@
 
     def __init__(self, kernel: lifecycle.Kernel) -> None:
         self._kernel = kernel
+        self._mode = _MODES[kernel.settings.dispatch](kernel)
         self._dispatchers_by_replica: dict[
             str, replica_lib.ReplicaDispatcher
         ] = {}
@@ -61,6 +85,8 @@
             kernel.rng.getrandbits(32) + 1
         )
         self._owned: set[str] = set()
+        self._known_replicas: frozenset[str] = frozenset()
+        self._leaving = leaving_lib.LeavingReplicas()
         self._changed = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
         self._loops: list[asyncio.Task] = []
@@ -73,6 +99,7 @@
         peers.on(messages.SlotReserve, self._on_reserve)
         peers.on(messages.SlotGo, self._on_go)
         peers.on(messages.SlotRelease, self._on_release)
+        peers.on(messages.UpstreamLeaving, self._on_peer_leaving)
         self._kernel.pauses.subscribe(self._on_wake)
         self._kernel.plugin("membership").view.subscribe(self._changed.set)
         self._kernel.plugin("configuration").store.subscribe(
@@ -82,6 +109,7 @@
         self._loops = [
             asyncio.create_task(self._follow_changes()),
             asyncio.create_task(self._release_unowned()),
+            asyncio.create_task(self._repeat_leaving()),
         ]
 
     async def stop(self, grace_s: float) -> None:
@@ -105,6 +133,7 @@
         """Returns the state of each replica's dispatcher."""
         return {
             "owned": sorted(self._owned),
+            "leaving": self._leaving.dump(),
             "reservations": self._reservations.dump(),
             "replicas": {
                 replica: dispatcher.dump()
@@ -112,6 +141,119 @@
             },
         }
 
+    def receiver_for(self, replica_id: str) -> str | None:
+        """Returns the instance that takes work for a replica."""
+        store = self._kernel.plugin("configuration").store
+        replica = store.current.replicas_by_id.get(replica_id)
+        if replica is None:
+            return None
+        return self._mode.receiver_for(replica)
+
+    def is_leaving(self, replica_id: str) -> bool:
+        """Whether a replica must get no new work."""
+        return self._leaving.is_leaving(replica_id, self._kernel.clock.now())
+
+    def note_listed(self, states_by_replica: Mapping[str, str]) -> None:
+        """Takes the states of upstreams in the platform's list."""
+        self._follow_signal(
+            {
+                replica: state in leaving_lib.LEAVING_STATES
+                for replica, state in states_by_replica.items()
+            },
+            leaving_lib.Signal.LIST,
+        )
+
+    def _follow_configuration(
+        self, replicas: Mapping[str, config_model.Replica]
+    ) -> None:
+        self._follow_signal(
+            {replica.id: replica.leaving for replica in replicas.values()},
+            leaving_lib.Signal.CONFIGURATION,
+        )
+
+    def _follow_signal(
+        self, leaving_by_replica: Mapping[str, bool], signal: leaving_lib.Signal
+    ) -> None:
+        now_s = self._kernel.clock.now()
+        new = self._leaving.follow(leaving_by_replica, signal, now_s)
+        for replica_id in new:
+            self._begin_leaving(replica_id, signal)
+
+    def _on_own_leaving(self, replica_id: str, by_reply: bool) -> None:
+        """Takes a replica's own answers, of calls or of the health endpoint."""
+        now_s = self._kernel.clock.now()
+        dispatcher = self._dispatchers_by_replica.get(replica_id)
+        signal = leaving_lib.Signal.HEALTH
+        if by_reply:
+            signal = leaving_lib.Signal.REPLY
+        elif dispatcher is None:
+            return
+        elif dispatcher.health_state not in leaving_lib.LEAVING_STATES:
+            self._leaving.end_health(replica_id)
+            return
+        if self._leaving.note(replica_id, signal, now_s):
+            self._begin_leaving(replica_id, signal)
+
+    def _on_peer_leaving(
+        self, sender: peers_lib.Sender, message: messages.UpstreamLeaving
+    ) -> None:
+        del sender
+        now_s = self._kernel.clock.now()
+        signal = leaving_lib.Signal.PEER
+        for replica_id in message.replicas:
+            if self._leaving.note(replica_id, signal, now_s):
+                self._begin_leaving(replica_id, signal)
+
+    def _begin_leaving(
+        self, replica_id: str, signal: leaving_lib.Signal
+    ) -> None:
+        _log.info("upstream_leaving", replica=replica_id, signal=signal.value)
+        self._kernel.metrics.count("upstreams_leaving", signal=signal.value)
+        dispatcher = self._dispatchers_by_replica.get(replica_id)
+        if dispatcher is not None:
+            dispatcher.leave()
+        # What the owner has told everyone need not be told to the owner.
+        if signal is not leaving_lib.Signal.PEER or replica_id in self._owned:
+            self._spread_leaving([replica_id])
+
+    def _spread_leaving(self, replica_ids: Iterable[str]) -> None:
+        """Tells all live peers, or the owner, which then tells all.
+
+        Without this division every instance that reads the platform's list
+        would tell every other one.
+        """
+        view = self._kernel.plugin("membership").view
+        own_id = self._kernel.settings.instance_id
+        replicas = self._kernel.plugin("configuration").store.current
+        replicas_by_peer: dict[str, list[str]] = {}
+        for replica_id in replica_ids:
+            replica = replicas.replicas_by_id.get(replica_id)
+            if replica is None:
+                continue
+            owner = view.dispatcher_for(replica_id, replica.failure_domain)
+            receivers = view.live() if owner == own_id else [owner]
+            for peer in receivers:
+                if peer not in (None, own_id):
+                    replicas_by_peer.setdefault(peer, []).append(replica_id)
+        for peer, leaving in replicas_by_peer.items():
+            message = messages.UpstreamLeaving(tuple(leaving))
+            self._kernel.plugin("peers").send(peer, message)
+
+    async def _repeat_leaving(self) -> None:
+        """Repeats notices of owned replicas and takes back those at an end."""
+        repeat_s = self._kernel.clock.now()
+        while True:
+            await asyncio.sleep(_RELEASE_CHECK_S)
+            now_s = self._kernel.clock.now()
+            self._leaving.forget_expired(now_s)
+            for replica_id, held in self._dispatchers_by_replica.items():
+                if not self._leaving.is_leaving(replica_id, now_s):
+                    held.rejoin()
+            if now_s - repeat_s >= leaving_lib.REPEAT_S:
+                repeat_s = now_s
+                first_hand = self._leaving.current(now_s, own=True)
+                self._spread_leaving(first_hand & self._owned)
+
     def _spawn(self, coroutine) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
@@ -126,28 +268,43 @@
 
     async def _take_over(self) -> None:
         store = self._kernel.plugin("configuration").store
-        view = self._kernel.plugin("membership").view
         replicas = store.current.replicas_by_id
+        self._follow_configuration(replicas)
+        new = self._new_replicas(replicas)
         owned = set()
         for number, replica in enumerate(replicas.values()):
             if number % _REPLICAS_PER_TURN == _REPLICAS_PER_TURN - 1:
                 await asyncio.sleep(0)
-            if self._is_owner(view, replica):
+            if self._is_owner(replica):
                 owned.add(replica.id)
                 if replica.id not in self._owned:
-                    self._open_ahead(replica.id)
+                    self._open_ahead(replica.id, cold=replica.id in new)
         self._owned = owned
         self._update_changed(replicas)
 
-    def _is_owner(
-        self, view: view_lib.View, replica: config_model.Replica
-    ) -> bool:
-        chosen = view.dispatcher_for(replica.id, replica.failure_domain)
-        return chosen == self._kernel.settings.instance_id
+    def _is_owner(self, replica: config_model.Replica) -> bool:
+        receiver = self._mode.receiver_for(replica)
+        return receiver == self._kernel.settings.instance_id
+
+    def _new_replicas(
+        self, replicas: Mapping[str, config_model.Replica]
+    ) -> frozenset[str]:
+        """Returns replicas that were added since the last configuration.
+
+        All are new to an instance that has just started, which says nothing
+        of the replicas.
+        """
+        current = frozenset(replicas)
+        known = self._known_replicas
+        self._known_replicas = current
+        return current - known if known else frozenset()
 
-    def _open_ahead(self, replica_id: str) -> None:
+    def _open_ahead(self, replica_id: str, cold: bool = False) -> None:
         dispatcher = self._dispatcher(replica_id)
         if dispatcher is not None:
+            if cold:
+                dispatcher.start_cold()
+            dispatcher.start_probes()
             _log.info("replica_taken_over", replica=replica_id)
             self._spawn(dispatcher.warm())
 
@@ -198,19 +355,22 @@
         replica = store.current.replicas_by_id.get(replica_id)
         if replica is None:
             return None
-        max_connections = replica.connections // _CONNECTION_DIVISOR
+        max_connections = self._mode.max_connections(replica)
         upstream = self._kernel.plugin("upstream").open(
             "http", replica.url, max_connections
         )
-        dispatcher = replica_lib.ReplicaDispatcher(
+        dispatcher = self._mode.dispatcher_class(
             self._kernel,
             replica,
             upstream,
             max_connections,
             self._reservations,
             self._dispatchers_by_query,
+            self._on_own_leaving,
         )
         self._dispatchers_by_replica[replica_id] = dispatcher
+        if self._leaving.is_leaving(replica_id, self._kernel.clock.now()):
+            dispatcher.leave()
         return dispatcher
 
     def _on_request(
@@ -303,6 +463,8 @@
 
     def _on_wake(self, paused_s: float) -> None:
         """Takes back every ticket issued before a pause of the process."""
+        for dispatcher in self._dispatchers_by_replica.values():
+            dispatcher.on_wake()
         held = self._reservations.held()
         for key in held:
             self._reservations.owner(key).abandon(key, "dispatcher was paused")
--- a/src/mallowloft/gather/service.py
+++ b/src/mallowloft/gather/service.py
@@ -210,8 +210,7 @@
         replica = snapshot.replicas_by_id.get(message.replica)
         if replica is None:
             return False
-        view = self.kernel.plugin("membership").view
-        dispatcher = view.dispatcher_for(replica.id, replica.failure_domain)
+        dispatcher = self.kernel.plugin("dispatch").receiver_for(replica.id)
         if dispatcher is None:
             return False
         return self.kernel.plugin("peers").send(dispatcher, message)
--- a/tests/support/upstreams.py
+++ b/tests/support/upstreams.py
@@ -47,6 +47,9 @@
         self.service_s = service_s or (
             lambda rng: 0.003 * rng.lognormvariate(-0.125, 0.5)
         )
+        # Draws by request instead, so that two runs draw the same times for
+        # the same requests whatever else runs.
+        self.service_s_of: Callable[[str], float] | None = None
         self.slow_factor = 1.0
         self.frozen = False
         self.failing = False
@@ -106,9 +109,12 @@
                 try:
                     if self.frozen:
                         await asyncio.Event().wait()
-                    await asyncio.sleep(
-                        self.service_s(self.rng) * self.slow_factor
+                    service_s = (
+                        self.service_s(self.rng)
+                        if self.service_s_of is None
+                        else self.service_s_of(request)
                     )
+                    await asyncio.sleep(service_s * self.slow_factor)
                 finally:
                     now_s = asyncio.get_running_loop().time()
                     self.busy_s += now_s - started_s
@@ -247,7 +253,8 @@
                 protocol.CallOutcome.FAILED, reason="timeout"
             )
         except asyncio.CancelledError:
-            if task is not None and task.cancelled():
+            dropped = task is not None and task.cancelled()
+            if dropped and not asyncio.current_task().cancelling():
                 await asyncio.sleep(self._one_way_s)
                 return protocol.CallReply(
                     protocol.CallOutcome.FAILED, reason="cancelled"
--- a/tests/test_dispatch_connections.py
+++ b/tests/test_dispatch_connections.py
@@ -287,7 +287,7 @@
             limit.on_shed(2.0 + step, 0.01)
         assert limit.value == 1
         for _ in range(150):
-            limit.on_success()
+            limit.on_success(0.003, 3.0)
         assert limit.value == 8
 
     def test_shed_calls_are_tried_again(self):
--- a/tests/test_dispatch_queue.py
+++ b/tests/test_dispatch_queue.py
@@ -500,6 +500,36 @@
 
         assert virtual.run(scenario()) == 0
 
+    def _asked_at(self, age_s):
+        """Returns cancelled calls if a paying one meets calls of an age."""
+
+        async def scenario():
+            _, replica, client = await _start(service_s=lambda rng: 0.02)
+            for attempt in range(100, 120):
+                client.ask(attempt, "r1", rank=2, remaining_ms=3000.0)
+            await asyncio.sleep(0.5)
+            replica.service_s = lambda rng: 0.3
+            client.ask(1, "r1", rank=2, remaining_ms=3000.0)
+            client.ask(2, "r1", remaining_ms=3000.0)
+            await asyncio.sleep(age_s)
+            client.ask(9, "r1", remaining_ms=3000.0)
+            await asyncio.sleep(0.005)
+            return replica.count("query_cancelled")
+
+        return virtual.run(scenario())
+
+    def test_slot_shared_with_the_own_class(self):
+        """Guards against waiting for a lower query next to a paying one."""
+        assert self._asked_at(0.005) == 1
+
+    def test_call_that_ends_soon_is_spared(self):
+        """Guards against losing work to save half a service time."""
+        assert self._asked_at(0.03) == 0
+
+    def test_call_of_a_long_kind_is_preempted(self):
+        """Guards against a long lower query that seems to end soon."""
+        assert self._asked_at(0.1) == 1
+
     def test_victim_past_its_deadline_is_answered(self):
         """Guards against a preempted query that vanishes."""
 
