Test the direct baseline; say "not sent" for calls without a connection

Cause: the direct mode had no tests. A submission that waited for a free connection until its deadline ended as FAILED, hence "unknown", although nothing was written. A view change hashed every replica of the fleet.

The HTTP client limits the wait for a connection separately, so that it ends as UNSENT.

--- a/src/mallowloft/dispatch/direct.py
+++ b/src/mallowloft/dispatch/direct.py
@@ -5,6 +5,7 @@
 and adapts its calls in flight to the latency it sees.
 """
 
+from collections.abc import Iterable
 import math
 
 from mallowloft.configuration import model
@@ -42,8 +43,14 @@
     def _new_limit(self) -> limits.AimdLimit:
         return LatencyLimit(self._max_connections)
 
+    # Other instances' calls hold slots as well, so that this one cannot tell
+    # which of its calls has begun and what a cancellation would make free.
+
     def _preempt_below(self, rank: int) -> None:
-        """Does nothing: other instances' calls hold the slots as well."""
+        pass
+
+    def _recall_below(self, rank: int) -> None:
+        pass
 
 
 class DirectCalls:
@@ -59,6 +66,12 @@
         del replica
         return self._kernel.settings.instance_id
 
+    def candidates(
+        self, replicas: Iterable[model.Replica]
+    ) -> list[model.Replica]:
+        """Returns all replicas."""
+        return list(replicas)
+
     def max_connections(self, replica: model.Replica) -> int:
         """Divides the limit among the instances that are known now."""
         view = self._kernel.plugin("membership").view
--- a/src/mallowloft/dispatch/service.py
+++ b/src/mallowloft/dispatch/service.py
@@ -15,6 +15,7 @@
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
+from mallowloft.membership import view as view_lib
 
 _log = logs.get("dispatch")
 
@@ -58,6 +59,27 @@
         view = self._kernel.plugin("membership").view
         return view.dispatcher_for(replica.id, replica.failure_domain)
 
+    def candidates(
+        self, replicas: Iterable[config_model.Replica]
+    ) -> list[config_model.Replica]:
+        """Returns replicas that this instance may dispatch for.
+
+        Those of other failure domains with live instances are left out
+        without hashing, which is most of the work in a large fleet.
+        """
+        view = self._kernel.plugin("membership").view
+        own = self._kernel.settings.failure_domain
+        elsewhere = {
+            member.failure_domain
+            for member in view.members_by_id.values()
+            if member.state == view_lib.LIVE and member.failure_domain != own
+        }
+        return [
+            replica
+            for replica in replicas
+            if replica.failure_domain not in elsewhere
+        ]
+
     def max_connections(self, replica: config_model.Replica) -> int:
         """Returns the share of the connection limit of one dispatcher."""
         return replica.connections // _CONNECTION_DIVISOR
@@ -272,7 +294,8 @@
         self._follow_configuration(replicas)
         new = self._new_replicas(replicas)
         owned = set()
-        for number, replica in enumerate(replicas.values()):
+        candidates = self._mode.candidates(replicas.values())
+        for number, replica in enumerate(candidates):
             if number % _REPLICAS_PER_TURN == _REPLICAS_PER_TURN - 1:
                 await asyncio.sleep(0)
             if self._is_owner(replica):
--- a/src/mallowloft/upstream/http.py
+++ b/src/mallowloft/upstream/http.py
@@ -12,6 +12,8 @@
 from mallowloft.upstream import protocol
 
 _CONNECT_TIMEOUT_S = 1.0
+# aiohttp takes 0 for no limit.
+_MIN_CONNECT_S = 0.001
 _HEALTH_TIMEOUT_S = 1.0
 _CANCEL_TIMEOUT_S = 1.0
 # An answer that arrives just after the deadline still tells how the replica
@@ -154,6 +156,9 @@
     ) -> _HttpAnswer | protocol.CallReply:
         timeout = aiohttp.ClientTimeout(
             total=deadline_ms / 1000 + _DEADLINE_MARGIN_S,
+            # A call that waits for a connection until its deadline ends as
+            # not sent; the total limit would leave that open.
+            connect=max(_MIN_CONNECT_S, deadline_ms / 1000),
             sock_connect=_CONNECT_TIMEOUT_S,
         )
         try:
--- a/tests/test_dispatch_connections.py
+++ b/tests/test_dispatch_connections.py
@@ -99,6 +99,45 @@
 
         assert virtual.run(scenario()) is True
 
+    def test_failure_domain_without_instances_is_served(self):
+        """Guards against replicas that no instance dispatches for."""
+
+        async def scenario():
+            world = world_lib.World()
+            world.publish_service(
+                "svc", {"r1": "d1", "r2": "d2"}, service_s=lambda rng: 0.003
+            )
+            await world.start({"i1": "d1"})
+            await asyncio.sleep(0.1)
+            return _service(world, "i1").dump()["owned"]
+
+        assert virtual.run(scenario()) == ["r1", "r2"]
+
+    def test_replicas_of_served_failure_domains_are_not_hashed(self):
+        """Guards against a view change that costs a hash of the fleet."""
+
+        async def scenario():
+            world = world_lib.World()
+            replicas = {
+                f"r{number}": f"d{1 + number % 2}" for number in range(20)
+            }
+            world.publish_service("svc", replicas)
+            await world.start({"i1": "d1", "i2": "d2"})
+            await asyncio.sleep(2.5)
+            view = world.kernels_by_id["i1"].plugin("membership").view
+            asked = []
+            choose = view.dispatcher_for
+
+            def counted(replica, failure_domain):
+                asked.append(failure_domain)
+                return choose(replica, failure_domain)
+
+            view.dispatcher_for = counted
+            await _service(world, "i1")._take_over()
+            return asked
+
+        assert virtual.run(scenario()) == ["d1"] * 10
+
     def test_large_configuration_does_not_stop_the_loop(self):
         """Guards against one long turn when the view changes."""
 
--- /dev/null
+++ b/tests/test_dispatch_direct.py
@@ -0,0 +1,140 @@
+"""The baseline in which every instance calls replicas itself."""
+
+import asyncio
+
+from mallowloft import messages
+from mallowloft.dispatch import direct
+from tests.support import virtual
+from tests.support import world as world_lib
+
+OK = messages.Outcome.OK
+
+
+async def _start(mode, instances=4, **options):
+    world = world_lib.World()
+    options.setdefault("service_s", lambda rng: 0.003)
+    world.publish_service("svc", {"r1": "d1", "r2": "d2"}, **options)
+    shards = {"svc": {"s1": ["r1", "r2"]}}
+    world.publish(
+        {
+            "/operator/indexes/main": {
+                "versions": [{"version": 1, "shards": shards}]
+            }
+        }
+    )
+    world.publish_team("team", "paying")
+    for number in range(instances):
+        world.kernel(f"i{number}", f"d{1 + number % 2}", dispatch=mode)
+    world.list_instances()
+    for kernel in world.kernels_by_id.values():
+        await kernel.start()
+    while not all(kernel.ready() for kernel in world.kernels_by_id.values()):
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(1.5)
+    return world
+
+
+class TestDirectMode:
+    """The setting decides who calls a replica."""
+
+    def _messages(self, mode):
+        async def scenario():
+            world = await _start(mode)
+            answers = [
+                await world.query(name, "team", "svc")
+                for name in world.kernels_by_id
+                for _ in range(5)
+            ]
+            sent = world.network.messages_by_type.get("SubRequest", 0)
+            return answers, sent
+
+        return virtual.run(scenario())
+
+    def test_no_sub_request_leaves_the_instance(self):
+        """Guards against a baseline that still uses dispatchers."""
+        answers, sent = self._messages("direct")
+        assert all(answer.unwrap().coverage == 1.0 for answer in answers)
+        assert sent == 0
+
+    def test_dispatcher_mode_uses_the_dispatcher(self):
+        """Guards against a setting that changes nothing."""
+        answers, sent = self._messages("dispatcher")
+        assert all(answer.unwrap().coverage == 1.0 for answer in answers)
+        assert sent > 0
+
+    def test_connections_are_divided_among_instances(self):
+        """Guards against a baseline that wins by too many connections."""
+
+        async def scenario():
+            world = await _start("direct", instances=8)
+            for _ in range(50):
+                await asyncio.gather(
+                    *(
+                        world.query(name, "team", "svc")
+                        for name in world.kernels_by_id
+                        for _ in range(4)
+                    )
+                )
+            return [
+                replica.peak_connections
+                for replica in world.replicas_by_id.values()
+            ]
+
+        peaks = virtual.run(scenario())
+        assert max(peaks) <= 25
+        assert min(peaks) >= 8
+
+    def test_nothing_is_preempted(self):
+        """Guards against cancelling calls for slots that others hold."""
+
+        async def scenario():
+            world = await _start("direct")
+            world.publish_team("other", "background")
+            for _ in range(100):
+                await world.query("i0", "team", "svc")
+            for replica in world.replicas_by_id.values():
+                replica.service_s = lambda rng: 0.05
+            low = [
+                asyncio.create_task(world.query("i0", "other", "svc"))
+                for _ in range(6)
+            ]
+            await asyncio.sleep(0.02)
+            await world.query("i0", "team", "svc")
+            await asyncio.gather(*low)
+            return sum(
+                replica.count("query_cancelled")
+                for replica in world.replicas_by_id.values()
+            )
+
+        assert virtual.run(scenario()) == 0
+
+
+class TestLatencyLimit:
+    """Latency above the lowest one shows a queue at the replica."""
+
+    def test_rises_while_latency_is_low(self):
+        """Guards against a baseline that never uses its connections."""
+        limit = direct.LatencyLimit(3)
+        assert limit.value == 1
+        for step in range(20):
+            limit.on_success(0.003, step * 0.01)
+        assert limit.value == 3
+
+    def test_falls_when_latency_rises(self):
+        """Guards against a baseline that fills the replica's queue."""
+        limit = direct.LatencyLimit(8)
+        for step in range(200):
+            limit.on_success(0.003, step * 0.01)
+        high = limit.value
+        for step in range(10):
+            limit.on_success(0.02, 10.0 + step)
+        assert high == 8
+        assert limit.value < 2
+
+    def test_forgets_a_lowest_latency_that_is_past(self):
+        """Guards against one lucky call that keeps the limit at one."""
+        limit = direct.LatencyLimit(4)
+        limit.on_success(0.001, 0.0)
+        for step in range(3000):
+            limit.on_success(0.004, 1.0 + step * 0.01)
+        assert limit.value == 4
