--- a/src/mallowloft/gather/service.py
+++ b/src/mallowloft/gather/service.py
@@ -170,9 +170,8 @@
 
     def dispatcher_for(self, run: run_lib.Run, replica: str) -> str | None:
         """Returns the instance that dispatches for a replica."""
-        configured = run.query.snapshot.replicas_by_id[replica]
-        view = self.kernel.plugin("membership").view
-        return view.dispatcher_for(replica, configured.failure_domain)
+        del run
+        return self.kernel.plugin("dispatch").receiver_for(replica)
 
     def post(
         self,
--- a/tests/support/upstreams.py
+++ b/tests/support/upstreams.py
@@ -49,6 +49,9 @@
         self.service_s = service_s or (
             lambda rng: 0.003 * rng.lognormvariate(-0.125, 0.5)
         )
+        # Draws by request instead, so that two runs draw the same times for
+        # the same requests whatever else runs.
+        self.service_s_of: Callable[[str], float] | None = None
         self.slow_factor = 1.0
         self.frozen = False
         self.failing = False
@@ -113,9 +116,12 @@
                 try:
                     if self.frozen:
                         await asyncio.Event().wait()
-                    await asyncio.sleep(
-                        self.service_s(self.rng) * self.slow_factor
+                    service_s = (
+                        self.service_s(self.rng)
+                        if self.service_s_of is None
+                        else self.service_s_of(request)
                     )
+                    await asyncio.sleep(service_s * self.slow_factor)
                 finally:
                     now_s = asyncio.get_running_loop().time()
                     self.busy_s += now_s - started_s
@@ -265,7 +271,8 @@
                 protocol.CallOutcome.FAILED, reason="timeout"
             )
         except asyncio.CancelledError:
-            if task is not None and task.cancelled():
+            dropped = task is not None and task.cancelled()
+            if dropped and not asyncio.current_task().cancelling():
                 await asyncio.sleep(self._one_way_s)
                 return protocol.CallReply(
                     protocol.CallOutcome.FAILED, reason="cancelled"
@@ -287,13 +294,16 @@
     ) -> None:
         self._replicas_by_id = replicas_by_id
         self._one_way_s = one_way_s
+        # By replica id, for replicas in other failure domains.
+        self.extra_one_way_s: dict[str, float] = {}
 
     def open(
         self, protocol_name: str, url: str, max_connections: int
     ) -> FakeUpstream:
         del protocol_name
         replica = self._replicas_by_id[url.removeprefix("http://")]
-        return FakeUpstream(replica, max_connections, self._one_way_s)
+        one_way_s = self._one_way_s + self.extra_one_way_s.get(replica.id, 0.0)
+        return FakeUpstream(replica, max_connections, one_way_s)
 
     async def start(self) -> None:
         pass
