Spread a suspicion only by those who noticed it

Cause: each receiver of a suspicion judged the silence itself and then spread it as its own.

Change: a member that is probed only because a peer suspects it is judged but not passed on. Those with an unanswered ping of their own still spread it, so the loss of one relay is covered.

Test: TestCost, fails with the check removed.

--- a/src/mallowloft/membership/prober.py
+++ b/src/mallowloft/membership/prober.py
@@ -44,6 +44,7 @@
         self._rng = rng
         self._heard_s: dict[str, float] = {}
         self._judged_s: dict[str, float] = {}
+        self._on_hearsay: set[str] = set()
         self._expected_until_s: dict[str, float] = {}
         self._rounds_by_group: dict[str, list[str]] = {}
         self._ring: list[str] = []
@@ -56,6 +57,7 @@
         """Records evidence of life."""
         self._heard_s[instance] = now_s
         self._judged_s.pop(instance, None)
+        self._on_hearsay.discard(instance)
 
     def heard_domain(self, failure_domain: str) -> list[str]:
         """Records contact with a failure domain.
@@ -97,7 +99,10 @@
         limit_s = ACCUSED_FOREIGN_SILENCE_S
         if self._view.domain_of(instance) == self._own_domain:
             limit_s = ACCUSED_SILENCE_S
-        judged_s = self._judged_s.get(instance, now_s + SILENCE_S)
+        judged_s = self._judged_s.get(instance)
+        if judged_s is None:
+            self._on_hearsay.add(instance)
+            judged_s = now_s + limit_s
         self._judged_s[instance] = min(judged_s, now_s + limit_s)
         return max(0.0, self._judged_s[instance] - now_s)
 
@@ -191,11 +196,13 @@
         """Drops everything held of a member."""
         self._heard_s.pop(instance, None)
         self._judged_s.pop(instance, None)
+        self._on_hearsay.discard(instance)
         self._expected_until_s.pop(instance, None)
 
     def reset(self) -> None:
         """Drops what was observed before a pause of this process."""
         self._judged_s.clear()
+        self._on_hearsay.clear()
         self._expected_until_s.clear()
         self._misses_by_domain.clear()
 
@@ -263,7 +270,13 @@
         return [alone] if self._own in observers else []
 
     def observes(self, instance: str) -> bool:
-        """Whether others rely on this instance's suspicion of a member."""
+        """Whether others rely on this instance's suspicion of a member.
+
+        What was pinged only because a peer suspected it is not passed on:
+        every member of a domain would tell all others.
+        """
+        if instance in self._on_hearsay:
+            return False
         return (
             self._view.domain_of(instance) == self._own_domain
             or instance in self._ring_targets()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -467,6 +467,19 @@
 class TestCost:
     """Control traffic does not grow with the number of instances."""
 
+    def test_suspicion_is_spread_only_by_those_who_noticed(self):
+        """Spread by every receiver, it grows with the square of the fleet."""
+
+        async def scenario():
+            world = await _start(60)
+            world.network.messages_by_type.clear()
+            await faults.kill(world, "i4")
+            await asyncio.sleep(1)
+            # Two ring neighbours and those whose turn it was to ping.
+            return world.network.messages_by_type["Suspected"] / 58
+
+        assert 1 <= virtual.run(scenario()) <= 8
+
     def test_list_reads_grow_with_failure_domains(self):
         async def scenario(count):
             world = await _start(count)
