--- a/src/mallowloft/gather/merge.py
+++ b/src/mallowloft/gather/merge.py
@@ -13,6 +13,7 @@
     """Why a shard is not covered; replies' outcomes are reasons as well."""
 
     DEADLINE = "deadline"
+    GIVEN_UP = "given_up"
     INVALID_ROWS = "invalid_rows"
     NO_DISPATCHER = "no_dispatcher"
     NO_REPLICA = "no_replica"
--- a/src/mallowloft/gather/service.py
+++ b/src/mallowloft/gather/service.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import Iterable
+import dataclasses
 import itertools
+import math
 from typing import Any
 
 import result
@@ -10,12 +12,17 @@
 from mallowloft import messages
 from mallowloft import peers as peers_lib
 from mallowloft.configuration import model as config_model
+from mallowloft.gather import budget as budget_lib
+from mallowloft.gather import hedging
 from mallowloft.gather import model
 from mallowloft.gather import pinning
 from mallowloft.gather import run as run_lib
+from mallowloft.gather import selection
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
+from mallowloft.membership import rendezvous
+from mallowloft.membership import view as view_lib
 
 _log = logs.get("gather")
 
@@ -29,6 +36,18 @@
 _MAX_RESTARTS = 3
 
 _NUMBER_BITS = 56
+# How long a silent dispatcher is passed over before it is asked again, unless
+# it is heard before. Membership removes a dead one earlier.
+_PASS_OVER_S = 1.0
+# A probe of a replica that hangs holds its slot at most this long.
+_PROBE_MS = 250.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Probe:
+    replica: str
+    dispatcher: str
+    timer: asyncio.TimerHandle
 
 
 @registry.plugins.register("gather")
@@ -40,15 +59,39 @@
     def __init__(self, kernel: lifecycle.Kernel) -> None:
         self.kernel = kernel
         self.versions = pinning.VersionReports()
+        self.budget = budget_lib.Budget()
+        self.delays = hedging.HedgeDelays()
+        self.health = selection.ReplicaHealth()
+        self.selector = selection.Selector(
+            kernel.settings.failure_domain,
+            self.health,
+            self.versions,
+            kernel.rng,
+        )
+        self.hedging = kernel.settings.hedging
+        self._snapshot: config_model.Snapshot | None = None
         # A random start: a reply to an attempt of an earlier incarnation must
         # not match one of this incarnation.
         self._numbers = itertools.count(kernel.rng.getrandbits(_NUMBER_BITS))
-        self._runs_by_attempt: dict[int, tuple[run_lib.Run, str]] = {}
+        self._running: dict[int, tuple[run_lib.Run, run_lib.Attempt]] = {}
+        self._probes: dict[int, _Probe] = {}
+        self._runs: dict[run_lib.Run, None] = {}
+        self._heard_s: dict[str, float] = {}
+        self._silent_until_s: dict[str, float] = {}
         self._queries_running = 0
 
     async def start(self) -> None:
         """Registers message handlers."""
-        self.kernel.plugin("peers").on(messages.SubReply, self._on_reply)
+        peers = self.kernel.plugin("peers")
+        peers.on(messages.SubReply, self._on_reply)
+        peers.on(messages.SubQueued, self._on_queued)
+        self.kernel.plugin("membership").view.subscribe(self._on_view_change)
+        metrics = self.kernel.metrics
+        metrics.gauge("gather_budget_tokens", lambda: self.budget.tokens)
+        metrics.gauge(
+            "gather_replicas_avoided",
+            lambda: float(len(self.health.avoided_replicas())),
+        )
 
     async def stop(self, grace_s: float) -> None:
         """Waits for running queries."""
@@ -61,10 +104,13 @@
         return True
 
     def dump(self) -> dict[str, Any]:
-        """Returns the number of queries and attempts in flight."""
+        """Returns what is in flight, the budget and avoided replicas."""
         return {
             "queries_running": self._queries_running,
-            "attempts_in_flight": len(self._runs_by_attempt),
+            "attempts_in_flight": len(self._running),
+            "probes_in_flight": len(self._probes),
+            "budget_tokens": self.budget.tokens,
+            "replicas_avoided": self.health.avoided_replicas(),
         }
 
     async def run(
@@ -81,6 +127,7 @@
         self, query: model.Query
     ) -> result.Result[model.Answer, model.Refusal]:
         started_s = self.now()
+        self._follow(query.snapshot)
         deadline_s = query.deadline_ms / 1000
         margin_s = min(_MARGIN_MAX_S, deadline_s * _MARGIN_SHARE)
         end_s = started_s + deadline_s - margin_s
@@ -106,7 +153,11 @@
                 self, query, index, version, end_s, frozenset(tried)
             )
             runs.append(run)
-            await run.execute()
+            self._runs[run] = None
+            try:
+                await run.execute()
+            finally:
+                del self._runs[run]
         # A restart may gain less than what the first run already had. Only
         # whole runs are compared, so that no answer mixes versions.
         best = max(runs, key=lambda run: (len(run.merge.results), run.version))
@@ -134,45 +185,120 @@
             lacking=best.merge.lacking,
             attempts=model.Attempts(
                 sent=sum(run.sent for run in runs),
-                retries=sum(run.retries for run in runs),
+                hedges=sum(run.hedges for run in runs),
+                retries=sum(run.retries + run.resent for run in runs),
             ),
             config_revision=query.snapshot.revision,
             elapsed_ms=(self.now() - started_s) * 1000,
         )
+        self._count(query, runs, answer)
+        retry_after_ms = max(run.retry_after_ms for run in runs)
+        retry_after_ms = retry_after_ms or _RETRY_AFTER_MS
+        if best.refused:
+            return result.Err(
+                model.Refusal(
+                    "overloaded",
+                    "every sub-request was refused",
+                    retry_after_ms,
+                    answer,
+                )
+            )
         if answer.coverage < query.min_coverage:
             return result.Err(
                 model.Refusal(
                     "coverage_too_low",
                     f"coverage {answer.coverage:.3f} is below"
                     f" {query.min_coverage:.3f}",
-                    _RETRY_AFTER_MS,
+                    retry_after_ms,
                     answer,
                 )
             )
         return result.Ok(answer)
 
+    def _count(
+        self,
+        query: model.Query,
+        runs: list[run_lib.Run],
+        answer: model.Answer,
+    ) -> None:
+        metrics = self.kernel.metrics
+        rank = str(query.rank)
+        metrics.count("queries", rank=rank)
+        metrics.observe_ms("query_elapsed", answer.elapsed_ms, rank=rank)
+        metrics.count("sub_requests", answer.attempts.sent)
+        metrics.count("sub_request_hedges", answer.attempts.hedges)
+        metrics.count("sub_request_retries", sum(run.retries for run in runs))
+        metrics.count("sub_request_resends", sum(run.resent for run in runs))
+        if answer.lacking:
+            metrics.count("queries_incomplete", rank=rank)
+            for reason in answer.lacking.values():
+                metrics.count("shards_lacking", reason=reason)
+
+    def _follow(self, snapshot: config_model.Snapshot) -> None:
+        """Forgets what belongs to services that are no longer published."""
+        known = self._snapshot
+        if known is not None and known.revision >= snapshot.revision:
+            return
+        self._snapshot = snapshot
+        self.health.update_services(snapshot)
+        self.delays.forget_unused(
+            model.Shard(service, shard)
+            for index in snapshot.indexes_by_name.values()
+            for version in index.versions
+            for service, shards in version.shards.items()
+            for shard in shards
+        )
+
     def now(self) -> float:
         """Returns monotonic time in seconds."""
         return self.kernel.clock.now()
 
-    def choose(
-        self, run: run_lib.Run, shard: model.Shard, candidates: list[str]
-    ) -> str:
-        """Returns the replica to ask for a shard."""
-        del shard
-        now_s = self.now()
-        able = [
-            replica
-            for replica in candidates
-            if not self.versions.lacks(replica, run.version, now_s)
+    def dispatcher_for(self, run: run_lib.Run, replica: str) -> str | None:
+        """Returns the instance that dispatches for a replica.
+
+        Instances that have been silent are passed over for a while.
+        """
+        domain = run.query.snapshot.replicas_by_id[replica].failure_domain
+        view = self.kernel.plugin("membership").view
+        chosen = view.dispatcher_for(replica, domain)
+        if chosen is None or not self._is_passed_over(chosen):
+            return chosen
+        others = [
+            instance
+            for instance in view.live(domain) or view.live()
+            if not self._is_passed_over(instance)
         ]
-        return self.kernel.rng.choice(able or candidates)
+        return rendezvous.first(others, replica) or chosen
 
-    def dispatcher_for(self, run: run_lib.Run, replica: str) -> str | None:
-        """Returns the instance that dispatches for a replica."""
-        configured = run.query.snapshot.replicas_by_id[replica]
+    def _is_passed_over(self, instance: str) -> bool:
+        until_s = self._silent_until_s.get(instance)
+        return until_s is not None and self.now() < until_s
+
+    def is_gone(self, attempt: run_lib.Attempt) -> bool:
+        """Whether an attempt's dispatcher no longer exists.
+
+        A leaving dispatcher finishes what it has.
+        """
         view = self.kernel.plugin("membership").view
-        return view.dispatcher_for(replica, configured.failure_domain)
+        member = view.members_by_id.get(attempt.dispatcher)
+        if member is None or member.state == view_lib.SUSPECT:
+            return True
+        return 0 not in (attempt.incarnation, member.incarnation) and (
+            attempt.incarnation != member.incarnation
+        )
+
+    def is_silent(self, attempt: run_lib.Attempt) -> bool:
+        """Whether its dispatcher has sent nothing since the attempt."""
+        dispatcher = attempt.dispatcher
+        if dispatcher == self.kernel.settings.instance_id:
+            return False
+        if self._heard_s.get(dispatcher, -math.inf) >= attempt.sent_s:
+            return False
+        if not self._is_passed_over(dispatcher):
+            self.kernel.metrics.count("dispatchers_silent")
+            _log.warning("dispatcher_silent", dispatcher=dispatcher)
+            self._silent_until_s[dispatcher] = self.now() + _PASS_OVER_S
+        return True
 
     def post(
         self,
@@ -186,27 +312,90 @@
         """Sends a sub-request under a new attempt number."""
         number = next(self._numbers)
         now_s = self.now()
-        sent = self.kernel.plugin("peers").send(
-            dispatcher,
-            messages.SubRequest(
-                attempt=number,
-                request=run.query.request,
-                service=service,
-                replica=replica,
-                shards=tuple(shard.shard for shard in shards),
-                index_version=run.version,
-                rank=run.query.rank,
-                remaining_ms=(run.end_s - now_s) * 1000,
-                hedge=hedge,
-                query=run.query.body,
-            ),
+        remaining_ms = (run.end_s - now_s) * 1000
+        message = self._sub_request(
+            run, number, service, replica, shards, hedge, remaining_ms
         )
-        if not sent:
+        if not self.kernel.plugin("peers").send(dispatcher, message):
             return None
-        self._runs_by_attempt[number] = (run, replica)
-        return run_lib.Attempt(
-            number, service, replica, dispatcher, shards, now_s
+        view = self.kernel.plugin("membership").view
+        member = view.members_by_id.get(dispatcher)
+        attempt = run_lib.Attempt(
+            number=number,
+            service=service,
+            replica=replica,
+            dispatcher=dispatcher,
+            incarnation=member.incarnation if member else 0,
+            shards=shards,
+            sent_s=now_s,
+            late_s=self.delays.delay_ms(shards) / 1000,
         )
+        self._running[number] = (run, attempt)
+        return attempt
+
+    def probe(self, run: run_lib.Run, shard: model.Shard, replica: str) -> None:
+        """Sends a sub-request only to learn whether a replica is sound."""
+        dispatcher = self.dispatcher_for(run, replica)
+        if dispatcher is None:
+            return
+        number = next(self._numbers)
+        message = self._sub_request(
+            run, number, shard.service, replica, (shard,), True, _PROBE_MS
+        )
+        if not self.kernel.plugin("peers").send(dispatcher, message):
+            return
+        self.kernel.metrics.count("sub_request_probes")
+        timer = asyncio.get_running_loop().call_later(
+            _PROBE_MS / 1000, self._end_probe, number
+        )
+        self._probes[number] = _Probe(replica, dispatcher, timer)
+
+    def _end_probe(self, number: int) -> None:
+        probe = self._probes.pop(number, None)
+        if probe is not None:
+            self.kernel.plugin("peers").send(
+                probe.dispatcher, messages.Cancel((number,))
+            )
+
+    def _sub_request(
+        self,
+        run: run_lib.Run,
+        number: int,
+        service: str,
+        replica: str,
+        shards: tuple[model.Shard, ...],
+        hedge: bool,
+        remaining_ms: float,
+    ) -> messages.SubRequest:
+        return messages.SubRequest(
+            attempt=number,
+            request=run.query.request,
+            service=service,
+            replica=replica,
+            shards=tuple(shard.shard for shard in shards),
+            index_version=run.version,
+            rank=run.query.rank,
+            remaining_ms=remaining_ms,
+            hedge=hedge,
+            query=run.query.body,
+        )
+
+    def lost_race(self, attempt: run_lib.Attempt, decisive: bool) -> None:
+        """Learns that an attempt was overtaken or never ended."""
+        now_s = self.now()
+        elapsed_ms = (now_s - attempt.sent_s - attempt.queue_s) * 1000
+        if elapsed_ms < attempt.late_s * 1000:
+            return
+        self._note_fault(
+            attempt.replica,
+            self.health.lost_race(attempt.replica, elapsed_ms, now_s, decisive),
+            "overtaken",
+        )
+
+    def _note_fault(self, replica: str, begun: bool, reason: str) -> None:
+        if begun:
+            self.kernel.metrics.count("replica_faults", reason=reason)
+            _log.warning("replica_avoided", replica=replica, reason=reason)
 
     def may_restart(self, run: run_lib.Run) -> bool:
         """Whether another version may serve every shard in time.
@@ -229,7 +418,7 @@
         """Forgets attempts and cancels them at their dispatchers."""
         numbers_by_dispatcher: dict[str, list[int]] = {}
         for attempt in attempts:
-            if self._runs_by_attempt.pop(attempt.number, None) is not None:
+            if self._running.pop(attempt.number, None) is not None:
                 numbers = numbers_by_dispatcher.setdefault(
                     attempt.dispatcher, []
                 )
@@ -241,17 +430,74 @@
     def _on_reply(
         self, sender: peers_lib.Sender, reply: messages.SubReply
     ) -> None:
-        del sender
+        self._hear(sender.instance)
         self._learn_versions(reply)
-        run, replica = self._runs_by_attempt.get(reply.attempt, (None, ""))
-        if run is None or replica != reply.replica:
+        probe = self._probes.get(reply.attempt)
+        if probe is not None and probe.replica == reply.replica:
+            del self._probes[reply.attempt]
+            probe.timer.cancel()
+            self._learn_probe(reply)
+            return
+        run, attempt = self._running.get(reply.attempt, (None, None))
+        if attempt is None or attempt.replica != reply.replica:
             self.kernel.metrics.count("sub_replies_unmatched")
             return
-        del self._runs_by_attempt[reply.attempt]
-        if reply.outcome is messages.Outcome.WRONG_VERSION:
-            self.versions.observe(reply.replica, run.version, False, self.now())
+        del self._running[reply.attempt]
+        self._learn(run, attempt, reply)
         run.on_reply(reply.attempt, reply)
 
+    def _on_queued(
+        self, sender: peers_lib.Sender, queued: messages.SubQueued
+    ) -> None:
+        self._hear(sender.instance)
+        for number in queued.attempts:
+            run, _ = self._running.get(number, (None, None))
+            if run is not None:
+                run.on_queued(number, queued.queue_delay_ms)
+
+    def _on_view_change(self) -> None:
+        for run in list(self._runs):
+            run.on_view_change()
+
+    def _hear(self, instance: str) -> None:
+        self._heard_s[instance] = self.now()
+        self._silent_until_s.pop(instance, None)
+
+    def _learn(
+        self,
+        run: run_lib.Run,
+        attempt: run_lib.Attempt,
+        reply: messages.SubReply,
+    ) -> None:
+        """Updates the estimates of a replica from the end of an attempt."""
+        now_s = self.now()
+        replica = attempt.replica
+        delay_ms = reply.queue_delay_ms
+        if reply.outcome in selection.REFUSALS:
+            delay_ms = max(delay_ms, reply.retry_after_ms)
+        self.health.report_queue(replica, run.query.rank, delay_ms, now_s)
+        if reply.outcome is messages.Outcome.WRONG_VERSION:
+            self.versions.observe(replica, run.version, False, now_s)
+        elif reply.outcome is messages.Outcome.OK:
+            latency_ms = (now_s - attempt.sent_s) * 1000
+            was_avoided = self.health.avoided(replica, now_s)
+            changed = self.health.answered(
+                replica, reply.service_ms, latency_ms, now_s
+            )
+            if self.health.avoided(replica, now_s):
+                self._note_fault(replica, changed, "slow")
+            elif not was_avoided:
+                self.delays.record(attempt.shards, latency_ms)
+        else:
+            begun = self.health.failed(replica, reply.outcome, now_s)
+            self._note_fault(replica, begun, reply.outcome.value)
+
+    def _learn_probe(self, reply: messages.SubReply) -> None:
+        if reply.outcome is messages.Outcome.OK and self.health.probe_answered(
+            reply.replica, reply.service_ms, self.now()
+        ):
+            _log.info("replica_used_again", replica=reply.replica)
+
     def _learn_versions(self, reply: messages.SubReply) -> None:
         if reply.versions:
             self.versions.report(reply.replica, reply.versions, self.now())
