Name the callers' metrics apart from those of other plug-ins

Cause: gather counts `queries` with other labels, which raises when the second of the two is counted and would answer a query with 500; submissions counts `submissions` with the same labels, so each was counted twice. Membership counts pauses already.

Change: the callers' metrics start with caller_; the pause counter of the command line is gone.

--- a/src/mallowloft/callers/service.py
+++ b/src/mallowloft/callers/service.py
@@ -186,7 +186,7 @@
             ],
             exception_handlers={exceptions.HTTPException: self._no_route},
         )
-        kernel.metrics.gauge("requests_in_flight", self._count_open)
+        kernel.metrics.gauge("caller_requests_in_flight", self._count_open)
 
     async def start(self) -> None:
         """Starts both HTTP servers."""
@@ -278,15 +278,15 @@
         try:
             reply = await self._answer(exchange, handler)
         except http_requests.ClientDisconnect:
-            self._kernel.metrics.count("requests_abandoned")
+            self._kernel.metrics.count("caller_requests_abandoned")
             reply = answers.error(499, "abandoned", "the caller left")
         except Exception:  # noqa: BLE001
             _log.exception("request_failed", request=exchange.id)
-            self._kernel.metrics.count("requests_failed")
+            self._kernel.metrics.count("caller_requests_failed")
             reply = answers.error(
                 500, "internal", "the instance failed", request_id=exchange.id
             )
-        self._kernel.metrics.count("responses", status=str(reply.status))
+        self._kernel.metrics.count("caller_responses", status=str(reply.status))
         response = exchange.respond(reply)
         if self._kernel.stopping:
             response.headers["connection"] = "close"
@@ -402,7 +402,7 @@
 
     def _count_query(self, query: gather_model.Query, outcome: str) -> None:
         self._kernel.metrics.count(
-            "queries",
+            "caller_queries",
             outcome=outcome,
             priority=_rank_name(query.snapshot, query.team),
         )
@@ -425,10 +425,14 @@
         answer = gathered.unwrap()
         self._count_query(query, "partial" if answer.lacking else "complete")
         metrics = self._kernel.metrics
-        metrics.count("query_shards", len(answer.results), state="covered")
-        metrics.count("query_shards", len(answer.lacking), state="lacking")
+        metrics.count(
+            "caller_query_shards", len(answer.results), state="covered"
+        )
+        metrics.count(
+            "caller_query_shards", len(answer.lacking), state="lacking"
+        )
         metrics.observe_ms(
-            "query_latency",
+            "caller_query_latency",
             elapsed_s * 1000,
             priority=_rank_name(query.snapshot, query.team),
         )
@@ -525,9 +529,9 @@
             submissions_model.Unknown: "unknown",
         }
         name = names[type(outcome)]
-        self._kernel.metrics.count("submissions", outcome=name)
+        self._kernel.metrics.count("caller_submissions", outcome=name)
         self._kernel.metrics.observe_ms(
-            "submission_latency", elapsed_ms, outcome=name
+            "caller_submission_latency", elapsed_ms, outcome=name
         )
         _log.info(
             "submission_answered",
@@ -548,7 +552,7 @@
         message: str,
         retry_after_ms: float,
     ) -> answers.Reply:
-        self._kernel.metrics.count("submissions", outcome="not_taken")
+        self._kernel.metrics.count("caller_submissions", outcome="not_taken")
         _log.info(
             "submission_not_taken",
             request=submission.request,
--- a/src/mallowloft/cli.py
+++ b/src/mallowloft/cli.py
@@ -50,15 +50,9 @@
     _log.info("state_dump", state=answers.state(kernel.dump()).decode())
 
 
-def _note_pause(kernel: lifecycle.Kernel, gap_s: float) -> None:
-    kernel.metrics.count("pauses")
-    _log.warning("instance_paused", gap_ms=round(gap_s * 1000))
-
-
 async def _run_instance(settings: settings_lib.Settings) -> None:
     kernel = lifecycle.Kernel(settings)
     kernel.build()
-    kernel.pauses.subscribe(lambda gap_s: _note_pause(kernel, gap_s))
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -462,7 +462,7 @@
                 lambda: not instance.callers.dump()["requests_in_flight"]
             )
             return instance.kernel.metrics.counted(
-                "queries", outcome="abandoned", priority="paying"
+                "caller_queries", outcome="abandoned", priority="paying"
             )
 
         assert _run(test) == 1
