--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: test demo build build-check bench cost format clean
+.PHONY: test demo build build-check bench cost fleet format clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -35,6 +35,10 @@
 cost: $(VENV)/.installed
 	$(BIN)/python -m bench.cost
 
+# The demo's fleet, until Ctrl-C, to try requests by hand.
+fleet: $(VENV)/.installed
+	$(BIN)/python -m standins.demo --keep
+
 clean:
 	rm -rf $(VENV) build dist
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,6 +1,8 @@
 """Starts a small fleet, runs queries through it and prints the answers."""
 
+import argparse
 import asyncio
+import signal
 import sys
 import time
 from typing import Any
@@ -156,11 +158,28 @@
         return await _submit(client, fleet) and all(complete)
 
 
-async def _demo() -> bool:
+async def _keep(fleet: fleet_lib.Fleet) -> None:
+    """Prints how to reach the instances and waits for a signal."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    urls = [instance.url for instance in fleet.instances_by_id.values()]
+    first = next(iter(fleet.instances_by_id.values()))
+    print("running until Ctrl-C; in another terminal:")
+    print(f"export MALLOWLOFT_URL={','.join(urls)}")
+    print(f"export MALLOWLOFT_TOKEN={TOKEN}")
+    print(f"export MALLOWLOFT_OPERATOR_URL={first.operator_url}", flush=True)
+    await stop.wait()
+
+
+async def _demo(keep: bool) -> bool:
     started_s = time.monotonic()
     async with fleet_lib.Fleet() as fleet:
         async with asyncio.timeout(_TIMEOUT_S):
             succeeded = await _run(fleet, started_s)
+        if keep:
+            await _keep(fleet)
         print("stopping", flush=True)
     pids = fleet.started_pids
     left = [pid for pid in pids if psutil.pid_exists(pid)]
@@ -172,7 +191,11 @@
 
 def main() -> int:
     """Runs the demo."""
-    succeeded = asyncio.run(_demo())
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument(
+        "--keep", action="store_true", help="run until a signal at the end"
+    )
+    succeeded = asyncio.run(_demo(parser.parse_args().keep))
     print("demo succeeded" if succeeded else "demo failed")
     return 0 if succeeded else 1
 
