--- a/src/mallowloft/cli.py
+++ b/src/mallowloft/cli.py
@@ -13,6 +13,7 @@
 
 import mallowloft
 from mallowloft import client as client_lib
+from mallowloft.callers import answers
 from mallowloft.kernel import findings as findings_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
@@ -46,18 +47,12 @@
 
 
 def _log_state(kernel: lifecycle.Kernel) -> None:
-    _log.info("state_dump", state=json.dumps(kernel.dump(), default=str))
-
-
-def _note_pause(kernel: lifecycle.Kernel, gap_s: float) -> None:
-    kernel.metrics.count("pauses")
-    _log.warning("instance_paused", gap_ms=round(gap_s * 1000))
+    _log.info("state_dump", state=answers.state(kernel.dump()).decode())
 
 
 async def _run_instance(settings: settings_lib.Settings) -> None:
     kernel = lifecycle.Kernel(settings)
     kernel.build()
-    kernel.pauses.subscribe(lambda gap_s: _note_pause(kernel, gap_s))
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
