--- a/src/mallowloft/gather/hedging.py
+++ b/src/mallowloft/gather/hedging.py
@@ -5,12 +5,13 @@
 from mallowloft.gather import model
 
 _QUANTILE = 0.95
-# The first values move the estimate by large steps, later ones by 3%: small
-# enough to stay within about a tenth of a steady p95, large enough to follow
-# a change by a factor of two within some 30 attempts.
-_FIRST_STEP = 0.5
+# Large enough to follow a change by a factor of two within some 30 late
+# attempts, small enough to stay within about a tenth of a steady p95.
 _STEP = 0.03
-_MIN_SAMPLES = 10
+# The estimate starts from this many values; starting from the first one took
+# hundreds of attempts to get down to the p95, because a value below it moves
+# the estimate by 0.15% only.
+_FIRST_VALUES = 20
 # Used until a shard has been asked often enough.
 _DEFAULT_DELAY_MS = 25.0
 _FLOOR_MS = 0.5
@@ -24,30 +25,35 @@
     follows thousands of shards.
     """
 
-    __slots__ = ("_count", "_value_ms")
+    __slots__ = ("_first_ms", "_value_ms")
 
     def __init__(self) -> None:
-        self._count = 0
+        self._first_ms: list[float] | None = []
         self._value_ms = 0.0
 
     def record(self, value_ms: float) -> None:
         """Records one latency."""
-        self._count += 1
-        if self._count == 1:
-            self._value_ms = 2 * value_ms
-            return
-        step = max(_STEP, _FIRST_STEP / self._count)
-        if value_ms > self._value_ms:
-            self._value_ms *= 1 + step * _QUANTILE
+        if self._first_ms is not None:
+            self._record_first(value_ms)
+        elif value_ms > self._value_ms:
+            self._value_ms *= 1 + _STEP * _QUANTILE
         else:
-            self._value_ms *= 1 - step * (1 - _QUANTILE)
+            self._value_ms *= 1 - _STEP * (1 - _QUANTILE)
 
     def read_ms(self) -> float | None:
         """Returns the estimate, None after too few values."""
-        if self._count < _MIN_SAMPLES:
+        if self._first_ms is not None:
             return None
         return max(_FLOOR_MS, self._value_ms)
 
+    def _record_first(self, value_ms: float) -> None:
+        self._first_ms.append(value_ms)
+        if len(self._first_ms) < _FIRST_VALUES:
+            return
+        # The largest one often holds the cost of a new connection.
+        self._value_ms = sorted(self._first_ms)[-2]
+        self._first_ms = None
+
 
 class HedgeDelays:
     """The p95 of attempts by shard, without those of replicas at fault."""
--- a/src/mallowloft/gather/run.py
+++ b/src/mallowloft/gather/run.py
@@ -18,6 +18,9 @@
 # Timers closer together than this are served in one pass over the attempts.
 _TICK_S = 0.0005
 _RETRY_WAIT_S = 0.002
+# A hedge that the budget denies is tried again soon: a moment later the query
+# may show a fault, which frees saved tokens.
+_DENIED_S = 0.001
 # A query that itself shows this share of late attempts meets a fault: without
 # one, 5% of attempts pass their p95.
 _FAULT_SHARE = 0.15
@@ -158,6 +161,7 @@
         self._denied: set[model.Shard] = set()
         self._refused: set[model.Shard] = set()
         self._waiting: dict[model.Shard, str] = {}
+        self._late_numbers: set[int] = set()
         self._met_fault = False
         for shard in unmapped:
             self.merge.give_up(shard, merge_lib.Lack.NO_SHARD_MAP)
@@ -175,7 +179,7 @@
         try:
             self._probe()
             self._send(list(self._untried), hedge=False)
-            self._entry.budget.earn(self.sent, self._share())
+            self._earn()
             self._settle()
             self._tick()
             await self._finished
@@ -235,11 +239,12 @@
             if replica in known and not known[replica].leaving
         ]
 
-    def _share(self) -> float:
+    def _earn(self) -> None:
         fleet = self.query.snapshot.fleet
+        share = fleet.hedge_share
         if self._entry.health.at_fault(self._services):
-            return max(fleet.hedge_share, fleet.hedge_share_fault)
-        return fleet.hedge_share
+            share = max(share, fleet.hedge_share_fault)
+        self._entry.budget.earn(self.sent, share, fleet.hedge_share)
 
     def _probe(self) -> None:
         """Sends probes to avoided replicas beside the query's own attempts.
@@ -253,9 +258,10 @@
         now_s = self._entry.now()
         for shard, replicas in self._untried.items():
             for replica in replicas:
-                if health.probe_due(
-                    replica, now_s
-                ) and self._entry.budget.take_hedge(fault=True):
+                if (
+                    health.probe_due(replica, now_s)
+                    and self._entry.budget.take_probe()
+                ):
                     health.probe_sent(replica, now_s)
                     self._entry.probe(self, shard, replica)
 
@@ -361,13 +367,12 @@
         self._send_waiting()
 
     def _has_room(self, shard: model.Shard) -> bool:
-        """Whether an untried replica is known to have a short queue."""
+        """Whether an untried replica is known to have a free slot."""
         health = self._entry.health
         rank = self.query.rank
         now_s = self._entry.now()
         return any(
-            health.queue_delay_ms(replica, rank, now_s) is not None
-            and not health.queue_is_long(replica, rank, now_s)
+            health.has_room(replica, rank, now_s)
             and not health.avoided(replica, now_s)
             for replica in self._untried[shard]
         )
@@ -486,18 +491,22 @@
         desperate = waited_s > _DESPERATE_FACTOR * attempt.late_s
         if desperate:
             self._entry.lost_race(attempt, decisive=True)
+        if self._entry.health.avoided(attempt.replica, now_s):
+            desperate = True
         targets = {}
         for shard in pending:
             able = self._hedge_targets(attempt, shard, now_s, desperate)
             if able:
                 targets[shard] = able
+        if not targets:
+            return
         budget = self._entry.budget
         # An attempt that is several times too late counts as failed.
-        if targets and (
-            budget.take_hedge(fault) or (desperate and budget.take_retry())
-        ):
+        if budget.take_hedge(fault) or (desperate and budget.take_retry()):
             self.hedges += self._send(list(targets), True, targets)
             attempt.due_s = math.inf
+        else:
+            attempt.due_s = now_s + max(_DENIED_S, attempt.late_s / 4)
 
     def _hedge_targets(
         self,
--- a/src/mallowloft/gather/selection.py
+++ b/src/mallowloft/gather/selection.py
@@ -13,6 +13,14 @@
 # milliseconds are filled and drained well within this time.
 _DELAY_MAX_AGE_S = 0.5
 _SERVICE_WEIGHT = 0.2
+# Weight in the long-term mean, which a replica is compared with while its
+# siblings have not been asked: an entry asks the replica of its own failure
+# domain only.
+_USUAL_WEIGHT = 0.02
+# A refused attempt is sent elsewhere only if a queue was this short, as a
+# share of the service time, this recently: at an overload no queue is.
+_ROOM_SHARE = 0.25
+_ROOM_MAX_AGE_S = 0.1
 # Expected service time of a replica that has not answered yet.
 _DEFAULT_SERVICE_MS = 3.0
 _MIN_SAMPLES = 5
@@ -25,8 +33,8 @@
 # A lone failure is avoided this long, several in a row until a probe succeeds.
 _LONE_FAILURE_S = 0.1
 # Probes are extra sub-requests: with 8 entries and one straggler per service,
-# an interval that stays at 2 s spent 2.7% of 100 queries/s on probes.
-_PROBE_FIRST_S = 1.0
+# intervals of 0.25 s to 2 s spent 2.7% of 100 queries/s on probes.
+_PROBE_FIRST_S = 2.0
 _PROBE_MAX_S = 8.0
 # A replica that fails again within this time after it was back keeps the
 # probe interval it had reached.
@@ -54,6 +62,7 @@
     """What this entry knows of one replica from its own attempts."""
 
     service_ms: float = 0.0
+    usual_ms: float = 0.0
     samples: int = 0
     overhead_ms: float = 0.0
     failures: int = 0
@@ -143,6 +152,21 @@
         delay_ms = self.queue_delay_ms(replica, rank, now_s)
         return delay_ms is not None and delay_ms > self.service_ms(replica)
 
+    def badness(self, replica: str) -> tuple[int, float]:
+        """Orders replicas at fault: slow ones go before failing ones."""
+        state = self._states.get(replica)
+        if state is None:
+            return (0, _DEFAULT_SERVICE_MS)
+        return (state.failures, state.service_ms)
+
+    def has_room(self, replica: str, rank: int, now_s: float) -> bool:
+        """Whether a replica has just been reported to have a free slot."""
+        state = self._states.get(replica)
+        delay = state.delays_by_rank.get(rank) if state else None
+        if delay is None or now_s - delay[1] > _ROOM_MAX_AGE_S:
+            return False
+        return delay[0] <= _ROOM_SHARE * self.service_ms(replica)
+
     def is_crowded(self, replica: str, rank: int, now_s: float) -> bool:
         """Whether load, not the replica, explains a long queue.
 
@@ -182,6 +206,8 @@
         overhead_ms = max(0.0, latency_ms - service_ms)
         state.samples += 1
         state.service_ms += weight * (service_ms - state.service_ms)
+        weight_usual = max(_USUAL_WEIGHT, 1 / state.samples)
+        state.usual_ms += weight_usual * (service_ms - state.usual_ms)
         state.overhead_ms += weight * (overhead_ms - state.overhead_ms)
         if self._is_slow(replica, state.service_ms):
             return self._avoid(replica, now_s)
@@ -290,7 +316,11 @@
         )
 
     def _reference_ms(self, replica: str) -> float:
-        """Returns the service time of the fastest sound sibling."""
+        """Returns the service time of the fastest sound sibling.
+
+        If no sibling has been asked often enough, the replica's own long-term
+        mean.
+        """
         fastest_ms = float("inf")
         for sibling in self._siblings.get(replica, ()):
             state = self._states.get(sibling)
@@ -298,7 +328,10 @@
                 continue
             if state.samples >= _MIN_SAMPLES:
                 fastest_ms = min(fastest_ms, state.service_ms)
-        return fastest_ms
+        own = self._states.get(replica)
+        if fastest_ms < float("inf") or own is None:
+            return fastest_ms
+        return own.usual_ms if own.samples >= _MIN_SAMPLES else fastest_ms
 
     def _is_slow(self, replica: str, service_ms: float) -> bool:
         return service_ms > _SLOW_FACTOR * self._reference_ms(replica)
@@ -397,4 +430,4 @@
             for replica in candidates
             if not self._versions.lacks(replica, version, now_s)
         ]
-        return self._rng.choice(serving or candidates)
+        return min(serving or candidates, key=self._health.badness)
