--- a/src/mallowloft/submissions/stopping.py
+++ b/src/mallowloft/submissions/stopping.py
@@ -18,6 +18,8 @@
 # again; after `HANDOVER_TRIES` the next candidate is tried.
 HANDOVER_TRY_S = 0.25
 HANDOVER_TRIES = 3
+# Bounds the time of a stop during which nobody can be reached.
+MAX_CANDIDATES = 5
 # A leaving instance is no successor for this long, which exceeds a stop's
 # grace period; later its id may belong to a new process.
 LEAVING_S = 60.0
@@ -77,7 +79,7 @@
         """Hands the own final ledger and the held ones to one successor."""
         now_s = self._kernel.clock.now()
         ledgers = [own, *self._held.complete(now_s)]
-        for candidate in self._candidates():
+        for candidate in self._candidates()[:MAX_CANDIDATES]:
             for _ in range(HANDOVER_TRIES):
                 if self._kernel.clock.now() >= end_s:
                     break
@@ -88,7 +90,9 @@
                     return True
                 if accepted is False:
                     break
-        _log.warning("ledger_lost", keys=len(own.entries_by_key))
+        entries = sum(len(ledger.entries_by_key) for ledger in ledgers)
+        if entries:
+            _log.warning("ledgers_lost", outcomes=entries)
         return False
 
     def _candidates(self) -> list[str]:
