Test that messages of submissions are read as sent

The in-memory network encodes messages but hands them over undecoded, so a message missing in the codec's union would only fail between processes. Breach seen to fail: LedgerHeld left out of the union.

--- a/tests/test_submissions_leaving.py
+++ b/tests/test_submissions_leaving.py
@@ -28,3 +28,30 @@
         dispatch.on(messages.Leaving, lambda *_: received.append("second"))
         dispatch.deliver(_SENDER, (messages.Leaving("i2"),))
         assert received == ["second"]
+
+
+class TestMessages:
+    """Guards against a message that is sent but cannot be read."""
+
+    def test_messages_of_submissions_are_read_as_sent(self):
+        entry = messages.LedgerEntry(
+            "mk1.a", b"\x00\xff", messages.SubmitState.DONE, "", b'"lamp"'
+        )
+        sent = (
+            messages.SubmitOpen(1 << 62, "mk1.a", "hunters", b"\x00\xff"),
+            messages.SubmitTicket(1 << 62, 7),
+            messages.SubmitGo(
+                1, 7, "mk1.a", "q", "hunters", "shop", "s0", b"1", 0, 10.5
+            ),
+            messages.SubmitOutcome(
+                1, messages.SubmitState.EXPIRED, "", b"", True, 0.0
+            ),
+            messages.LedgerHandover("i1", 1 << 62, 0, 1, 5, 9.5, (entry,)),
+            messages.LedgerReceived("i1", 1, False),
+            messages.LedgerHeld("i1", 1),
+        )
+        envelope = messages.Envelope(
+            messages.PROTOCOL_VERSION, "i1", 1, "tcp://i1", 0, sent
+        )
+        received = messages.decode(messages.encode(envelope))
+        assert received.unwrap() == envelope
