--- a/tests/support/repeats.py
+++ b/tests/support/repeats.py
@@ -379,6 +379,11 @@
         await callers.run(count)
         await asyncio.gather(*faults)
         await asyncio.sleep(QUIET_S)
+        if world.prober.done():
+            # Without probes the views stay as they are and prove little.
+            raise RuntimeError("the prober failed") from (
+                world.prober.exception()
+            )
         outcomes = collections.Counter(
             type(outcome).__name__
             for outcome in callers.last_by_submission.values()
--- a/tests/support/submissions.py
+++ b/tests/support/submissions.py
@@ -218,8 +218,8 @@
 
     def knows(self, instance: str, reachable: bool) -> bool:
         """Whether the result of a probe changes nothing."""
-        state = self.view.members_by_id[instance].state
-        return state in (
+        member = self.view.members_by_id.get(instance)
+        return member is None or member.state in (
             view_lib.LEAVING,
             view_lib.LIVE if reachable else view_lib.SUSPECT,
         )
@@ -367,7 +367,7 @@
     async def start(self, domains_by_instance, **settings) -> None:
         for instance, domain in domains_by_instance.items():
             await self.add(instance, domain, **settings)
-        self._prober = asyncio.create_task(self._probe())
+        self.prober = asyncio.create_task(self._probe())
 
     def submissions(self, instance: str):
         """Returns the plug-in of an instance."""
