--- a/tests/test_dispatch_slots.py
+++ b/tests/test_dispatch_slots.py
@@ -5,6 +5,7 @@
 
 from mallowloft import messages
 from mallowloft.dispatch import reservations
+from mallowloft.membership import view as view_lib
 from tests.support import dispatch_client
 from tests.support import virtual
 from tests.support import world as world_lib
@@ -316,6 +317,26 @@
 
         assert virtual.run(scenario()).attempt == 1
 
+    def test_answer_for_a_past_incarnation_is_dropped(self):
+        """Guards against an answer taken for that of a new attempt 1."""
+
+        async def scenario():
+            world, _, client = await _start(service_s=lambda rng: 0.05)
+            client.reserve(1, "r1")
+            ready = await client.wait_for(messages.SlotReady)
+            client.go(1, ready.ticket)
+            client.ask(1, "r1")
+            await asyncio.sleep(0.01)
+            view = world.kernels_by_id["i1"].plugin("membership").view
+            view.put(view_lib.Member("client", "d1", "", 901, view_lib.LIVE))
+            await asyncio.sleep(0.1)
+            kernel = world.kernels_by_id["i1"]
+            dropped = kernel.metrics.counted("dispatch_answers_dropped")
+            return len(client.received), dropped
+
+        # Only the ticket has been received.
+        assert virtual.run(scenario()) == (1, 2)
+
     def test_random_losses_and_copies_never_run_twice(self):
         """Guards against any order of copies that runs a ticket twice."""
 
