Return the members' state as valid JSON

Cause: the instance's own entry in the membership dump had an infinite silence, so the operators' /v1/state answered 500.

Change: the own silence is 0. A test dumps listed, suspected and rejected state with strict JSON; it fails with the old code.

--- a/src/mallowloft/membership/service.py
+++ b/src/mallowloft/membership/service.py
@@ -160,7 +160,6 @@
 
     def dump(self) -> dict[str, Any]:
         """Returns the members and since when they are in their state."""
-        now_s = self._now()
         return {
             "members": {
                 member.instance: {
@@ -169,7 +168,7 @@
                     "incarnation": member.incarnation,
                     "state": member.state,
                     "listed": member.instance in self._listed,
-                    "silent_s": now_s - self._last_evidence_s(member.instance),
+                    "silent_s": self._silent_s(member.instance),
                 }
                 for member in self.view.members_by_id.values()
             },
@@ -215,6 +214,11 @@
     def _send(self, to: str, message: messages.Message) -> None:
         self._kernel.plugin("peers").send(to, message)
 
+    def _silent_s(self, instance: str) -> float:
+        if instance == self._own:
+            return 0.0
+        return self._now() - self._last_evidence_s(instance)
+
     def _last_evidence_s(self, instance: str) -> float:
         heard_s = self._prober.heard_s(instance)
         return max(heard_s, self._since_s.get(instance, float("-inf")))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,6 +1,7 @@
 """Members, failover, partitions and pauses, on virtual time."""
 
 import asyncio
+import json
 import random
 
 import pytest
@@ -182,6 +183,29 @@
         virtual.run(scenario())
 
 
+class TestDump:
+    """The state that operators ask for is valid JSON."""
+
+    def test_dump_is_json_in_every_state_of_members(self):
+        async def scenario():
+            world = world_lib.World()
+            world.publish({"/operator/fleet": {}})
+            world.kernel("ghost", "d1")
+            await world.start(_domains(6))
+            await faults.kill(world, "i4")
+            await asyncio.sleep(1)
+            world.publish({"/teams/a/query": {"min_coverage": 9}})
+            await asyncio.sleep(1)
+            dump = world.kernels_by_id["i0"].dump()
+            text = json.dumps(dump, allow_nan=False)
+            assert "min_coverage" in text
+            members = dump["plugins"]["membership"]["members"]
+            assert members["ghost"]["state"] == view_lib.LISTED
+            assert members["i4"]["state"] == view_lib.SUSPECT
+
+        virtual.run(scenario())
+
+
 class TestFailover:
     """A killed instance's share is served again within 500 ms."""
 
