--- a/src/mallowloft/callers/service.py
+++ b/src/mallowloft/callers/service.py
@@ -8,7 +8,6 @@
 import socket
 from typing import Any
 
-import msgspec
 from starlette import applications
 from starlette import exceptions
 from starlette import requests as http_requests
--- a/src/mallowloft/gather/run.py
+++ b/src/mallowloft/gather/run.py
@@ -555,7 +555,7 @@
         if self.query.prefer != "time" or self._waiting:
             return
         covered = len(self.merge.results)
-        if covered < self.query.min_coverage * self.merge.total:
+        if not covered or covered < self.query.min_coverage * self.merge.total:
             return
         for shard in self.merge.open_shards:
             if self._untried[shard] or any(
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -106,7 +106,7 @@
 
         answer, status, log = _run(test, tmp_path)
         assert answer.status == 200
-        assert answer.body["complete"]
+        assert answer.body["complete"], answer.body["lacking"]
         assert status == 0
         assert "event=instance_stopped" in log
 
