Close the callers' port without resetting requests on their way

Connections that were accepted a moment before, with the request still on the way, were closed as idle, and connections that waited at the port were reset by the kernel.

Change: the server first takes the connections that wait at the port, closes the port, answers for up to 1 s what arrives on open connections (with `stopping`), and closes the rest. It is a module of its own, which makes the service shorter.

Ruled out: a longer drain_s; callers that reconnect always meet the moment at which the port closes.

What is left is a handshake that ends between the last accept and the close; a load balancer that follows /readyz sends nothing any more at that time.

--- /dev/null
+++ b/src/mallowloft/callers/server.py
@@ -0,0 +1,110 @@
+"""HTTP server that closes without cutting off requests on their way."""
+
+import asyncio
+import contextlib
+import socket
+from typing import Any
+
+import uvicorn
+
+_POLL_S = 0.01
+# A connection that was just opened has its request still on the way. Closing
+# it at once would reset it, and the caller could not tell whether the request
+# was run.
+_LAST_REQUESTS_S = 1.0
+# Answers that are written get this long to leave, also without grace period.
+_CLOSE_TIMEOUT_S = 1.0
+
+
+class _Uvicorn(uvicorn.Server):
+    """A server that leaves signal handling to the process."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        yield
+
+
+class Server:
+    """One listening port and its connections."""
+
+    def __init__(
+        self, app: Any, host: str, port: int, tls: dict[str, str]
+    ) -> None:
+        self._address = (host, port)
+        self._config = uvicorn.Config(
+            app,
+            log_config=None,
+            access_log=False,
+            lifespan="off",
+            server_header=False,
+            **tls,
+        )
+        self._server = _Uvicorn(self._config)
+        self._listener: socket.socket | None = None
+        self._task: asyncio.Task | None = None
+
+    @property
+    def listening(self) -> bool:
+        """Whether new connections are accepted."""
+        return self._server.started and self._listener is not None
+
+    async def start(self) -> None:
+        """Listens; raises OSError if the port is taken.
+
+        The socket is bound here because uvicorn ends the process if it cannot
+        bind.
+        """
+        host, _ = self._address
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = socket.socket(family)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(self._address)
+        self._listener = listener
+        self._task = asyncio.create_task(self._server.serve([listener]))
+        while not self._server.started and not self._task.done():
+            await asyncio.sleep(_POLL_S)
+
+    async def stop(self, grace_s: float) -> None:
+        """Answers what is on its way, then closes all connections."""
+        await self._stop_accepting()
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + min(grace_s, _LAST_REQUESTS_S)
+        connections = self._server.server_state.connections
+        while connections and loop.time() < end_s:
+            await asyncio.sleep(_POLL_S)
+        self._server.should_exit = True
+        if self._task is not None:
+            await asyncio.wait(
+                [self._task], timeout=max(_CLOSE_TIMEOUT_S, grace_s)
+            )
+
+    async def _stop_accepting(self) -> None:
+        """Closes the port after taking the connections that wait at it.
+
+        The kernel resets connections that are not yet accepted.
+        """
+        listener = self._listener
+        if listener is None:
+            return
+        self._listener = None
+        waiting = []
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = listener.accept()
+                waiting.append(connection)
+        for server in self._server.servers:
+            server.close()
+        for connection in waiting:
+            connection.setblocking(False)
+            with contextlib.suppress(OSError):
+                loop = asyncio.get_running_loop()
+                await loop.connect_accepted_socket(
+                    self._protocol, connection, ssl=self._config.ssl
+                )
+
+    def _protocol(self) -> asyncio.Protocol:
+        return self._config.http_protocol_class(
+            config=self._config,
+            server_state=self._server.server_state,
+            app_state=self._server.lifespan.state,
+        )
--- a/src/mallowloft/callers/service.py
+++ b/src/mallowloft/callers/service.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 import contextlib
 import secrets
-import socket
 from typing import Any
 
 from starlette import applications
@@ -13,11 +12,11 @@
 from starlette import requests as http_requests
 from starlette import responses
 from starlette import routing
-import uvicorn
 
 from mallowloft.callers import answers
 from mallowloft.callers import limits
 from mallowloft.callers import requests as checks
+from mallowloft.callers import server as server_lib
 from mallowloft.gather import model as gather_model
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
@@ -37,16 +36,6 @@
 _RETRY_LIMIT_MS = 100.0
 _RETRY_DEADLINE_MS = 100.0
 _POLL_S = 0.01
-# Answers that are written get this long to leave, also without grace period.
-_CLOSE_TIMEOUT_S = 1.0
-
-
-class _Server(uvicorn.Server):
-    """A server that leaves signal handling to the process."""
-
-    @contextlib.contextmanager
-    def capture_signals(self):
-        yield
 
 
 class _Discarding(responses.Response):
@@ -168,7 +157,7 @@
         self._open_requests = 0
         self._refusing = False
         self._submissions: set[asyncio.Task] = set()
-        self._servers: list[tuple[_Server, asyncio.Task]] = []
+        self._servers: list[server_lib.Server] = []
         self.caller_app = applications.Starlette(
             routes=[
                 self._route("/v1/query/{target}", self._query),
@@ -214,16 +203,14 @@
             self._open_requests or self._submissions
         ):
             await asyncio.sleep(_POLL_S)
-        for server, _ in self._servers:
-            server.should_exit = True
-        await asyncio.wait(
-            [task for _, task in self._servers],
-            timeout=max(_CLOSE_TIMEOUT_S, end_s - clock.now()),
+        remaining_s = max(0.0, end_s - clock.now())
+        await asyncio.gather(
+            *(server.stop(remaining_s) for server in self._servers)
         )
 
     def ready(self) -> bool:
         """Whether the servers accept connections."""
-        return all(server.started for server, _ in self._servers)
+        return all(server.listening for server in self._servers)
 
     def dump(self) -> dict[str, Any]:
         """Returns the requests in flight."""
@@ -232,6 +219,7 @@
             "in_flight_by_team": self._in_flight.dump(),
             "submissions_in_flight": len(self._submissions),
             "refusing": self._refusing,
+            "listening": self.ready(),
         }
 
     def _count_open(self) -> int:
@@ -240,26 +228,9 @@
     async def _serve(
         self, app: applications.Starlette, port: int, tls: dict[str, str]
     ) -> None:
-        settings = self._kernel.settings
-        family = socket.AF_INET6 if ":" in settings.host else socket.AF_INET
-        # Bound here because uvicorn ends the process if it cannot bind.
-        listener = socket.socket(family)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((settings.host, port))
-        server = _Server(
-            uvicorn.Config(
-                app,
-                log_config=None,
-                access_log=False,
-                lifespan="off",
-                server_header=False,
-                **tls,
-            )
-        )
-        task = asyncio.create_task(server.serve([listener]))
-        self._servers.append((server, task))
-        while not server.started and not task.done():
-            await asyncio.sleep(_POLL_S)
+        server = server_lib.Server(app, self._kernel.settings.host, port, tls)
+        self._servers.append(server)
+        await server.start()
 
     def _route(self, path: str, handler: Handler) -> routing.Route:
         async def endpoint(request: http_requests.Request):
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 import json
+import socket
 from typing import Any
 
 import aiohttp
@@ -14,6 +15,7 @@
 from mallowloft import client as client_lib
 from mallowloft import messages
 from mallowloft.callers import requests as checks
+from mallowloft.callers import server as server_lib
 from mallowloft.callers import service as callers_lib
 from mallowloft.configuration import acceptance
 from mallowloft.configuration import model as config_model
@@ -28,6 +30,7 @@
 
 _TEAM = {"Authorization": "Bearer token-hunters"}
 _KEY = {"Idempotency-Key": "key-1"}
+_REQUEST = b"POST /v1/keys HTTP/1.1\r\nHost: i1\r\n\r\n"
 _SHARD = gather_model.Shard("checker", "s0")
 
 
@@ -735,6 +738,60 @@
         assert answer.status == 200
         assert answer.headers["Connection"] == "close"
 
+    def test_request_on_its_way_is_answered(self, monkeypatch):
+        # Guards against a reset of a connection that was opened just before
+        # the port closed: its caller cannot tell whether the request was run.
+        monkeypatch.setattr(server_lib, "_LAST_REQUESTS_S", 15.0)
+
+        async def test(instance):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", instance.port
+            )
+            stopping = asyncio.create_task(instance.callers.stop(20.0))
+            await instance.until(
+                lambda: not instance.callers.dump()["listening"]
+            )
+            # Longer than the server takes to notice that it is to end.
+            await asyncio.sleep(0.5)
+            writer.write(_REQUEST)
+            answer = await reader.read()
+            writer.close()
+            await stopping
+            return answer
+
+        answer = _run(test)
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert b'"error":"stopping"' in answer
+
+    def test_connections_that_wait_at_the_port_are_answered(self):
+        # Guards against the reset that the kernel sends for connections that
+        # are not yet accepted when the port closes.
+        async def app(scope, receive, send):
+            start = {"type": "http.response.start", "status": 204}
+            await send({**start, "headers": [(b"connection", b"close")]})
+            await send({"type": "http.response.body", "body": b""})
+
+        async def scenario():
+            (port,) = serving.free_ports(1)
+            server = server_lib.Server(app, "127.0.0.1", port, {})
+            await server.start()
+            callers = []
+            # Nothing is awaited in between, so nothing can be accepted.
+            for _ in range(20):
+                caller = socket.create_connection(("127.0.0.1", port))
+                caller.sendall(_REQUEST)
+                caller.setblocking(False)
+                callers.append(caller)
+            await server.stop(10.0)
+            loop = asyncio.get_running_loop()
+            answers = [await loop.sock_recv(item, 4096) for item in callers]
+            for caller in callers:
+                caller.close()
+            return answers
+
+        for answer in asyncio.run(scenario()):
+            assert answer.startswith(b"HTTP/1.1 204 ")
+
     def test_idle_connections_are_closed_cleanly(self):
         async def test(instance):
             reader, writer = await asyncio.open_connection(
