Wait for the deadline unless a team prefers time

Cause: with prefer=time as the default and no minimum coverage, a query over one slow shard was answered empty as a straggler long before its deadline. Before: test_sigterm_finishes_the_request_in_flight failed with coverage 0; after: it passes.

--- a/src/mallowloft/configuration/model.py
+++ b/src/mallowloft/configuration/model.py
@@ -135,7 +135,8 @@
         1_000.0
     )
     min_coverage: Share = 0.0
-    prefer: Literal["time", "coverage"] = "time"
+    # A team that states nothing gets what its deadline allows, not less.
+    prefer: Literal["time", "coverage"] = "coverage"
 
 
 @dataclasses.dataclass(frozen=True)
