--- a/src/mallowloft/submissions/running.py
+++ b/src/mallowloft/submissions/running.py
@@ -14,9 +14,9 @@
 
 _log = logs.get("submissions")
 
-# A reservation that is silent for this long gets company at another replica:
-# the message may be lost, the dispatcher dead or its queue long. The time
-# doubles with each further reservation.
+# After this long without an answer a further reservation is made at another
+# replica: the message may be lost, the dispatcher dead or its queue long. The
+# time doubles with each further reservation.
 RESERVE_TRY_S = 0.25
 # Each reservation may hold a slot for one round trip, so few are open at once.
 MAX_RESERVATIONS = 3
