Distrust a replica that has just come back

Three tests that passed for another reason were corrected: the loser must be cancelled at once and not at the deadline, and the two tests of queues now have tokens for the hedge that must not happen.

Shown to fail first, one at a time (39 mutations over test_gather_selection and test_gather_budget, for example: own domain ignored, best of all instead of two, refusal counted as failure, load taken for fault, no resend, silence ignored, no reserve, no retry debt, losers run on, queued hedged, hedge into a long queue, refused always retried, Retry-After dropped). "losers run on", "queued hedged" and "no margin" survived at first; the tests above are the consequence.

--- a/src/mallowloft/gather/selection.py
+++ b/src/mallowloft/gather/selection.py
@@ -27,6 +27,9 @@
 # A healthy replica's mean stays well under this multiple of its siblings'
 # mean; stragglers that hurt a query are slower still.
 _SLOW_FACTOR = 3.0
+# A probe is one value only, so it is compared more strictly: one in 70 calls
+# of a replica that is ten times slower takes under three times the mean.
+_PROBE_FACTOR = 2.0
 # One lost race is chance (5% of attempts pass the p95), two in a row without
 # an answer in between are not.
 _LOST_RACES = 2
@@ -115,6 +118,13 @@
             return False
         return state.avoided or now_s < state.avoid_until_s
 
+    def doubtful(self, replica: str, now_s: float) -> bool:
+        """Whether a replica is avoided, or was until recently."""
+        state = self._states.get(replica)
+        if state is None:
+            return False
+        return state.avoided or now_s - state.back_s < _RELAPSE_S
+
     def at_fault(self, services: Iterable[str]) -> bool:
         """Whether a replica of the services is known to be at fault."""
         by_service = self._avoided_by_service
@@ -240,6 +250,7 @@
         if elapsed_ms < 2 * self._reference_ms(replica):
             return False
         state.lost_races += 1
+        decisive = decisive or self.doubtful(replica, now_s)
         if state.lost_races < _LOST_RACES and not decisive:
             return False
         if not self._has_sound_sibling(replica, now_s):
@@ -275,7 +286,8 @@
     ) -> bool:
         """Records a successful probe; True if the replica is back."""
         state = self._state(replica)
-        if not state.avoided or self._is_slow(replica, service_ms):
+        slow = service_ms > _PROBE_FACTOR * self._reference_ms(replica)
+        if not state.avoided or slow:
             return False
         state.avoided = False
         state.avoid_until_s = 0.0
--- a/tests/test_gather_budget.py
+++ b/tests/test_gather_budget.py
@@ -163,15 +163,21 @@
         assert recovered > 500
 
     def test_the_loser_is_cancelled(self):
-        world, answers = self._fault(
-            lambda replica: setattr(replica, "frozen", True), count=3
-        )
-        assert sum(answer.attempts.hedges for answer in answers) > 0
-        cancelled = sum(
-            replica.count("query_cancelled")
-            for replica in world.replicas_by_id.values()
-        )
-        assert cancelled > 0
+        async def scenario():
+            world, started = _world(services=1, shards=1)
+            await started
+            await _warm(world, target="svc-0")
+            straggler = world.replicas_by_id["svc-0-a"]
+            straggler.frozen = True
+            answer = (await world.ask("i1", target="svc-0"))[1].unwrap()
+            await asyncio.sleep(0.01)
+            gather = world.kernels_by_id["i1"].plugin("gather")
+            return answer, straggler.count("query_cancelled"), gather.dump()
+
+        answer, cancelled, dump = virtual.run(scenario())
+        assert answer.attempts.hedges == 1
+        assert cancelled == 1
+        assert dump["attempts_in_flight"] == 0
 
     def test_nothing_is_hedged_when_switched_off(self):
         async def scenario():
@@ -193,9 +199,10 @@
             await _warm(world, target="svc-0")
             for replica in world.replicas_by_id.values():
                 replica.slow_factor = 25.0
+            gather = world.kernels_by_id["i1"].plugin("gather")
+            gather.budget.earn(1000, 1.0, 1.0)
             asked = asyncio.create_task(world.ask("i1", target="svc-0"))
             await asyncio.sleep(0.002)
-            gather = world.kernels_by_id["i1"].plugin("gather")
             if announced:
                 world.kernels_by_id["i2"].plugin("peers").send(
                     "i1", messages.SubQueued(tuple(gather._running), 500.0)
@@ -211,12 +218,11 @@
             await started
             await _warm(world, target="svc-0")
             world.replicas_by_id["svc-0-a"].slow_factor = 25.0
-            health = world.kernels_by_id["i1"].plugin("gather").health
-            for step in range(5):
-                del step
-                health.report_queue(
-                    "svc-0-b", 0, delay_ms, asyncio.get_running_loop().time()
-                )
+            gather = world.kernels_by_id["i1"].plugin("gather")
+            gather.budget.earn(1000, 1.0, 1.0)
+            gather.health.report_queue(
+                "svc-0-b", 0, delay_ms, asyncio.get_running_loop().time()
+            )
             return (await world.ask("i1", target="svc-0"))[1].unwrap().attempts
 
         assert virtual.run(scenario(0.0)).hedges == 1
@@ -298,7 +304,7 @@
     def test_coverage_is_preferred_until_shortly_before_the_deadline(self):
         outcome = self._frozen(self._LOST, deadline_ms=400.0)
         answer = outcome.unwrap()
-        assert 370 < answer.elapsed_ms < 400
+        assert 370 < answer.elapsed_ms <= 392
         assert answer.coverage == 0.75
         assert set(answer.lacking.values()) == {"deadline"}
 
