--- a/src/mallowloft/gather/selection.py
+++ b/src/mallowloft/gather/selection.py
@@ -1,5 +1,6 @@
 """Choice of the replica that is asked for a shard."""
 
+import collections
 from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
@@ -27,6 +28,12 @@
 # A healthy replica's mean stays well under this multiple of its siblings'
 # mean; stragglers that hurt a query are slower still.
 _SLOW_FACTOR = 3.0
+# This many replicas avoided within this time mean that a fault is being
+# learnt: late attempts may then use saved tokens.
+_LEARNING_COUNT = 3
+_LEARNING_S = 3.0
+# A replica that refused this recently is taken to be overloaded.
+_REFUSAL_S = 1.0
 # A probe is one value only, so it is compared more strictly: one in 70 calls
 # of a replica that is ten times slower takes under three times the mean.
 _PROBE_FACTOR = 2.0
@@ -75,6 +82,7 @@
     probe_s: float = 0.0
     probe_interval_s: float = _PROBE_FIRST_S
     back_s: float = float("-inf")
+    refused_s: float = float("-inf")
     delays_by_rank: dict[int, tuple[float, float]] = dataclasses.field(
         default_factory=dict
     )
@@ -92,6 +100,9 @@
         self._siblings: dict[str, tuple[str, ...]] = {}
         self._avoided_by_service: dict[str, set[str]] = {}
         self._service_of: dict[str, str] = {}
+        self._avoided_s: collections.deque[float] = collections.deque(
+            maxlen=_LEARNING_COUNT
+        )
 
     def update_services(self, snapshot: config_model.Snapshot) -> None:
         """Takes the replicas of all services and forgets removed ones."""
@@ -125,6 +136,17 @@
             return False
         return state.avoided or now_s - state.back_s < _RELAPSE_S
 
+    def learning(self, now_s: float) -> bool:
+        """Whether several replicas have just been found at fault."""
+        times_s = self._avoided_s
+        return (
+            len(times_s) == _LEARNING_COUNT and now_s - times_s[0] < _LEARNING_S
+        )
+
+    def refused(self, replica: str, now_s: float) -> None:
+        """Records that a replica's dispatcher or the replica refused."""
+        self._state(replica).refused_s = now_s
+
     def at_fault(self, services: Iterable[str]) -> bool:
         """Whether a replica of the services is known to be at fault."""
         by_service = self._avoided_by_service
@@ -175,6 +197,8 @@
         delay = state.delays_by_rank.get(rank) if state else None
         if delay is None or now_s - delay[1] > _ROOM_MAX_AGE_S:
             return False
+        if now_s - state.refused_s < _REFUSAL_S:
+            return False
         return delay[0] <= _ROOM_SHARE * self.service_ms(replica)
 
     def is_crowded(self, replica: str, rank: int, now_s: float) -> bool:
@@ -316,6 +340,7 @@
         if now_s - state.back_s > _RELAPSE_S:
             state.probe_interval_s = _PROBE_FIRST_S
         state.avoided = True
+        self._avoided_s.append(now_s)
         state.probe_s = now_s + state.probe_interval_s
         service = self._service_of.get(replica, "")
         self._avoided_by_service.setdefault(service, set()).add(replica)
--- a/src/mallowloft/gather/service.py
+++ b/src/mallowloft/gather/service.py
@@ -475,6 +475,7 @@
         delay_ms = reply.queue_delay_ms
         if reply.outcome in selection.REFUSALS:
             delay_ms = max(delay_ms, reply.retry_after_ms)
+            self.health.refused(replica, now_s)
         self.health.report_queue(replica, run.query.rank, delay_ms, now_s)
         if reply.outcome is messages.Outcome.WRONG_VERSION:
             self.versions.observe(replica, run.version, False, now_s)
--- a/tests/test_gather_selection.py
+++ b/tests/test_gather_selection.py
@@ -155,6 +155,23 @@
             choice.health.lost_race("a", 90.0, 0.0, decisive=True)
         assert not choice.health.avoided("a", 0.0)
 
+    def test_a_replica_that_refuses_has_no_room(self):
+        # An overloaded dispatcher reports an empty queue now and then.
+        choice = _Choice(a="d1", b="d2")
+        choice.health.report_queue("a", 0, 0.0, 0.0)
+        assert choice.health.has_room("a", 0, 0.05)
+        choice.health.refused("a", 0.0)
+        assert not choice.health.has_room("a", 0, 0.05)
+
+    def test_several_new_faults_are_being_learnt(self):
+        choice = _Choice(a="d1", b="d2", c="d3")
+        for replica in "abc":
+            assert not choice.health.learning(0.0)
+            choice.health.failed(replica, _FAILED, 0.0)
+            choice.health.failed(replica, _FAILED, 0.0)
+        assert choice.health.learning(1.0)
+        assert not choice.health.learning(10.0)
+
     def test_a_slow_probe_keeps_it_avoided_a_sound_one_ends_it(self):
         choice = _Choice(a="d1", b="d2")
         choice.answer("b", 3.0)
