--- a/src/mallowloft/gather/selection.py
+++ b/src/mallowloft/gather/selection.py
@@ -1,5 +1,6 @@
 """Choice of the replica that is asked for a shard."""
 
+import collections
 from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
@@ -27,6 +28,15 @@
 # A healthy replica's mean stays well under this multiple of its siblings'
 # mean; stragglers that hurt a query are slower still.
 _SLOW_FACTOR = 3.0
+# This many replicas avoided within this time mean that a fault is being
+# learnt: late attempts may then use saved tokens.
+_LEARNING_COUNT = 3
+_LEARNING_S = 3.0
+# A replica that refused this recently is taken to be overloaded.
+_REFUSAL_S = 1.0
+# A probe is one value only, so it is compared more strictly: one in 70 calls
+# of a replica that is ten times slower takes under three times the mean.
+_PROBE_FACTOR = 2.0
 # One lost race is chance (5% of attempts pass the p95), two in a row without
 # an answer in between are not.
 _LOST_RACES = 2
@@ -72,6 +82,7 @@
     probe_s: float = 0.0
     probe_interval_s: float = _PROBE_FIRST_S
     back_s: float = float("-inf")
+    refused_s: float = float("-inf")
     delays_by_rank: dict[int, tuple[float, float]] = dataclasses.field(
         default_factory=dict
     )
@@ -89,6 +100,9 @@
         self._siblings: dict[str, tuple[str, ...]] = {}
         self._avoided_by_service: dict[str, set[str]] = {}
         self._service_of: dict[str, str] = {}
+        self._avoided_s: collections.deque[float] = collections.deque(
+            maxlen=_LEARNING_COUNT
+        )
 
     def update_services(self, snapshot: config_model.Snapshot) -> None:
         """Takes the replicas of all services and forgets removed ones."""
@@ -115,6 +129,24 @@
             return False
         return state.avoided or now_s < state.avoid_until_s
 
+    def doubtful(self, replica: str, now_s: float) -> bool:
+        """Whether a replica is avoided, or was until recently."""
+        state = self._states.get(replica)
+        if state is None:
+            return False
+        return state.avoided or now_s - state.back_s < _RELAPSE_S
+
+    def learning(self, now_s: float) -> bool:
+        """Whether several replicas have just been found at fault."""
+        times_s = self._avoided_s
+        return (
+            len(times_s) == _LEARNING_COUNT and now_s - times_s[0] < _LEARNING_S
+        )
+
+    def refused(self, replica: str, now_s: float) -> None:
+        """Records that a replica's dispatcher or the replica refused."""
+        self._state(replica).refused_s = now_s
+
     def at_fault(self, services: Iterable[str]) -> bool:
         """Whether a replica of the services is known to be at fault."""
         by_service = self._avoided_by_service
@@ -165,6 +197,8 @@
         delay = state.delays_by_rank.get(rank) if state else None
         if delay is None or now_s - delay[1] > _ROOM_MAX_AGE_S:
             return False
+        if now_s - state.refused_s < _REFUSAL_S:
+            return False
         return delay[0] <= _ROOM_SHARE * self.service_ms(replica)
 
     def is_crowded(self, replica: str, rank: int, now_s: float) -> bool:
@@ -240,6 +274,7 @@
         if elapsed_ms < 2 * self._reference_ms(replica):
             return False
         state.lost_races += 1
+        decisive = decisive or self.doubtful(replica, now_s)
         if state.lost_races < _LOST_RACES and not decisive:
             return False
         if not self._has_sound_sibling(replica, now_s):
@@ -275,7 +310,8 @@
     ) -> bool:
         """Records a successful probe; True if the replica is back."""
         state = self._state(replica)
-        if not state.avoided or self._is_slow(replica, service_ms):
+        slow = service_ms > _PROBE_FACTOR * self._reference_ms(replica)
+        if not state.avoided or slow:
             return False
         state.avoided = False
         state.avoid_until_s = 0.0
@@ -304,6 +340,7 @@
         if now_s - state.back_s > _RELAPSE_S:
             state.probe_interval_s = _PROBE_FIRST_S
         state.avoided = True
+        self._avoided_s.append(now_s)
         state.probe_s = now_s + state.probe_interval_s
         service = self._service_of.get(replica, "")
         self._avoided_by_service.setdefault(service, set()).add(replica)
