Probe a failure domain before it counts as cut off

Cause: four silent members in a row, with nothing heard from their domain in between, marked the domain as cut off. When several instances failed together they were judged in one batch, the domain was marked, its next message restored the dead ones as well, and 250 ms later the same happened again. In a trial at 200 instances with 10 killed at once some views still had a dead one live after 10 s.

Ruled out: a longer silence of the whole domain (members of other domains are heard of only about every 0.5 s, so it would slow real cuts down).

Change: the first silent member of a domain starts pings to four others that are not themselves being judged. Only if all of these are silent does the domain count as cut off.

Test: test_members_that_fail_together_stay_suspected, which fails with the former code and with any silence counted as that of a probe.

--- a/src/mallowloft/membership/prober.py
+++ b/src/mallowloft/membership/prober.py
@@ -23,9 +23,9 @@
 _MAX_EXPECTED_PINGS = 16
 _MAX_REPEATED_PINGS = 32
 _NOT_LIVE_PINGS = 2
-# Members of a failure domain that are silent in a row, with nothing heard from
-# any other of it, before the whole domain counts as cut off.
-_CUT_MISSES = 4
+# Once a member is silent, this many others of its failure domain are pinged. If
+# all of them are silent, too, the whole domain counts as cut off.
+_CUT_PROBES = 4
 _NOT_LIVE_STATES = (view_lib.LISTED, view_lib.SUSPECT, view_lib.LEAVING)
 
 
@@ -49,7 +49,7 @@
         self._rounds_by_group: dict[str, list[str]] = {}
         self._ring: list[str] = []
         self._foreign_turn = 0
-        self._misses_by_domain: dict[str, int] = {}
+        self._cut_probes_by_domain: dict[str, set[str]] = {}
         self._cut_by_domain: dict[str, set[str]] = {}
         view.subscribe(self._forget_ring)
 
@@ -65,8 +65,8 @@
         Returns:
             Members that were suspected only because the domain was cut off.
         """
-        if self._misses_by_domain:
-            self._misses_by_domain.pop(failure_domain, None)
+        if self._cut_probes_by_domain:
+            self._cut_probes_by_domain.pop(failure_domain, None)
         if not self._cut_by_domain:
             return []
         return sorted(self._cut_by_domain.pop(failure_domain, ()))
@@ -122,24 +122,28 @@
         ]
 
     def missed(self, instance: str) -> tuple[list[str], bool]:
-        """Counts a silent member against its failure domain.
+        """Looks whether the failure domain of a silent member is cut off.
+
+        Only the silence of members that are pinged for this purpose counts:
+        several that failed together say nothing of the others.
 
         Returns:
             Members of the domain to ping at once, and whether the whole
             domain is now considered cut off.
         """
         failure_domain = self._view.domain_of(instance) or ""
-        misses = self._misses_by_domain.get(failure_domain, 0) + 1
-        self._misses_by_domain[failure_domain] = misses
+        probes = self._cut_probes_by_domain.get(failure_domain)
+        if probes is not None:
+            probes.discard(instance)
+            return [], not probes
         others = [
             name
             for name in self._view.live(failure_domain)
             if name not in (instance, self._own)
         ]
-        if misses >= _CUT_MISSES:
-            return [], True
-        count = min(len(others), _CUT_MISSES - 1) if misses == 1 else 0
-        return self._rng.sample(others, count), False
+        chosen = self._rng.sample(others, min(len(others), _CUT_PROBES))
+        self._cut_probes_by_domain[failure_domain] = set(chosen)
+        return chosen, not chosen
 
     def cut(self, failure_domain: str) -> list[str]:
         """Marks a failure domain as cut off.
@@ -147,6 +151,7 @@
         Returns:
             Its live members, all to be suspected.
         """
+        self._cut_probes_by_domain.pop(failure_domain, None)
         live = [
             name
             for name in self._view.live(failure_domain)
@@ -204,7 +209,7 @@
         self._judged_s.clear()
         self._on_hearsay.clear()
         self._expected_until_s.clear()
-        self._misses_by_domain.clear()
+        self._cut_probes_by_domain.clear()
 
     def _own_live(self) -> list[str]:
         return self._view.live(self._own_domain)
--- a/src/mallowloft/membership/service.py
+++ b/src/mallowloft/membership/service.py
@@ -516,10 +516,11 @@
             self._spread_suspicion(accused)
         with self.view.batch():
             for instance in silent:
-                self._suspect(instance)
+                self._set_state(instance, view_lib.SUSPECT)
+            for instance in silent:
+                self._look_for_cut(instance)
 
-    def _suspect(self, instance: str) -> None:
-        self._set_state(instance, view_lib.SUSPECT)
+    def _look_for_cut(self, instance: str) -> None:
         probes, cut = self._prober.missed(instance)
         for other in probes:
             self._ping(other)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -231,6 +231,29 @@
 
         virtual.run(scenario())
 
+    def test_members_that_fail_together_stay_suspected(self):
+        """The failure of a rack must not look like a cut that has healed."""
+
+        async def scenario():
+            world = await _start(72)
+            victims = [n for n, d in _domains(72).items() if d == "d2"][:6]
+            others = _others(world, *victims)
+            for victim in victims:
+                world.kill(victim)
+
+            def gone() -> bool:
+                return not any(
+                    set(victims) & set(_view(world, name).live())
+                    for name in others
+                )
+
+            await faults.until(gone, 0.6)
+            for _ in range(100):
+                await asyncio.sleep(0.02)
+                assert gone()
+
+        virtual.run(scenario())
+
     def test_only_instance_of_a_domain(self):
         """No neighbour of its own domain can notice its end."""
 
