Believe a changed health answer after a denied version

Cause: after a reply denied a version, the health endpoint was ignored for 2 s. While an index flips twice a second the reported versions were then old most of the time.

Change: an answer that differs from the last one is taken at once; only an unchanged one is ignored for 2 s.

Breaches seen to fail tests/test_dispatch_health.py: changed answer not believed; unchanged answer believed.

--- a/src/mallowloft/dispatch/replica.py
+++ b/src/mallowloft/dispatch/replica.py
@@ -44,8 +44,8 @@
 _MIN_NOTICE_S = 0.002
 _PROBE_S = 1.0
 _PROBE_UNHEALTHY_S = 0.25
-# Versions that a reply has denied are not taken from the health endpoint for
-# this long, because the endpoint may lag.
+# An unchanged health answer is not believed for this long after a reply has
+# denied a version, because the endpoint may lag.
 _DENIAL_S = 2.0
 # A call that ends at its deadline after less than this many mean service
 # times had a short deadline; that is no fault of the replica.
@@ -169,6 +169,7 @@
         # Time of the last reply, or of the first call since all was quiet.
         self._progress_s = self._used_s
         self._denied_s = -_DENIAL_S
+        self._health_versions: tuple[int, ...] = ()
         self.health_state = ""
         self._probe_task: asyncio.Task | None = None
 
@@ -722,7 +723,11 @@
         self._health.on_probe_answered(now_s)
         self.health_state = health.state
         self._on_leaving(self.replica.id, False)
-        if health.versions and now_s - self._denied_s >= _DENIAL_S:
+        # An answer that has changed is newer than the denial.
+        changed = health.versions != self._health_versions
+        self._health_versions = health.versions
+        lags = not changed and now_s - self._denied_s < _DENIAL_S
+        if health.versions and not lags:
             self._versions = health.versions
 
     def _on_shed(self, now_s: float) -> None:
--- a/tests/test_dispatch_health.py
+++ b/tests/test_dispatch_health.py
@@ -436,6 +436,23 @@
         assert versions == (2,)
         assert later == (2,)
 
+    def test_changed_endpoint_is_believed_after_a_denial(self):
+        """Guards against old versions while an index flips often."""
+
+        async def scenario():
+            world, replica = await _start()
+            client = dispatch_client.Client(world, "i1")
+            replica.versions = (2,)
+            client.ask(1, "r1")
+            await client.wait_for(messages.SubReply, 1)
+            replica.versions = (3,)
+            await asyncio.sleep(1.1)
+            replica.failing = True
+            client.ask(2, "r1")
+            return (await client.wait_for(messages.SubReply, 2)).versions
+
+        assert virtual.run(scenario()) == (3,)
+
     def test_endpoint_tells_versions_without_calls(self):
         """Guards against versions that only a failed query reveals."""
 
