--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -89,7 +89,11 @@
                     client.call(
                         "POST",
                         instance.url + "/v1/query/shop",
-                        {"query": 1, "deadline_ms": 20_000},
+                        {
+                            "query": 1,
+                            "deadline_ms": 20_000,
+                            "prefer": "coverage",
+                        },
                         timeout_s=40,
                     )
                 )
