--- a/src/mallowloft/gather/run.py
+++ b/src/mallowloft/gather/run.py
@@ -220,6 +220,10 @@
         attempt = self._attempts_by_number.get(number)
         if attempt is None or attempt.due_s == math.inf:
             return
+        if not self._entry.health.load_explains(
+            attempt.replica, self.query.rank, delay_ms, self._entry.now()
+        ):
+            return
         attempt.queue_s = delay_ms / 1000
         attempt.due_s = self._entry.now() + attempt.queue_s + attempt.late_s
 
--- a/src/mallowloft/gather/selection.py
+++ b/src/mallowloft/gather/selection.py
@@ -207,9 +207,23 @@
         That is so unless a sibling is known to have a short queue. An unknown
         queue counts as long.
         """
-        if not self.queue_is_long(replica, rank, now_s):
-            return False
-        return not any(
+        return self.queue_is_long(
+            replica, rank, now_s
+        ) and not self._has_short_sibling(replica, rank, now_s)
+
+    def load_explains(
+        self, replica: str, rank: int, delay_ms: float, now_s: float
+    ) -> bool:
+        """Whether load explains a queue delay that a dispatcher announces.
+
+        A queue longer than one call while a sibling's is known to be short
+        comes from the replica: its calls take too long.
+        """
+        long = delay_ms > self._reference_ms(replica)
+        return not (long and self._has_short_sibling(replica, rank, now_s))
+
+    def _has_short_sibling(self, replica: str, rank: int, now_s: float) -> bool:
+        return any(
             self.queue_delay_ms(sibling, rank, now_s) is not None
             and not self.queue_is_long(sibling, rank, now_s)
             for sibling in self._siblings.get(replica, ())
--- a/tests/test_gather_selection.py
+++ b/tests/test_gather_selection.py
@@ -155,6 +155,14 @@
             choice.health.lost_race("a", 90.0, 0.0, decisive=True)
         assert not choice.health.avoided("a", 0.0)
 
+    def test_an_announced_queue_beside_a_short_one_is_no_load(self):
+        choice = _Choice(a="d1", b="d2")
+        choice.answer("b", 3.0)
+        assert choice.health.load_explains("a", 0, 30.0, 0.0)
+        choice.health.report_queue("b", 0, 0.0, 0.0)
+        assert not choice.health.load_explains("a", 0, 30.0, 0.0)
+        assert choice.health.load_explains("a", 0, 2.0, 0.0)
+
     def test_a_replica_that_refuses_has_no_room(self):
         # An overloaded dispatcher reports an empty queue now and then.
         choice = _Choice(a="d1", b="d2")
