Connect the parts: list signals, protocols, frame limits

Causes: the platform's list of leaving upstreams reached no dispatcher; every upstream was opened with the http protocol whatever its service says; a batch above the frame limit would have closed the receiver's connection and lost other messages; a replica's answer above the limit was not refused; the upstream stand-in counted calls cancelled in its queue for ever. Change: one hook or check for each, with tests for frames and large answers.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: test demo build build-check bench cost fleet format clean
+.PHONY: test demo build build-check bench slopes cost fleet format clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,9 +1,12 @@
 """Runs all benchmarks, or those named, and prints one table."""
 
 import importlib
+import logging
 import pathlib
 import sys
 
+import structlog
+
 from bench import figures
 
 
@@ -14,6 +17,9 @@
 
 def main() -> int:
     """Prints the table; exit status 1 where a bound is broken."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
     _load()
     names = sys.argv[1:] or sorted(figures.benchmarks.by_name)
     print(f"{'name':58} {'value':>12} {'unit':8} {'bound':12} verdict")
--- a/src/mallowloft/configuration/model.py
+++ b/src/mallowloft/configuration/model.py
@@ -175,6 +175,17 @@
             return ()
         return group.services
 
+    def protocol_of(self, replica_id: str) -> str:
+        """Returns the upstream protocol of a replica's service.
+
+        Raises:
+            KeyError: No service has the replica.
+        """
+        for service in self.services_by_name.values():
+            if any(replica.id == replica_id for replica in service.replicas):
+                return service.protocol
+        raise KeyError(replica_id)
+
     def rank_of(self, team: str) -> int:
         """Returns the rank of a team's priority class, 0 is the highest.
 
--- a/src/mallowloft/dispatch/replica.py
+++ b/src/mallowloft/dispatch/replica.py
@@ -847,6 +847,11 @@
         service_ms: float = 0.0,
     ) -> None:
         self._queries.pop(item.key, None)
+        results = reply.results
+        size = sum(len(content) for content in results.values())
+        if size > messages.MAX_CONTENT_BYTES:
+            # Part of an answer would be wrong, so none is sent.
+            outcome, results = messages.Outcome.TOO_LARGE, {}
         self._send(
             item.key,
             messages.SubReply(
@@ -854,7 +859,7 @@
                 replica=self.replica.id,
                 outcome=outcome,
                 index_version=reply.index_version,
-                results=reply.results,
+                results=results,
                 versions=self._versions,
                 queue_delay_ms=self.queue_delay_ms(item.rank),
                 service_ms=service_ms,
--- a/src/mallowloft/dispatch/service.py
+++ b/src/mallowloft/dispatch/service.py
@@ -123,7 +123,9 @@
         peers.on(messages.SlotRelease, self._on_release)
         peers.on(messages.UpstreamLeaving, self._on_peer_leaving)
         self._kernel.pauses.subscribe(self._on_wake)
-        self._kernel.plugin("membership").view.subscribe(self._changed.set)
+        membership = self._kernel.plugin("membership")
+        membership.view.subscribe(self._changed.set)
+        membership.subscribe_upstreams(self.note_listed)
         self._kernel.plugin("configuration").store.subscribe(
             lambda snapshot: self._changed.set()
         )
@@ -380,7 +382,7 @@
             return None
         max_connections = self._mode.max_connections(replica)
         upstream = self._kernel.plugin("upstream").open(
-            "http", replica.url, max_connections
+            store.current.protocol_of(replica_id), replica.url, max_connections
         )
         dispatcher = self._mode.dispatcher_class(
             self._kernel,
--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -67,8 +67,8 @@
     key_lifetime_s: Seconds = _setting(
         "lifetime of an idempotency key, seconds", 900.0
     )
-    max_body_bytes: Annotated[int, pydantic.Field(ge=1, le=64 << 20)] = (
-        _setting("largest accepted request body, bytes", 1 << 20)
+    max_body_bytes: Annotated[int, pydantic.Field(ge=1, le=8 << 20)] = _setting(
+        "largest accepted request body, bytes", 1 << 20
     )
     max_answer_bytes: Annotated[int, pydantic.Field(ge=1, le=1 << 30)] = (
         _setting("largest answer to a query, bytes", 64 << 20)
--- a/src/mallowloft/membership/service.py
+++ b/src/mallowloft/membership/service.py
@@ -1,7 +1,9 @@
 """Plug-in that keeps the view of members up to date."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import re
 from typing import Any
@@ -82,6 +84,7 @@
         self._settled_s = 0.0
         self._round_judged_s = float("-inf")
         self._listed: set[str] = set()
+        self._upstream_listeners: list[Callable[[Mapping[str, str]], None]] = []
         self._list_state_by_id: dict[str, str] = {}
         self._leaving_by_list: set[str] = set()
         self._list_read = False
@@ -646,6 +649,12 @@
             await asyncio.sleep(backoff_s * self._kernel.rng.uniform(0.5, 1.5))
             backoff_s = min(2 * backoff_s, _LIST_BACKOFF_MAX_S)
 
+    def subscribe_upstreams(
+        self, listener: Callable[[Mapping[str, str]], None]
+    ) -> None:
+        """Adds a listener for the upstreams' states by replica in the list."""
+        self._upstream_listeners.append(listener)
+
     async def _read_list(self) -> bool:
         # Taken anew each time, because tests replace the client.
         platform = self._kernel.plugin("configuration").platform
@@ -660,6 +669,8 @@
             return False
         try:
             self._take_list(answer.unwrap().instances)
+            for listener in self._upstream_listeners:
+                listener(answer.unwrap().upstream_states)
         except Exception:  # noqa: BLE001
             _log.exception("list_not_taken")
             return False
--- a/src/mallowloft/messages.py
+++ b/src/mallowloft/messages.py
@@ -14,6 +14,8 @@
 
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 16 << 20
+# Largest content of one message; leaves room for the rest of the frame.
+MAX_CONTENT_BYTES = MAX_FRAME_BYTES // 2
 
 
 class Message(
--- a/src/mallowloft/peers.py
+++ b/src/mallowloft/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
 import dataclasses
 from typing import Any
 from typing import Protocol
@@ -316,22 +317,49 @@
             socket = self._sockets_by_peer.get(peer)
             if socket is None:
                 continue
-            frame = messages.encode(
-                messages.Envelope(
-                    version=messages.PROTOCOL_VERSION,
-                    sender=self._kernel.settings.instance_id,
-                    incarnation=self._kernel.incarnation,
-                    address=self._address,
-                    to_incarnation=self._incarnation_by_peer.get(peer, 0),
-                    messages=batch,
-                )
+            for frame in self._frames(peer, batch):
+                self._send_frame(peer, socket, frame)
+
+    def _frames(
+        self, peer: str, batch: tuple[messages.Message, ...]
+    ) -> Iterator[bytes]:
+        """Encodes a batch, split where it would exceed the frame limit.
+
+        The receiver closes the connection on a larger frame, which would lose
+        every other message as well.
+        """
+        frame = messages.encode(
+            messages.Envelope(
+                version=messages.PROTOCOL_VERSION,
+                sender=self._kernel.settings.instance_id,
+                incarnation=self._kernel.incarnation,
+                address=self._address,
+                to_incarnation=self._incarnation_by_peer.get(peer, 0),
+                messages=batch,
             )
-            try:
-                socket.send(frame, zmq.NOBLOCK, copy=False)
-            except zmq.Again:
-                self._kernel.metrics.count("peer_frames_dropped", peer=peer)
-            else:
-                self._kernel.metrics.count("peer_bytes_sent", len(frame))
+        )
+        if len(frame) <= messages.MAX_FRAME_BYTES:
+            yield frame
+        elif len(batch) > 1:
+            middle = len(batch) // 2
+            yield from self._frames(peer, batch[:middle])
+            yield from self._frames(peer, batch[middle:])
+        else:
+            self._kernel.metrics.count("peer_messages_too_large")
+            _log.error(
+                "peer_message_too_large",
+                peer=peer,
+                message=type(batch[0]).__name__,
+                size=len(frame),
+            )
+
+    def _send_frame(self, peer: str, socket: zmq.Socket, frame: bytes) -> None:
+        try:
+            socket.send(frame, zmq.NOBLOCK, copy=False)
+        except zmq.Again:
+            self._kernel.metrics.count("peer_frames_dropped", peer=peer)
+        else:
+            self._kernel.metrics.count("peer_bytes_sent", len(frame))
 
     def _receive_waiting(self) -> None:
         receiver = self._receiver
--- a/src/mallowloft/submissions/running.py
+++ b/src/mallowloft/submissions/running.py
@@ -250,15 +250,7 @@
                 return
 
     def _dispatcher(self, replica: str) -> str | None:
-        settings = self._kernel.settings
-        if settings.dispatch == "direct":
-            return settings.instance_id
-        store = self._kernel.plugin("configuration").store
-        listed = store.current.replicas_by_id.get(replica)
-        if listed is None:
-            return None
-        view = self._kernel.plugin("membership").view
-        return view.dispatcher_for(replica, listed.failure_domain)
+        return self._kernel.plugin("dispatch").receiver_for(replica)
 
     def _on_view(self) -> None:
         """Leaves the queues of instances that no longer dispatch."""
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -160,9 +160,11 @@
         task = asyncio.current_task()
         self._tasks_by_request[call["request"]] = task
         self._waiting += 1
+        waits = True
         try:
             async with self._free:
                 self._waiting -= 1
+                waits = False
                 fields = {
                     "shards": call.get("shards") or [call["shard"]],
                     "version": call.get("index_version"),
@@ -177,6 +179,7 @@
             self._note(f"{kind}_cancelled", call)
             return responses.JSONResponse({"reason": "cancelled"}, 499)
         finally:
+            self._waiting -= waits
             self._tasks_by_request.pop(call["request"], None)
 
     def _refusal(
--- a/tests/support/submissions.py
+++ b/tests/support/submissions.py
@@ -131,6 +131,14 @@
         self._kernel = kernel
         self._slots_by_replica: dict[str, Slots] = {}
 
+    def receiver_for(self, replica: str) -> str | None:
+        store = self._kernel.plugin("configuration").store
+        listed = store.current.replicas_by_id.get(replica)
+        if listed is None:
+            return None
+        view = self._kernel.plugin("membership").view
+        return view.dispatcher_for(replica, listed.failure_domain)
+
     async def start(self) -> None:
         peers = self._kernel.plugin("peers")
         peers.on(messages.SlotReserve, self._on_reserve)
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,79 @@
+"""Batches and frames of the transport between instances."""
+
+from mallowloft import messages
+from mallowloft import peers
+from mallowloft.kernel import lifecycle
+from mallowloft.kernel import settings as settings_lib
+from tests.support import virtual
+from tests.support import world as world_lib
+
+_MIB = 1 << 20
+
+
+def _reply(attempt: int, size: int) -> messages.SubReply:
+    return messages.SubReply(
+        attempt=attempt,
+        replica="r1",
+        outcome=messages.Outcome.OK,
+        index_version=1,
+        results={"s1": b"x" * size},
+        versions=(),
+        queue_delay_ms=0.0,
+        service_ms=0.0,
+        retry_after_ms=0.0,
+    )
+
+
+def _frames(batch: tuple[messages.Message, ...]) -> list[bytes]:
+    kernel = lifecycle.Kernel(
+        settings_lib.Settings(instance_id="i1", failure_domain="d1")
+    )
+    return list(peers.ZeroMqPeers(kernel)._frames("i2", batch))
+
+
+class TestFrames:
+    """A frame over the limit would make the receiver close the connection."""
+
+    def test_large_batch_is_split(self):
+        batch = tuple(_reply(number, 6 * _MIB) for number in range(5))
+        frames = _frames(batch)
+        decoded = [messages.decode(frame).unwrap() for frame in frames]
+        assert all(len(item) <= messages.MAX_FRAME_BYTES for item in frames)
+        assert [
+            message.attempt for item in decoded for message in item.messages
+        ] == list(range(5))
+
+    def test_too_large_message_loses_no_other(self):
+        batch = (_reply(0, 10), _reply(1, 17 * _MIB), _reply(2, 10))
+        decoded = [messages.decode(item).unwrap() for item in _frames(batch)]
+        assert [
+            message.attempt for item in decoded for message in item.messages
+        ] == [0, 2]
+
+
+class TestLargeAnswers:
+    """An answer arrives whole or is refused, never cut."""
+
+    def test_replica_answer_over_the_limit_is_lacking(self):
+        async def scenario():
+            world = world_lib.World()
+            world.publish_service("svc", {"a": "d1", "b": "d1"})
+            world.publish(
+                {
+                    "/operator/indexes/main": {
+                        "versions": [
+                            {"version": 1, "shards": {"svc": {"s": ["a", "b"]}}}
+                        ]
+                    }
+                }
+            )
+            world.publish_team("team", "paying")
+            await world.start({"i1": "d1", "i2": "d1"})
+            # The fake upstream echoes the query in each row.
+            size = messages.MAX_CONTENT_BYTES + 1
+            body = b'"' + b"x" * size + b'"'
+            return await world.query("i1", "team", "svc", body=body)
+
+        answer = virtual.run(scenario()).unwrap()
+        assert not answer.results
+        assert list(answer.lacking.values()) == ["too_large"]
