Answer a mismatch of key and submission with 422

Cause: the callers' interface knew three outcomes, and a mismatch, which the submissions return for a garbled or reused key, ended as status 500. Before: 500 for both cases of TestMisusedKeys; after: 422 with the place.

--- a/src/mallowloft/callers/answers.py
+++ b/src/mallowloft/callers/answers.py
@@ -166,6 +166,20 @@
     )
 
 
+def mismatch(request: str, outcome: submissions_model.Mismatch) -> Reply:
+    """Returns that a key is not valid for a submission, which did not run."""
+    return error(
+        422,
+        "key_mismatch",
+        "the key is not valid for this submission",
+        findings=[
+            {"place": "header.Idempotency-Key", "message": outcome.reason}
+        ],
+        request_id=request,
+        this_copy_ran=False,
+    )
+
+
 def unknown(request: str, outcome: submissions_model.Unknown) -> Reply:
     """Returns that it is not known whether a submission ran."""
     fields: dict[str, Any] = {}
--- a/src/mallowloft/callers/service.py
+++ b/src/mallowloft/callers/service.py
@@ -482,6 +482,8 @@
             return answers.done(submission.request, outcome)
         if name == "unknown":
             return answers.unknown(submission.request, outcome)
+        if name == "mismatch":
+            return answers.mismatch(submission.request, outcome)
         return answers.not_run(
             submission.request, outcome, self._fresh_key(submission.team)
         )
@@ -505,6 +507,7 @@
         names = {
             submissions_model.Done: "done",
             submissions_model.NotRun: "not_run",
+            submissions_model.Mismatch: "mismatch",
             submissions_model.Unknown: "unknown",
         }
         name = names[type(outcome)]
--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -222,3 +222,37 @@
         assert record.queries > 0
         assert record.mixed == 0
         assert record.broken == []
+
+
+async def _misused_keys() -> list[tuple[int, dict]]:
+    """Sends a garbled key, a key, and that key with another body."""
+    specs = demo.replica_specs()
+    async with fleet_lib.Fleet() as fleet:
+        await fleet.start_platform()
+        await fleet.start_upstreams(specs)
+        await fleet.publish(demo.documents(specs))
+        entry = await fleet.start_instance("entry-0", demo.FAILURE_DOMAINS[0])
+        keys = await fleet.post(entry.url + "/v1/keys", {}, _HEADERS)
+        (key,) = keys["keys"]
+        answers = []
+        for sent_key, body in (("garbled", 1), (key, 1), (key, 2)):
+            async with fleet.session.post(
+                f"{entry.url}/v1/submissions/{_SERVICE}",
+                json={"shard": f"{_SERVICE}-s0", "body": body},
+                headers={**_HEADERS, "Idempotency-Key": sent_key},
+            ) as response:
+                answers.append((response.status, await response.json()))
+        return answers
+
+
+class TestMisusedKeys:
+    """A key that is not the submission's own is the caller's mistake."""
+
+    def test_each_gets_its_place_and_nothing_runs(self):
+        """Guards against answering 500 to a mismatch of key and body."""
+        garbled, done, reused = asyncio.run(_misused_keys())
+        assert (done[0], done[1]["outcome"]) == (200, "done")
+        for status, body in (garbled, reused):
+            assert status == 422
+            assert body["this_copy_ran"] is False
+            assert body["findings"][0]["place"] == "header.Idempotency-Key"
