--- a/bench/cost.py
+++ b/bench/cost.py
@@ -20,7 +20,6 @@
 from standins import fleet as fleet_lib
 from standins import serving
 
-_FAN_OUT = 20
 _CONCURRENCY = 8
 _WARM_UP_QUERIES = 50
 _IDLE_S = 3.0
@@ -28,12 +27,12 @@
 _QUERY = {"hint": 7}
 
 
-def _specs() -> list[fleet_lib.ReplicaSpec]:
+def _specs(fan_out: int) -> list[fleet_lib.ReplicaSpec]:
     return [
         fleet_lib.ReplicaSpec(
             f"r{number:02}", f"svc-{number:02}", "work", port, 16, 256, 0.0
         )
-        for number, port in enumerate(serving.free_ports(_FAN_OUT))
+        for number, port in enumerate(serving.free_ports(fan_out))
     ]
 
 
@@ -156,8 +155,8 @@
                 await asyncio.sleep(0.5)
 
 
-async def _measure(queries: int, rounds: int) -> None:
-    specs = _specs()
+async def _measure(queries: int, rounds: int, fan_out: int) -> None:
+    specs = _specs(fan_out)
     async with fleet_lib.Fleet() as fleet:
         await fleet.start_platform()
         await fleet.start_upstreams(specs)
@@ -181,7 +180,11 @@
                 for instance, before_s in zip(instances, before, strict=True):
                     used_s = _cpu_s(instance) - before_s
                     costs[instance.id].append(used_s * 1e6 / sent)
-        _print_costs(costs, queries, rounds)
+        print(
+            f"{rounds} rounds of {queries} queries with {fan_out} sub-requests,"
+            f" {_CONCURRENCY} at a time; the entry includes the callers' HTTP"
+        )
+        _print_costs(costs)
         _print_memory(instances)
 
 
@@ -193,13 +196,7 @@
         print(f"{instance.id:12} idle: {share:.1%} of a core")
 
 
-def _print_costs(
-    costs: dict[str, list[float]], queries: int, rounds: int
-) -> None:
-    print(
-        f"{rounds} rounds of {queries} queries with {_FAN_OUT} sub-requests,"
-        f" {_CONCURRENCY} at a time; the entry includes the callers' HTTP"
-    )
+def _print_costs(costs: dict[str, list[float]]) -> None:
     for name, values in costs.items():
         ratios = [
             value / bare
@@ -223,12 +220,17 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--queries", type=int, default=500)
     parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument(
+        "--fan-out", type=int, default=20, help="sub-requests of a query"
+    )
     parser.add_argument("--bare", nargs="+", help=argparse.SUPPRESS)
     arguments = parser.parse_args()
     if arguments.bare:
         print(asyncio.run(_bare(arguments.bare, arguments.queries)))
     else:
-        asyncio.run(_measure(arguments.queries, arguments.rounds))
+        asyncio.run(
+            _measure(arguments.queries, arguments.rounds, arguments.fan_out)
+        )
     return 0
 
 
