Doubt knowledge of versions that are being loaded

Cause: entries kept to the old index version 200 to 350 ms after a publication, when every replica served the new one and had dropped the old. Lists from before the load ruled the new version out for up to 2 s, both in the first choice and in may_restart, so shards were lacking by wrong_version; queries whose retries had used up the budget lacked shards by deadline.

Ruled out: denials as the main cause.

Change: - A denial of a version newer than all that the replica serves is valid for max(0.1 s, a quarter of the time since the first denial), at most 2 s. A denial of an older one stays valid for 2 s. - A version ruled out is tried after 0.1 s, then after a quarter of the time for which it has been ruled out, at most 1 s (1 s throughout before). - A restart disregards lists of older versions; only a recent denial or a list with a newer version rules a version out.

The test of one try per interval is replaced: it now asserts that tries begin after 0.1 s, never become denser and end at one per interval. The new tests and this one fail without the change.

--- a/src/mallowloft/gather/pinning.py
+++ b/src/mallowloft/gather/pinning.py
@@ -11,8 +11,15 @@
 # replica that has not been asked since then may have loaded a newer one.
 REPORT_MAX_AGE_S = 2.0
 # Reports may be stale at their source for ever (a lagging health endpoint).
-# One query in this interval tries a version that the reports rule out.
+# At least one query in this interval tries a version that the reports rule
+# out.
 PROBE_INTERVAL_S = 1.0
+# A version that is newer than all a replica serves is being loaded. Knowledge
+# of that kept queries on the old version after replicas had dropped it, so it
+# is doubted after this time at first, and after this share of the time for
+# which it has held, so that a slow load is tried rarely.
+LOADING_MIN_S = 0.1
+LOADING_SHARE = 0.25
 # Newest versions per replica of which evidence is kept.
 _MAX_EVIDENCE = 8
 _NO_MAP = "*"
@@ -24,16 +31,29 @@
     time_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Evidence:
+    """The last answer or denial of a version.
+
+    Attributes:
+        since_s: When the version was first denied without an answer since.
+    """
+
+    served: bool
+    time_s: float
+    since_s: float
+
+
 class VersionReports:
     """Index versions that replicas serve, from their replies and reports."""
 
     def __init__(self) -> None:
         self._report_by_replica: dict[str, _Report] = {}
-        # Time of the last answer (True) or denial (False) by replica and
-        # version; it outweighs reports, which may come from a health endpoint
-        # that lags.
-        self._evidence: dict[str, dict[int, tuple[bool, float]]] = {}
-        self._tried_s: dict[tuple[str, int], float] = {}
+        # By replica and version; it outweighs reports, which may come from a
+        # health endpoint that lags.
+        self._evidence: dict[str, dict[int, _Evidence]] = {}
+        # When a version was last usable and when it was last tried.
+        self._tried_s: dict[tuple[str, int], tuple[float, float]] = {}
 
     def report(
         self, replica: str, versions: Iterable[int], now_s: float
@@ -46,22 +66,60 @@
     ) -> None:
         """Records that a replica has just answered for a version or denied."""
         by_version = self._evidence.setdefault(replica, {})
-        by_version[version] = (served, now_s)
+        last = by_version.get(version)
+        repeated = last is not None and not last.served and not served
+        since_s = last.since_s if repeated else now_s
+        by_version[version] = _Evidence(served, now_s, since_s)
         if len(by_version) > _MAX_EVIDENCE:
             del by_version[min(by_version)]
 
-    def lacks(self, replica: str, version: int, now_s: float) -> bool:
+    def lacks(
+        self,
+        replica: str,
+        version: int,
+        now_s: float,
+        trust_lists: bool = True,
+    ) -> bool:
         """Whether recent knowledge rules out that a replica serves a version.
 
         Without recent knowledge the replica is assumed to serve it.
+
+        Args:
+            replica: The replica.
+            version: The index version.
+            now_s: Current time.
+            trust_lists: Whether a list of older versions rules it out; the
+                replica may have loaded it since.
         """
         evidence = self._evidence.get(replica, {}).get(version)
-        if evidence is not None and now_s - evidence[1] <= REPORT_MAX_AGE_S:
-            return not evidence[0]
+        if evidence is not None and now_s - evidence.time_s <= REPORT_MAX_AGE_S:
+            if evidence.served:
+                return False
+            # Lists repeat a denial, so they do not outlast it.
+            return not self._is_due(replica, version, evidence, now_s)
         report = self._report_by_replica.get(replica)
         if report is None or now_s - report.time_s > REPORT_MAX_AGE_S:
             return False
-        return version not in report.versions
+        if version in report.versions:
+            return False
+        return trust_lists or version < max(report.versions, default=version)
+
+    def _is_due(
+        self, replica: str, version: int, denial: _Evidence, now_s: float
+    ) -> bool:
+        """Whether a version that was being loaded should be tried again."""
+        report = self._report_by_replica.get(replica)
+        listed = report.versions if report else ()
+        served = (
+            number
+            for number, evidence in self._evidence[replica].items()
+            if evidence.served
+        )
+        if version < max((*listed, *served), default=version):
+            return False
+        denied_s = denial.time_s - denial.since_s
+        max_age_s = max(LOADING_MIN_S, LOADING_SHARE * denied_s)
+        return now_s - denial.time_s > max_age_s
 
     def choose(
         self,
@@ -92,10 +150,12 @@
         for version in newest_first:
             if version.version in excluded:
                 continue
-            unserved = self._unserved(version, services, now_s)
-            probed = unserved > 0 and self._probe(index_name, version, now_s)
-            if unserved == 0 or probed:
-                self._tried_s[index_name, version.version] = now_s
+            unserved = self._unserved(version, services, now_s, not excluded)
+            if unserved == 0:
+                if not excluded:
+                    self._tried_s[index_name, version.version] = now_s, now_s
+                return version
+            if self._probe(index_name, version, now_s):
                 return version
             if best is None or unserved < best_unserved:
                 best = version
@@ -113,21 +173,27 @@
         services = tuple(services)
         return any(
             version.version not in excluded
-            and self._unserved(version, services, now_s) == 0
+            and self._unserved(version, services, now_s, False) == 0
             for version in index.versions
         )
 
     def _probe(
         self, index_name: str, version: config_model.IndexVersion, now_s: float
     ) -> bool:
-        tried_s = self._tried_s.setdefault((index_name, version.version), now_s)
-        return now_s - tried_s >= PROBE_INTERVAL_S
+        key = index_name, version.version
+        since_s, tried_s = self._tried_s.setdefault(key, (now_s, now_s))
+        interval_s = max(LOADING_MIN_S, LOADING_SHARE * (now_s - since_s))
+        if now_s - tried_s < min(interval_s, PROBE_INTERVAL_S):
+            return False
+        self._tried_s[key] = since_s, now_s
+        return True
 
     def _unserved(
         self,
         version: config_model.IndexVersion,
         services: tuple[str, ...],
         now_s: float,
+        trust_lists: bool,
     ) -> int:
         number = version.version
         unserved = 0
@@ -137,7 +203,10 @@
                 unserved += 1
                 continue
             for replicas in shard_map.values():
-                if all(self.lacks(item, number, now_s) for item in replicas):
+                if all(
+                    self.lacks(item, number, now_s, trust_lists)
+                    for item in replicas
+                ):
                     unserved += 1
         return unserved
 
--- a/tests/test_gather_snapshot.py
+++ b/tests/test_gather_snapshot.py
@@ -1,6 +1,7 @@
 """Queries reflect one index version and state their coverage truthfully."""
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -125,17 +126,46 @@
         reports.observe("a", 2, False, 0.0)
         assert self._choose(reports, _index(v1=["a"], v2=["a"]), 5.0) == 2
 
-    def test_one_query_per_interval_tries_a_version_despite_stale_reports(
+    def test_tries_a_version_ever_more_rarely_despite_stale_reports(self):
+        reports = pinning.VersionReports()
+        index = _index(v1=["a"], v2=["a"])
+        tried_s = []
+        for step in range(1000):
+            now_s = step / 100
+            reports.report("a", (1,), now_s)
+            if self._choose(reports, index, now_s) == 2:
+                tried_s.append(now_s)
+        gaps_s = [b - a for a, b in itertools.pairwise([0.0, *tried_s])]
+        assert gaps_s[0] == pytest.approx(pinning.LOADING_MIN_S)
+        assert all(b > a - 0.015 for a, b in itertools.pairwise(gaps_s))
+        assert gaps_s[-1] == pytest.approx(pinning.PROBE_INTERVAL_S)
+
+    def test_a_denial_of_a_version_being_loaded_ages_quickly(self):
+        # Queries kept to an old version 225 ms after a flip, when every
+        # replica served the new one.
+        reports = pinning.VersionReports()
+        reports.report("a", (2,), 0.0)
+        for version in (1, 3):
+            reports.observe("a", version, False, 0.0)
+        assert reports.lacks("a", 3, 0.1)
+        assert not reports.lacks("a", 3, 0.15)
+        assert reports.lacks("a", 1, 1.9)
+        reports.observe("a", 3, False, 2.0)
+        assert reports.lacks("a", 3, 2.4)
+        assert not reports.lacks("a", 3, 2.6)
+
+    def test_restarts_on_a_version_that_only_lists_of_older_ones_rule_out(
         self,
     ):
+        # Queries ended with shards lacking although every replica had loaded
+        # the new version since its last report.
         reports = pinning.VersionReports()
         index = _index(v1=["a"], v2=["a"])
-        chosen = []
-        for step in range(25):
-            now_s = step * pinning.PROBE_INTERVAL_S / 10
-            reports.report("a", (1,), now_s)
-            chosen.append(self._choose(reports, index, now_s))
-        assert chosen.count(2) == 2
+        reports.report("a", (1,), 0.0)
+        assert self._choose(reports, index) == 1
+        assert reports.serves_all(index, ["svc"], 0.0, {1})
+        reports.observe("a", 2, False, 0.0)
+        assert not reports.serves_all(index, ["svc"], 0.05, {1})
 
     def test_takes_the_version_with_fewest_unserved_shards(self):
         reports = pinning.VersionReports()
