Skip replicas that dispatchers know to leave, report life

Cause: the candidates of a query left out only replicas that the configuration lists as leaving, so a draining replica cost a retry at every entry; and membership learned nothing from sub-requests and replies, the messages that a live dispatcher sends most.

Change: the candidates leave out replicas for which dispatch.is_leaving holds. Sending an attempt or a probe calls membership.expect; a SubReply or SubQueued calls membership.heard with the sender's incarnation.

Before: the first query after the announcement needed 2 sub-requests (test_skips_a_replica_that_the_dispatchers_announce), after: 1. Both new tests fail without the change.

--- a/src/mallowloft/gather/run.py
+++ b/src/mallowloft/gather/run.py
@@ -78,6 +78,9 @@
     def dispatcher_for(self, run: "Run", replica: str) -> str | None:
         """Returns the instance that dispatches for a replica."""
 
+    def is_leaving(self, replica: str) -> bool:
+        """Whether a replica must get no new work."""
+
     def is_gone(self, attempt: Attempt) -> bool:
         """Whether an attempt's dispatcher no longer exists."""
 
@@ -240,7 +243,9 @@
         return [
             replica
             for replica in dict.fromkeys(replicas)
-            if replica in known and not known[replica].leaving
+            if replica in known
+            and not known[replica].leaving
+            and not self._entry.is_leaving(replica)
         ]
 
     def _earn(self) -> None:
--- a/src/mallowloft/gather/service.py
+++ b/src/mallowloft/gather/service.py
@@ -274,6 +274,10 @@
         until_s = self._silent_until_s.get(instance)
         return until_s is not None and self.now() < until_s
 
+    def is_leaving(self, replica: str) -> bool:
+        """Whether a replica must get no new work."""
+        return self.kernel.plugin("dispatch").is_leaving(replica)
+
     def is_gone(self, attempt: run_lib.Attempt) -> bool:
         """Whether an attempt's dispatcher no longer exists.
 
@@ -318,6 +322,7 @@
         )
         if not self.kernel.plugin("peers").send(dispatcher, message):
             return None
+        self.kernel.plugin("membership").expect(dispatcher)
         view = self.kernel.plugin("membership").view
         member = view.members_by_id.get(dispatcher)
         attempt = run_lib.Attempt(
@@ -344,6 +349,7 @@
         )
         if not self.kernel.plugin("peers").send(dispatcher, message):
             return
+        self.kernel.plugin("membership").expect(dispatcher)
         self.kernel.metrics.count("sub_request_probes")
         timer = asyncio.get_running_loop().call_later(
             _PROBE_MS / 1000, self._end_probe, number
@@ -430,7 +436,7 @@
     def _on_reply(
         self, sender: peers_lib.Sender, reply: messages.SubReply
     ) -> None:
-        self._hear(sender.instance)
+        self._hear(sender)
         self._learn_versions(reply)
         probe = self._probes.get(reply.attempt)
         if probe is not None and probe.replica == reply.replica:
@@ -449,7 +455,7 @@
     def _on_queued(
         self, sender: peers_lib.Sender, queued: messages.SubQueued
     ) -> None:
-        self._hear(sender.instance)
+        self._hear(sender)
         for number in queued.attempts:
             run, _ = self._running.get(number, (None, None))
             if run is not None:
@@ -459,9 +465,12 @@
         for run in list(self._runs):
             run.on_view_change()
 
-    def _hear(self, instance: str) -> None:
-        self._heard_s[instance] = self.now()
-        self._silent_until_s.pop(instance, None)
+    def _hear(self, sender: peers_lib.Sender) -> None:
+        self.kernel.plugin("membership").heard(
+            sender.instance, sender.incarnation
+        )
+        self._heard_s[sender.instance] = self.now()
+        self._silent_until_s.pop(sender.instance, None)
 
     def _learn(
         self,
--- a/tests/test_gather_selection.py
+++ b/tests/test_gather_selection.py
@@ -276,3 +276,40 @@
         answer = virtual.run(scenario())
         assert answer.coverage == 1
         assert answer.attempts.sent == 1
+
+    def test_reports_what_it_expects_and_hears_to_membership(self):
+        # A dispatcher that only answers sub-requests was not known to live.
+        async def scenario():
+            world = index_lib.build(services=1, shards=1, replicas=1)
+            await world.start({"i1": "d1", "i2": "d2"})
+            membership = world.kernels_by_id["i2"].plugin("membership")
+            calls = []
+            membership.expect = lambda *args: calls.append(("expect", *args))
+            membership.heard = lambda *args: calls.append(("heard", *args))
+            await world.ask("i2", target="svc-0")
+            member = membership.view.members_by_id["i1"]
+            return calls, member.incarnation
+
+        calls, incarnation = virtual.run(scenario())
+        assert calls[0] == ("expect", "i1")
+        assert ("heard", "i1", incarnation) in calls
+
+
+class TestLeavingReplica:
+    """A replica that any instance knows to leave gets no new attempt."""
+
+    def test_skips_a_replica_that_the_dispatchers_announce(self):
+        # The configuration may say so much later, or never.
+        async def scenario():
+            world = index_lib.build(services=1, shards=1)
+            await world.start({"i1": "d1", "i2": "d2"})
+            world.replicas_by_id["svc-0-a"].health_state = "draining"
+            await asyncio.sleep(2.0)
+            started = world.replicas_by_id["svc-0-a"].count("query_started")
+            for _ in range(5):
+                _, outcome = await world.ask("i1", target="svc-0")
+                assert outcome.unwrap().attempts.sent == 1
+            replica = world.replicas_by_id["svc-0-a"]
+            return replica.count("query_started") - started
+
+        assert virtual.run(scenario()) == 0
