Let a query that met a fault hedge all its late attempts

Once the first ones had been hedged, the others were denied the saved tokens (about 20 to 70 were left) until three times their p95 had passed. _met_fault and _late_numbers existed for this but were never set, so lost races were never decisive either. - Reported queue delays counted in full for 0.5 s. A short burst at the sound siblings then forbade hedges for 20 to 30 ms, although their queues were empty again; this made queries slow 1.5 s into the fault. - An attempt in flight at a replica that became avoided waited for its p95. - In an overload, late attempts made entries avoid sound replicas, which were probed afterwards: all 45 extra sub-requests were probes.

Change: late attempts stay counted for the query; a reported delay shrinks with its age; attempts become due when their replica becomes avoided; within 1 s of a refusal a sibling gives no evidence by lateness, no probe is sent and no hedge goes to the replica that refused.

Tried and not kept: hedging from an avoided replica into a long queue as well.

The new tests fail without the change.

--- a/src/mallowloft/gather/run.py
+++ b/src/mallowloft/gather/run.py
@@ -230,6 +230,14 @@
         attempt.queue_s = delay_ms / 1000
         attempt.due_s = self._entry.now() + attempt.queue_s + attempt.late_s
 
+    def on_avoided(self, replica: str) -> None:
+        """Makes the hedges of attempts due whose replica is avoided now."""
+        now_s = self._entry.now()
+        for attempt in self._attempts_by_number.values():
+            if attempt.replica == replica and attempt.due_s < math.inf:
+                attempt.due_s = min(attempt.due_s, now_s)
+        self._schedule()
+
     def on_view_change(self) -> None:
         """Sends the attempts of dispatchers that are gone to the next ones."""
         for attempt in list(self._attempts_by_number.values()):
@@ -478,9 +486,15 @@
         ]
         if not late:
             return
-        fault = self._entry.health.at_fault(self._services) or len(late) >= max(
+        # Attempts that have been hedged stay counted: without them only the
+        # first ones of a query that meets a fault could use saved tokens.
+        self._late_numbers.update(attempt.number for attempt in late)
+        if len(self._late_numbers) >= max(
             _FAULT_MIN_LATE, _FAULT_SHARE * self.sent
-        )
+        ):
+            self._met_fault = True
+        health = self._entry.health
+        fault = self._met_fault or health.at_fault(self._services)
         for attempt in late:
             self._hedge(attempt, now_s, fault)
 
@@ -529,7 +543,11 @@
         rank = self.query.rank
         if health.is_crowded(attempt.replica, rank, now_s):
             return []
-        untried = self._untried[shard]
+        untried = [
+            replica
+            for replica in self._untried[shard]
+            if not health.refused_lately(replica, now_s)
+        ]
         targets = selector.able(
             self.query.snapshot, self.version, untried, now_s
         )
--- a/src/mallowloft/gather/selection.py
+++ b/src/mallowloft/gather/selection.py
@@ -147,6 +147,22 @@
         """Records that a replica's dispatcher or the replica refused."""
         self._state(replica).refused_s = now_s
 
+    def refused_lately(self, replica: str, now_s: float) -> bool:
+        """Whether a replica's dispatcher or the replica refused recently."""
+        state = self._states.get(replica)
+        return state is not None and now_s - state.refused_s < _REFUSAL_S
+
+    def is_overloaded(self, replica: str, now_s: float) -> bool:
+        """Whether a sibling refused recently.
+
+        A replica that is late or avoided then is no evidence of a fault, and
+        an extra sub-request would only add to the overload.
+        """
+        return any(
+            sibling != replica and self.refused_lately(sibling, now_s)
+            for sibling in self._siblings.get(replica, ())
+        )
+
     def at_fault(self, services: Iterable[str]) -> bool:
         """Whether a replica of the services is known to be at fault."""
         by_service = self._avoided_by_service
@@ -177,7 +193,8 @@
         delay = state.delays_by_rank.get(rank)
         if delay is None or now_s - delay[1] > _DELAY_MAX_AGE_S:
             return None
-        return delay[0]
+        # A queue is drained as time passes; new work shows in the next reply.
+        return max(0.0, delay[0] - (now_s - delay[1]) * 1000)
 
     def queue_is_long(self, replica: str, rank: int, now_s: float) -> bool:
         """Whether an attempt would wait longer than it would run."""
@@ -197,7 +214,7 @@
         delay = state.delays_by_rank.get(rank) if state else None
         if delay is None or now_s - delay[1] > _ROOM_MAX_AGE_S:
             return False
-        if now_s - state.refused_s < _REFUSAL_S:
+        if self.refused_lately(replica, now_s):
             return False
         return delay[0] <= _ROOM_SHARE * self.service_ms(replica)
 
@@ -277,7 +294,7 @@
             True if the replica is avoided from now on.
         """
         state = self._state(replica)
-        if any(
+        if self.is_overloaded(replica, now_s) or any(
             self.is_crowded(replica, rank, now_s)
             for rank in state.delays_by_rank
         ):
@@ -311,7 +328,9 @@
     def probe_due(self, replica: str, now_s: float) -> bool:
         """Whether an avoided replica should be probed."""
         state = self._states.get(replica)
-        return state is not None and state.avoided and now_s >= state.probe_s
+        if state is None or not state.avoided or now_s < state.probe_s:
+            return False
+        return not self.is_overloaded(replica, now_s)
 
     def probe_sent(self, replica: str, now_s: float) -> None:
         """Records a probe; the next one is twice as far away."""
--- a/src/mallowloft/gather/service.py
+++ b/src/mallowloft/gather/service.py
@@ -402,6 +402,8 @@
         if begun:
             self.kernel.metrics.count("replica_faults", reason=reason)
             _log.warning("replica_avoided", replica=replica, reason=reason)
+            for run in self._runs:
+                run.on_avoided(replica)
 
     def may_restart(self, run: run_lib.Run) -> bool:
         """Whether another version may serve every shard in time.
--- a/tests/test_gather_budget.py
+++ b/tests/test_gather_budget.py
@@ -212,6 +212,64 @@
         assert virtual.run(scenario(False)) == 1
         assert virtual.run(scenario(True)) == 0
 
+    def test_a_query_that_met_a_fault_may_use_saved_tokens_to_its_end(self):
+        # Attempts that became late after the first ones had been hedged
+        # waited for three times their p95.
+        async def scenario():
+            world, started = _world(services=10, shards=1)
+            await started
+            await _warm(world)
+            gather = world.kernels_by_id["i1"].plugin("gather")
+            gather.budget.earn(1000, 1.0, 0.0)
+            gather.budget._ordinary = 0.0
+            for number in range(10):
+                world.replicas_by_id[f"svc-{number}-a"].frozen = True
+                quantile = gather.delays._quantiles[
+                    model.Shard(f"svc-{number}", "s0")
+                ]
+                quantile._value_ms = 8.0 if number < 5 else 12.0
+            return (await world.ask("i1"))[1].unwrap()
+
+        answer = virtual.run(scenario())
+        assert answer.coverage == 1
+        assert answer.elapsed_ms < 24
+
+    def test_an_attempt_is_hedged_when_its_replica_becomes_avoided(self):
+        # Each query of an entry waited for its own p95 to pass.
+        async def scenario():
+            world, started = _world(services=1, shards=1)
+            await started
+            await _warm(world, target="svc-0")
+            world.replicas_by_id["svc-0-a"].frozen = True
+            gather = world.kernels_by_id["i1"].plugin("gather")
+            gather.budget.earn(1000, 1.0, 1.0)
+            quantile = gather.delays._quantiles[model.Shard("svc-0", "s0")]
+            quantile._value_ms = 100.0
+            asked = asyncio.create_task(world.ask("i1", target="svc-0"))
+            await asyncio.sleep(0.005)
+            begun = gather.health.failed(
+                "svc-0-a", messages.Outcome.UNREACHABLE, gather.now()
+            )
+            gather._note_fault("svc-0-a", begun, "unreachable")
+            return (await asked)[1].unwrap()
+
+        answer = virtual.run(scenario())
+        assert answer.attempts.hedges == 1
+        assert answer.elapsed_ms < 30
+
+    def test_no_hedge_goes_to_a_replica_that_has_just_refused(self):
+        async def scenario():
+            world, started = _world(services=1, shards=1)
+            await started
+            await _warm(world, target="svc-0")
+            world.replicas_by_id["svc-0-a"].slow_factor = 25.0
+            gather = world.kernels_by_id["i1"].plugin("gather")
+            gather.budget.earn(1000, 1.0, 1.0)
+            gather.health.refused("svc-0-b", gather.now())
+            return (await world.ask("i1", target="svc-0"))[1].unwrap()
+
+        assert virtual.run(scenario()).attempts.hedges == 0
+
     def test_no_hedge_goes_into_a_long_queue(self):
         async def scenario(delay_ms):
             world, started = _world(services=1, shards=1)
--- a/tests/test_gather_selection.py
+++ b/tests/test_gather_selection.py
@@ -4,6 +4,8 @@
 import dataclasses
 import random
 
+import pytest
+
 from mallowloft import messages
 from mallowloft.configuration import model as config_model
 from mallowloft.gather import pinning
@@ -171,6 +173,27 @@
         choice.health.refused("a", 0.0)
         assert not choice.health.has_room("a", 0, 0.05)
 
+    def test_a_reported_queue_drains_with_time(self):
+        # Reports of up to 0.5 s ago kept hedges from replicas without a queue.
+        choice = _Choice(a="d1", b="d2")
+        choice.health.report_queue("a", 0, 10.0, 0.0)
+        delay_ms = choice.health.queue_delay_ms("a", 0, 0.004)
+        assert delay_ms == pytest.approx(6.0)
+        assert choice.health.queue_delay_ms("a", 0, 0.02) == 0
+
+    def test_an_overload_is_no_evidence_and_no_time_for_probes(self):
+        # Sound replicas were avoided in an overload and then probed.
+        choice = _Choice(a="d1", b="d2")
+        choice.answer("a", 3.0)
+        choice.answer("b", 3.0)
+        choice.health.refused("b", 0.0)
+        for _ in range(3):
+            assert not choice.health.lost_race("a", 100.0, 0.1, True)
+        assert choice.health.lost_race("a", 100.0, 1.1, True)
+        choice.health.refused("b", 3.5)
+        assert not choice.health.probe_due("a", 4.0)
+        assert choice.health.probe_due("a", 4.6)
+
     def test_several_new_faults_are_being_learnt(self):
         choice = _Choice(a="d1", b="d2", c="d3")
         for replica in "abc":
