--- a/tests/test_gather_selection.py
+++ b/tests/test_gather_selection.py
@@ -4,6 +4,8 @@
 import dataclasses
 import random
 
+import pytest
+
 from mallowloft import messages
 from mallowloft.configuration import model as config_model
 from mallowloft.gather import pinning
@@ -171,6 +173,27 @@
         choice.health.refused("a", 0.0)
         assert not choice.health.has_room("a", 0, 0.05)
 
+    def test_a_reported_queue_drains_with_time(self):
+        # Reports of up to 0.5 s ago kept hedges from replicas without a queue.
+        choice = _Choice(a="d1", b="d2")
+        choice.health.report_queue("a", 0, 10.0, 0.0)
+        delay_ms = choice.health.queue_delay_ms("a", 0, 0.004)
+        assert delay_ms == pytest.approx(6.0)
+        assert choice.health.queue_delay_ms("a", 0, 0.02) == 0
+
+    def test_an_overload_is_no_evidence_and_no_time_for_probes(self):
+        # Sound replicas were avoided in an overload and then probed.
+        choice = _Choice(a="d1", b="d2")
+        choice.answer("a", 3.0)
+        choice.answer("b", 3.0)
+        choice.health.refused("b", 0.0)
+        for _ in range(3):
+            assert not choice.health.lost_race("a", 100.0, 0.1, True)
+        assert choice.health.lost_race("a", 100.0, 1.1, True)
+        choice.health.refused("b", 3.5)
+        assert not choice.health.probe_due("a", 4.0)
+        assert choice.health.probe_due("a", 4.6)
+
     def test_several_new_faults_are_being_learnt(self):
         choice = _Choice(a="d1", b="d2", c="d3")
         for replica in "abc":
@@ -276,3 +299,40 @@
         answer = virtual.run(scenario())
         assert answer.coverage == 1
         assert answer.attempts.sent == 1
+
+    def test_reports_what_it_expects_and_hears_to_membership(self):
+        # A dispatcher that only answers sub-requests was not known to live.
+        async def scenario():
+            world = index_lib.build(services=1, shards=1, replicas=1)
+            await world.start({"i1": "d1", "i2": "d2"})
+            membership = world.kernels_by_id["i2"].plugin("membership")
+            calls = []
+            membership.expect = lambda *args: calls.append(("expect", *args))
+            membership.heard = lambda *args: calls.append(("heard", *args))
+            await world.ask("i2", target="svc-0")
+            member = membership.view.members_by_id["i1"]
+            return calls, member.incarnation
+
+        calls, incarnation = virtual.run(scenario())
+        assert calls[0] == ("expect", "i1")
+        assert ("heard", "i1", incarnation) in calls
+
+
+class TestLeavingReplica:
+    """A replica that any instance knows to leave gets no new attempt."""
+
+    def test_skips_a_replica_that_the_dispatchers_announce(self):
+        # The configuration may say so much later, or never.
+        async def scenario():
+            world = index_lib.build(services=1, shards=1)
+            await world.start({"i1": "d1", "i2": "d2"})
+            world.replicas_by_id["svc-0-a"].health_state = "draining"
+            await asyncio.sleep(2.0)
+            started = world.replicas_by_id["svc-0-a"].count("query_started")
+            for _ in range(5):
+                _, outcome = await world.ask("i1", target="svc-0")
+                assert outcome.unwrap().attempts.sent == 1
+            replica = world.replicas_by_id["svc-0-a"]
+            return replica.count("query_started") - started
+
+        assert virtual.run(scenario()) == 0
