--- a/src/mallowloft/callers/server.py
+++ b/src/mallowloft/callers/server.py
@@ -8,6 +8,8 @@
 import uvicorn
 
 _POLL_S = 0.01
+# uvicorn renews the date header once a second; it wakes ten times as often.
+_DATE_INTERVAL_S = 1.0
 # A connection that was just opened has its request still on the way. Closing
 # it at once would reset it, and the caller could not tell whether the request
 # was run.
@@ -19,6 +21,22 @@
 class _Uvicorn(uvicorn.Server):
     """A server that leaves signal handling to the process."""
 
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._exit = asyncio.Event()
+
+    def exit_soon(self) -> None:
+        """Ends the main loop at once."""
+        self.should_exit = True
+        self._exit.set()
+
+    async def main_loop(self) -> None:
+        """Renews the date header until the server is to end."""
+        while not await self.on_tick(0):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_DATE_INTERVAL_S):
+                    await self._exit.wait()
+
     @contextlib.contextmanager
     def capture_signals(self):
         yield
@@ -72,7 +90,7 @@
         connections = self._server.server_state.connections
         while connections and loop.time() < end_s:
             await asyncio.sleep(_POLL_S)
-        self._server.should_exit = True
+        self._server.exit_soon()
         if self._task is not None:
             await asyncio.wait(
                 [self._task], timeout=max(_CLOSE_TIMEOUT_S, grace_s)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -6,11 +6,13 @@
 import hashlib
 import json
 import socket
+import time
 from typing import Any
 
 import aiohttp
 import pytest
 import result
+import uvicorn
 
 from mallowloft import client as client_lib
 from mallowloft import messages
@@ -792,6 +794,32 @@
         for answer in asyncio.run(scenario()):
             assert answer.startswith(b"HTTP/1.1 204 ")
 
+    def test_idle_server_rarely_wakes_and_stops_at_once(self, monkeypatch):
+        # Guards against processor time used while no caller is connected, and
+        # against a stop that waits for the next wake-up.
+        ticks = []
+        on_tick = uvicorn.Server.on_tick
+
+        async def counted(server, counter):
+            ticks.append(counter)
+            return await on_tick(server, counter)
+
+        monkeypatch.setattr(uvicorn.Server, "on_tick", counted)
+
+        async def scenario():
+            (port,) = serving.free_ports(1)
+            server = server_lib.Server(None, "127.0.0.1", port, {})
+            await server.start()
+            await asyncio.sleep(0.5)
+            idle_ticks = len(ticks)
+            started_s = time.monotonic()
+            await server.stop(10.0)
+            return idle_ticks, time.monotonic() - started_s
+
+        idle_ticks, stop_s = asyncio.run(scenario())
+        assert idle_ticks <= 2
+        assert stop_s < 0.4
+
     def test_idle_connections_are_closed_cleanly(self):
         async def test(instance):
             reader, writer = await asyncio.open_connection(
