--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -3,7 +3,9 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import hashlib
+import inspect
 import json
 import socket
 from typing import Any
@@ -156,8 +158,7 @@
                 failure_domain="d1",
                 caller_port=caller_port,
                 operator_port=operator_port,
-                drain_s=0.0,
-                **settings,
+                **{"drain_s": 0.0, **settings},
             )
         )
         self.configuration = _Configuration()
@@ -216,28 +217,43 @@
                 await asyncio.sleep(0.005)
 
 
-def _run(test, **settings: Any) -> Any:
-    async def scenario():
-        async with asyncio.timeout(30), _Instance(**settings) as instance:
-            return await test(instance)
+def _served(**settings: Any):
+    """Runs an async test with an instance, on a loop with real sockets."""
 
-    return asyncio.run(scenario())
+    def decorate(test):
+        async def main(self, **fixtures):
+            async with asyncio.timeout(30), _Instance(**settings) as instance:
+                await test(self, instance, **fixtures)
+
+        @functools.wraps(test)
+        def run(self, **fixtures):
+            asyncio.run(main(self, **fixtures))
+
+        # pytest passes a fixture for each parameter that it sees.
+        signature = inspect.signature(test)
+        run.__signature__ = signature.replace(
+            parameters=[
+                parameter
+                for name, parameter in signature.parameters.items()
+                if name != "instance"
+            ]
+        )
+        return run
+
+    return decorate
 
 
 class TestFaults:
     """A caller sees all faults at once and no upstream sees the request."""
 
-    def test_reports_every_fault_of_a_query(self):
+    @_served()
+    async def test_reports_every_fault_of_a_query(self, instance):
         # Guards against a report that stops at the first fault.
-        async def test(instance):
-            answer = await instance.call(
-                "/v1/query/nowhere",
-                {"deadline_ms": 0, "min_coverage": 2, "colour": "red"},
-                {**_TEAM, "X-Request-Id": "two words"},
-            )
-            return answer, instance.gather.queries
-
-        answer, queries = _run(test)
+        answer = await instance.call(
+            "/v1/query/nowhere",
+            {"deadline_ms": 0, "min_coverage": 2, "colour": "red"},
+            {**_TEAM, "X-Request-Id": "two words"},
+        )
         assert answer.status == 400
         assert answer.places == {
             "header.X-Request-Id",
@@ -247,88 +263,75 @@
             "body.min_coverage",
             "body.colour",
         }
-        assert not queries
-
-    def test_reports_a_malformed_body_with_its_position(self):
-        async def test(instance):
-            return await instance.call("/v1/query/checker", b'{"query": ')
+        assert not instance.gather.queries
 
-        answer = _run(test)
+    @_served()
+    async def test_reports_a_malformed_body_with_its_position(self, instance):
+        answer = await instance.call("/v1/query/checker", b'{"query": ')
         assert answer.status == 400
         assert answer.places == {"body"}
         assert "line 1 column" in answer.body["findings"][0]["message"]
 
-    def test_refuses_json_that_upstreams_cannot_read(self):
+    @_served()
+    async def test_refuses_json_that_upstreams_cannot_read(self, instance):
         # Python accepts NaN and passes it on as an invalid token.
-        async def test(instance):
-            return await instance.call("/v1/query/checker", b'{"query": NaN}')
-
-        answer = _run(test)
+        answer = await instance.call("/v1/query/checker", b'{"query": NaN}')
         assert answer.status == 400
         assert answer.places == {"body.query"}
 
-    def test_does_not_tell_a_stranger_which_services_exist(self):
-        async def test(instance):
-            return [
-                await instance.call(
-                    f"/v1/query/{target}",
-                    {"query": 1, "deadline_ms": -1},
-                    {"Authorization": "Bearer wrong"},
-                )
-                for target in ("checker", "nowhere")
-            ]
-
-        known, unknown = _run(test)
+    @_served()
+    async def test_does_not_tell_a_stranger_which_services_exist(
+        self, instance
+    ):
+        known, unknown = [
+            await instance.call(
+                f"/v1/query/{target}",
+                {"query": 1, "deadline_ms": -1},
+                {"Authorization": "Bearer wrong"},
+            )
+            for target in ("checker", "nowhere")
+        ]
         assert known.status == unknown.status == 401
         assert known.places == {"header.Authorization", "body.deadline_ms"}
         assert known.body == unknown.body
 
-    def test_refuses_targets_that_are_unknown_or_not_granted(self):
-        async def test(instance):
-            return [
-                (await instance.call(f"/v1/query/{target}", {"query": 1}))
-                for target in ("ledger", "nowhere")
-            ]
-
-        not_granted, unknown = _run(test)
+    @_served()
+    async def test_refuses_targets_that_are_unknown_or_not_granted(
+        self, instance
+    ):
+        not_granted, unknown = [
+            (await instance.call(f"/v1/query/{target}", {"query": 1}))
+            for target in ("ledger", "nowhere")
+        ]
         assert not_granted.status == 403
         assert unknown.status == 404
 
-    def test_submission_without_key_says_how_to_get_one(self):
+    @_served()
+    async def test_submission_without_key_says_how_to_get_one(self, instance):
         # Guards against a submission that is run although no key protects
         # its repeats.
-        async def test(instance):
-            answer = await instance.call(
-                "/v1/submissions/checker", {"shard": "nope", "body": 1}
-            )
-            return answer, instance.submissions.seen
-
-        answer, seen = _run(test)
+        answer = await instance.call(
+            "/v1/submissions/checker", {"shard": "nope", "body": 1}
+        )
         assert answer.status == 400
         assert answer.places == {"header.Idempotency-Key", "body.shard"}
         assert "POST /v1/keys" in answer.body["findings"][0]["message"]
-        assert not seen
-
-    def test_submission_to_a_group_or_unknown_service(self):
-        async def test(instance):
-            return await instance.call(
-                "/v1/submissions/nowhere",
-                {"shard": "s0", "body": 1},
-                {**_TEAM, **_KEY},
-            )
-
-        answer = _run(test)
+        assert not instance.submissions.seen
+
+    @_served()
+    async def test_submission_to_a_group_or_unknown_service(self, instance):
+        answer = await instance.call(
+            "/v1/submissions/nowhere",
+            {"shard": "s0", "body": 1},
+            {**_TEAM, **_KEY},
+        )
         assert answer.status == 404
         assert answer.places == {"path.service"}
 
-    def test_unknown_path_and_method_are_answered_in_json(self):
-        async def test(instance):
-            return (
-                await instance.call("/v2/query"),
-                await instance.call("/v1/keys", method="PUT"),
-            )
-
-        path, method = _run(test)
+    @_served()
+    async def test_unknown_path_and_method_are_answered_in_json(self, instance):
+        path = await instance.call("/v2/query")
+        method = await instance.call("/v1/keys", method="PUT")
         assert (path.status, path.body["error"]) == (404, "not_found")
         assert (method.status, method.body["error"]) == (405, "bad_method")
         assert method.headers["Allow"] == "POST"
@@ -337,170 +340,150 @@
 class TestLargeBodies:
     """A large body costs no memory and its sender sees the refusal."""
 
-    def test_declared_size_is_refused_before_reading(self):
+    @_served(max_body_bytes=1000)
+    async def test_declared_size_is_refused_before_reading(self, instance):
         # Guards against a connection that is reset while the caller still
         # sends: the caller then never reads the refusal.
-        async def test(instance):
-            reader, writer = await asyncio.open_connection(
-                "127.0.0.1", instance.port
-            )
-            size = 8 << 20
-            head = (
-                "POST /v1/query/checker HTTP/1.1\r\nHost: i1\r\n"
-                "Authorization: Bearer token-hunters\r\n"
-                f"Content-Length: {size}\r\n\r\n"
-            )
-            writer.write(head.encode())
-            for _ in range(size >> 16):
-                writer.write(b"x" * (1 << 16))
-                await writer.drain()
-            answer = await reader.read()
-            writer.close()
-            return answer
-
-        answer = _run(test, max_body_bytes=1000)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", instance.port
+        )
+        size = 8 << 20
+        head = (
+            "POST /v1/query/checker HTTP/1.1\r\nHost: i1\r\n"
+            "Authorization: Bearer token-hunters\r\n"
+            f"Content-Length: {size}\r\n\r\n"
+        )
+        writer.write(head.encode())
+        for _ in range(size >> 16):
+            writer.write(b"x" * (1 << 16))
+            await writer.drain()
+        answer = await reader.read()
+        writer.close()
         assert answer.startswith(b"HTTP/1.1 413 ")
         assert b'"place":"body"' in answer
 
-    def test_undeclared_size_is_refused_while_reading(self):
+    @_served(max_body_bytes=5000)
+    async def test_undeclared_size_is_refused_while_reading(self, instance):
         # Guards against a chunked body that is read whole before the check.
-        async def test(instance):
-            sent = 0
-
-            async def endless():
-                nonlocal sent
-                while sent < 10_000:
-                    sent += 1
-                    yield b"x" * 1000
-                    await asyncio.sleep(0.001)
-
-            async with instance.session.post(
-                f"http://127.0.0.1:{instance.port}/v1/query/checker",
-                data=endless(),
-                headers=_TEAM,
-            ) as response:
-                return response.status, sent
-
-        status, sent = _run(test, max_body_bytes=5000)
-        assert status == 413
-        assert sent < 10_000
-
-    def test_answer_over_the_limit_is_refused(self):
-        # Guards against an answer that is cut off.
-        async def test(instance):
-            instance.gather.content = b'"' + b"x" * 5000 + b'"'
-            return await instance.call("/v1/query/checker", {"query": 1})
+        sent = 0
+
+        async def endless():
+            nonlocal sent
+            while sent < 10_000:
+                sent += 1
+                yield b"x" * 1000
+                await asyncio.sleep(0.001)
+
+        async with instance.session.post(
+            f"http://127.0.0.1:{instance.port}/v1/query/checker",
+            data=endless(),
+            headers=_TEAM,
+        ) as response:
+            assert response.status == 413
+            assert sent < 10_000
 
-        answer = _run(test, max_answer_bytes=5000)
+    @_served(max_answer_bytes=5000)
+    async def test_answer_over_the_limit_is_refused(self, instance):
+        # Guards against an answer that is cut off.
+        instance.gather.content = b'"' + b"x" * 5000 + b'"'
+        answer = await instance.call("/v1/query/checker", {"query": 1})
         assert answer.status == 507
         assert answer.body["error"] == "answer_too_large"
 
-    def test_large_answer_arrives_whole(self):
-        async def test(instance):
-            instance.gather.content = b'"' + b"x" * (8 << 20) + b'"'
-            return await instance.call("/v1/query/checker", {"query": 1})
-
-        answer = _run(test)
+    @_served()
+    async def test_large_answer_arrives_whole(self, instance):
+        instance.gather.content = b'"' + b"x" * (8 << 20) + b'"'
+        answer = await instance.call("/v1/query/checker", {"query": 1})
         assert len(answer.body["results"]["checker"]["s0"]) == 8 << 20
 
 
 class TestQueries:
     """Queries keep the caller's deadline, limits and connection."""
 
-    def test_deadline_counts_from_receipt(self):
+    @_served()
+    async def test_deadline_counts_from_receipt(self, instance):
         # Guards against a slow upload that extends the deadline.
-        async def test(instance):
-            async def slow():
-                yield b'{"query": 1, '
-                await instance.until(
-                    lambda: instance.callers.dump()["requests_in_flight"]
-                )
-                await asyncio.sleep(0.25)
-                yield b'"deadline_ms": 5000}'
-
-            async with instance.session.post(
-                f"http://127.0.0.1:{instance.port}/v1/query/checker",
-                data=slow(),
-                headers=_TEAM,
-            ) as response:
-                await response.read()
-            return instance.gather.queries[0].deadline_ms
-
-        assert _run(test) <= 4760
-
-    def test_team_limit_is_refused_at_once(self):
-        async def test(instance):
-            instance.gather.release.clear()
-            running = [
-                asyncio.create_task(
-                    instance.call("/v1/query/checker", {"query": 1})
-                )
-                for _ in range(2)
-            ]
-            await instance.until(lambda: len(instance.gather.queries) == 2)
-            refused = await instance.call("/v1/query/checker", {"query": 1})
-            instance.gather.release.set()
-            answered = await asyncio.gather(*running)
-            again = await instance.call("/v1/query/checker", {"query": 1})
-            return refused, answered, again
-
-        refused, answered, again = _run(test)
+        async def slow():
+            yield b'{"query": 1, '
+            await instance.until(
+                lambda: instance.callers.dump()["requests_in_flight"]
+            )
+            await asyncio.sleep(0.25)
+            yield b'"deadline_ms": 5000}'
+
+        async with instance.session.post(
+            f"http://127.0.0.1:{instance.port}/v1/query/checker",
+            data=slow(),
+            headers=_TEAM,
+        ) as response:
+            await response.read()
+        assert instance.gather.queries[0].deadline_ms <= 4760
+
+    @_served()
+    async def test_team_limit_is_refused_at_once(self, instance):
+        instance.gather.release.clear()
+        running = [
+            asyncio.create_task(
+                instance.call("/v1/query/checker", {"query": 1})
+            )
+            for _ in range(2)
+        ]
+        await instance.until(lambda: len(instance.gather.queries) == 2)
+        refused = await instance.call("/v1/query/checker", {"query": 1})
+        instance.gather.release.set()
+        answered = await asyncio.gather(*running)
+        again = await instance.call("/v1/query/checker", {"query": 1})
         assert refused.status == 429
         assert refused.body["error"] == "team_limit"
         assert int(refused.headers["Retry-After"]) >= 1
         assert [item.status for item in answered] == [200, 200]
         assert again.status == 200
 
-    def test_disconnect_cancels_the_query(self):
+    @_served()
+    async def test_disconnect_cancels_the_query(self, instance):
         # Guards against work for a caller that is gone.
-        async def test(instance):
-            instance.gather.release.clear()
-            call = asyncio.create_task(
-                instance.call("/v1/query/checker", {"query": 1})
-            )
-            await instance.until(lambda: instance.gather.queries)
-            call.cancel()
-            await instance.until(lambda: instance.gather.cancelled)
-            await instance.until(
-                lambda: not instance.callers.dump()["requests_in_flight"]
-            )
-            return instance.kernel.metrics.counted(
+        instance.gather.release.clear()
+        call = asyncio.create_task(
+            instance.call("/v1/query/checker", {"query": 1})
+        )
+        await instance.until(lambda: instance.gather.queries)
+        call.cancel()
+        await instance.until(lambda: instance.gather.cancelled)
+        await instance.until(
+            lambda: not instance.callers.dump()["requests_in_flight"]
+        )
+        assert (
+            instance.kernel.metrics.counted(
                 "caller_queries", outcome="abandoned", priority="paying"
             )
+            == 1
+        )
 
-        assert _run(test) == 1
-
-    def test_refusal_carries_code_and_retry_after(self):
-        async def test(instance):
-            instance.gather.refusal = gather_model.Refusal(
-                "overloaded", "no slot before the deadline", 1500.0
-            )
-            return await instance.call("/v1/query/checker", {"query": 1})
-
-        answer = _run(test)
+    @_served()
+    async def test_refusal_carries_code_and_retry_after(self, instance):
+        instance.gather.refusal = gather_model.Refusal(
+            "overloaded", "no slot before the deadline", 1500.0
+        )
+        answer = await instance.call("/v1/query/checker", {"query": 1})
         assert answer.status == 503
         assert answer.body["error"] == "overloaded"
         assert answer.body["retry_after_ms"] == 1500
         assert answer.headers["Retry-After"] == "2"
 
-    def test_request_id_is_returned(self):
-        async def test(instance):
-            return await instance.call(
-                "/v1/query/checker",
-                {"query": 1},
-                {**_TEAM, "X-Request-Id": "r-7"},
-            )
-
-        answer = _run(test)
+    @_served()
+    async def test_request_id_is_returned(self, instance):
+        answer = await instance.call(
+            "/v1/query/checker", {"query": 1}, {**_TEAM, "X-Request-Id": "r-7"}
+        )
         assert answer.headers["X-Request-Id"] == "r-7"
         assert answer.body["request_id"] == "r-7"
 
-    def test_without_configuration_no_credential_is_called_wrong(self):
-        async def test(instance):
-            instance.configuration.is_ready = False
-            return await instance.call("/v1/query/checker", {"query": 1})
-
-        answer = _run(test)
+    @_served()
+    async def test_without_configuration_no_credential_is_called_wrong(
+        self, instance
+    ):
+        instance.configuration.is_ready = False
+        answer = await instance.call("/v1/query/checker", {"query": 1})
         assert (answer.status, answer.body["error"]) == (503, "starting")
         assert "Retry-After" in answer.headers
 
@@ -508,23 +491,17 @@
 class TestOperators:
     """Operators see the state of an instance whatever it holds."""
 
-    def test_state_with_values_that_json_lacks(self):
+    @_served()
+    async def test_state_with_values_that_json_lacks(self, instance):
         # Guards against a plug-in's infinite delay that hides all state.
-        async def test(instance):
-            settings = instance.kernel.settings
-            for plugin in instance.kernel.plugins_by_name.values():
-                plugin.ready = lambda: True
-                plugin.dump = lambda: {
-                    "delay_ms": float("inf"),
-                    1: b"key",
-                    "lock": instance,
-                }
-            url = f"http://127.0.0.1:{settings.operator_port}/v1/state"
-            async with instance.session.get(url) as response:
-                return response.status, await response.json()
-
-        status, state = _run(test)
-        assert status == 200
+        dump = {"delay_ms": float("inf"), 1: b"key", "lock": instance}
+        for plugin in instance.kernel.plugins_by_name.values():
+            plugin.ready = lambda: True
+            plugin.dump = lambda: dump
+        instance.port = instance.kernel.settings.operator_port
+        answer = await instance.call("/v1/state", method="GET")
+        assert answer.status == 200
+        state = answer.body
         assert state["plugins"]["gather"]["delay_ms"] is None
 
 
@@ -562,19 +539,16 @@
 class TestSubmissions:
     """The three outcomes are distinct and true."""
 
-    def test_keys(self):
-        async def test(instance):
-            return await instance.call("/v1/keys", {"count": 2})
-
-        answer = _run(test)
+    @_served()
+    async def test_keys(self, instance):
+        answer = await instance.call("/v1/keys", {"count": 2})
         assert answer.status == 200
         assert answer.body["keys"] == ["hunters-0", "hunters-1"]
 
-    def test_done(self):
-        async def test(instance):
-            return await instance.submit(), instance.submissions.seen[0]
-
-        answer, seen = _run(test)
+    @_served()
+    async def test_done(self, instance):
+        answer = await instance.submit()
+        seen = instance.submissions.seen[0]
         assert answer.status == 200
         assert answer.body["outcome"] == "done"
         assert answer.body["reply"] == {"place": 1}
@@ -584,80 +558,69 @@
             b'{"solve": 7}',
         )
 
-    def test_not_run(self):
-        async def test(instance):
-            instance.submissions.outcome = submissions_model.NotRun(
-                "no_slot", 400.0
-            )
-            return await instance.submit()
-
-        answer = _run(test)
+    @_served()
+    async def test_not_run(self, instance):
+        instance.submissions.outcome = submissions_model.NotRun(
+            "no_slot", 400.0
+        )
+        answer = await instance.submit()
         assert answer.status == 503
         assert answer.body["outcome"] == "not_run"
         assert answer.body["error"] == "no_slot"
         assert answer.body["fresh_key"] == "hunters-0"
         assert "Retry-After" in answer.headers
 
-    def test_unknown(self):
-        async def test(instance):
-            answers = []
-            for ran in (False, None):
-                instance.submissions.outcome = submissions_model.Unknown(
-                    "issuer_lost", ran, 100.0
-                )
-                answers.append(await instance.submit())
-            return answers
-
-        this_copy_known, nothing_known = _run(test)
+    @_served()
+    async def test_unknown(self, instance):
+        answers = []
+        for ran in (False, None):
+            instance.submissions.outcome = submissions_model.Unknown(
+                "issuer_lost", ran, 100.0
+            )
+            answers.append(await instance.submit())
+        this_copy_known, nothing_known = answers
         assert this_copy_known.status == 504
         assert this_copy_known.body["outcome"] == "unknown"
         assert this_copy_known.body["this_copy_ran"] is False
         assert "same key" in this_copy_known.body["advice"]
         assert "this_copy_ran" not in nothing_known.body
 
-    def test_failure_inside_is_unknown(self):
+    @_served()
+    async def test_failure_inside_is_unknown(self, instance):
         # Guards against a 500 that a caller takes for "not run".
-        async def test(instance):
-            instance.submissions.outcome = RuntimeError("fault")
-            return await instance.submit()
-
-        answer = _run(test)
+        instance.submissions.outcome = RuntimeError("fault")
+        answer = await instance.submit()
         assert answer.status == 504
         assert answer.body["outcome"] == "unknown"
         assert "this_copy_ran" not in answer.body
 
-    def test_limit_says_not_run_only_of_a_first_copy(self):
+    @_served()
+    async def test_limit_says_not_run_only_of_a_first_copy(self, instance):
         # Guards against "not run" for a key whose earlier copy has run.
-        async def test(instance):
-            instance.submissions.release.clear()
-            running = [asyncio.create_task(instance.submit()) for _ in range(2)]
-            await instance.until(lambda: len(instance.submissions.seen) == 2)
-            repeat = await instance.submit()
-            first = await instance.submit(first_send=True)
-            instance.submissions.release.set()
-            await asyncio.gather(*running)
-            return repeat, first, len(instance.submissions.seen)
-
-        repeat, first, seen = _run(test)
+        instance.submissions.release.clear()
+        running = [asyncio.create_task(instance.submit()) for _ in range(2)]
+        await instance.until(lambda: len(instance.submissions.seen) == 2)
+        repeat = await instance.submit()
+        first = await instance.submit(first_send=True)
+        instance.submissions.release.set()
+        await asyncio.gather(*running)
         assert repeat.status == first.status == 429
         assert repeat.body["outcome"] == "unknown"
         assert repeat.body["this_copy_ran"] is False
         assert first.body["outcome"] == "not_run"
         assert first.body["fresh_key"] == "hunters-0"
-        assert seen == 2
+        assert len(instance.submissions.seen) == 2
 
-    def test_runs_to_its_outcome_when_the_caller_leaves(self):
+    @_served()
+    async def test_runs_to_its_outcome_when_the_caller_leaves(self, instance):
         # Guards against a disconnect that cancels a submission half-way.
-        async def test(instance):
-            instance.submissions.release.clear()
-            call = asyncio.create_task(instance.submit())
-            await instance.until(lambda: instance.submissions.seen)
-            call.cancel()
-            await asyncio.sleep(0.05)
-            instance.submissions.release.set()
-            await instance.until(lambda: instance.submissions.finished)
-
-        _run(test)
+        instance.submissions.release.clear()
+        call = asyncio.create_task(instance.submit())
+        await instance.until(lambda: instance.submissions.seen)
+        call.cancel()
+        await asyncio.sleep(0.05)
+        instance.submissions.release.set()
+        await instance.until(lambda: instance.submissions.finished)
 
 
 class TestTls:
@@ -666,7 +629,11 @@
     def test_query_over_tls(self, tmp_path):
         files = certificates.write(tmp_path / "tls")
 
-        async def test(instance):
+        @_served(
+            tls_certificate=str(files.certificate),
+            tls_private_key=str(files.key),
+        )
+        async def test(self, instance):
             answer = await instance.call("/v1/query/checker", {"query": 1})
             async with client_lib.Client(
                 "token-hunters", str(files.certificate)
@@ -679,87 +646,67 @@
             instance.scheme = "http"
             with pytest.raises(aiohttp.ClientError):
                 await instance.call("/v1/query/checker", {"query": 1})
-            return answer, called.unwrap()
+            assert answer.status == called.unwrap().status == 200
 
-        answer, verified = _run(
-            test,
-            tls_certificate=str(files.certificate),
-            tls_private_key=str(files.key),
-        )
-        assert answer.status == verified.status == 200
+        test(self)
 
 
 class TestStopping:
     """A stopping instance finishes what it has and refuses truthfully."""
 
-    def test_requests_in_flight_are_finished(self):
-        async def test(instance):
-            instance.gather.release.clear()
-            running = asyncio.create_task(
-                instance.call("/v1/query/checker", {"query": 1})
-            )
-            await instance.until(lambda: instance.gather.queries)
-            instance.kernel.stopping = True
-            stopping = asyncio.create_task(instance.callers.stop(10.0))
-            await instance.until(lambda: instance.callers.dump()["refusing"])
-            query = await instance.call("/v1/query/checker", {"query": 1})
-            submission = await instance.submit()
-            instance.gather.release.set()
-            answer = await running
-            await stopping
-            return query, submission, answer, instance.submissions.seen
-
-        query, submission, answer, seen = _run(test)
+    @_served()
+    async def test_requests_in_flight_are_finished(self, instance):
+        instance.gather.release.clear()
+        running = asyncio.create_task(
+            instance.call("/v1/query/checker", {"query": 1})
+        )
+        await instance.until(lambda: instance.gather.queries)
+        instance.kernel.stopping = True
+        stopping = asyncio.create_task(instance.callers.stop(10.0))
+        await instance.until(lambda: instance.callers.dump()["refusing"])
+        query = await instance.call("/v1/query/checker", {"query": 1})
+        submission = await instance.submit()
+        instance.gather.release.set()
+        answer = await running
+        await stopping
         assert (query.status, query.body["error"]) == (503, "stopping")
         assert submission.status == 503
         assert submission.body["this_copy_ran"] is False
         assert "outcome" not in submission.body
         assert query.headers["Connection"] == "close"
         assert "Retry-After" in query.headers
-        assert not seen
+        assert not instance.submissions.seen
         assert answer.status == 200
 
-    def test_requests_are_served_while_load_balancers_learn(self):
+    @_served(drain_s=0.5)
+    async def test_requests_are_served_while_load_balancers_learn(
+        self, instance
+    ):
         # Guards against refused connections before /readyz is looked at.
-        async def scenario():
-            async with _Instance() as instance:
-                kernel = instance.kernel
-                kernel.settings = dataclasses.replace(
-                    kernel.settings, drain_s=0.5
-                )
-                kernel.stopping = True
-                stopping = asyncio.create_task(instance.callers.stop(10.0))
-                await asyncio.sleep(0)
-                answer = await instance.call("/v1/query/checker", {"query": 1})
-                await stopping
-                return answer
-
-        answer = asyncio.run(scenario())
+        instance.kernel.stopping = True
+        stopping = asyncio.create_task(instance.callers.stop(10.0))
+        await asyncio.sleep(0)
+        answer = await instance.call("/v1/query/checker", {"query": 1})
+        await stopping
         assert answer.status == 200
         assert answer.headers["Connection"] == "close"
 
-    def test_request_on_its_way_is_answered(self, monkeypatch):
+    @_served()
+    async def test_request_on_its_way_is_answered(self, instance, monkeypatch):
         # Guards against a reset of a connection that was opened just before
         # the port closed: its caller cannot tell whether the request was run.
         monkeypatch.setattr(server_lib, "_LAST_REQUESTS_S", 15.0)
-
-        async def test(instance):
-            reader, writer = await asyncio.open_connection(
-                "127.0.0.1", instance.port
-            )
-            stopping = asyncio.create_task(instance.callers.stop(20.0))
-            await instance.until(
-                lambda: not instance.callers.dump()["listening"]
-            )
-            # Longer than the server takes to notice that it is to end.
-            await asyncio.sleep(0.5)
-            writer.write(_REQUEST)
-            answer = await reader.read()
-            writer.close()
-            await stopping
-            return answer
-
-        answer = _run(test)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", instance.port
+        )
+        stopping = asyncio.create_task(instance.callers.stop(20.0))
+        await instance.until(lambda: not instance.callers.dump()["listening"])
+        # Longer than the server takes to notice that it is to end.
+        await asyncio.sleep(0.5)
+        writer.write(_REQUEST)
+        answer = await reader.read()
+        writer.close()
+        await stopping
         assert answer.startswith(b"HTTP/1.1 503 ")
         assert b'"error":"stopping"' in answer
 
@@ -792,17 +739,15 @@
         for answer in asyncio.run(scenario()):
             assert answer.startswith(b"HTTP/1.1 204 ")
 
-    def test_idle_connections_are_closed_cleanly(self):
-        async def test(instance):
-            reader, writer = await asyncio.open_connection(
-                "127.0.0.1", instance.port
-            )
-            await instance.callers.stop(5.0)
-            async with asyncio.timeout(10):
-                rest = await reader.read()
-            writer.close()
-            with contextlib.suppress(ConnectionError):
-                await writer.wait_closed()
-            return rest
-
-        assert _run(test) == b""
+    @_served()
+    async def test_idle_connections_are_closed_cleanly(self, instance):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", instance.port
+        )
+        await instance.callers.stop(5.0)
+        async with asyncio.timeout(10):
+            rest = await reader.read()
+        writer.close()
+        with contextlib.suppress(ConnectionError):
+            await writer.wait_closed()
+        assert rest == b""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -180,8 +180,7 @@
 
     def test_line_has_instance_and_fields(self, monkeypatch):
         (line,) = self._lines(
-            monkeypatch,
-            lambda: logs.get("test").info("started", request="r-1"),
+            monkeypatch, lambda: logs.get("test").info("started", request="r-1")
         )
         assert "instance=i1 event=started" in line
         assert "request=r-1" in line
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -241,383 +241,322 @@
     """A change is in force at all reachable instances within 1 s."""
 
     @pytest.mark.parametrize(("count", "seed"), [(9, 1), (120, 2)])
-    def test_change_reaches_all(self, count, seed):
-        async def scenario():
-            world = await _start(count, seed)
-            for value in (0.2, 0.3):
-                revision = _change(world, value)
-                names = list(world.kernels_by_id)
-                await faults.until(
-                    lambda revision=revision, names=names: _held(
-                        world, names, revision
-                    ),
-                    0.1,
-                )
-                for name in names:
-                    query = _store(world, name).current.queries_by_team
-                    assert query["hunters"].min_coverage == value
-
-        virtual.run(scenario())
-
-    @pytest.mark.parametrize(("muted", "limit_s"), [(False, 0.35), (True, 3.0)])
-    def test_lost_pushes_are_repaired(self, muted, limit_s):
-        """The loss of every push must not leave an instance behind."""
-
-        async def scenario():
-            world = await _start(30)
-            if muted:
-                _mute_ping_digests(world)
-            victim = _others(world, *_watchers(world))[0]
-            for name in _others(world, victim):
-                world.network.cuts.add(frozenset((victim, name)))
-            revision = _change(world, 0.4)
-            await asyncio.sleep(0.1)
-            assert not _held(world, [victim], revision)
-            world.network.cuts.clear()
+    async def test_change_reaches_all(self, count, seed):
+        world = await _start(count, seed)
+        for value in (0.2, 0.3):
+            revision = _change(world, value)
+            names = list(world.kernels_by_id)
             await faults.until(
-                lambda: _held(world, [victim], revision), limit_s
+                lambda revision=revision, names=names: _held(
+                    world, names, revision
+                ),
+                0.1,
             )
+            for name in names:
+                query = _store(world, name).current.queries_by_team
+                assert query["hunters"].min_coverage == value
 
-        virtual.run(scenario())
-
-    def test_watchers_of_a_domain_are_killed(self):
-        async def scenario():
-            world = await _start(30)
-            killed = _watchers(world, "d1")
-            assert len(killed) == 2
-            for name in killed:
-                await faults.kill(world, name)
-            revision = _change(world, 0.5)
-            rest = _others(world, *killed)
-            await faults.until(lambda: _held(world, rest, revision), 3.0)
-            await asyncio.sleep(1.0)
-            assert len(set(_watchers(world, "d1")) - set(killed)) == 2
-            # The successors watch themselves: cut off from the other
-            # domains, theirs still follows the service.
-            for other in ("d2", "d3"):
-                world.network.cuts.add(frozenset(("d1", other)))
-            revision = _change(world, 0.6)
-            await faults.until(lambda: _held(world, rest, revision), 1.0)
-
-        virtual.run(scenario())
-
-    def test_service_unreachable_for_one_domain(self):
-        """Watchers of the other domains push across."""
-
-        async def scenario():
-            world = await _start(30)
+    @pytest.mark.parametrize(("muted", "limit_s"), [(False, 0.35), (True, 3.0)])
+    async def test_lost_pushes_are_repaired(self, muted, limit_s):
+        """The loss of every push must not leave an instance behind."""
+        world = await _start(30)
+        if muted:
             _mute_ping_digests(world)
-            near = [n for n, d in _domains(30).items() if d == "d1"]
-            world.platform_cut.update(near)
-            await asyncio.sleep(0.1)
-            revision = _change(world, 0.5)
-            await faults.until(
-                lambda: _held(world, list(world.kernels_by_id), revision), 1.0
-            )
-
-        virtual.run(scenario())
-
-    def test_cut_off_instances_go_on_and_catch_up(self):
-        async def scenario():
-            world = await _start(18)
-            near = [n for n, d in _domains(18).items() if d == "d1"]
-            for other in ("d2", "d3"):
-                world.network.cuts.add(frozenset(("d1", other)))
-            world.platform_cut.update(near)
-            old = world.revision
-            revision = _change(world, 0.5)
-            await asyncio.sleep(5)
-            assert _held(world, _others(world, *near), revision)
-            for name in near:
-                assert world.kernels_by_id[name].ready()
-                assert _store(world, name).current.revision == old
-            world.network.cuts.clear()
-            await faults.until(lambda: _held(world, near, revision), 2.0)
-
-        virtual.run(scenario())
-
-    def test_receiver_validates_what_a_peer_sends(self):
-        async def scenario():
-            world = await _start(6)
-            bad = _document("/teams/hunters/query", 99, {"min_coverage": 9})
-            subtree = messages.ConfigSubtree("/teams/hunters", 99, (bad,))
-            push = messages.ConfigSubtrees((subtree,), ("i2", "i5"))
-            world.kernels_by_id["i0"].plugin("peers").send("i3", push)
-            await asyncio.sleep(1)
-            for name in world.kernels_by_id:
-                held = _store(world, name).revision_by_subtree
-                assert held["/teams/hunters"] < 99
-            for name in ("i2", "i5"):
-                # An instance passes on nothing that it rejects itself.
-                assert not _store(world, name).rejections_by_subtree
+        victim = _others(world, *_watchers(world))[0]
+        for name in _others(world, victim):
+            world.network.cuts.add(frozenset((victim, name)))
+        revision = _change(world, 0.4)
+        await asyncio.sleep(0.1)
+        assert not _held(world, [victim], revision)
+        world.network.cuts.clear()
+        await faults.until(lambda: _held(world, [victim], revision), limit_s)
+
+    async def test_watchers_of_a_domain_are_killed(self):
+        world = await _start(30)
+        killed = _watchers(world, "d1")
+        assert len(killed) == 2
+        for name in killed:
+            await faults.kill(world, name)
+        revision = _change(world, 0.5)
+        rest = _others(world, *killed)
+        await faults.until(lambda: _held(world, rest, revision), 3.0)
+        await asyncio.sleep(1.0)
+        assert len(set(_watchers(world, "d1")) - set(killed)) == 2
+        # The successors watch themselves: cut off from the other
+        # domains, theirs still follows the service.
+        for other in ("d2", "d3"):
+            world.network.cuts.add(frozenset(("d1", other)))
+        revision = _change(world, 0.6)
+        await faults.until(lambda: _held(world, rest, revision), 1.0)
+
+    async def test_service_unreachable_for_one_domain(self):
+        """Watchers of the other domains push across."""
+        world = await _start(30)
+        _mute_ping_digests(world)
+        near = [n for n, d in _domains(30).items() if d == "d1"]
+        world.platform_cut.update(near)
+        await asyncio.sleep(0.1)
+        revision = _change(world, 0.5)
+        await faults.until(
+            lambda: _held(world, list(world.kernels_by_id), revision), 1.0
+        )
 
-        virtual.run(scenario())
+    async def test_cut_off_instances_go_on_and_catch_up(self):
+        world = await _start(18)
+        near = [n for n, d in _domains(18).items() if d == "d1"]
+        for other in ("d2", "d3"):
+            world.network.cuts.add(frozenset(("d1", other)))
+        world.platform_cut.update(near)
+        old = world.revision
+        revision = _change(world, 0.5)
+        await asyncio.sleep(5)
+        assert _held(world, _others(world, *near), revision)
+        for name in near:
+            assert world.kernels_by_id[name].ready()
+            assert _store(world, name).current.revision == old
+        world.network.cuts.clear()
+        await faults.until(lambda: _held(world, near, revision), 2.0)
+
+    async def test_receiver_validates_what_a_peer_sends(self):
+        world = await _start(6)
+        bad = _document("/teams/hunters/query", 99, {"min_coverage": 9})
+        subtree = messages.ConfigSubtree("/teams/hunters", 99, (bad,))
+        push = messages.ConfigSubtrees((subtree,), ("i2", "i5"))
+        world.kernels_by_id["i0"].plugin("peers").send("i3", push)
+        await asyncio.sleep(1)
+        for name in world.kernels_by_id:
+            held = _store(world, name).revision_by_subtree
+            assert held["/teams/hunters"] < 99
+        for name in ("i2", "i5"):
+            # An instance passes on nothing that it rejects itself.
+            assert not _store(world, name).rejections_by_subtree
 
 
 class TestNeverReverts:
     """Nothing makes an accepted revision fall."""
 
     @pytest.mark.parametrize("fault", ["stale", "outage", "restored"])
-    def test_restart_of_every_instance_in_turn(self, fault):
-        async def scenario():
-            world = await _start(9)
-            old_documents = copy.copy(world.documents_by_path)
-            old_revision = world.revision
-            revision = _change(world, 0.5)
-            names = list(world.kernels_by_id)
-            await faults.until(lambda: _held(world, names, revision), 1.0)
-            if fault == "stale":
-                world.stale_revision = old_revision
-            elif fault == "outage":
-                world.platform_down = True
-            else:
-                world.documents_by_path = old_documents
-                world.revision = old_revision
-            watchdog = _Watchdog()
-            for name in names:
-                watchdog.observe(world, name)
-            if fault == "outage":
-                # Without the list a successor knows peers by its settings.
-                settings = {"peers": "i0@d1=tcp://i0,i1@d2=tcp://i1"}
-            else:
-                settings = {}
-            for name in names:
-                await faults.kill(world, name)
-                kernel = world.kernel(name, _domains(9)[name], **settings)
-                await kernel.start()
-                await faults.until(kernel.ready, 5.0)
-                assert _held(world, [name], revision)
-                watchdog.observe(world, name)
-            assert watchdog.falls == []
-
-        virtual.run(scenario())
-
-    def test_change_after_a_restored_service_counts_up_again(self):
-        """Subtrees that the backup predates still get new revisions."""
-
-        async def scenario():
-            world = await _start(6)
-            old_documents = copy.copy(world.documents_by_path)
-            old_revision = world.revision
-            for value in (0.5, 0.6, 0.7):
-                revision = _change(world, value)
-            names = list(world.kernels_by_id)
-            await faults.until(lambda: _held(world, names, revision), 1.0)
+    async def test_restart_of_every_instance_in_turn(self, fault):
+        world = await _start(9)
+        old_documents = copy.copy(world.documents_by_path)
+        old_revision = world.revision
+        revision = _change(world, 0.5)
+        names = list(world.kernels_by_id)
+        await faults.until(lambda: _held(world, names, revision), 1.0)
+        if fault == "stale":
+            world.stale_revision = old_revision
+        elif fault == "outage":
+            world.platform_down = True
+        else:
             world.documents_by_path = old_documents
             world.revision = old_revision
-            await asyncio.sleep(35)
-            world.publish_team("late", "paying")
-            await faults.until(
-                lambda: all(
-                    "late" in _store(world, name).current.teams_by_name
-                    for name in names
-                ),
-                1.0,
-            )
-            for name in names:
-                query = _store(world, name).current.queries_by_team["hunters"]
-                assert query.min_coverage == 0.7
-
-        virtual.run(scenario())
-
-    def test_late_and_repeated_messages(self):
-        async def scenario():
-            world = await _start(12)
-            world.network.duplicate_share = 0.5
-            world.network.jitter_s = 0.3
-            watchdog = _Watchdog()
-            for name in world.kernels_by_id:
-                watchdog.observe(world, name)
-            for number in range(20):
-                revision = _change(world, number / 20)
-                await asyncio.sleep(0.05)
-            names = list(world.kernels_by_id)
-            await faults.until(lambda: _held(world, names, revision), 2.0)
-            assert watchdog.falls == []
-
-        virtual.run(scenario())
+        watchdog = _Watchdog()
+        for name in names:
+            watchdog.observe(world, name)
+        if fault == "outage":
+            # Without the list a successor knows peers by its settings.
+            settings = {"peers": "i0@d1=tcp://i0,i1@d2=tcp://i1"}
+        else:
+            settings = {}
+        for name in names:
+            await faults.kill(world, name)
+            kernel = world.kernel(name, _domains(9)[name], **settings)
+            await kernel.start()
+            await faults.until(kernel.ready, 5.0)
+            assert _held(world, [name], revision)
+            watchdog.observe(world, name)
+        assert watchdog.falls == []
 
-    def test_partition_with_changes_on_one_side(self):
-        async def scenario():
-            world = await _start(9)
-            watchdog = _Watchdog()
-            for name in world.kernels_by_id:
-                watchdog.observe(world, name)
-            names = list(world.kernels_by_id)
-            near = [n for n, d in _domains(9).items() if d == "d1"]
-            for _ in range(3):
-                for other in ("d2", "d3"):
-                    world.network.cuts.add(frozenset(("d1", other)))
-                world.platform_cut.update(near)
-                _change(world, world.rng.random())
-                await asyncio.sleep(2)
-                world.network.cuts.clear()
-                world.platform_cut.clear()
-                await faults.until(
-                    lambda: _held(world, names, world.revision), 5.0
-                )
-            digests = {_store(world, name).digest for name in names}
-            assert len(digests) == 1
-            assert watchdog.falls == []
-
-        virtual.run(scenario())
+    async def test_change_after_a_restored_service_counts_up_again(self):
+        """Subtrees that the backup predates still get new revisions."""
+        world = await _start(6)
+        old_documents = copy.copy(world.documents_by_path)
+        old_revision = world.revision
+        for value in (0.5, 0.6, 0.7):
+            revision = _change(world, value)
+        names = list(world.kernels_by_id)
+        await faults.until(lambda: _held(world, names, revision), 1.0)
+        world.documents_by_path = old_documents
+        world.revision = old_revision
+        await asyncio.sleep(35)
+        world.publish_team("late", "paying")
+        await faults.until(
+            lambda: all(
+                "late" in _store(world, name).current.teams_by_name
+                for name in names
+            ),
+            1.0,
+        )
+        for name in names:
+            query = _store(world, name).current.queries_by_team["hunters"]
+            assert query.min_coverage == 0.7
+
+    async def test_late_and_repeated_messages(self):
+        world = await _start(12)
+        world.network.duplicate_share = 0.5
+        world.network.jitter_s = 0.3
+        watchdog = _Watchdog()
+        for name in world.kernels_by_id:
+            watchdog.observe(world, name)
+        for number in range(20):
+            revision = _change(world, number / 20)
+            await asyncio.sleep(0.05)
+        names = list(world.kernels_by_id)
+        await faults.until(lambda: _held(world, names, revision), 2.0)
+        assert watchdog.falls == []
+
+    async def test_partition_with_changes_on_one_side(self):
+        world = await _start(9)
+        watchdog = _Watchdog()
+        for name in world.kernels_by_id:
+            watchdog.observe(world, name)
+        names = list(world.kernels_by_id)
+        near = [n for n, d in _domains(9).items() if d == "d1"]
+        for _ in range(3):
+            for other in ("d2", "d3"):
+                world.network.cuts.add(frozenset(("d1", other)))
+            world.platform_cut.update(near)
+            _change(world, world.rng.random())
+            await asyncio.sleep(2)
+            world.network.cuts.clear()
+            world.platform_cut.clear()
+            await faults.until(lambda: _held(world, names, world.revision), 5.0)
+        digests = {_store(world, name).digest for name in names}
+        assert len(digests) == 1
+        assert watchdog.falls == []
 
 
 class TestFaultySubtree:
     """One team's fault affects that team's newest change only."""
 
-    def test_team_keeps_its_last_accepted_revision(self):
-        async def scenario():
-            world = await _start(9)
-            world.publish_team("shop", "paying", min_coverage=0.1)
-            names = list(world.kernels_by_id)
-            await faults.until(lambda: _held(world, names, world.revision), 1.0)
-            world.publish(
-                {
-                    "/teams/hunters/query": {"min_coverage": 9},
-                    "/teams/shop/query": {"min_coverage": 0.6},
-                }
-            )
-            await asyncio.sleep(1.0)
-            for name in names:
-                queries = _store(world, name).current.queries_by_team
-                assert queries["shop"].min_coverage == 0.6
-                assert queries["hunters"].min_coverage == 0.1
-            # A successor gets the last accepted revision from its peers.
-            kernel = await faults.restart(world, "i0")
-            await faults.until(kernel.ready, 3.0)
-            queries = _store(world, "i0").current.queries_by_team
+    async def test_team_keeps_its_last_accepted_revision(self):
+        world = await _start(9)
+        world.publish_team("shop", "paying", min_coverage=0.1)
+        names = list(world.kernels_by_id)
+        await faults.until(lambda: _held(world, names, world.revision), 1.0)
+        world.publish(
+            {
+                "/teams/hunters/query": {"min_coverage": 9},
+                "/teams/shop/query": {"min_coverage": 0.6},
+            }
+        )
+        await asyncio.sleep(1.0)
+        for name in names:
+            queries = _store(world, name).current.queries_by_team
+            assert queries["shop"].min_coverage == 0.6
             assert queries["hunters"].min_coverage == 0.1
-            _change(world, 0.4)
-            await faults.until(
-                lambda: all(
-                    _store(world, name)
-                    .current.queries_by_team["hunters"]
-                    .min_coverage
-                    == 0.4
-                    for name in names
-                ),
-                1.0,
-            )
-
-        virtual.run(scenario())
+        # A successor gets the last accepted revision from its peers.
+        kernel = await faults.restart(world, "i0")
+        await faults.until(kernel.ready, 3.0)
+        queries = _store(world, "i0").current.queries_by_team
+        assert queries["hunters"].min_coverage == 0.1
+        _change(world, 0.4)
+        await faults.until(
+            lambda: all(
+                _store(world, name)
+                .current.queries_by_team["hunters"]
+                .min_coverage
+                == 0.4
+                for name in names
+            ),
+            1.0,
+        )
 
 
 class TestRacingOperators:
     """Two operators end with one result everywhere."""
 
-    def test_one_result_while_watchers_see_different_changes(self):
-        async def scenario():
-            world = await _start(12)
-            names = list(world.kernels_by_id)
-            domains = _domains(12)
-            for number in range(6):
-                lagging = f"d{number % 3 + 1}"
-                cut = [n for n in names if domains[n] == lagging]
-                _change(world, 0.01 * number)
-                world.platform_cut.update(cut)
-                _change(world, 0.5 + 0.01 * number)
-                world.publish_team("shop", "paying", min_coverage=0.2)
-                await asyncio.sleep(0.02)
-                world.platform_cut.clear()
-            revision = world.revision
-            await faults.until(lambda: _held(world, names, revision), 1.0)
-            assert len({_store(world, name).digest for name in names}) == 1
-            query = _store(world, "i0").current.queries_by_team["hunters"]
-            assert query.min_coverage == 0.55
-
-        virtual.run(scenario())
+    async def test_one_result_while_watchers_see_different_changes(self):
+        world = await _start(12)
+        names = list(world.kernels_by_id)
+        domains = _domains(12)
+        for number in range(6):
+            lagging = f"d{number % 3 + 1}"
+            cut = [n for n in names if domains[n] == lagging]
+            _change(world, 0.01 * number)
+            world.platform_cut.update(cut)
+            _change(world, 0.5 + 0.01 * number)
+            world.publish_team("shop", "paying", min_coverage=0.2)
+            await asyncio.sleep(0.02)
+            world.platform_cut.clear()
+        revision = world.revision
+        await faults.until(lambda: _held(world, names, revision), 1.0)
+        assert len({_store(world, name).digest for name in names}) == 1
+        query = _store(world, "i0").current.queries_by_team["hunters"]
+        assert query.min_coverage == 0.55
 
 
 class TestFreshInstance:
     """Ready only with the highest reachable revision, and few calls."""
 
-    def test_takes_the_whole_configuration_before_it_is_ready(self):
-        async def scenario():
-            world = await _start(9)
-            for number in range(30):
-                world.publish_team(f"t{number}", "paying", min_coverage=0.1)
-            names = list(world.kernels_by_id)
-            revision = world.revision
-            await faults.until(lambda: _held(world, names, revision), 1.0)
-            world.stale_revision = 1
-            # Answers overtake each other and the content that follows them.
-            world.network.jitter_s = 0.05
-            kernel = world.kernel("new", "d1")
-            world.list_instances()
-            await kernel.start()
-            while not kernel.ready():
-                await asyncio.sleep(0.002)
-            assert len(_store(world, "new").current.teams_by_name) == 31
-
-        virtual.run(scenario())
-
-    def test_calls_of_a_fresh_instance_that_is_no_watcher(self):
-        async def scenario():
-            world = await _start(30)
-            victim = _others(world, *_watchers(world))[0]
-            before = dict(world.calls_by_name)
-            kernel = await faults.restart(world, victim)
-            await faults.until(kernel.ready, 3.0)
-            assert world.calls_by_name["read"] == before["read"]
-
-        virtual.run(scenario())
-
-    def test_reads_the_service_when_no_peer_answers(self):
-        async def scenario():
-            world = await _start(6)
-            for name in _others(world):
-                world.network.cuts.add(frozenset(("new", name)))
-            kernel = world.kernel("new", "d1")
-            world.list_instances()
-            await kernel.start()
-            await faults.until(kernel.ready, 5.0)
-            assert _held(world, ["new"], world.revision)
-
-        virtual.run(scenario())
-
-    def test_not_ready_without_any_configuration(self):
-        async def scenario():
-            world = world_lib.World()
-            world.platform_down = True
-            kernel = world.kernel("new", "d1")
-            faults.make_pausable(kernel)
-            await kernel.start()
-            await asyncio.sleep(10)
-            assert not kernel.ready()
-            faults.pause(world, "new")
-            await asyncio.sleep(2)
-            faults.resume(world, "new")
-            await asyncio.sleep(5)
-            assert not kernel.ready()
-            world.platform_down = False
-            world.publish({"/operator/fleet": {}})
-            world.list_instances()
-            await faults.until(kernel.ready, 20.0)
-
-        virtual.run(scenario())
-
-    def test_a_push_is_not_a_whole_configuration(self):
+    async def test_takes_the_whole_configuration_before_it_is_ready(self):
+        world = await _start(9)
+        for number in range(30):
+            world.publish_team(f"t{number}", "paying", min_coverage=0.1)
+        names = list(world.kernels_by_id)
+        revision = world.revision
+        await faults.until(lambda: _held(world, names, revision), 1.0)
+        world.stale_revision = 1
+        # Answers overtake each other and the content that follows them.
+        world.network.jitter_s = 0.05
+        kernel = world.kernel("new", "d1")
+        world.list_instances()
+        await kernel.start()
+        while not kernel.ready():
+            await asyncio.sleep(0.002)
+        assert len(_store(world, "new").current.teams_by_name) == 31
+
+    async def test_calls_of_a_fresh_instance_that_is_no_watcher(self):
+        world = await _start(30)
+        victim = _others(world, *_watchers(world))[0]
+        before = dict(world.calls_by_name)
+        kernel = await faults.restart(world, victim)
+        await faults.until(kernel.ready, 3.0)
+        assert world.calls_by_name["read"] == before["read"]
+
+    async def test_reads_the_service_when_no_peer_answers(self):
+        world = await _start(6)
+        for name in _others(world):
+            world.network.cuts.add(frozenset(("new", name)))
+        kernel = world.kernel("new", "d1")
+        world.list_instances()
+        await kernel.start()
+        await faults.until(kernel.ready, 5.0)
+        assert _held(world, ["new"], world.revision)
+
+    async def test_not_ready_without_any_configuration(self):
+        world = world_lib.World()
+        world.platform_down = True
+        kernel = world.kernel("new", "d1")
+        faults.make_pausable(kernel)
+        await kernel.start()
+        await asyncio.sleep(10)
+        assert not kernel.ready()
+        faults.pause(world, "new")
+        await asyncio.sleep(2)
+        faults.resume(world, "new")
+        await asyncio.sleep(5)
+        assert not kernel.ready()
+        world.platform_down = False
+        world.publish({"/operator/fleet": {}})
+        world.list_instances()
+        await faults.until(kernel.ready, 20.0)
+
+    async def test_a_push_is_not_a_whole_configuration(self):
         """A peer that only got a push has nothing to be ready with."""
-
-        async def scenario():
-            world = world_lib.World()
-            world.platform_down = True
-            for name, peer in (("a", "b"), ("b", "a")):
-                kernel = world.kernel(
-                    name, "d1", peers=f"{peer}@d1=tcp://{peer}"
-                )
-                await kernel.start()
-            await asyncio.sleep(1)
-            document = _document("/operator/fleet", 3, {})
-            subtree = messages.ConfigSubtree("/operator/fleet", 3, (document,))
-            push = messages.ConfigSubtrees((subtree,), ())
-            world.kernels_by_id["b"].plugin("peers").send("a", push)
-            await asyncio.sleep(5)
-            assert _held(world, ["a"], 3)
-            assert not any(k.ready() for k in world.kernels_by_id.values())
-
-        virtual.run(scenario())
+        world = world_lib.World()
+        world.platform_down = True
+        for name, peer in (("a", "b"), ("b", "a")):
+            kernel = world.kernel(name, "d1", peers=f"{peer}@d1=tcp://{peer}")
+            await kernel.start()
+        await asyncio.sleep(1)
+        document = _document("/operator/fleet", 3, {})
+        subtree = messages.ConfigSubtree("/operator/fleet", 3, (document,))
+        push = messages.ConfigSubtrees((subtree,), ())
+        world.kernels_by_id["b"].plugin("peers").send("a", push)
+        await asyncio.sleep(5)
+        assert _held(world, ["a"], 3)
+        assert not any(k.ready() for k in world.kernels_by_id.values())
 
 
 class TestCalls:
@@ -636,123 +575,107 @@
 
         assert virtual.run(scenario(9)) == virtual.run(scenario(60)) == 30
 
-    def test_restart_of_the_whole_fleet(self):
+    async def test_restart_of_the_whole_fleet(self):
         """Instances that all start at once must not all read the service."""
-
-        async def scenario():
-            world = world_lib.World(3)
-            world.publish({"/operator/fleet": {}})
-            await world.start(_domains(60))
-            return world.calls_by_name["read"]
-
-        assert virtual.run(scenario()) <= 6
-
-    def test_fleet_without_platform_backs_off(self):
-        async def scenario():
-            world = world_lib.World(3)
-            world.platform_down = True
-            for name, domain in _domains(30).items():
-                await world.kernel(name, domain).start()
-            await asyncio.sleep(30)
-            late = [at for at in world.call_times_s if at > 20]
-            return len(late) / 30 / 10
-
+        world = world_lib.World(3)
+        world.publish({"/operator/fleet": {}})
+        await world.start(_domains(60))
+        assert world.calls_by_name["read"] <= 6
+
+    async def test_fleet_without_platform_backs_off(self):
+        world = world_lib.World(3)
+        world.platform_down = True
+        for name, domain in _domains(30).items():
+            await world.kernel(name, domain).start()
+        await asyncio.sleep(30)
+        late = [at for at in world.call_times_s if at > 20]
         # Calls per instance and second, the list included.
-        assert virtual.run(scenario()) < 0.5
+        assert (len(late) / 30 / 10) < 0.5
 
 
 class TestPause:
     """A resumed instance revalidates before it takes requests."""
 
-    def test_not_ready_before_the_missed_change_is_in_force(self):
-        async def scenario():
-            world = world_lib.World()
-            world.publish({"/operator/fleet": {}})
-            world.publish_team("hunters", "paying", min_coverage=0.1)
-            kernel = world.kernel("p", "d1")
-            faults.make_pausable(kernel)
-            await world.start(_domains(9))
-            world.list_instances()
-            await kernel.start()
-            await faults.until(kernel.ready, 3.0)
-            faults.pause(world, "p")
-            revision = _change(world, 0.5)
-            await asyncio.sleep(3.0)
-            # The push that waits in the socket may be lost as well.
-            world.network._held.clear()
-            faults.resume(world, "p")
-            assert not kernel.ready()
-            while not kernel.ready():
-                await asyncio.sleep(0.002)
-            assert _held(world, ["p"], revision)
-
-        virtual.run(scenario())
-
-    def test_answer_from_before_the_pause_proves_nothing(self):
-        async def scenario():
-            world = world_lib.World()
-            world.publish({"/operator/fleet": {}})
-            kernel = world.kernel("p", "d1")
-            faults.make_pausable(kernel)
-            await world.start(_domains(6))
-            await kernel.start()
-            await faults.until(kernel.ready, 3.0)
-            configuration = kernel.plugin("configuration")
-            faults.pause(world, "p")
-            await asyncio.sleep(3.0)
-            for name in _others(world, "p"):
-                world.network.cuts.add(frozenset(("p", name)))
-            faults.resume(world, "p")
-            world.platform_cut.add("p")
-            await asyncio.sleep(0.1)
-            stale = messages.ConfigDigest(
-                0, configuration.store.digest, True, True, {}
-            )
-            kernel.plugin("peers").receive(
-                messages.Envelope(
-                    messages.PROTOCOL_VERSION,
-                    "i0",
-                    world.kernels_by_id["i0"].incarnation,
-                    "tcp://i0",
-                    0,
-                    (stale,),
-                )
+    async def test_not_ready_before_the_missed_change_is_in_force(self):
+        world = world_lib.World()
+        world.publish({"/operator/fleet": {}})
+        world.publish_team("hunters", "paying", min_coverage=0.1)
+        kernel = world.kernel("p", "d1")
+        faults.make_pausable(kernel)
+        await world.start(_domains(9))
+        world.list_instances()
+        await kernel.start()
+        await faults.until(kernel.ready, 3.0)
+        faults.pause(world, "p")
+        revision = _change(world, 0.5)
+        await asyncio.sleep(3.0)
+        # The push that waits in the socket may be lost as well.
+        world.network._held.clear()
+        faults.resume(world, "p")
+        assert not kernel.ready()
+        while not kernel.ready():
+            await asyncio.sleep(0.002)
+        assert _held(world, ["p"], revision)
+
+    async def test_answer_from_before_the_pause_proves_nothing(self):
+        world = world_lib.World()
+        world.publish({"/operator/fleet": {}})
+        kernel = world.kernel("p", "d1")
+        faults.make_pausable(kernel)
+        await world.start(_domains(6))
+        await kernel.start()
+        await faults.until(kernel.ready, 3.0)
+        configuration = kernel.plugin("configuration")
+        faults.pause(world, "p")
+        await asyncio.sleep(3.0)
+        for name in _others(world, "p"):
+            world.network.cuts.add(frozenset(("p", name)))
+        faults.resume(world, "p")
+        world.platform_cut.add("p")
+        await asyncio.sleep(0.1)
+        stale = messages.ConfigDigest(
+            0, configuration.store.digest, True, True, {}
+        )
+        kernel.plugin("peers").receive(
+            messages.Envelope(
+                messages.PROTOCOL_VERSION,
+                "i0",
+                world.kernels_by_id["i0"].incarnation,
+                "tcp://i0",
+                0,
+                (stale,),
             )
-            await asyncio.sleep(1.0)
-            assert not configuration.ready()
-            await faults.until(configuration.ready, 2.0)
-
-        virtual.run(scenario())
-
-    def test_watcher_watches_on_after_a_pause(self):
-        async def scenario():
-            world = world_lib.World()
-            world.publish({"/operator/fleet": {}})
-            for name, domain in _domains(3).items():
-                faults.make_pausable(world.kernel(name, domain))
-            world.list_instances()
-            for kernel in world.kernels_by_id.values():
-                await kernel.start()
-            kernel = world.kernels_by_id["i0"]
-            await faults.until(kernel.ready, 5.0)
-            platform = kernel.plugin("configuration").platform
-            watch = platform.watch
-
-            async def hang(after, timeout_s):
-                # The connection died while the process was stopped.
-                await asyncio.sleep(timeout_s)
-
-            platform.watch = hang
-            _change(world, 0.1)
-            await asyncio.sleep(0.1)
-            platform.watch = watch
-            faults.pause(world, "i0")
-            await asyncio.sleep(3.0)
-            faults.resume(world, "i0")
-            await faults.until(kernel.ready, 3.0)
-            for name in ("i1", "i2"):
-                await faults.kill(world, name)
-            revision = world.publish({"/operator/fleet": {"min_share": 0.1}})
-            await faults.until(lambda: _held(world, ["i0"], revision), 1.0)
-
-        virtual.run(scenario())
+        )
+        await asyncio.sleep(1.0)
+        assert not configuration.ready()
+        await faults.until(configuration.ready, 2.0)
+
+    async def test_watcher_watches_on_after_a_pause(self):
+        world = world_lib.World()
+        world.publish({"/operator/fleet": {}})
+        for name, domain in _domains(3).items():
+            faults.make_pausable(world.kernel(name, domain))
+        world.list_instances()
+        for kernel in world.kernels_by_id.values():
+            await kernel.start()
+        kernel = world.kernels_by_id["i0"]
+        await faults.until(kernel.ready, 5.0)
+        platform = kernel.plugin("configuration").platform
+        watch = platform.watch
+
+        async def hang(after, timeout_s):
+            # The connection died while the process was stopped.
+            await asyncio.sleep(timeout_s)
+
+        platform.watch = hang
+        _change(world, 0.1)
+        await asyncio.sleep(0.1)
+        platform.watch = watch
+        faults.pause(world, "i0")
+        await asyncio.sleep(3.0)
+        faults.resume(world, "i0")
+        await faults.until(kernel.ready, 3.0)
+        for name in ("i1", "i2"):
+            await faults.kill(world, name)
+        revision = world.publish({"/operator/fleet": {"min_share": 0.1}})
+        await faults.until(lambda: _held(world, ["i0"], revision), 1.0)
--- a/tests/test_configuration_tree.py
+++ b/tests/test_configuration_tree.py
@@ -67,10 +67,7 @@
     ),
     (
         ("/operator/indexes/main", "versions", 0, "shards", "a", "s1", 1, "z"),
-        (
-            "/operator/indexes/main.versions.0.shards.a.s1.1",
-            "no replica 'z'",
-        ),
+        ("/operator/indexes/main.versions.0.shards.a.s1.1", "no replica 'z'"),
     ),
     (
         ("/operator/indexes/main", "versions", 0, "shards", "a", "s1", []),
@@ -116,10 +113,7 @@
         ("/operator/fleet", "classes", 1, "paying"),
         ("/operator/fleet.classes.1", "repeated"),
     ),
-    (
-        ("/teams/nobody/query", {}),
-        ("/teams/nobody/query", "grants no team"),
-    ),
+    (("/teams/nobody/query", {}), ("/teams/nobody/query", "grants no team")),
     (
         ("/operator/unknown/x", {}),
         ("/operator/unknown/x", "no document is expected"),
--- a/tests/test_dispatch_connections.py
+++ b/tests/test_dispatch_connections.py
@@ -6,7 +6,6 @@
 from mallowloft.dispatch import limits
 from mallowloft.membership import view as view_lib
 from tests.support import dispatch_client
-from tests.support import virtual
 from tests.support import world as world_lib
 
 OK = messages.Outcome.OK
@@ -49,204 +48,153 @@
 class TestTakeOver:
     """Connections are opened ahead of need by the responsible instance."""
 
-    def test_first_query_finds_open_connections(self):
+    async def test_first_query_finds_open_connections(self):
         """Guards against a first query that pays for the connection."""
-
-        async def scenario():
-            world = await _start()
-            replica = world.replicas_by_id["r1"]
-            opened = replica.open_connections
-            client = dispatch_client.Client(world, "i1")
-            asked_s = asyncio.get_running_loop().time()
-            client.ask(1, "r1")
-            await client.wait_for(messages.SubReply)
-            return opened, client.times_s[0] - asked_s
-
-        opened, took_s = virtual.run(scenario())
+        world = await _start()
+        replica = world.replicas_by_id["r1"]
+        opened = replica.open_connections
+        client = dispatch_client.Client(world, "i1")
+        asked_s = asyncio.get_running_loop().time()
+        client.ask(1, "r1")
+        await client.wait_for(messages.SubReply)
         assert opened == 4
-        assert took_s < 0.005
+        assert (client.times_s[0] - asked_s) < 0.005
 
-    def test_one_instance_owns_a_replica(self):
+    async def test_one_instance_owns_a_replica(self):
         """Guards against every instance connecting to every replica."""
+        world = await _start(("i1", "i2", "i3"))
+        _owner(world, "r1")
+        assert world.replicas_by_id["r1"].open_connections == 4
 
-        async def scenario():
-            world = await _start(("i1", "i2", "i3"))
-            _owner(world, "r1")
-            return world.replicas_by_id["r1"].open_connections
-
-        assert virtual.run(scenario()) == 4
-
-    def test_new_replica_is_taken_over(self):
+    async def test_new_replica_is_taken_over(self):
         """Guards against ownership that is computed once at the start."""
+        world = await _start()
+        _publish(world, ("r1", "r2"))
+        await asyncio.sleep(0.1)
+        assert world.replicas_by_id["r2"].open_connections == 4
 
-        async def scenario():
-            world = await _start()
-            _publish(world, ("r1", "r2"))
-            await asyncio.sleep(0.1)
-            return world.replicas_by_id["r2"].open_connections
-
-        assert virtual.run(scenario()) == 4
-
-    def test_lost_owner_is_replaced_before_any_query(self):
+    async def test_lost_owner_is_replaced_before_any_query(self):
         """Guards against a take-over that waits for the first query."""
+        world = await _start(("i1", "i2"))
+        owner, (other,) = _owner(world, "r1")
+        _forget(world, other, owner)
+        await asyncio.sleep(0.02)
+        assert ("r1" in _service(world, other).dump()["replicas"]) is True
 
-        async def scenario():
-            world = await _start(("i1", "i2"))
-            owner, (other,) = _owner(world, "r1")
-            _forget(world, other, owner)
-            await asyncio.sleep(0.02)
-            return "r1" in _service(world, other).dump()["replicas"]
-
-        assert virtual.run(scenario()) is True
-
-    def test_failure_domain_without_instances_is_served(self):
+    async def test_failure_domain_without_instances_is_served(self):
         """Guards against replicas that no instance dispatches for."""
-
-        async def scenario():
-            world = world_lib.World()
-            world.publish_service(
-                "svc", {"r1": "d1", "r2": "d2"}, service_s=lambda rng: 0.003
-            )
-            await world.start({"i1": "d1"})
-            await asyncio.sleep(0.1)
-            return _service(world, "i1").dump()["owned"]
-
-        assert virtual.run(scenario()) == ["r1", "r2"]
-
-    def test_replicas_of_served_failure_domains_are_not_hashed(self):
+        world = world_lib.World()
+        world.publish_service(
+            "svc", {"r1": "d1", "r2": "d2"}, service_s=lambda rng: 0.003
+        )
+        await world.start({"i1": "d1"})
+        await asyncio.sleep(0.1)
+        assert _service(world, "i1").dump()["owned"] == ["r1", "r2"]
+
+    async def test_replicas_of_served_failure_domains_are_not_hashed(self):
         """Guards against a view change that costs a hash of the fleet."""
-
-        async def scenario():
-            world = world_lib.World()
-            replicas = {
-                f"r{number}": f"d{1 + number % 2}" for number in range(20)
-            }
-            world.publish_service("svc", replicas)
-            await world.start({"i1": "d1", "i2": "d2"})
-            await asyncio.sleep(2.5)
-            view = world.kernels_by_id["i1"].plugin("membership").view
-            asked = []
-            choose = view.dispatcher_for
-
-            def counted(replica, failure_domain):
-                asked.append(failure_domain)
-                return choose(replica, failure_domain)
-
-            view.dispatcher_for = counted
-            await _service(world, "i1")._take_over()
-            return asked
-
-        assert virtual.run(scenario()) == ["d1"] * 10
-
-    def test_large_configuration_does_not_stop_the_loop(self):
+        world = world_lib.World()
+        replicas = {f"r{number}": f"d{1 + number % 2}" for number in range(20)}
+        world.publish_service("svc", replicas)
+        await world.start({"i1": "d1", "i2": "d2"})
+        await asyncio.sleep(2.5)
+        view = world.kernels_by_id["i1"].plugin("membership").view
+        asked = []
+        choose = view.dispatcher_for
+
+        def counted(replica, failure_domain):
+            asked.append(failure_domain)
+            return choose(replica, failure_domain)
+
+        view.dispatcher_for = counted
+        await _service(world, "i1")._take_over()
+        assert asked == ["d1"] * 10
+
+    async def test_large_configuration_does_not_stop_the_loop(self):
         """Guards against one long turn when the view changes."""
-
-        async def scenario():
-            names = tuple(f"r{number}" for number in range(1000))
-            world = await _start(("i1", "i2"), names)
-            service = _service(world, "i1")
-            turns = 0
-            task = asyncio.create_task(service._take_over())
-            while not task.done():
-                await asyncio.sleep(0)
-                turns += 1
-            return turns
-
-        assert virtual.run(scenario()) >= 1000 // 64
+        names = tuple(f"r{number}" for number in range(1000))
+        world = await _start(("i1", "i2"), names)
+        service = _service(world, "i1")
+        turns = 0
+        task = asyncio.create_task(service._take_over())
+        while not task.done():
+            await asyncio.sleep(0)
+            turns += 1
+        assert turns >= 1000 // 64
 
 
 class TestRelease:
     """Connections are closed by the instance that is not responsible."""
 
-    def test_former_owner_closes_when_its_work_is_done(self):
+    async def test_former_owner_closes_when_its_work_is_done(self):
         """Guards against connections that pile up with each view change."""
-
-        async def scenario():
-            world = await _start(("i1", "i2"))
-            owner, (other,) = _owner(world, "r1")
-            replica = world.replicas_by_id["r1"]
-            _forget(world, other, owner)
-            await asyncio.sleep(0.1)
-            during = replica.open_connections
-            # The list restores the view of the other instance.
-            await asyncio.sleep(6.0)
-            dumps = [_service(world, name).dump() for name in (owner, other)]
-            return during, replica.open_connections, dumps
-
-        during, after, dumps = virtual.run(scenario())
+        world = await _start(("i1", "i2"))
+        owner, (other,) = _owner(world, "r1")
+        replica = world.replicas_by_id["r1"]
+        _forget(world, other, owner)
+        await asyncio.sleep(0.1)
+        during = replica.open_connections
+        # The list restores the view of the other instance.
+        await asyncio.sleep(6.0)
+        dumps = [_service(world, name).dump() for name in (owner, other)]
         assert during == 8
-        assert after == 4
+        assert replica.open_connections == 4
         assert ["r1" in dump["replicas"] for dump in dumps] == [True, False]
 
-    def test_work_of_a_former_owner_is_finished(self):
+    async def test_work_of_a_former_owner_is_finished(self):
         """Guards against calls cut off by a change of the view."""
-
-        async def scenario():
-            world = await _start(("i1", "i2"), service_s=lambda rng: 0.9)
-            replica = world.replicas_by_id["r1"]
-            owner, (other,) = _owner(world, "r1")
-            client = dispatch_client.Client(world, owner)
-            for attempt in range(10):
-                client.ask(attempt, "r1", remaining_ms=20_000.0)
-            view = world.kernels_by_id[owner].plugin("membership").view
-            peak = 0
-            for round_number in range(60):
-                view.set_state(owner, view_lib.LEAVING)
-                if round_number == 30:
-                    client.ask(99, "r1", remaining_ms=20_000.0)
-                await asyncio.sleep(0.1)
-                peak = max(peak, replica.open_connections)
-            return [r.outcome for r in client.of(messages.SubReply)], peak
-
-        outcomes, peak = virtual.run(scenario())
-        assert outcomes == [OK] * 11
+        world = await _start(("i1", "i2"), service_s=lambda rng: 0.9)
+        replica = world.replicas_by_id["r1"]
+        owner, (other,) = _owner(world, "r1")
+        client = dispatch_client.Client(world, owner)
+        for attempt in range(10):
+            client.ask(attempt, "r1", remaining_ms=20_000.0)
+        view = world.kernels_by_id[owner].plugin("membership").view
+        peak = 0
+        for round_number in range(60):
+            view.set_state(owner, view_lib.LEAVING)
+            if round_number == 30:
+                client.ask(99, "r1", remaining_ms=20_000.0)
+            await asyncio.sleep(0.1)
+            peak = max(peak, replica.open_connections)
+        assert [r.outcome for r in client.of(messages.SubReply)] == [OK] * 11
         # The former owner must not open a second set of connections.
         assert peak <= 25 // 4
 
-    def test_removed_replica_is_closed(self):
+    async def test_removed_replica_is_closed(self):
         """Guards against connections to a replica that no longer exists."""
+        world = await _start(replicas=("r1", "r2"))
+        replica = world.replicas_by_id["r1"]
+        _publish(world, ("r2",))
+        await asyncio.sleep(0.2)
+        assert replica.open_connections == 0
 
-        async def scenario():
-            world = await _start(replicas=("r1", "r2"))
-            replica = world.replicas_by_id["r1"]
-            _publish(world, ("r2",))
-            await asyncio.sleep(0.2)
-            return replica.open_connections
-
-        assert virtual.run(scenario()) == 0
-
-    def test_changed_slots_keep_the_queue(self):
+    async def test_changed_slots_keep_the_queue(self):
         """Guards against work lost by a change of the configuration."""
-
-        async def scenario():
-            world = await _start(service_s=lambda rng: 0.05)
-            client = dispatch_client.Client(world, "i1")
-            for attempt in range(10):
-                client.ask(attempt, "r1")
-            fake = world.replicas_by_id["r1"]
-            _publish(world, ("r1",), slots=4)
-            world.replicas_by_id["r1"] = fake
-            await asyncio.sleep(0.5)
-            limit = _service(world, "i1").dump()["replicas"]["r1"]["limit"]
-            return len(client.of(messages.SubReply)), limit
-
+        world = await _start(service_s=lambda rng: 0.05)
+        client = dispatch_client.Client(world, "i1")
+        for attempt in range(10):
+            client.ask(attempt, "r1")
+        fake = world.replicas_by_id["r1"]
+        _publish(world, ("r1",), slots=4)
+        world.replicas_by_id["r1"] = fake
+        await asyncio.sleep(0.5)
+        limit = _service(world, "i1").dump()["replicas"]["r1"]["limit"]
         # Four calls in flight, with two of six connections to spare.
-        assert virtual.run(scenario()) == (10, 4)
+        assert (len(client.of(messages.SubReply)), limit) == (10, 4)
 
-    def test_stop_finishes_what_waits(self):
+    async def test_stop_finishes_what_waits(self):
         """Guards against a planned stop that cuts off requests."""
-
-        async def scenario():
-            world = await _start(service_s=lambda rng: 0.05)
-            client = dispatch_client.Client(world, "i1")
-            for attempt in range(10):
-                client.ask(attempt, "r1")
-            await asyncio.sleep(0.01)
-            await _service(world, "i1").stop(5.0)
-            await asyncio.sleep(0.01)
-            return [reply.outcome for reply in client.of(messages.SubReply)]
-
-        assert virtual.run(scenario()) == [OK] * 10
+        world = await _start(service_s=lambda rng: 0.05)
+        client = dispatch_client.Client(world, "i1")
+        for attempt in range(10):
+            client.ask(attempt, "r1")
+        await asyncio.sleep(0.01)
+        await _service(world, "i1").stop(5.0)
+        await asyncio.sleep(0.01)
+        assert [reply.outcome for reply in client.of(messages.SubReply)] == [
+            OK
+        ] * 10
 
 
 class TestConnectionLimit:
@@ -265,52 +213,39 @@
                     client.go(ready.attempt, ready.ticket)
             await asyncio.sleep(0.004)
 
-    def test_one_dispatcher(self):
+    async def test_one_dispatcher(self):
         """Guards against cancelled calls that open more connections."""
+        world = await _start()
+        await self._storm(world, [dispatch_client.Client(world, "i1")])
+        assert world.replicas_by_id["r1"].peak_connections <= 25 // 4
 
-        async def scenario():
-            world = await _start()
-            await self._storm(world, [dispatch_client.Client(world, "i1")])
-            return world.replicas_by_id["r1"].peak_connections
-
-        assert virtual.run(scenario()) <= 25 // 4
-
-    def test_two_views_at_once(self):
+    async def test_two_views_at_once(self):
         """Guards against exceeding the limit while views differ."""
-
-        async def scenario():
-            names = ("i1", "i2", "i3", "i4")
-            world = await _start(names)
-            clients = [
-                dispatch_client.Client(world, name, f"c-{name}")
-                for name in names
-            ]
-            await self._storm(world, clients)
-            return world.replicas_by_id["r1"].peak_connections
-
-        assert virtual.run(scenario()) <= 25
+        names = ("i1", "i2", "i3", "i4")
+        world = await _start(names)
+        clients = [
+            dispatch_client.Client(world, name, f"c-{name}") for name in names
+        ]
+        await self._storm(world, clients)
+        assert world.replicas_by_id["r1"].peak_connections <= 25
 
 
 class TestSlotUse:
     """Slots are in use as long as anything waits."""
 
-    def test_slots_stay_busy(self):
+    async def test_slots_stay_busy(self):
         """Guards against a slot that is idle for a network round trip."""
-
-        async def scenario():
-            world = await _start(
-                service_s=lambda rng: 0.003 * rng.lognormvariate(-0.125, 0.5)
-            )
-            client = dispatch_client.Client(world, "i1")
-            replica = world.replicas_by_id["r1"]
-            for attempt in range(500):
-                client.ask(attempt, "r1", remaining_ms=9000.0)
-            await asyncio.sleep(0.02)
-            before_s = replica.busy_s
-            await asyncio.sleep(0.6)
-            return (replica.busy_s - before_s) / (2 * 0.6)
-
-        assert virtual.run(scenario()) >= 0.97
+        world = await _start(
+            service_s=lambda rng: 0.003 * rng.lognormvariate(-0.125, 0.5)
+        )
+        client = dispatch_client.Client(world, "i1")
+        replica = world.replicas_by_id["r1"]
+        for attempt in range(500):
+            client.ask(attempt, "r1", remaining_ms=9000.0)
+        await asyncio.sleep(0.02)
+        before_s = replica.busy_s
+        await asyncio.sleep(0.6)
+        assert ((replica.busy_s - before_s) / (2 * 0.6)) >= 0.97
 
 
 class TestAdaptiveLimit:
@@ -329,66 +264,52 @@
             limit.on_success(0.003, 3.0)
         assert limit.value == 8
 
-    def test_shed_calls_are_tried_again(self):
+    async def test_shed_calls_are_tried_again(self):
         """Guards against refusals that the caller sees while slots free up."""
-
-        async def scenario():
-            world = await _start(("i1", "i2"))
-            replica = world.replicas_by_id["r1"]
-            replica.max_queue = 1
-            clients = [
-                dispatch_client.Client(world, name, f"c-{name}")
-                for name in ("i1", "i2")
-            ]
-            for attempt in range(200):
-                for client in clients:
-                    client.ask(attempt, "r1", remaining_ms=5000.0)
-            await asyncio.sleep(1.5)
-            outcomes = [
-                reply.outcome
-                for client in clients
-                for reply in client.of(messages.SubReply)
-            ]
-            return outcomes, replica.count("query_refused"), replica.busy_s
-
-        outcomes, shed, busy_s = virtual.run(scenario())
+        world = await _start(("i1", "i2"))
+        replica = world.replicas_by_id["r1"]
+        replica.max_queue = 1
+        clients = [
+            dispatch_client.Client(world, name, f"c-{name}")
+            for name in ("i1", "i2")
+        ]
+        for attempt in range(200):
+            for client in clients:
+                client.ask(attempt, "r1", remaining_ms=5000.0)
+        await asyncio.sleep(1.5)
+        outcomes = [
+            reply.outcome
+            for client in clients
+            for reply in client.of(messages.SubReply)
+        ]
         assert len(outcomes) == 400
         assert outcomes.count(OK) >= 0.98 * 400
-        assert 0 < shed < 200
+        assert 0 < replica.count("query_refused") < 200
         # 400 calls of 3 ms in two slots: 0.6 s.
-        assert busy_s >= 1.17
+        assert replica.busy_s >= 1.17
 
-    def test_limit_recovers_when_the_other_dispatcher_ends(self):
+    async def test_limit_recovers_when_the_other_dispatcher_ends(self):
         """Guards against a limit that stays low after two views."""
-
-        async def scenario():
-            world = await _start()
-            client = dispatch_client.Client(world, "i1")
-            world.replicas_by_id["r1"].max_queue = 0
-            for attempt in range(20):
-                client.ask(attempt, "r1")
-            await asyncio.sleep(0.2)
-            low = _service(world, "i1").dump()["replicas"]["r1"]["limit"]
-            world.replicas_by_id["r1"].max_queue = 10
-            for attempt in range(100, 150):
-                client.ask(attempt, "r1")
-            await asyncio.sleep(0.5)
-            high = _service(world, "i1").dump()["replicas"]["r1"]["limit"]
-            return low, high
-
-        low, high = virtual.run(scenario())
+        world = await _start()
+        client = dispatch_client.Client(world, "i1")
+        world.replicas_by_id["r1"].max_queue = 0
+        for attempt in range(20):
+            client.ask(attempt, "r1")
+        await asyncio.sleep(0.2)
+        low = _service(world, "i1").dump()["replicas"]["r1"]["limit"]
+        world.replicas_by_id["r1"].max_queue = 10
+        for attempt in range(100, 150):
+            client.ask(attempt, "r1")
+        await asyncio.sleep(0.5)
+        high = _service(world, "i1").dump()["replicas"]["r1"]["limit"]
         assert low < 3
         assert high == 3
 
-    def test_a_replica_that_sheds_everything_is_reported(self):
+    async def test_a_replica_that_sheds_everything_is_reported(self):
         """Guards against a query that is tried until its deadline."""
-
-        async def scenario():
-            world = await _start()
-            client = dispatch_client.Client(world, "i1")
-            world.replicas_by_id["r1"].max_queue = 0
-            client.ask(1, "r1")
-            reply = await client.wait_for(messages.SubReply, timeout_s=0.1)
-            return reply.outcome
-
-        assert virtual.run(scenario()) is messages.Outcome.SHED
+        world = await _start()
+        client = dispatch_client.Client(world, "i1")
+        world.replicas_by_id["r1"].max_queue = 0
+        client.ask(1, "r1")
+        reply = await client.wait_for(messages.SubReply, timeout_s=0.1)
+        assert reply.outcome is messages.Outcome.SHED
--- a/tests/test_dispatch_direct.py
+++ b/tests/test_dispatch_direct.py
@@ -25,10 +25,7 @@
     world.publish_team("team", "paying")
     for number in range(instances):
         world.kernel(
-            f"i{number}",
-            f"d{1 + number % 2}",
-            dispatch=mode,
-            hedging=hedging,
+            f"i{number}", f"d{1 + number % 2}", dispatch=mode, hedging=hedging
         )
     world.list_instances()
     for kernel in world.kernels_by_id.values():
@@ -67,52 +64,47 @@
         assert all(answer.unwrap().coverage == 1.0 for answer in answers)
         assert sent > 0
 
-    def test_connections_are_divided_among_instances(self):
+    async def test_connections_are_divided_among_instances(self):
         """Guards against a baseline that wins by too many connections."""
-
-        async def scenario():
-            world = await _start("direct", instances=8)
-            for _ in range(50):
-                await asyncio.gather(
-                    *(
-                        world.query(name, "team", "svc")
-                        for name in world.kernels_by_id
-                        for _ in range(4)
-                    )
+        world = await _start("direct", instances=8)
+        for _ in range(50):
+            await asyncio.gather(
+                *(
+                    world.query(name, "team", "svc")
+                    for name in world.kernels_by_id
+                    for _ in range(4)
                 )
-            return [
-                replica.peak_connections
-                for replica in world.replicas_by_id.values()
-            ]
-
-        peaks = virtual.run(scenario())
+            )
+        peaks = [
+            replica.peak_connections
+            for replica in world.replicas_by_id.values()
+        ]
         assert max(peaks) <= 25
         assert min(peaks) >= 8
 
-    def test_nothing_is_preempted(self):
+    async def test_nothing_is_preempted(self):
         """Guards against cancelling calls for slots that others hold."""
-
-        async def scenario():
-            # The losing attempts of hedges are cancelled, too.
-            world = await _start("direct", hedging=False)
-            world.publish_team("other", "background")
-            for _ in range(100):
-                await world.query("i0", "team", "svc")
-            for replica in world.replicas_by_id.values():
-                replica.service_s = lambda rng: 0.05
-            low = [
-                asyncio.create_task(world.query("i0", "other", "svc"))
-                for _ in range(6)
-            ]
-            await asyncio.sleep(0.02)
+        # The losing attempts of hedges are cancelled, too.
+        world = await _start("direct", hedging=False)
+        world.publish_team("other", "background")
+        for _ in range(100):
             await world.query("i0", "team", "svc")
-            await asyncio.gather(*low)
-            return sum(
+        for replica in world.replicas_by_id.values():
+            replica.service_s = lambda rng: 0.05
+        low = [
+            asyncio.create_task(world.query("i0", "other", "svc"))
+            for _ in range(6)
+        ]
+        await asyncio.sleep(0.02)
+        await world.query("i0", "team", "svc")
+        await asyncio.gather(*low)
+        assert (
+            sum(
                 replica.count("query_cancelled")
                 for replica in world.replicas_by_id.values()
             )
-
-        assert virtual.run(scenario()) == 0
+            == 0
+        )
 
 
 class TestLatencyLimit:
--- a/tests/test_dispatch_health.py
+++ b/tests/test_dispatch_health.py
@@ -45,74 +45,57 @@
 class TestEjection:
     """The outcomes of calls decide, not the health endpoint."""
 
-    def test_fast_failing_replica_is_reported_as_to_be_avoided(self):
+    async def test_fast_failing_replica_is_reported_as_to_be_avoided(self):
         """Guards against a replica that attracts work by failing fast."""
-
-        async def scenario():
-            world, replica = await _start()
-            client = dispatch_client.Client(world, "i1")
-            await _ask(client, range(10))
-            replica.failing = True
-            replica.health_state = "ok"
-            await _ask(client, range(10, 20))
-            return client.of(messages.SubReply, 19), _state(world)
-
-        (reply,), state = virtual.run(scenario())
+        world, replica = await _start()
+        client = dispatch_client.Client(world, "i1")
+        await _ask(client, range(10))
+        replica.failing = True
+        replica.health_state = "ok"
+        await _ask(client, range(10, 20))
+        (reply,), state = client.of(messages.SubReply, 19), _state(world)
         assert state == "ejected"
         assert reply.outcome is FAILED
         assert reply.queue_delay_ms > 500
         assert reply.retry_after_ms > 500
 
-    def test_misleading_health_answer_ejects_nothing(self):
+    async def test_misleading_health_answer_ejects_nothing(self):
         """Guards against an endpoint that calls a good replica bad."""
-
-        async def scenario():
-            world, replica = await _start()
-            replica.health_state = "failing"
-            client = dispatch_client.Client(world, "i1")
-            await asyncio.sleep(2.0)
-            await _ask(client, range(10))
-            return _state(world), client.of(messages.SubReply)[-1]
-
-        state, reply = virtual.run(scenario())
-        assert state == "healthy"
-        assert reply.queue_delay_ms < 10
-
-    def test_ejected_replica_serves_who_has_no_other(self):
+        world, replica = await _start()
+        replica.health_state = "failing"
+        client = dispatch_client.Client(world, "i1")
+        await asyncio.sleep(2.0)
+        await _ask(client, range(10))
+        assert _state(world) == "healthy"
+        assert client.of(messages.SubReply)[-1].queue_delay_ms < 10
+
+    async def test_ejected_replica_serves_who_has_no_other(self):
         """Guards against lost coverage by an ejection."""
-
-        async def scenario():
-            world, replica = await _start()
-            client = dispatch_client.Client(world, "i1")
-            replica.failing = True
-            await _ask(client, range(10))
-            ejected = _state(world)
-            replica.failing = False
-            client.ask(50, "r1")
-            reply = await client.wait_for(messages.SubReply, 50)
-            return ejected, reply.outcome
-
-        assert virtual.run(scenario()) == ("ejected", OK)
-
-    def test_ejected_replica_gets_one_call_at_a_time(self):
+        world, replica = await _start()
+        client = dispatch_client.Client(world, "i1")
+        replica.failing = True
+        await _ask(client, range(10))
+        ejected = _state(world)
+        replica.failing = False
+        client.ask(50, "r1")
+        reply = await client.wait_for(messages.SubReply, 50)
+        assert (ejected, reply.outcome) == ("ejected", OK)
+
+    async def test_ejected_replica_gets_one_call_at_a_time(self):
         """Guards against full load on a replica that was just bad."""
-
-        async def scenario():
-            world, replica = await _start()
-            client = dispatch_client.Client(world, "i1")
-            replica.failing = True
-            await _ask(client, range(10))
-            replica.failing = False
-            replica.service_s = lambda rng: 0.02
-            for attempt in range(50, 54):
-                client.ask(attempt, "r1")
-            peak = 0
-            for _ in range(50):
-                await asyncio.sleep(0.001)
-                peak = max(peak, replica.running)
-            return peak
-
-        assert virtual.run(scenario()) == 1
+        world, replica = await _start()
+        client = dispatch_client.Client(world, "i1")
+        replica.failing = True
+        await _ask(client, range(10))
+        replica.failing = False
+        replica.service_s = lambda rng: 0.02
+        for attempt in range(50, 54):
+            client.ask(attempt, "r1")
+        peak = 0
+        for _ in range(50):
+            await asyncio.sleep(0.001)
+            peak = max(peak, replica.running)
+        assert peak == 1
 
     def test_some_errors_eject_nothing(self):
         """Guards against ejection by chance."""
@@ -124,17 +107,13 @@
                 health.on_ok(0.003, 0.01 * number)
         assert health.state is health_lib.State.HEALTHY
 
-    def test_short_deadlines_eject_nothing(self):
+    async def test_short_deadlines_eject_nothing(self):
         """Guards against callers whose deadlines look like bad replicas."""
-
-        async def scenario():
-            world, _ = await _start(service_s=lambda rng: 0.02)
-            client = dispatch_client.Client(world, "i1")
-            await _ask(client, range(10), pause_s=0.03)
-            await _ask(client, range(10, 40), pause_s=0.03, remaining_ms=8.0)
-            return _state(world)
-
-        assert virtual.run(scenario()) == "healthy"
+        world, _ = await _start(service_s=lambda rng: 0.02)
+        client = dispatch_client.Client(world, "i1")
+        await _ask(client, range(10), pause_s=0.03)
+        await _ask(client, range(10, 40), pause_s=0.03, remaining_ms=8.0)
+        assert _state(world) == "healthy"
 
     def test_ejections_get_longer_and_are_forgiven(self):
         """Guards against a bad replica that is tried every second for ever."""
@@ -166,41 +145,32 @@
         assert shares[3] < 1.0
         assert shares[4] == 1.0
 
-    def test_recovers_without_an_operator(self):
+    async def test_recovers_without_an_operator(self):
         """Guards against a replica that stays ejected."""
-
-        async def scenario():
-            world, replica = await _start()
-            client = dispatch_client.Client(world, "i1")
-            replica.failing = True
-            await _ask(client, range(10))
-            replica.failing = False
-            await _ask(client, range(100, 900))
-            return _state(world)
-
-        assert virtual.run(scenario()) == "healthy"
+        world, replica = await _start()
+        client = dispatch_client.Client(world, "i1")
+        replica.failing = True
+        await _ask(client, range(10))
+        replica.failing = False
+        await _ask(client, range(100, 900))
+        assert _state(world) == "healthy"
 
 
 class TestSlowReplica:
     """A replica slower than it used to be is reported as such."""
 
-    def test_slow_replica_reports_its_excess(self):
+    async def test_slow_replica_reports_its_excess(self):
         """Guards against a straggler that looks as good as the others."""
-
-        async def scenario():
-            world, replica = await _start()
-            client = dispatch_client.Client(world, "i1")
-            await _ask(client, range(100))
-            replica.slow_factor = 10.0
-            await _ask(client, range(100, 130), pause_s=0.05)
-            slow = client.of(messages.SubReply)[-1].queue_delay_ms
-            replica.slow_factor = 1.0
-            await _ask(client, range(200, 260), pause_s=0.05)
-            return slow, client.of(messages.SubReply)[-1].queue_delay_ms
-
-        slow, normal = virtual.run(scenario())
+        world, replica = await _start()
+        client = dispatch_client.Client(world, "i1")
+        await _ask(client, range(100))
+        replica.slow_factor = 10.0
+        await _ask(client, range(100, 130), pause_s=0.05)
+        slow = client.of(messages.SubReply)[-1].queue_delay_ms
+        replica.slow_factor = 1.0
+        await _ask(client, range(200, 260), pause_s=0.05)
         assert 20 < slow < 40
-        assert normal < 1
+        assert client.of(messages.SubReply)[-1].queue_delay_ms < 1
 
     def test_excess_fades_without_calls(self):
         """Guards against avoiding a recovered replica for ever."""
@@ -225,246 +195,195 @@
 class TestFrozenReplica:
     """Calls to a frozen replica end; what waits is given back."""
 
-    def test_waiting_work_is_given_back_at_once(self):
+    async def test_waiting_work_is_given_back_at_once(self):
         """Guards against work that waits behind a call that hangs."""
-
-        async def scenario():
-            world, replica = await _start()
-            client = dispatch_client.Client(world, "i1")
-            await _ask(client, range(10))
-            replica.frozen = True
-            asked_s = asyncio.get_running_loop().time()
-            for attempt in range(10, 20):
-                client.ask(attempt, "r1", remaining_ms=2000.0)
-            reply = await client.wait_for(messages.SubReply, 19)
-            took_s = asyncio.get_running_loop().time() - asked_s
-            return took_s, reply, _state(world)
-
-        took_s, reply, state = virtual.run(scenario())
+        world, replica = await _start()
+        client = dispatch_client.Client(world, "i1")
+        await _ask(client, range(10))
+        replica.frozen = True
+        asked_s = asyncio.get_running_loop().time()
+        for attempt in range(10, 20):
+            client.ask(attempt, "r1", remaining_ms=2000.0)
+        reply = await client.wait_for(messages.SubReply, 19)
+        took_s = asyncio.get_running_loop().time() - asked_s
         assert took_s < 0.15
         assert reply.outcome is UNREACHABLE
         assert reply.retry_after_ms > 0
-        assert state == "stalled"
+        assert _state(world) == "stalled"
 
-    def test_new_work_is_refused_while_it_hangs(self):
+    async def test_new_work_is_refused_while_it_hangs(self):
         """Guards against slots and time spent on a hanging replica."""
+        world, replica = await _start()
+        client = dispatch_client.Client(world, "i1")
+        await _ask(client, range(10))
+        replica.frozen = True
+        await _ask(client, range(10, 13), remaining_ms=2000.0)
+        await asyncio.sleep(0.2)
+        client.ask(50, "r1")
+        reply = await client.wait_for(messages.SubReply, 50, timeout_s=0.01)
+        assert reply.outcome is UNREACHABLE
 
-        async def scenario():
-            world, replica = await _start()
-            client = dispatch_client.Client(world, "i1")
-            await _ask(client, range(10))
-            replica.frozen = True
-            await _ask(client, range(10, 13), remaining_ms=2000.0)
-            await asyncio.sleep(0.2)
-            client.ask(50, "r1")
-            reply = await client.wait_for(messages.SubReply, 50, timeout_s=0.01)
-            return reply.outcome
-
-        assert virtual.run(scenario()) is UNREACHABLE
-
-    def test_running_calls_end_at_their_deadline(self):
+    async def test_running_calls_end_at_their_deadline(self):
         """Guards against slots that a frozen replica keeps for ever."""
-
-        async def scenario():
-            world, replica = await _start()
-            client = dispatch_client.Client(world, "i1")
-            await _ask(client, range(10))
-            replica.frozen = True
-            await _ask(client, range(10, 13), remaining_ms=300.0)
-            await asyncio.sleep(0.4)
-            replies = client.of(messages.SubReply)[10:]
-            running = _service(world).dump()["replicas"]["r1"]["running"]
-            return [reply.outcome for reply in replies], running
-
-        outcomes, running = virtual.run(scenario())
-        assert outcomes == [FAILED] * 3
+        world, replica = await _start()
+        client = dispatch_client.Client(world, "i1")
+        await _ask(client, range(10))
+        replica.frozen = True
+        await _ask(client, range(10, 13), remaining_ms=300.0)
+        await asyncio.sleep(0.4)
+        replies = client.of(messages.SubReply)[10:]
+        running = _service(world).dump()["replicas"]["r1"]["running"]
+        assert [reply.outcome for reply in replies] == [FAILED] * 3
         assert running == 0
 
-    def test_recovery_is_noticed(self):
+    async def test_recovery_is_noticed(self):
         """Guards against a replica that stays stalled after its pause."""
-
-        async def scenario():
-            world, replica = await _start()
-            client = dispatch_client.Client(world, "i1")
-            await _ask(client, range(10))
-            replica.frozen = True
-            await _ask(client, range(10, 13), remaining_ms=300.0)
-            await asyncio.sleep(1.0)
-            replica.frozen = False
-            await asyncio.sleep(0.6)
-            await _ask(client, range(50, 60))
-            return [
-                reply.outcome
-                for reply in client.of(messages.SubReply)
-                if reply.attempt >= 50
-            ], _state(world)
-
-        outcomes, state = virtual.run(scenario())
+        world, replica = await _start()
+        client = dispatch_client.Client(world, "i1")
+        await _ask(client, range(10))
+        replica.frozen = True
+        await _ask(client, range(10, 13), remaining_ms=300.0)
+        await asyncio.sleep(1.0)
+        replica.frozen = False
+        await asyncio.sleep(0.6)
+        await _ask(client, range(50, 60))
+        outcomes = [
+            reply.outcome
+            for reply in client.of(messages.SubReply)
+            if reply.attempt >= 50
+        ]
         assert outcomes == [OK] * 10
-        assert state == "ramping"
+        assert _state(world) == "ramping"
 
-    def test_probe_makes_the_next_trial_due(self):
+    async def test_probe_makes_the_next_trial_due(self):
         """Guards against a recovered replica that waits for the interval."""
-
-        async def scenario():
-            world, replica = await _start()
-            client = dispatch_client.Client(world, "i1")
-            await _ask(client, range(10))
-            replica.frozen = True
-            await _ask(client, range(10, 13), remaining_ms=300.0)
-            await asyncio.sleep(0.35)
-            replica.frozen = False
-            await asyncio.sleep(0.4)
-            client.ask(50, "r1")
-            return (await client.wait_for(messages.SubReply, 50)).outcome
-
-        assert virtual.run(scenario()) is OK
-
-    def test_no_trial_while_calls_hang(self):
+        world, replica = await _start()
+        client = dispatch_client.Client(world, "i1")
+        await _ask(client, range(10))
+        replica.frozen = True
+        await _ask(client, range(10, 13), remaining_ms=300.0)
+        await asyncio.sleep(0.35)
+        replica.frozen = False
+        await asyncio.sleep(0.4)
+        client.ask(50, "r1")
+        assert (await client.wait_for(messages.SubReply, 50)).outcome is OK
+
+    async def test_no_trial_while_calls_hang(self):
         """Guards against a trial that waits behind calls that hang."""
+        world, replica = await _start()
+        client = dispatch_client.Client(world, "i1")
+        await _ask(client, range(10))
+        replica.frozen = True
+        await _ask(client, range(10, 13), remaining_ms=5000.0)
+        await asyncio.sleep(2.5)
+        asked_s = asyncio.get_running_loop().time()
+        client.ask(50, "r1")
+        reply = await client.wait_for(messages.SubReply, 50)
+        assert reply.outcome is UNREACHABLE
+        assert (client.times_s[-1] - asked_s) < 0.001
 
-        async def scenario():
-            world, replica = await _start()
-            client = dispatch_client.Client(world, "i1")
-            await _ask(client, range(10))
-            replica.frozen = True
-            await _ask(client, range(10, 13), remaining_ms=5000.0)
-            await asyncio.sleep(2.5)
-            asked_s = asyncio.get_running_loop().time()
-            client.ask(50, "r1")
-            reply = await client.wait_for(messages.SubReply, 50)
-            return reply.outcome, client.times_s[-1] - asked_s
-
-        outcome, took_s = virtual.run(scenario())
-        assert outcome is UNREACHABLE
-        assert took_s < 0.001
-
-    def test_trials_are_single_while_it_hangs(self):
+    async def test_trials_are_single_while_it_hangs(self):
         """Guards against a stalled replica that takes every call again."""
-
-        async def scenario():
-            world, replica = await _start()
-            client = dispatch_client.Client(world, "i1")
-            await _ask(client, range(10))
-            replica.frozen = True
-            await _ask(client, range(10, 13), remaining_ms=300.0)
-            await asyncio.sleep(1.0)
-            before = replica.count("query_started")
-            await _ask(client, range(50, 350), remaining_ms=500.0)
-            return replica.count("query_started") - before
-
+        world, replica = await _start()
+        client = dispatch_client.Client(world, "i1")
+        await _ask(client, range(10))
+        replica.frozen = True
+        await _ask(client, range(10, 13), remaining_ms=300.0)
+        await asyncio.sleep(1.0)
+        before = replica.count("query_started")
+        await _ask(client, range(50, 350), remaining_ms=500.0)
         # One trial a second, over three seconds.
-        assert virtual.run(scenario()) <= 4
+        assert (replica.count("query_started") - before) <= 4
 
-    def test_own_pause_is_no_stall(self):
+    async def test_own_pause_is_no_stall(self):
         """Guards against blaming replicas after a pause of this process."""
-
-        async def scenario():
-            world, replica = await _start()
-            client = dispatch_client.Client(world, "i1")
-            await _ask(client, range(10))
-            replica.service_s = lambda rng: 0.03
-            for attempt in range(10, 16):
-                client.ask(attempt, "r1", remaining_ms=9000.0)
-            await asyncio.sleep(0.004)
-            asyncio.get_running_loop().advance(2.0)
-            await asyncio.sleep(0.2)
-            return [
-                reply.outcome
-                for reply in client.of(messages.SubReply)
-                if reply.attempt >= 10
-            ]
-
-        assert virtual.run(scenario()) == [OK] * 6
+        world, replica = await _start()
+        client = dispatch_client.Client(world, "i1")
+        await _ask(client, range(10))
+        replica.service_s = lambda rng: 0.03
+        for attempt in range(10, 16):
+            client.ask(attempt, "r1", remaining_ms=9000.0)
+        await asyncio.sleep(0.004)
+        asyncio.get_running_loop().advance(2.0)
+        await asyncio.sleep(0.2)
+        assert [
+            reply.outcome
+            for reply in client.of(messages.SubReply)
+            if reply.attempt >= 10
+        ] == [OK] * 6
 
 
 class TestColdReplica:
     """A replica that has just started is ramped up."""
 
-    def test_added_replica_starts_slowly(self):
+    async def test_added_replica_starts_slowly(self):
         """Guards against full load on empty caches."""
-
-        async def scenario():
-            world, _ = await _start()
-            _publish(world, ("r1", "r2"))
-            await asyncio.sleep(0.1)
-            replica = world.replicas_by_id["r2"]
-            replica.service_s = lambda rng: 0.02
-            client = dispatch_client.Client(world, "i1")
-            for attempt in range(10):
-                client.ask(attempt, "r2")
-            await asyncio.sleep(0.01)
-            early = replica.running
-            await asyncio.sleep(6.0)
-            return early, _state(world, "r2"), _state(world, "r1")
-
-        assert virtual.run(scenario()) == (1, "healthy", "healthy")
-
-    def test_fresh_instance_ramps_nothing(self):
+        world, _ = await _start()
+        _publish(world, ("r1", "r2"))
+        await asyncio.sleep(0.1)
+        replica = world.replicas_by_id["r2"]
+        replica.service_s = lambda rng: 0.02
+        client = dispatch_client.Client(world, "i1")
+        for attempt in range(10):
+            client.ask(attempt, "r2")
+        await asyncio.sleep(0.01)
+        early = replica.running
+        await asyncio.sleep(6.0)
+        assert (early, _state(world, "r2"), _state(world, "r1")) == (
+            1,
+            "healthy",
+            "healthy",
+        )
+
+    async def test_fresh_instance_ramps_nothing(self):
         """Guards against a restart that throttles the whole fleet."""
-
-        async def scenario():
-            world, _ = await _start()
-            return _state(world)
-
-        assert virtual.run(scenario()) == "healthy"
+        world, _ = await _start()
+        assert _state(world) == "healthy"
 
 
 class TestVersions:
     """Versions come from replies before the health endpoint."""
 
-    def test_denied_version_is_not_taken_from_the_endpoint(self):
+    async def test_denied_version_is_not_taken_from_the_endpoint(self):
         """Guards against an endpoint that lags behind a flip."""
-
-        async def scenario():
-            world, replica = await _start()
-            client = dispatch_client.Client(world, "i1")
-            client.ask(1, "r1")
-            await client.wait_for(messages.SubReply, 1)
-            replica.health_versions = (1,)
-            replica.versions = (2,)
-            client.ask(2, "r1")
-            reply = await client.wait_for(messages.SubReply, 2)
-            await asyncio.sleep(1.1)
-            replica.failing = True
-            client.ask(3, "r1")
-            later = await client.wait_for(messages.SubReply, 3)
-            return reply.outcome, reply.versions, later.versions
-
-        outcome, versions, later = virtual.run(scenario())
-        assert outcome is messages.Outcome.WRONG_VERSION
-        assert versions == (2,)
+        world, replica = await _start()
+        client = dispatch_client.Client(world, "i1")
+        client.ask(1, "r1")
+        await client.wait_for(messages.SubReply, 1)
+        replica.health_versions = (1,)
+        replica.versions = (2,)
+        client.ask(2, "r1")
+        reply = await client.wait_for(messages.SubReply, 2)
+        await asyncio.sleep(1.1)
+        replica.failing = True
+        client.ask(3, "r1")
+        later = await client.wait_for(messages.SubReply, 3)
+        later = later.versions
+        assert reply.outcome is messages.Outcome.WRONG_VERSION
+        assert reply.versions == (2,)
         assert later == (2,)
 
-    def test_changed_endpoint_is_believed_after_a_denial(self):
+    async def test_changed_endpoint_is_believed_after_a_denial(self):
         """Guards against old versions while an index flips often."""
-
-        async def scenario():
-            world, replica = await _start()
-            client = dispatch_client.Client(world, "i1")
-            replica.versions = (2,)
-            client.ask(1, "r1")
-            await client.wait_for(messages.SubReply, 1)
-            replica.versions = (3,)
-            await asyncio.sleep(1.1)
-            replica.failing = True
-            client.ask(2, "r1")
-            return (await client.wait_for(messages.SubReply, 2)).versions
-
-        assert virtual.run(scenario()) == (3,)
-
-    def test_endpoint_tells_versions_without_calls(self):
+        world, replica = await _start()
+        client = dispatch_client.Client(world, "i1")
+        replica.versions = (2,)
+        client.ask(1, "r1")
+        await client.wait_for(messages.SubReply, 1)
+        replica.versions = (3,)
+        await asyncio.sleep(1.1)
+        replica.failing = True
+        client.ask(2, "r1")
+        assert (await client.wait_for(messages.SubReply, 2)).versions == (3,)
+
+    async def test_endpoint_tells_versions_without_calls(self):
         """Guards against versions that only a failed query reveals."""
-
-        async def scenario():
-            world, replica = await _start()
-            replica.versions = (1, 2)
-            await asyncio.sleep(1.5)
-            client = dispatch_client.Client(world, "i1")
-            client.ask(1, "r1")
-            return (await client.wait_for(messages.SubReply, 1)).versions
-
-        assert virtual.run(scenario()) == (1, 2)
+        world, replica = await _start()
+        replica.versions = (1, 2)
+        await asyncio.sleep(1.5)
+        client = dispatch_client.Client(world, "i1")
+        client.ask(1, "r1")
+        assert (await client.wait_for(messages.SubReply, 1)).versions == (1, 2)
 
 
 class TestLeaving:
@@ -546,112 +465,86 @@
 
         self._leaves(apply)
 
-    def test_queued_work_is_given_back_and_running_work_ends(self):
+    async def test_queued_work_is_given_back_and_running_work_ends(self):
         """Guards against queued work lost and running work cut off."""
-
-        async def scenario():
-            world, replica, owner = await self._world(
-                service_s=lambda rng: 0.05
-            )
-            client = dispatch_client.Client(world, owner)
-            for attempt in range(8):
-                client.ask(attempt, "r1")
-            client.reserve(1, "r1")
-            await asyncio.sleep(0.01)
-            _service(world, owner).note_listed({"r1": "leaving"})
-            await asyncio.sleep(0.002)
-            early = [reply.outcome for reply in client.of(messages.SubReply)]
-            await asyncio.sleep(0.3)
-            outcomes = [reply.outcome for reply in client.of(messages.SubReply)]
-            return early, outcomes, client.of(messages.SlotOutcome)
-
-        early, outcomes, slots = virtual.run(scenario())
+        world, replica, owner = await self._world(service_s=lambda rng: 0.05)
+        client = dispatch_client.Client(world, owner)
+        for attempt in range(8):
+            client.ask(attempt, "r1")
+        client.reserve(1, "r1")
+        await asyncio.sleep(0.01)
+        _service(world, owner).note_listed({"r1": "leaving"})
+        await asyncio.sleep(0.002)
+        early = [reply.outcome for reply in client.of(messages.SubReply)]
+        await asyncio.sleep(0.3)
+        outcomes = [reply.outcome for reply in client.of(messages.SubReply)]
+        slots = client.of(messages.SlotOutcome)
         assert early == [DRAINING] * 5
         assert outcomes == [DRAINING] * 5 + [OK] * 3
         assert [slot.state for slot in slots] == [messages.SlotState.NOT_SENT]
 
-    def test_notice_reaches_each_peer_without_a_flood(self):
+    async def test_notice_reaches_each_peer_without_a_flood(self):
         """Guards against every instance telling every other one."""
-
-        async def scenario():
-            world, _, _ = await self._world()
-            for name in self._DOMAINS:
-                _service(world, name).note_listed({"r1": "leaving"})
-            await asyncio.sleep(0.1)
-            return world.network.messages_by_type.get("UpstreamLeaving", 0)
-
+        world, _, _ = await self._world()
+        for name in self._DOMAINS:
+            _service(world, name).note_listed({"r1": "leaving"})
+        await asyncio.sleep(0.1)
         # Two others tell the owner; the owner tells two others.
-        assert virtual.run(scenario()) <= 4
+        assert world.network.messages_by_type.get("UpstreamLeaving", 0) <= 4
 
-    def test_notice_lasts_as_long_as_the_reason(self):
+    async def test_notice_lasts_as_long_as_the_reason(self):
         """Guards against peers that forget what only the owner knows."""
+        world, replica, owner = await self._world()
+        replica.health_state = "draining"
+        await asyncio.sleep(3 * leaving_lib.PEER_LIFETIME_S)
+        assert self._everywhere(world) == [True] * 3
 
-        async def scenario():
-            world, replica, owner = await self._world()
-            replica.health_state = "draining"
-            await asyncio.sleep(3 * leaving_lib.PEER_LIFETIME_S)
-            return self._everywhere(world)
-
-        assert virtual.run(scenario()) == [True] * 3
-
-    def test_return_of_the_replica_is_noticed_and_ramped(self):
+    async def test_return_of_the_replica_is_noticed_and_ramped(self):
         """Guards against a replica that is lost after maintenance."""
-
-        async def scenario():
-            world, _, owner = await self._world()
-            for name in self._DOMAINS:
-                _service(world, name).note_listed({"r1": "leaving"})
-            await asyncio.sleep(30.0)
-            during = self._everywhere(world)
-            for name in self._DOMAINS:
-                _service(world, name).note_listed({"r1": "live"})
-            await asyncio.sleep(leaving_lib.PEER_LIFETIME_S + 5.0)
-            dump = _service(world, owner).dump()["replicas"]["r1"]
-            return during, self._everywhere(world), dump["leaving"]
-
-        assert virtual.run(scenario()) == ([True] * 3, [False] * 3, False)
-
-    def test_drained_replica_that_hides_it_stays_out(self):
+        world, _, owner = await self._world()
+        for name in self._DOMAINS:
+            _service(world, name).note_listed({"r1": "leaving"})
+        await asyncio.sleep(30.0)
+        during = self._everywhere(world)
+        for name in self._DOMAINS:
+            _service(world, name).note_listed({"r1": "live"})
+        await asyncio.sleep(leaving_lib.PEER_LIFETIME_S + 5.0)
+        dump = _service(world, owner).dump()["replicas"]["r1"]
+        assert (during, self._everywhere(world), dump["leaving"]) == (
+            [True] * 3,
+            [False] * 3,
+            False,
+        )
+
+    async def test_drained_replica_that_hides_it_stays_out(self):
         """Guards against new work after the first good health answer."""
-
-        async def scenario():
-            world, replica, owner = await self._world()
-            replica.draining = True
-            replica.health_state = "ok"
-            client = dispatch_client.Client(world, owner)
-            client.ask(1, "r1")
-            await asyncio.sleep(5.0)
-            await _ask(client, range(10, 20))
-            return replica.count("query_refused")
-
-        assert virtual.run(scenario()) == 1
-
-    def test_replica_that_admits_draining_is_back_when_it_says_so(self):
+        world, replica, owner = await self._world()
+        replica.draining = True
+        replica.health_state = "ok"
+        client = dispatch_client.Client(world, owner)
+        client.ask(1, "r1")
+        await asyncio.sleep(5.0)
+        await _ask(client, range(10, 20))
+        assert replica.count("query_refused") == 1
+
+    async def test_replica_that_admits_draining_is_back_when_it_says_so(self):
         """Guards against waiting a minute for a replica that is back."""
-
-        async def scenario():
-            world, replica, owner = await self._world()
-            replica.draining = True
-            client = dispatch_client.Client(world, owner)
-            client.ask(1, "r1")
-            await asyncio.sleep(2.0)
-            replica.draining = False
-            await asyncio.sleep(2.0)
-            client.ask(2, "r1")
-            return (await client.wait_for(messages.SubReply, 2)).outcome
-
-        assert virtual.run(scenario()) is OK
-
-    def test_new_owner_knows(self):
+        world, replica, owner = await self._world()
+        replica.draining = True
+        client = dispatch_client.Client(world, owner)
+        client.ask(1, "r1")
+        await asyncio.sleep(2.0)
+        replica.draining = False
+        await asyncio.sleep(2.0)
+        client.ask(2, "r1")
+        assert (await client.wait_for(messages.SubReply, 2)).outcome is OK
+
+    async def test_new_owner_knows(self):
         """Guards against a take-over that gives a leaving replica work."""
-
-        async def scenario():
-            world, replica, owner = await self._world()
-            _service(world, owner).note_listed({"r1": "leaving"})
-            await asyncio.sleep(0.1)
-            (other, _) = [name for name in self._DOMAINS if name != owner]
-            client = dispatch_client.Client(world, other)
-            client.ask(1, "r1")
-            return (await client.wait_for(messages.SubReply, 1)).outcome
-
-        assert virtual.run(scenario()) is DRAINING
+        world, replica, owner = await self._world()
+        _service(world, owner).note_listed({"r1": "leaving"})
+        await asyncio.sleep(0.1)
+        (other, _) = [name for name in self._DOMAINS if name != owner]
+        client = dispatch_client.Client(world, other)
+        client.ask(1, "r1")
+        assert (await client.wait_for(messages.SubReply, 1)).outcome is DRAINING
--- a/tests/test_dispatch_queue.py
+++ b/tests/test_dispatch_queue.py
@@ -162,20 +162,16 @@
         assert queue.push(_item("low-3", rank=2)).key == "low-3"
         assert _pop_all(queue) == ["high", "middle", "low-1"]
 
-    def test_refusal_is_at_once_and_states_when_to_retry(self):
+    async def test_refusal_is_at_once_and_states_when_to_retry(self):
         """Guards against work that waits in vain, and against hammering."""
-
-        async def scenario():
-            world, _, client = await _start()
-            for attempt in range(replica_lib._QUEUE_LIMIT + 10):
-                client.ask(attempt, "r1", rank=2, remaining_ms=60_000.0)
-            await asyncio.sleep(0.002)
-            for attempt in range(5000, 5005):
-                client.ask(attempt, "r1", rank=0, remaining_ms=60_000.0)
-            await asyncio.sleep(0.002)
-            return client.of(messages.SubReply)
-
-        replies = virtual.run(scenario())
+        world, _, client = await _start()
+        for attempt in range(replica_lib._QUEUE_LIMIT + 10):
+            client.ask(attempt, "r1", rank=2, remaining_ms=60_000.0)
+        await asyncio.sleep(0.002)
+        for attempt in range(5000, 5005):
+            client.ask(attempt, "r1", rank=0, remaining_ms=60_000.0)
+        await asyncio.sleep(0.002)
+        replies = client.of(messages.SubReply)
         assert len(replies) >= 10
         assert {reply.outcome for reply in replies} == {REFUSED}
         assert all(reply.retry_after_ms > 100 for reply in replies)
@@ -223,18 +219,14 @@
             queue.expire(number + 1.0)
         assert low >= 18
 
-    def test_share_at_the_replica(self):
+    async def test_share_at_the_replica(self):
         """Guards against a configured share that does not reach the queue."""
-
-        async def scenario():
-            _, replica, client = await _start(min_share=0.1)
-            for attempt in range(200):
-                client.ask(attempt, "r1", rank=0, remaining_ms=9000.0)
-                client.ask(1000 + attempt, "r1", rank=2, remaining_ms=9000.0)
-            await asyncio.sleep(0.8)
-            return _started(replica)
-
-        started = virtual.run(scenario())
+        _, replica, client = await _start(min_share=0.1)
+        for attempt in range(200):
+            client.ask(attempt, "r1", rank=0, remaining_ms=9000.0)
+            client.ask(1000 + attempt, "r1", rank=2, remaining_ms=9000.0)
+        await asyncio.sleep(0.8)
+        started = _started(replica)
         assert len(started) > 100
         low = sum(attempt >= 1000 for attempt in started[:100])
         assert 8 <= low <= 12
@@ -243,186 +235,144 @@
 class TestDeadline:
     """What cannot start in time is refused, what expired is dropped."""
 
-    def test_refuses_at_once_what_cannot_start(self):
+    async def test_refuses_at_once_what_cannot_start(self):
         """Guards against work that waits only to expire."""
-
-        async def scenario():
-            _, _, client = await _start()
-            for attempt in range(100):
-                client.ask(attempt, "r1", remaining_ms=5000.0)
-            await asyncio.sleep(0.1)
-            client.ask(500, "r1", remaining_ms=5000.0)
-            client.ask(501, "r1", rank=1, remaining_ms=50.0)
-            await asyncio.sleep(0.002)
-            return client.of(messages.SubReply)
-
-        replies = virtual.run(scenario())
+        _, _, client = await _start()
+        for attempt in range(100):
+            client.ask(attempt, "r1", remaining_ms=5000.0)
+        await asyncio.sleep(0.1)
+        client.ask(500, "r1", remaining_ms=5000.0)
+        client.ask(501, "r1", rank=1, remaining_ms=50.0)
+        await asyncio.sleep(0.002)
+        replies = client.of(messages.SubReply)
         late = {reply.attempt: reply for reply in replies if reply.attempt > 99}
         assert set(late) == {501}
         assert late[501].outcome is REFUSED
         assert late[501].retry_after_ms > 100
 
-    def test_short_deadline_passes_in_its_class(self):
+    async def test_short_deadline_passes_in_its_class(self):
         """Guards against refusing what earliest deadline first starts."""
-
-        async def scenario():
-            _, _, client = await _start()
-            for attempt in range(100):
-                client.ask(attempt, "r1", remaining_ms=5000.0)
-            await asyncio.sleep(0.1)
-            client.ask(500, "r1", remaining_ms=50.0)
-            reply = await client.wait_for(messages.SubReply, 500)
-            return reply.outcome
-
-        assert virtual.run(scenario()) is OK
-
-    def test_estimate_refuses_nothing_while_a_lower_class_waits(self):
+        _, _, client = await _start()
+        for attempt in range(100):
+            client.ask(attempt, "r1", remaining_ms=5000.0)
+        await asyncio.sleep(0.1)
+        client.ask(500, "r1", remaining_ms=50.0)
+        reply = await client.wait_for(messages.SubReply, 500)
+        assert reply.outcome is OK
+
+    async def test_estimate_refuses_nothing_while_a_lower_class_waits(self):
         """Guards against an inversion by a wrong estimate."""
-
-        async def scenario():
-            world, replica, client = await _start()
-            for attempt in range(100):
-                client.ask(attempt, "r1", remaining_ms=5000.0)
-            for attempt in range(100, 104):
-                client.ask(attempt, "r1", rank=2, remaining_ms=9000.0)
-            await asyncio.sleep(0.1)
-            replica.service_s = lambda rng: 0.0001
-            client.ask(500, "r1", rank=1, remaining_ms=100.0)
-            reply = await client.wait_for(messages.SubReply, 500)
-            return reply.outcome
-
-        assert virtual.run(scenario()) is OK
-
-    def test_lower_class_is_not_refused_on_an_idle_replica(self):
+        world, replica, client = await _start()
+        for attempt in range(100):
+            client.ask(attempt, "r1", remaining_ms=5000.0)
+        for attempt in range(100, 104):
+            client.ask(attempt, "r1", rank=2, remaining_ms=9000.0)
+        await asyncio.sleep(0.1)
+        replica.service_s = lambda rng: 0.0001
+        client.ask(500, "r1", rank=1, remaining_ms=100.0)
+        reply = await client.wait_for(messages.SubReply, 500)
+        assert reply.outcome is OK
+
+    async def test_lower_class_is_not_refused_on_an_idle_replica(self):
         """Guards against an estimate that takes past use for load."""
-
-        async def scenario():
-            _, _, client = await _start()
-            for attempt in range(200):
-                client.ask(attempt, "r1", remaining_ms=5000.0)
-            await asyncio.sleep(4.0)
-            for attempt in range(500, 506):
-                client.ask(attempt, "r1", rank=2, remaining_ms=60.0)
-            await asyncio.sleep(0.1)
-            return {r.outcome for r in client.of(messages.SubReply)}
-
-        assert virtual.run(scenario()) == {OK}
-
-    def test_expired_items_are_answered_and_never_called(self):
+        _, _, client = await _start()
+        for attempt in range(200):
+            client.ask(attempt, "r1", remaining_ms=5000.0)
+        await asyncio.sleep(4.0)
+        for attempt in range(500, 506):
+            client.ask(attempt, "r1", rank=2, remaining_ms=60.0)
+        await asyncio.sleep(0.1)
+        assert {r.outcome for r in client.of(messages.SubReply)} == {OK}
+
+    async def test_expired_items_are_answered_and_never_called(self):
         """Guards against work for callers that are gone."""
-
-        async def scenario():
-            _, replica, client = await _start(service_s=lambda rng: 0.2)
-            for attempt in range(3):
-                client.ask(attempt, "r1")
-            client.ask(7, "r1", rank=1, remaining_ms=50.0)
-            reply = await client.wait_for(messages.SubReply, 7)
-            await asyncio.sleep(1.0)
-            return reply, client.times_s[0], _started(replica)
-
-        reply, time_s, started = virtual.run(scenario())
+        _, replica, client = await _start(service_s=lambda rng: 0.2)
+        for attempt in range(3):
+            client.ask(attempt, "r1")
+        client.ask(7, "r1", rank=1, remaining_ms=50.0)
+        reply = await client.wait_for(messages.SubReply, 7)
+        await asyncio.sleep(1.0)
         assert reply.outcome in (EXPIRED, REFUSED)
-        assert 7 not in started
+        assert 7 not in _started(replica)
 
-    def test_expiry_is_answered_while_every_slot_is_frozen(self):
+    async def test_expiry_is_answered_while_every_slot_is_frozen(self):
         """Guards against an entry that waits for a replica that hangs."""
+        _, replica, client = await _start()
+        replica.frozen = True
+        for attempt in range(3):
+            client.ask(attempt, "r1", remaining_ms=3000.0)
+        await asyncio.sleep(0.01)
+        client.ask(9, "r1", remaining_ms=40.0)
+        reply = await client.wait_for(messages.SubReply, 9, timeout_s=0.1)
+        assert reply.outcome is EXPIRED
 
-        async def scenario():
-            _, replica, client = await _start()
-            replica.frozen = True
-            for attempt in range(3):
-                client.ask(attempt, "r1", remaining_ms=3000.0)
-            await asyncio.sleep(0.01)
-            client.ask(9, "r1", remaining_ms=40.0)
-            reply = await client.wait_for(messages.SubReply, 9, timeout_s=0.1)
-            return reply.outcome
-
-        assert virtual.run(scenario()) is EXPIRED
-
-    def test_overload_does_not_end_in_vain_calls(self):
+    async def test_overload_does_not_end_in_vain_calls(self):
         """Guards against starting each call just before its deadline."""
-
-        async def scenario():
-            _, _, client = await _start()
-            for attempt in range(600):
-                client.ask(attempt, "r1", remaining_ms=50.0)
-                await asyncio.sleep(0.0025)
-            await asyncio.sleep(0.1)
-            outcomes = [r.outcome for r in client.of(messages.SubReply)]
-            return outcomes.count(OK), outcomes.count(messages.Outcome.FAILED)
-
-        ok, failed = virtual.run(scenario())
+        _, _, client = await _start()
+        for attempt in range(600):
+            client.ask(attempt, "r1", remaining_ms=50.0)
+            await asyncio.sleep(0.0025)
+        await asyncio.sleep(0.1)
+        outcomes = [r.outcome for r in client.of(messages.SubReply)]
+        ok = outcomes.count(OK)
         # Twice the capacity is offered for 1.5 s: 300 calls fit.
         assert ok >= 0.9 * 300
-        assert failed <= 0.1 * ok
+        assert outcomes.count(messages.Outcome.FAILED) <= 0.1 * ok
 
-    def test_stale_estimate_does_not_refuse_for_ever(self):
+    async def test_stale_estimate_does_not_refuse_for_ever(self):
         """Guards against an estimate that no call can correct any more."""
-
-        async def scenario():
-            _, replica, client = await _start()
-            replica.slow_factor = 20.0
-            for attempt in range(8):
-                client.ask(attempt, "r1", remaining_ms=5000.0)
-            await asyncio.sleep(2.0)
-            replica.slow_factor = 1.0
-            for attempt in range(100, 400):
-                client.ask(attempt, "r1", remaining_ms=50.0)
-                await asyncio.sleep(0.01)
-            late = [r for r in client.of(messages.SubReply) if r.attempt > 350]
-            return {reply.outcome for reply in late}
-
-        assert virtual.run(scenario()) == {OK}
+        _, replica, client = await _start()
+        replica.slow_factor = 20.0
+        for attempt in range(8):
+            client.ask(attempt, "r1", remaining_ms=5000.0)
+        await asyncio.sleep(2.0)
+        replica.slow_factor = 1.0
+        for attempt in range(100, 400):
+            client.ask(attempt, "r1", remaining_ms=50.0)
+            await asyncio.sleep(0.01)
+        late = [r for r in client.of(messages.SubReply) if r.attempt > 350]
+        assert {reply.outcome for reply in late} == {OK}
 
 
 class TestCancel:
     """A cancelled attempt leaves queue and replica and is not answered."""
 
-    def test_waiting_attempt(self):
+    async def test_waiting_attempt(self):
         """Guards against running what lost its race."""
-
-        async def scenario():
-            _, replica, client = await _start()
-            for attempt in range(6):
-                client.ask(attempt, "r1")
-            await asyncio.sleep(0.002)
-            client.cancel(4)
-            await asyncio.sleep(0.2)
-            return replica, [r.attempt for r in client.of(messages.SubReply)]
-
-        replica, answered = virtual.run(scenario())
+        _, replica, client = await _start()
+        for attempt in range(6):
+            client.ask(attempt, "r1")
+        await asyncio.sleep(0.002)
+        client.cancel(4)
+        await asyncio.sleep(0.2)
+        answered = [r.attempt for r in client.of(messages.SubReply)]
         assert sorted(_started(replica)) == [0, 1, 2, 3, 5]
         assert sorted(answered) == [0, 1, 2, 3, 5]
 
-    def test_running_attempt(self):
+    async def test_running_attempt(self):
         """Guards against slots that work for a lost race."""
+        world, replica, client = await _start(service_s=lambda rng: 0.5)
+        for attempt in range(3):
+            client.ask(attempt, "r1")
+        await asyncio.sleep(0.01)
+        client.cancel(0)
+        await asyncio.sleep(0.01)
+        assert (_started(replica), len(client.of(messages.SubReply))) == (
+            [0, 1, 2],
+            0,
+        )
 
-        async def scenario():
-            world, replica, client = await _start(service_s=lambda rng: 0.5)
-            for attempt in range(3):
-                client.ask(attempt, "r1")
-            await asyncio.sleep(0.01)
-            client.cancel(0)
-            await asyncio.sleep(0.01)
-            return _started(replica), len(client.of(messages.SubReply))
-
-        assert virtual.run(scenario()) == ([0, 1, 2], 0)
-
-    def test_attempt_of_another_sender_stays(self):
+    async def test_attempt_of_another_sender_stays(self):
         """Guards against equal attempt numbers of two instances."""
-
-        async def scenario():
-            world, _, client = await _start()
-            other = dispatch_client.Client(world, "i1", "other")
-            client.ask(1, "r1")
-            other.ask(1, "r1")
-            await asyncio.sleep(0.002)
-            other.cancel(1)
-            return (await client.wait_for(messages.SubReply, 1)).outcome
-
-        assert virtual.run(scenario()) is OK
-
-    def test_touches_one_replica_only(self, monkeypatch):
+        world, _, client = await _start()
+        other = dispatch_client.Client(world, "i1", "other")
+        client.ask(1, "r1")
+        other.ask(1, "r1")
+        await asyncio.sleep(0.002)
+        other.cancel(1)
+        assert (await client.wait_for(messages.SubReply, 1)).outcome is OK
+
+    async def test_touches_one_replica_only(self, monkeypatch):
         """Guards against a scan of all replicas for each cancellation."""
         touched = []
         cancel = replica_lib.ReplicaDispatcher.cancel
@@ -433,16 +383,12 @@
 
         monkeypatch.setattr(replica_lib.ReplicaDispatcher, "cancel", counted)
         names = tuple(f"r{number}" for number in range(1, 21))
-
-        async def scenario():
-            _, _, client = await _start(replicas=names)
-            for attempt, name in enumerate(names):
-                client.ask(attempt, name)
-            await asyncio.sleep(0.002)
-            client.cancel(3, 99)
-            await asyncio.sleep(0.05)
-
-        virtual.run(scenario())
+        _, _, client = await _start(replicas=names)
+        for attempt, name in enumerate(names):
+            client.ask(attempt, name)
+        await asyncio.sleep(0.002)
+        client.cancel(3, 99)
+        await asyncio.sleep(0.05)
         assert touched == ["r4"]
 
 
@@ -458,47 +404,34 @@
         await asyncio.sleep(0.01)
         return world, replica, client
 
-    def test_starts_at_once_and_the_victim_runs_later(self):
+    async def test_starts_at_once_and_the_victim_runs_later(self):
         """Guards against a paying query that waits for a lower one."""
-
-        async def scenario():
-            world, replica, client = await self._occupied()
-            asked_s = asyncio.get_running_loop().time()
-            client.ask(9, "r1")
-            await client.wait_for(messages.SubReply, 9)
-            took_s = asyncio.get_running_loop().time() - asked_s
-            await asyncio.sleep(0.5)
-            replies = client.of(messages.SubReply)
-            wasted = _metrics(world).counted("wasted_slot_seconds")
-            return took_s, replies, wasted
-
-        took_s, replies, wasted = virtual.run(scenario())
+        world, replica, client = await self._occupied()
+        asked_s = asyncio.get_running_loop().time()
+        client.ask(9, "r1")
+        await client.wait_for(messages.SubReply, 9)
+        took_s = asyncio.get_running_loop().time() - asked_s
+        await asyncio.sleep(0.5)
+        replies = client.of(messages.SubReply)
+        wasted = _metrics(world).counted("wasted_slot_seconds")
         assert took_s < 0.105
         assert sorted(reply.attempt for reply in replies) == [0, 1, 9]
         assert {reply.outcome for reply in replies} == {OK}
         assert 0.005 < wasted < 0.02
 
-    def test_setting_switches_it_off(self):
+    async def test_setting_switches_it_off(self):
         """Guards against cancelled work where the operator forbids it."""
+        _, replica, client = await self._occupied(preemption=False)
+        client.ask(9, "r1")
+        await client.wait_for(messages.SubReply, 9)
+        assert replica.count("query_cancelled") == 0
 
-        async def scenario():
-            _, replica, client = await self._occupied(preemption=False)
-            client.ask(9, "r1")
-            await client.wait_for(messages.SubReply, 9)
-            return replica.count("query_cancelled")
-
-        assert virtual.run(scenario()) == 0
-
-    def test_same_class_is_not_preempted(self):
+    async def test_same_class_is_not_preempted(self):
         """Guards against work of one class that cancels its own."""
-
-        async def scenario():
-            _, replica, client = await self._occupied(rank=0)
-            client.ask(9, "r1")
-            await client.wait_for(messages.SubReply, 9)
-            return replica.count("query_cancelled")
-
-        assert virtual.run(scenario()) == 0
+        _, replica, client = await self._occupied(rank=0)
+        client.ask(9, "r1")
+        await client.wait_for(messages.SubReply, 9)
+        assert replica.count("query_cancelled") == 0
 
     def _asked_at(self, age_s):
         """Returns cancelled calls if a paying one meets calls of an age."""
@@ -530,59 +463,47 @@
         """Guards against a long lower query that seems to end soon."""
         assert self._asked_at(0.1) == 1
 
-    def test_victim_past_its_deadline_is_answered(self):
+    async def test_victim_past_its_deadline_is_answered(self):
         """Guards against a preempted query that vanishes."""
-
-        async def scenario():
-            world, replica, client = await _start(service_s=lambda rng: 0.1)
-            for attempt in range(2):
-                client.ask(attempt, "r1", rank=2, remaining_ms=120.0)
-            await asyncio.sleep(0.01)
-            client.ask(9, "r1", remaining_ms=3000.0)
-            await asyncio.sleep(0.4)
-            return sorted(
-                (reply.attempt, reply.outcome)
-                for reply in client.of(messages.SubReply)
-            )
-
-        replies = virtual.run(scenario())
+        world, replica, client = await _start(service_s=lambda rng: 0.1)
+        for attempt in range(2):
+            client.ask(attempt, "r1", rank=2, remaining_ms=120.0)
+        await asyncio.sleep(0.01)
+        client.ask(9, "r1", remaining_ms=3000.0)
+        await asyncio.sleep(0.4)
+        replies = sorted(
+            (reply.attempt, reply.outcome)
+            for reply in client.of(messages.SubReply)
+        )
         assert [attempt for attempt, _ in replies] == [0, 1, 9]
         outcomes = {outcome for _, outcome in replies}
         assert outcomes - {OK}
         assert outcomes <= {OK, EXPIRED, REFUSED, messages.Outcome.FAILED}
 
-    def test_reserved_start_is_not_preempted(self):
+    async def test_reserved_start_is_not_preempted(self):
         """Guards against taking back the share of the lowest class."""
-
-        async def scenario():
-            world, replica, client = await _start(
-                min_share=1.0, service_s=lambda rng: 0.05
-            )
-            for attempt in range(20):
-                client.ask(attempt, "r1", remaining_ms=3000.0)
-                client.ask(100 + attempt, "r1", rank=2, remaining_ms=3000.0)
-            await asyncio.sleep(1.0)
-            return replica.count("query_cancelled"), _started(replica)
-
-        cancelled, started = virtual.run(scenario())
-        assert cancelled == 0
+        world, replica, client = await _start(
+            min_share=1.0, service_s=lambda rng: 0.05
+        )
+        for attempt in range(20):
+            client.ask(attempt, "r1", remaining_ms=3000.0)
+            client.ask(100 + attempt, "r1", rank=2, remaining_ms=3000.0)
+        await asyncio.sleep(1.0)
+        started = _started(replica)
+        assert replica.count("query_cancelled") == 0
         assert any(attempt >= 100 for attempt in started[:10])
 
-    def test_submission_is_never_preempted(self):
+    async def test_submission_is_never_preempted(self):
         """Guards against cancelling what is not idempotent."""
-
-        async def scenario():
-            world, replica, client = await _start(service_s=lambda rng: 0.1)
-            for attempt in (1, 2):
-                client.reserve(attempt, "r1", rank=2)
-                ready = await client.wait_for(messages.SlotReady, attempt)
-                client.go(attempt, ready.ticket)
-            await asyncio.sleep(0.01)
-            client.ask(9, "r1")
-            await client.wait_for(messages.SubReply, 9)
-            return replica.count("submit_cancelled")
-
-        assert virtual.run(scenario()) == 0
+        world, replica, client = await _start(service_s=lambda rng: 0.1)
+        for attempt in (1, 2):
+            client.reserve(attempt, "r1", rank=2)
+            ready = await client.wait_for(messages.SlotReady, attempt)
+            client.go(attempt, ready.ticket)
+        await asyncio.sleep(0.01)
+        client.ask(9, "r1")
+        await client.wait_for(messages.SubReply, 9)
+        assert replica.count("submit_cancelled") == 0
 
     def test_budget_bounds_the_rate(self):
         """Guards against a class that is cancelled all the time."""
@@ -593,61 +514,45 @@
             spent += budget.spend()
         assert 250 <= spent <= 270
 
-    def test_empty_budget_preempts_nothing(self):
+    async def test_empty_budget_preempts_nothing(self):
         """Guards against a budget that is counted and not applied."""
-
-        async def scenario():
-            world, replica, client = await self._occupied()
-            service = world.kernels_by_id["i1"].plugin("dispatch")
-            dispatcher = service._dispatchers_by_replica["r1"]
-            dispatcher._preemptions = limits.TokenBudget(0.0, 0)
-            client.ask(9, "r1")
-            await client.wait_for(messages.SubReply, 9)
-            return replica.count("query_cancelled")
-
-        assert virtual.run(scenario()) == 0
-
-    def test_waiting_call_at_the_replica_is_recalled(self):
+        world, replica, client = await self._occupied()
+        service = world.kernels_by_id["i1"].plugin("dispatch")
+        dispatcher = service._dispatchers_by_replica["r1"]
+        dispatcher._preemptions = limits.TokenBudget(0.0, 0)
+        client.ask(9, "r1")
+        await client.wait_for(messages.SubReply, 9)
+        assert replica.count("query_cancelled") == 0
+
+    async def test_waiting_call_at_the_replica_is_recalled(self):
         """Guards against a lower class that is ahead in the FIFO queue."""
-
-        async def scenario():
-            _, replica, client = await self._occupied(calls=3, preemption=False)
-            client.ask(9, "r1", remaining_ms=3000.0)
-            await asyncio.sleep(0.6)
-            return _started(replica)
-
-        assert virtual.run(scenario()) == [0, 1, 9, 2]
+        _, replica, client = await self._occupied(calls=3, preemption=False)
+        client.ask(9, "r1", remaining_ms=3000.0)
+        await asyncio.sleep(0.6)
+        assert _started(replica) == [0, 1, 9, 2]
 
 
 class TestNotices:
     """Entries learn which attempts wait for a slot."""
 
-    def test_waiting_attempts_are_reported(self):
+    async def test_waiting_attempts_are_reported(self):
         """Guards against hedges that a long queue causes."""
-
-        async def scenario():
-            _, _, client = await _start(service_s=lambda rng: 0.05)
-            for attempt in range(5):
-                client.ask(attempt, "r1")
-            await asyncio.sleep(0.04)
-            return client.of(messages.SubQueued)
-
-        notices = virtual.run(scenario())
+        _, _, client = await _start(service_s=lambda rng: 0.05)
+        for attempt in range(5):
+            client.ask(attempt, "r1")
+        await asyncio.sleep(0.04)
+        notices = client.of(messages.SubQueued)
         attempts = [a for notice in notices for a in notice.attempts]
         assert sorted(attempts) == [3, 4]
         assert all(notice.queue_delay_ms > 0 for notice in notices)
 
-    def test_attempts_that_have_started_are_not_reported(self):
+    async def test_attempts_that_have_started_are_not_reported(self):
         """Guards against a hedge that is held back without a queue."""
-
-        async def scenario():
-            _, _, client = await _start()
-            client.ask(0, "r1")
-            client.ask(1, "r1")
-            await asyncio.sleep(0.0095)
-            for attempt in range(2, 5):
-                client.ask(attempt, "r1")
-            await asyncio.sleep(0.1)
-            return client.of(messages.SubQueued)
-
-        assert virtual.run(scenario()) == []
+        _, _, client = await _start()
+        client.ask(0, "r1")
+        client.ask(1, "r1")
+        await asyncio.sleep(0.0095)
+        for attempt in range(2, 5):
+            client.ask(attempt, "r1")
+        await asyncio.sleep(0.1)
+        assert client.of(messages.SubQueued) == []
--- a/tests/test_dispatch_slots.py
+++ b/tests/test_dispatch_slots.py
@@ -38,116 +38,82 @@
 class TestTicket:
     """Exactly one `SlotGo` in time reaches the upstream."""
 
-    def test_go_in_time_runs_once(self):
+    async def test_go_in_time_runs_once(self):
         """Guards against a submission that is lost or sent twice."""
-
-        async def scenario():
-            _, replica, client = await _start()
-            client.reserve(1, "r1")
-            ready = await client.wait_for(messages.SlotReady)
-            client.go(1, ready.ticket)
-            outcome = await client.wait_for(messages.SlotOutcome)
-            return replica, outcome
-
-        replica, outcome = virtual.run(scenario())
+        _, replica, client = await _start()
+        client.reserve(1, "r1")
+        ready = await client.wait_for(messages.SlotReady)
+        client.go(1, ready.ticket)
+        outcome = await client.wait_for(messages.SlotOutcome)
         assert outcome.state is messages.SlotState.DONE
         assert outcome.reply == b'"x"'
         assert replica.count("submit_started") == 1
 
-    def test_late_go_is_not_sent(self):
+    async def test_late_go_is_not_sent(self):
         """Guards against a ticket that is used after its expiry."""
-
-        async def scenario():
-            _, replica, client = await _start()
-            client.reserve(1, "r1")
-            ready = await client.wait_for(messages.SlotReady)
-            await asyncio.sleep(reservations.TICKET_S + 0.001)
-            client.go(1, ready.ticket)
-            await asyncio.sleep(0.1)
-            return replica, _states(client)
-
-        replica, states = virtual.run(scenario())
-        assert set(states) == {NOT_SENT}
+        _, replica, client = await _start()
+        client.reserve(1, "r1")
+        ready = await client.wait_for(messages.SlotReady)
+        await asyncio.sleep(reservations.TICKET_S + 0.001)
+        client.go(1, ready.ticket)
+        await asyncio.sleep(0.1)
+        assert set(_states(client)) == {NOT_SENT}
         assert replica.count("submit_started") == 0
 
-    def test_expiry_answers_and_frees_the_slot(self):
+    async def test_expiry_answers_and_frees_the_slot(self):
         """Guards against a slot that a silent issuer holds for ever."""
-
-        async def scenario():
-            world, _, client = await _start()
-            client.reserve(1, "r1")
-            await client.wait_for(messages.SlotReady)
-            held = _dump(world)["held"]
-            outcome = await client.wait_for(messages.SlotOutcome)
-            return held, outcome.state, _dump(world)["held"]
-
-        assert virtual.run(scenario()) == (1, NOT_SENT, 0)
-
-    def test_unknown_go_is_not_sent(self):
+        world, _, client = await _start()
+        client.reserve(1, "r1")
+        await client.wait_for(messages.SlotReady)
+        held = _dump(world)["held"]
+        outcome = await client.wait_for(messages.SlotOutcome)
+        assert (held, outcome.state, _dump(world)["held"]) == (1, NOT_SENT, 0)
+
+    async def test_unknown_go_is_not_sent(self):
         """Guards against running a body without a reservation."""
-
-        async def scenario():
-            _, replica, client = await _start()
-            client.go(7, 12345)
-            outcome = await client.wait_for(messages.SlotOutcome)
-            return replica, outcome
-
-        replica, outcome = virtual.run(scenario())
+        _, replica, client = await _start()
+        client.go(7, 12345)
+        outcome = await client.wait_for(messages.SlotOutcome)
         assert outcome.state is NOT_SENT
         assert replica.count("submit_started") == 0
 
-    def test_go_with_a_wrong_ticket_ends_the_reservation(self):
+    async def test_go_with_a_wrong_ticket_ends_the_reservation(self):
         """Guards against "not sent" for a reservation that runs later."""
-
-        async def scenario():
-            _, replica, client = await _start()
-            client.reserve(1, "r1")
-            ready = await client.wait_for(messages.SlotReady)
-            client.go(1, ready.ticket + 1)
-            await client.wait_for(messages.SlotOutcome)
-            client.go(1, ready.ticket)
-            await asyncio.sleep(0.05)
-            return replica, _states(client)
-
-        replica, states = virtual.run(scenario())
-        assert set(states) == {NOT_SENT}
+        _, replica, client = await _start()
+        client.reserve(1, "r1")
+        ready = await client.wait_for(messages.SlotReady)
+        client.go(1, ready.ticket + 1)
+        await client.wait_for(messages.SlotOutcome)
+        client.go(1, ready.ticket)
+        await asyncio.sleep(0.05)
+        assert set(_states(client)) == {NOT_SENT}
         assert replica.count("submit_started") == 0
 
-    def test_duplicate_of_a_running_go_is_ignored(self):
+    async def test_duplicate_of_a_running_go_is_ignored(self):
         """Guards against "not sent" for a submission that is running."""
-
-        async def scenario():
-            _, replica, client = await _start(service_s=lambda rng: 0.1)
-            client.reserve(1, "r1")
-            ready = await client.wait_for(messages.SlotReady)
-            for _ in range(3):
-                client.go(1, ready.ticket)
-                await asyncio.sleep(0.01)
-            early = _states(client)
-            await client.wait_for(messages.SlotOutcome)
-            await asyncio.sleep(0.1)
-            return replica, early, _states(client)
-
-        replica, early, states = virtual.run(scenario())
+        _, replica, client = await _start(service_s=lambda rng: 0.1)
+        client.reserve(1, "r1")
+        ready = await client.wait_for(messages.SlotReady)
+        for _ in range(3):
+            client.go(1, ready.ticket)
+            await asyncio.sleep(0.01)
+        early = _states(client)
+        await client.wait_for(messages.SlotOutcome)
+        await asyncio.sleep(0.1)
         assert early == []
-        assert states == [messages.SlotState.DONE]
+        assert _states(client) == [messages.SlotState.DONE]
         assert replica.count("submit_started") == 1
 
-    def test_duplicate_of_an_ended_go_gets_the_true_outcome(self):
+    async def test_duplicate_of_an_ended_go_gets_the_true_outcome(self):
         """Guards against "not sent" after the submission has run."""
-
-        async def scenario():
-            _, replica, client = await _start()
-            client.reserve(1, "r1")
-            ready = await client.wait_for(messages.SlotReady)
-            client.go(1, ready.ticket)
-            await client.wait_for(messages.SlotOutcome)
-            client.go(1, ready.ticket)
-            await asyncio.sleep(0.05)
-            return replica, _states(client)
-
-        replica, states = virtual.run(scenario())
-        assert states == [messages.SlotState.DONE] * 2
+        _, replica, client = await _start()
+        client.reserve(1, "r1")
+        ready = await client.wait_for(messages.SlotReady)
+        client.go(1, ready.ticket)
+        await client.wait_for(messages.SlotOutcome)
+        client.go(1, ready.ticket)
+        await asyncio.sleep(0.05)
+        assert _states(client) == [messages.SlotState.DONE] * 2
         assert replica.count("submit_started") == 1
 
     def test_forgotten_ticket_is_answered_by_silence(self):
@@ -164,25 +130,20 @@
         assert tickets.state(key) is None
         assert tickets.use(key, ticket, 1000.0) is reservations.Use.IGNORE
 
-    def test_stale_ticket_after_a_pause(self):
+    async def test_stale_ticket_after_a_pause(self):
         """Guards against a resumed process that sends what is given up."""
-
-        async def scenario():
-            world, replica, client = await _start()
-            client.reserve(1, "r1")
-            ready = await client.wait_for(messages.SlotReady)
-            client.go(1, ready.ticket)
-            await asyncio.sleep(0.0001)
-            # The message is on its way when the whole process stops. It is
-            # read before any timer, and too soon to count as a pause.
-            asyncio.get_running_loop().advance(0.3)
-            await asyncio.sleep(0.1)
-            return replica, _states(client), _dump(world)["held"]
-
-        replica, states, held = virtual.run(scenario())
-        assert set(states) == {NOT_SENT}
+        world, replica, client = await _start()
+        client.reserve(1, "r1")
+        ready = await client.wait_for(messages.SlotReady)
+        client.go(1, ready.ticket)
+        await asyncio.sleep(0.0001)
+        # The message is on its way when the whole process stops. It is
+        # read before any timer, and too soon to count as a pause.
+        asyncio.get_running_loop().advance(0.3)
+        await asyncio.sleep(0.1)
+        assert set(_states(client)) == {NOT_SENT}
         assert replica.count("submit_started") == 0
-        assert held == 0
+        assert _dump(world)["held"] == 0
 
     def test_use_is_allowed_once(self):
         """Guards against a ticket that a second copy could use."""
@@ -193,177 +154,138 @@
         uses = [tickets.use(key, ticket, 0.1) for _ in range(2)]
         assert uses == [reservations.Use.RUN, reservations.Use.IGNORE]
 
-    def test_pause_voids_a_ticket_that_the_clock_would_allow(self):
+    async def test_pause_voids_a_ticket_that_the_clock_would_allow(self):
         """Guards against a clock that stood still during the pause."""
-
-        async def scenario():
-            world, replica, client = await _start()
-            client.reserve(1, "r1")
-            ready = await client.wait_for(messages.SlotReady)
-            kernel = world.kernels_by_id["i1"]
-            for listener in kernel.pauses._listeners:
-                listener(1.0)
-            client.go(1, ready.ticket)
-            await asyncio.sleep(0.05)
-            return replica, _states(client)
-
-        replica, states = virtual.run(scenario())
-        assert set(states) == {NOT_SENT}
+        world, replica, client = await _start()
+        client.reserve(1, "r1")
+        ready = await client.wait_for(messages.SlotReady)
+        kernel = world.kernels_by_id["i1"]
+        for listener in kernel.pauses._listeners:
+            listener(1.0)
+        client.go(1, ready.ticket)
+        await asyncio.sleep(0.05)
+        assert set(_states(client)) == {NOT_SENT}
         assert replica.count("submit_started") == 0
 
-    def test_go_past_its_deadline_is_not_sent(self):
+    async def test_go_past_its_deadline_is_not_sent(self):
         """Guards against running what the caller has given up."""
-
-        async def scenario():
-            world, replica, client = await _start()
-            client.reserve(1, "r1")
-            ready = await client.wait_for(messages.SlotReady)
-            client.go(1, ready.ticket, remaining_ms=0.0)
-            outcome = await client.wait_for(messages.SlotOutcome)
-            return replica, outcome.state, _dump(world)["held"]
-
-        replica, state, held = virtual.run(scenario())
-        assert state is NOT_SENT
+        world, replica, client = await _start()
+        client.reserve(1, "r1")
+        ready = await client.wait_for(messages.SlotReady)
+        client.go(1, ready.ticket, remaining_ms=0.0)
+        outcome = await client.wait_for(messages.SlotOutcome)
+        assert outcome.state is NOT_SENT
         assert replica.count("submit_started") == 0
-        assert held == 0
+        assert _dump(world)["held"] == 0
 
 
 class TestReservation:
     """A reservation waits in the queue and holds one slot at most."""
 
-    def test_waits_behind_running_queries(self):
+    async def test_waits_behind_running_queries(self):
         """Guards against a reservation that exceeds the slots."""
-
-        async def scenario():
-            world, _, client = await _start(service_s=lambda rng: 0.05)
-            client.ask(1, "r1")
-            client.ask(2, "r1")
-            client.reserve(1, "r1")
-            await asyncio.sleep(0.02)
-            early = client.of(messages.SlotReady)
-            await client.wait_for(messages.SlotReady)
-            dump = _dump(world)
-            return early, dump["running"] + dump["held"]
-
-        early, used = virtual.run(scenario())
+        world, _, client = await _start(service_s=lambda rng: 0.05)
+        client.ask(1, "r1")
+        client.ask(2, "r1")
+        client.reserve(1, "r1")
+        await asyncio.sleep(0.02)
+        early = client.of(messages.SlotReady)
+        await client.wait_for(messages.SlotReady)
+        dump = _dump(world)
         assert early == []
-        assert used <= 2
+        assert (dump["running"] + dump["held"]) <= 2
 
-    def test_duplicate_holds_one_slot(self):
+    async def test_duplicate_holds_one_slot(self):
         """Guards against a repeated message that takes both slots."""
-
-        async def scenario():
-            world, _, client = await _start()
-            for _ in range(3):
-                client.reserve(1, "r1")
-                await asyncio.sleep(0.01)
-            return _dump(world)["held"], len(client.of(messages.SlotReady))
-
-        assert virtual.run(scenario()) == (1, 1)
-
-    def test_duplicate_after_the_end_holds_no_slot(self):
-        """Guards against a late copy that blocks a slot for a ticket."""
-
-        async def scenario():
-            world, _, client = await _start()
+        world, _, client = await _start()
+        for _ in range(3):
             client.reserve(1, "r1")
-            await client.wait_for(messages.SlotReady)
-            client.release(1)
             await asyncio.sleep(0.01)
-            client.reserve(1, "r1")
-            await asyncio.sleep(0.01)
-            return _dump(world)["held"]
-
-        assert virtual.run(scenario()) == 0
+        assert (_dump(world)["held"], len(client.of(messages.SlotReady))) == (
+            1,
+            1,
+        )
 
-    def test_release_that_overtakes_the_reservation(self):
+    async def test_duplicate_after_the_end_holds_no_slot(self):
+        """Guards against a late copy that blocks a slot for a ticket."""
+        world, _, client = await _start()
+        client.reserve(1, "r1")
+        await client.wait_for(messages.SlotReady)
+        client.release(1)
+        await asyncio.sleep(0.01)
+        client.reserve(1, "r1")
+        await asyncio.sleep(0.01)
+        assert _dump(world)["held"] == 0
+
+    async def test_release_that_overtakes_the_reservation(self):
         """Guards against a slot held for an issuer that has gone on."""
-
-        async def scenario():
-            world, _, client = await _start()
-            client.release(1)
-            await asyncio.sleep(0.01)
-            client.reserve(1, "r1")
-            await asyncio.sleep(0.01)
-            return len(client.of(messages.SlotReady))
-
-        assert virtual.run(scenario()) == 0
-
-    def test_release_frees_a_waiting_and_a_held_one(self):
+        world, _, client = await _start()
+        client.release(1)
+        await asyncio.sleep(0.01)
+        client.reserve(1, "r1")
+        await asyncio.sleep(0.01)
+        assert len(client.of(messages.SlotReady)) == 0
+
+    async def test_release_frees_a_waiting_and_a_held_one(self):
         """Guards against slots that are lost by giving up early."""
-
-        async def scenario():
-            world, _, client = await _start()
-            for attempt in range(1, 5):
-                client.reserve(attempt, "r1")
-            await client.wait_for(messages.SlotReady, 2)
-            client.release(1)
-            client.release(3)
-            await client.wait_for(messages.SlotReady, 4, timeout_s=0.1)
-            return _dump(world)["held"], _dump(world)["waiting"]
-
-        assert virtual.run(scenario()) == (2, 0)
-
-    def test_reservations_of_two_incarnations_are_distinct(self):
+        world, _, client = await _start()
+        for attempt in range(1, 5):
+            client.reserve(attempt, "r1")
+        await client.wait_for(messages.SlotReady, 2)
+        client.release(1)
+        client.release(3)
+        await client.wait_for(messages.SlotReady, 4, timeout_s=0.1)
+        assert (_dump(world)["held"], _dump(world)["waiting"]) == (2, 0)
+
+    async def test_reservations_of_two_incarnations_are_distinct(self):
         """Guards against a restarted issuer that is taken for its old self."""
-
-        async def scenario():
-            world, _, client = await _start()
-            client.reserve(1, "r1")
-            await client.wait_for(messages.SlotReady)
-            reborn = dispatch_client.Client(world, "i1", incarnation=901)
-            reborn.reserve(1, "r1")
-            return await reborn.wait_for(messages.SlotReady, timeout_s=0.1)
-
-        assert virtual.run(scenario()).attempt == 1
-
-    def test_answer_for_a_past_incarnation_is_dropped(self):
+        world, _, client = await _start()
+        client.reserve(1, "r1")
+        await client.wait_for(messages.SlotReady)
+        reborn = dispatch_client.Client(world, "i1", incarnation=901)
+        reborn.reserve(1, "r1")
+        assert (
+            await reborn.wait_for(messages.SlotReady, timeout_s=0.1)
+        ).attempt == 1
+
+    async def test_answer_for_a_past_incarnation_is_dropped(self):
         """Guards against an answer taken for that of a new attempt 1."""
-
-        async def scenario():
-            world, _, client = await _start(service_s=lambda rng: 0.05)
-            client.reserve(1, "r1")
-            ready = await client.wait_for(messages.SlotReady)
-            client.go(1, ready.ticket)
-            client.ask(1, "r1")
-            await asyncio.sleep(0.01)
-            view = world.kernels_by_id["i1"].plugin("membership").view
-            view.put(view_lib.Member("client", "d1", "", 901, view_lib.LIVE))
-            await asyncio.sleep(0.1)
-            kernel = world.kernels_by_id["i1"]
-            dropped = kernel.metrics.counted("dispatch_answers_dropped")
-            return len(client.received), dropped
-
+        world, _, client = await _start(service_s=lambda rng: 0.05)
+        client.reserve(1, "r1")
+        ready = await client.wait_for(messages.SlotReady)
+        client.go(1, ready.ticket)
+        client.ask(1, "r1")
+        await asyncio.sleep(0.01)
+        view = world.kernels_by_id["i1"].plugin("membership").view
+        view.put(view_lib.Member("client", "d1", "", 901, view_lib.LIVE))
+        await asyncio.sleep(0.1)
+        kernel = world.kernels_by_id["i1"]
+        dropped = kernel.metrics.counted("dispatch_answers_dropped")
         # Only the ticket has been received.
-        assert virtual.run(scenario()) == (1, 2)
+        assert (len(client.received), dropped) == (1, 2)
 
-    def test_random_losses_and_copies_never_run_twice(self):
+    async def test_random_losses_and_copies_never_run_twice(self):
         """Guards against any order of copies that runs a ticket twice."""
-
-        async def scenario():
-            world, replica, client = await _start()
-            world.network.duplicate_share = 0.5
-            world.network.jitter_s = 0.3
-            rng = random.Random(7)
-            for attempt in range(1, 200):
-                client.reserve(attempt, "r1", remaining_ms=5000.0)
-            answered = set()
-            while len(client.of(messages.SlotOutcome)) < 199:
-                for ready in client.of(messages.SlotReady):
-                    if ready.attempt in answered:
-                        continue
-                    answered.add(ready.attempt)
-                    if rng.random() < 0.1:
-                        client.release(ready.attempt)
-                    else:
-                        client.go(ready.attempt, ready.ticket)
-                await asyncio.sleep(0.01)
-                if asyncio.get_running_loop().time() > 30:
-                    break
-            await asyncio.sleep(1.0)
-            return replica, client
-
-        replica, client = virtual.run(scenario())
+        world, replica, client = await _start()
+        world.network.duplicate_share = 0.5
+        world.network.jitter_s = 0.3
+        rng = random.Random(7)
+        for attempt in range(1, 200):
+            client.reserve(attempt, "r1", remaining_ms=5000.0)
+        answered = set()
+        while len(client.of(messages.SlotOutcome)) < 199:
+            for ready in client.of(messages.SlotReady):
+                if ready.attempt in answered:
+                    continue
+                answered.add(ready.attempt)
+                if rng.random() < 0.1:
+                    client.release(ready.attempt)
+                else:
+                    client.go(ready.attempt, ready.ticket)
+            await asyncio.sleep(0.01)
+            if asyncio.get_running_loop().time() > 30:
+                break
+        await asyncio.sleep(1.0)
         runs = [
             event.request
             for event in replica.journal
@@ -411,22 +333,21 @@
         """Guards against "not sent" when the upstream never answers."""
         assert self._outcome(frozen=True) == (messages.SlotState.MAYBE_RUN, 0)
 
-    def test_fault_of_the_client(self):
+    async def test_fault_of_the_client(self):
         """Guards against a slot lost by an exception of a protocol."""
-
-        async def scenario():
-            world, _, client = await _start()
-
-            async def submit(call):
-                raise KeyError("x")
-
-            client.reserve(1, "r1")
-            ready = await client.wait_for(messages.SlotReady)
-            service = world.kernels_by_id["i1"].plugin("dispatch")
-            dispatcher = service._dispatchers_by_replica["r1"]
-            dispatcher._upstream.submit = submit
-            client.go(1, ready.ticket)
-            outcome = await client.wait_for(messages.SlotOutcome)
-            return outcome.state, _dump(world)["running"]
-
-        assert virtual.run(scenario()) == (messages.SlotState.MAYBE_RUN, 0)
+        world, _, client = await _start()
+
+        async def submit(call):
+            raise KeyError("x")
+
+        client.reserve(1, "r1")
+        ready = await client.wait_for(messages.SlotReady)
+        service = world.kernels_by_id["i1"].plugin("dispatch")
+        dispatcher = service._dispatchers_by_replica["r1"]
+        dispatcher._upstream.submit = submit
+        client.go(1, ready.ticket)
+        outcome = await client.wait_for(messages.SlotOutcome)
+        assert (outcome.state, _dump(world)["running"]) == (
+            messages.SlotState.MAYBE_RUN,
+            0,
+        )
--- a/tests/test_gather_snapshot.py
+++ b/tests/test_gather_snapshot.py
@@ -10,7 +10,6 @@
 from mallowloft.gather import model
 from mallowloft.gather import pinning
 from tests.support import index as index_lib
-from tests.support import virtual
 
 _ONE = model.Shard("svc", "one")
 _TWO = model.Shard("svc", "two")
@@ -40,6 +39,12 @@
     )
 
 
+async def _start() -> index_lib.IndexWorld:
+    world = index_lib.build()
+    await world.start({"i1": "d1", "i2": "d2", "i3": "d3"})
+    return world
+
+
 class TestMerge:
     """Rows are covered only if they are whole, asked for and pinned."""
 
@@ -125,9 +130,7 @@
         reports.observe("a", 2, False, 0.0)
         assert self._choose(reports, _index(v1=["a"], v2=["a"]), 5.0) == 2
 
-    def test_one_query_per_interval_tries_a_version_despite_stale_reports(
-        self,
-    ):
+    def test_one_query_per_interval_tries_a_version_despite_stale_reports(self):
         reports = pinning.VersionReports()
         index = _index(v1=["a"], v2=["a"])
         chosen = []
@@ -166,126 +169,100 @@
 class TestSnapshot:
     """One version per answer while replicas disagree about versions."""
 
-    def _run(self, scenario, **options):
-        async def main():
-            world = index_lib.build(**options)
-            await world.start({"i1": "d1", "i2": "d2", "i3": "d3"})
-            return await scenario(world)
-
-        return virtual.run(main())
-
-    def test_restarts_on_the_version_that_all_shards_serve(self):
-        async def scenario(world):
-            world.set_map(2, world._maps_by_version[1])
-            world.publish_index(1, 2)
-            await asyncio.sleep(0.1)
-            world.serve((1, 2), "svc-0-a", "svc-0-b", "svc-1-a", "svc-1-b")
-            answers = []
-            for _ in range(3):
-                _, outcome = await world.ask("i1")
-                answers.append(outcome.unwrap())
-            return answers
-
-        answers = self._run(scenario)
+    async def test_restarts_on_the_version_that_all_shards_serve(self):
+        world = await _start()
+        world.set_map(2, world._maps_by_version[1])
+        world.publish_index(1, 2)
+        await asyncio.sleep(0.1)
+        world.serve((1, 2), "svc-0-a", "svc-0-b", "svc-1-a", "svc-1-b")
+        answers = []
+        for _ in range(3):
+            _, outcome = await world.ask("i1")
+            answers.append(outcome.unwrap())
         assert [answer.index_version for answer in answers] == [1, 1, 1]
         assert all(answer.coverage == 1 for answer in answers)
         # The first query pays for the restart, the others know.
         assert answers[0].attempts.sent > answers[1].attempts.sent
 
-    def test_sees_a_flip(self):
-        async def scenario(world):
-            world.set_map(2, world._maps_by_version[1])
-            world.publish_index(1, 2)
-            await asyncio.sleep(0.1)
-            versions = []
-            for step in range(100):
-                if step == 10:
-                    world.serve((1, 2))
-                _, outcome = await world.ask("i1")
-                versions.append(outcome.unwrap().index_version)
-                await asyncio.sleep(0.05)
-            return versions
-
-        versions = self._run(scenario)
+    async def test_sees_a_flip(self):
+        world = await _start()
+        world.set_map(2, world._maps_by_version[1])
+        world.publish_index(1, 2)
+        await asyncio.sleep(0.1)
+        versions = []
+        for step in range(100):
+            if step == 10:
+                world.serve((1, 2))
+            _, outcome = await world.ask("i1")
+            versions.append(outcome.unwrap().index_version)
+            await asyncio.sleep(0.05)
         assert set(versions[:10]) == {1}
         assert set(versions[-50:]) == {2}
 
-    def test_states_what_lacks_when_no_version_is_complete(self):
-        async def scenario(world):
-            world.set_map(2, world._maps_by_version[1])
-            world.publish_index(1, 2)
-            await asyncio.sleep(0.1)
-            world.serve((2,), "svc-0-a", "svc-0-b")
-            # Each query finds out about the shards that its restart cut off.
-            for _ in range(4):
-                _, outcome = await world.ask("i1")
-            return outcome.unwrap()
-
-        answer = self._run(scenario)
+    async def test_states_what_lacks_when_no_version_is_complete(self):
+        world = await _start()
+        world.set_map(2, world._maps_by_version[1])
+        world.publish_index(1, 2)
+        await asyncio.sleep(0.1)
+        world.serve((2,), "svc-0-a", "svc-0-b")
+        # Each query finds out about the shards that its restart cut off.
+        for _ in range(4):
+            _, outcome = await world.ask("i1")
+        answer = outcome.unwrap()
         assert answer.index_version == 1
         assert {shard.service for shard in answer.lacking} == {"svc-0"}
         assert set(answer.lacking.values()) == {"wrong_version"}
-        assert {shard.service for shard in answer.results} == {
-            "svc-1",
-            "svc-2",
-        }
-
-    def test_keeps_the_better_run_when_a_restart_gains_less(self):
-        async def scenario(world):
-            world.set_map(2, world._maps_by_version[1])
-            world.publish_index(1, 2)
-            await asyncio.sleep(0.1)
-            world.serve((1,), "svc-0-a", "svc-0-b")
-            world.serve((2,), *(f"svc-{n}-{r}" for n in (1, 2) for r in "ab"))
-            # Its denial comes after the other services have answered.
-            world.holdings.delay_s = {"svc-0-a": 0.05, "svc-0-b": 0.05}
-            _, outcome = await world.ask("i1")
-            return outcome.unwrap()
-
-        answer = self._run(scenario)
+        assert {shard.service for shard in answer.results} == {"svc-1", "svc-2"}
+
+    async def test_keeps_the_better_run_when_a_restart_gains_less(self):
+        world = await _start()
+        world.set_map(2, world._maps_by_version[1])
+        world.publish_index(1, 2)
+        await asyncio.sleep(0.1)
+        world.serve((1,), "svc-0-a", "svc-0-b")
+        world.serve((2,), *(f"svc-{n}-{r}" for n in (1, 2) for r in "ab"))
+        # Its denial comes after the other services have answered.
+        world.holdings.delay_s = {"svc-0-a": 0.05, "svc-0-b": 0.05}
+        _, outcome = await world.ask("i1")
+        answer = outcome.unwrap()
         assert answer.index_version == 2
         assert len(answer.results) == 4
         assert {shard.service for shard in answer.lacking} == {"svc-0"}
 
-    def test_states_a_service_without_a_map_as_lacking(self):
-        async def scenario(world):
-            shards = dict(world._maps_by_version[1])
-            del shards["svc-2"]
-            world.set_map(1, shards)
-            world.publish_index(1)
-            await asyncio.sleep(0.1)
-            _, outcome = await world.ask("i1")
-            return outcome.unwrap()
-
-        answer = self._run(scenario)
+    async def test_states_a_service_without_a_map_as_lacking(self):
+        world = await _start()
+        shards = dict(world._maps_by_version[1])
+        del shards["svc-2"]
+        world.set_map(1, shards)
+        world.publish_index(1)
+        await asyncio.sleep(0.1)
+        _, outcome = await world.ask("i1")
+        answer = outcome.unwrap()
         assert answer.lacking == {model.Shard("svc-2", "*"): "no_shard_map"}
 
     @pytest.mark.parametrize(
         "fault", ["truncating", "garbling", "foreign", "misversioned"]
     )
-    def test_covers_the_shard_from_another_replica(self, fault):
-        async def scenario(world):
-            getattr(world.holdings, fault).update({"svc-0-a", "svc-1-a"})
-            answers = []
-            for instance in ("i1", "i2", "i3"):
-                _, outcome = await world.ask(instance)
-                answers.append(outcome.unwrap())
-            return answers
-
-        answers = self._run(scenario)
+    async def test_covers_the_shard_from_another_replica(self, fault):
+        world = await _start()
+        getattr(world.holdings, fault).update({"svc-0-a", "svc-1-a"})
+        answers = []
+        for instance in ("i1", "i2", "i3"):
+            _, outcome = await world.ask(instance)
+            answers.append(outcome.unwrap())
         assert all(answer.coverage == 1 for answer in answers)
         assert sum(answer.attempts.retries for answer in answers) > 0
 
     @pytest.mark.parametrize(
         "fault", ["truncating", "garbling", "foreign", "misversioned"]
     )
-    def test_states_the_shard_as_lacking_without_another_replica(self, fault):
-        async def scenario(world):
-            getattr(world.holdings, fault).update({"svc-0-a", "svc-0-b"})
-            _, outcome = await world.ask("i1")
-            return outcome.unwrap()
-
-        answer = self._run(scenario)
+    async def test_states_the_shard_as_lacking_without_another_replica(
+        self, fault
+    ):
+        world = await _start()
+        getattr(world.holdings, fault).update({"svc-0-a", "svc-0-b"})
+        _, outcome = await world.ask("i1")
+        answer = outcome.unwrap()
         assert {shard.service for shard in answer.lacking} == {"svc-0"}
         assert set(answer.lacking.values()) == {"invalid_rows"}
 
@@ -293,63 +270,51 @@
 class TestMatching:
     """A reply ends the attempt it names, or nothing."""
 
-    def test_drops_duplicates_and_strangers(self):
-        async def scenario():
-            world = index_lib.build()
-            await world.start({"i1": "d1", "i2": "d2", "i3": "d3"})
-            world.network.duplicate_share = 1.0
-            world.network.jitter_s = 0.02
-            kernel = world.kernels_by_id["i1"]
-            gather = kernel.plugin("gather")
-            asked = [
-                asyncio.create_task(world.ask("i1", deadline_ms=300.0))
-                for _ in range(50)
-            ]
-            await asyncio.sleep(0.001)
-            for number in range(100):
-                for replica in ("svc-0-a", "nobody"):
-                    reply = _reply(
-                        attempt=number, replica=replica, index_version=1
-                    )
-                    world.kernels_by_id["i2"].plugin("peers").send("i1", reply)
-            outcomes = await asyncio.gather(*asked)
-            await asyncio.sleep(1)
-            return outcomes, gather.dump()["attempts_in_flight"]
-
-        outcomes, in_flight = virtual.run(scenario())
+    async def test_drops_duplicates_and_strangers(self):
+        world = index_lib.build()
+        await world.start({"i1": "d1", "i2": "d2", "i3": "d3"})
+        world.network.duplicate_share = 1.0
+        world.network.jitter_s = 0.02
+        kernel = world.kernels_by_id["i1"]
+        gather = kernel.plugin("gather")
+        asked = [
+            asyncio.create_task(world.ask("i1", deadline_ms=300.0))
+            for _ in range(50)
+        ]
+        await asyncio.sleep(0.001)
+        for number in range(100):
+            for replica in ("svc-0-a", "nobody"):
+                reply = _reply(attempt=number, replica=replica, index_version=1)
+                world.kernels_by_id["i2"].plugin("peers").send("i1", reply)
+        outcomes = await asyncio.gather(*asked)
+        await asyncio.sleep(1)
         assert all(outcome.is_ok() for _, outcome in outcomes)
-        assert in_flight == 0
-
-    def test_drops_a_reply_that_names_another_replica(self):
-        async def scenario():
-            world = index_lib.build(services=1, shards=1)
-            for replica in world.replicas_by_id.values():
-                replica.slow_factor = 10.0
-            await world.start({"i1": "d1"})
-            gather = world.kernels_by_id["i1"].plugin("gather")
-            asked = asyncio.create_task(world.ask("i1", target="svc-0"))
-            await asyncio.sleep(0.002)
-            (number,) = gather._running
-            reply = _reply(
-                attempt=number,
-                replica="svc-9-a",
-                index_version=1,
-                results={"s0": b"[]"},
-            )
-            world.kernels_by_id["i1"].plugin("peers").send("i1", reply)
-            return (await asked)[1].unwrap()
-
-        assert virtual.run(scenario()).coverage == 1
-
-    def test_numbers_differ_between_incarnations(self):
-        async def scenario():
-            world = index_lib.build(services=1, shards=1)
-            numbers = []
-            for _ in range(2):
-                kernel = world.kernel("i1", "d1")
-                gather = kernel.plugin("gather")
-                numbers.append(next(gather._numbers))
-            return numbers
-
-        first, second = virtual.run(scenario())
+        assert gather.dump()["attempts_in_flight"] == 0
+
+    async def test_drops_a_reply_that_names_another_replica(self):
+        world = index_lib.build(services=1, shards=1)
+        for replica in world.replicas_by_id.values():
+            replica.slow_factor = 10.0
+        await world.start({"i1": "d1"})
+        gather = world.kernels_by_id["i1"].plugin("gather")
+        asked = asyncio.create_task(world.ask("i1", target="svc-0"))
+        await asyncio.sleep(0.002)
+        (number,) = gather._running
+        reply = _reply(
+            attempt=number,
+            replica="svc-9-a",
+            index_version=1,
+            results={"s0": b"[]"},
+        )
+        world.kernels_by_id["i1"].plugin("peers").send("i1", reply)
+        assert (await asked)[1].unwrap().coverage == 1
+
+    async def test_numbers_differ_between_incarnations(self):
+        world = index_lib.build(services=1, shards=1)
+        numbers = []
+        for _ in range(2):
+            kernel = world.kernel("i1", "d1")
+            gather = kernel.plugin("gather")
+            numbers.append(next(gather._numbers))
+        first, second = numbers
         assert abs(first - second) > 1_000_000
