--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -121,89 +121,72 @@
 class TestListedInstances:
     """The list lags: what it names may be dead."""
 
-    def test_listed_instance_that_never_answers_gets_no_share(self):
-        async def scenario():
-            world = world_lib.World()
-            world.publish({"/operator/fleet": {}})
-            ghost = world.kernel("ghost", "d1")
-            del ghost
-            await world.start(_domains(6))
-            await asyncio.sleep(1.0)
-            for name in _others(world, "ghost"):
-                view = _view(world, name)
-                assert view.state_of("ghost") == view_lib.LISTED
-                chosen = {view.dispatcher_for(f"r{n}", "d1") for n in range(99)}
-                assert chosen == {"i0", "i3"}
-
-        virtual.run(scenario())
-
-    def test_first_messages_lost_while_connections_open(self):
+    async def test_listed_instance_that_never_answers_gets_no_share(self):
+        world = world_lib.World()
+        world.publish({"/operator/fleet": {}})
+        ghost = world.kernel("ghost", "d1")
+        del ghost
+        await world.start(_domains(6))
+        await asyncio.sleep(1.0)
+        for name in _others(world, "ghost"):
+            view = _view(world, name)
+            assert view.state_of("ghost") == view_lib.LISTED
+            chosen = {view.dispatcher_for(f"r{n}", "d1") for n in range(99)}
+            assert chosen == {"i0", "i3"}
+
+    async def test_first_messages_lost_while_connections_open(self):
         """A lost first ping must not leave a live instance out."""
-
-        async def scenario():
-            world = world_lib.World()
-            world.publish({"/operator/fleet": {}})
-            for domain in ("d2", "d3"):
-                world.network.cuts.add(frozenset(("d1", domain)))
-            asyncio.get_running_loop().call_later(
-                0.16, world.network.cuts.clear
-            )
-            await world.start(_domains(30))
-            assert _all_live(world, list(world.kernels_by_id))
-
-        virtual.run(scenario())
-
-    def test_instance_gone_from_list_and_silent_is_forgotten(self):
+        world = world_lib.World()
+        world.publish({"/operator/fleet": {}})
+        for domain in ("d2", "d3"):
+            world.network.cuts.add(frozenset(("d1", domain)))
+        asyncio.get_running_loop().call_later(0.16, world.network.cuts.clear)
+        await world.start(_domains(30))
+        assert _all_live(world, list(world.kernels_by_id))
+
+    async def test_instance_gone_from_list_and_silent_is_forgotten(self):
         """Without this, 570 replaced instances a day fill the memory."""
-
-        async def scenario():
-            world = await _start(8)
-            await faults.kill(world, "i4")
-            await faults.kill(world, "i5")
-            del world.kernels_by_id["i4"]
-            world.list_instances()
-            await asyncio.sleep(65)
-            for name in _others(world, "i4", "i5"):
-                members = _view(world, name).members_by_id
-                assert "i4" not in members
-                assert members["i5"].state == view_lib.SUSPECT
-
-        virtual.run(scenario())
-
-    def test_members_are_learned_from_peers_while_the_platform_is_down(self):
-        async def scenario():
-            world = await _start(8)
-            world.platform_down = True
-            kernel = world.kernel("new", "d1", peers="i1@d2=tcp://i1")
-            await kernel.start()
-            await faults.until(
-                lambda: _all_live(world, list(world.kernels_by_id)), 1.0
-            )
-
-        virtual.run(scenario())
+        world = await _start(8)
+        await faults.kill(world, "i4")
+        await faults.kill(world, "i5")
+        del world.kernels_by_id["i4"]
+        world.list_instances()
+        await asyncio.sleep(65)
+        for name in _others(world, "i4", "i5"):
+            members = _view(world, name).members_by_id
+            assert "i4" not in members
+            assert members["i5"].state == view_lib.SUSPECT
+
+    async def test_members_are_learned_from_peers_while_the_platform_is_down(
+        self,
+    ):
+        world = await _start(8)
+        world.platform_down = True
+        kernel = world.kernel("new", "d1", peers="i1@d2=tcp://i1")
+        await kernel.start()
+        await faults.until(
+            lambda: _all_live(world, list(world.kernels_by_id)), 1.0
+        )
 
 
 class TestDump:
     """The state that operators ask for is valid JSON."""
 
-    def test_dump_is_json_in_every_state_of_members(self):
-        async def scenario():
-            world = world_lib.World()
-            world.publish({"/operator/fleet": {}})
-            world.kernel("ghost", "d1")
-            await world.start(_domains(6))
-            await faults.kill(world, "i4")
-            await asyncio.sleep(1)
-            world.publish({"/teams/a/query": {"min_coverage": 9}})
-            await asyncio.sleep(1)
-            dump = world.kernels_by_id["i0"].dump()
-            text = json.dumps(dump, allow_nan=False)
-            assert "min_coverage" in text
-            members = dump["plugins"]["membership"]["members"]
-            assert members["ghost"]["state"] == view_lib.LISTED
-            assert members["i4"]["state"] == view_lib.SUSPECT
-
-        virtual.run(scenario())
+    async def test_dump_is_json_in_every_state_of_members(self):
+        world = world_lib.World()
+        world.publish({"/operator/fleet": {}})
+        world.kernel("ghost", "d1")
+        await world.start(_domains(6))
+        await faults.kill(world, "i4")
+        await asyncio.sleep(1)
+        world.publish({"/teams/a/query": {"min_coverage": 9}})
+        await asyncio.sleep(1)
+        dump = world.kernels_by_id["i0"].dump()
+        text = json.dumps(dump, allow_nan=False)
+        assert "min_coverage" in text
+        members = dump["plugins"]["membership"]["members"]
+        assert members["ghost"]["state"] == view_lib.LISTED
+        assert members["i4"]["state"] == view_lib.SUSPECT
 
 
 class TestFailover:
@@ -212,320 +195,267 @@
     @pytest.mark.parametrize(
         ("count", "domains", "seed"), [(8, 4, 1), (8, 3, 2), (120, 3, 3)]
     )
-    def test_every_view_drops_a_killed_instance(self, count, domains, seed):
-        async def scenario():
-            world = await _start(count, seed, domains)
-            victims = list(world.kernels_by_id)[:: max(1, count // 4)]
-            for victim in victims:
-                world.kill(victim)
-                others = _others(world, *victims[: victims.index(victim) + 1])
-                await faults.until(
-                    lambda victim=victim, others=others: (
-                        not any(
-                            victim in _view(world, name).live()
-                            for name in others
-                        )
-                    ),
-                    0.5,
-                )
-
-        virtual.run(scenario())
-
-    def test_members_that_fail_together_stay_suspected(self):
-        """The failure of a rack must not look like a cut that has healed."""
-
-        async def scenario():
-            world = await _start(72)
-            victims = [n for n, d in _domains(72).items() if d == "d2"][:6]
-            others = _others(world, *victims)
-            for victim in victims:
-                world.kill(victim)
-
-            def gone() -> bool:
-                return not any(
-                    set(victims) & set(_view(world, name).live())
-                    for name in others
-                )
-
-            await faults.until(gone, 0.6)
-            for _ in range(100):
-                await asyncio.sleep(0.02)
-                assert gone()
-
-        virtual.run(scenario())
-
-    def test_only_instance_of_a_domain(self):
-        """No neighbour of its own domain can notice its end."""
-
-        async def scenario():
-            world = world_lib.World()
-            world.publish({"/operator/fleet": {}})
-            domains = {f"i{n}": "d1" for n in range(9)}
-            domains |= {"alone": "d2", "x": "d3", "y": "d4", "z": "d5"}
-            await world.start(domains)
-            await asyncio.sleep(0.5)
-            await faults.kill(world, "alone")
-            others = _others(world, "alone")
+    async def test_every_view_drops_a_killed_instance(
+        self, count, domains, seed
+    ):
+        world = await _start(count, seed, domains)
+        victims = list(world.kernels_by_id)[:: max(1, count // 4)]
+        for victim in victims:
+            world.kill(victim)
+            others = _others(world, *victims[: victims.index(victim) + 1])
             await faults.until(
-                lambda: (
+                lambda victim=victim, others=others: (
                     not any(
-                        "alone" in _view(world, name).live() for name in others
+                        victim in _view(world, name).live() for name in others
                     )
                 ),
                 0.5,
             )
-            assert _view(world, "i0").dispatcher_for("r", "d2") in others
-
-        virtual.run(scenario())
 
-    def test_silent_peer_with_outstanding_requests(self):
-        """A cut between domains shows at the requests that cross it."""
-
-        async def scenario():
-            world = await _start(9)
-            world.network.cuts.add(frozenset(("i0", "i1")))
-            membership = world.kernels_by_id["i0"].plugin("membership")
-            membership.expect("i1")
-            await faults.until(lambda: "i1" not in membership.view.live(), 0.5)
-            assert all(
-                "i1" in _view(world, name).live()
-                for name in _others(world, "i0")
+    async def test_members_that_fail_together_stay_suspected(self):
+        """The failure of a rack must not look like a cut that has healed."""
+        world = await _start(72)
+        victims = [n for n, d in _domains(72).items() if d == "d2"][:6]
+        others = _others(world, *victims)
+        for victim in victims:
+            world.kill(victim)
+
+        def gone() -> bool:
+            return not any(
+                set(victims) & set(_view(world, name).live()) for name in others
             )
 
-        virtual.run(scenario())
+        await faults.until(gone, 0.6)
+        for _ in range(100):
+            await asyncio.sleep(0.02)
+            assert gone()
 
-    def test_one_broken_link_convinces_nobody_else(self):
+    async def test_only_instance_of_a_domain(self):
+        """No neighbour of its own domain can notice its end."""
+        world = world_lib.World()
+        world.publish({"/operator/fleet": {}})
+        domains = {f"i{n}": "d1" for n in range(9)}
+        domains |= {"alone": "d2", "x": "d3", "y": "d4", "z": "d5"}
+        await world.start(domains)
+        await asyncio.sleep(0.5)
+        await faults.kill(world, "alone")
+        others = _others(world, "alone")
+        await faults.until(
+            lambda: (
+                not any("alone" in _view(world, name).live() for name in others)
+            ),
+            0.5,
+        )
+        assert _view(world, "i0").dispatcher_for("r", "d2") in others
+
+    async def test_silent_peer_with_outstanding_requests(self):
+        """A cut between domains shows at the requests that cross it."""
+        world = await _start(9)
+        world.network.cuts.add(frozenset(("i0", "i1")))
+        membership = world.kernels_by_id["i0"].plugin("membership")
+        membership.expect("i1")
+        await faults.until(lambda: "i1" not in membership.view.live(), 0.5)
+        assert all(
+            "i1" in _view(world, name).live() for name in _others(world, "i0")
+        )
+
+    async def test_one_broken_link_convinces_nobody_else(self):
         """An accuser with a broken link must not shift the share."""
-
-        async def scenario():
-            world = await _start(9)
-            world.network.cuts.add(frozenset(("i0", "i3")))
-            for _ in range(300):
-                await asyncio.sleep(0.01)
-                for name in _others(world, "i0", "i3"):
-                    live = _view(world, name).live()
-                    assert {"i0", "i3"} <= set(live)
-            assert "i3" not in _view(world, "i0").live()
-            assert world.network.messages_by_type["Suspected"] > 0
-
-        virtual.run(scenario())
+        world = await _start(9)
+        world.network.cuts.add(frozenset(("i0", "i3")))
+        for _ in range(300):
+            await asyncio.sleep(0.01)
+            for name in _others(world, "i0", "i3"):
+                live = _view(world, name).live()
+                assert {"i0", "i3"} <= set(live)
+        assert "i3" not in _view(world, "i0").live()
+        assert world.network.messages_by_type["Suspected"] > 0
 
 
 class TestLeaving:
     """A planned stop takes effect at once and lasts for that incarnation."""
 
-    def test_leaving_acts_at_once(self):
-        async def scenario():
-            world = await _start(9)
-            kernel = world.kernels_by_id["i4"]
-            kernel.plugin("submissions").successor = lambda: "i1"
-            stopping = asyncio.create_task(kernel.stop(1.0))
-            await faults.until(
-                lambda: all(
-                    _view(world, name).state_of("i4") == view_lib.LEAVING
-                    for name in _others(world, "i4")
-                ),
-                0.01,
-                0.001,
-            )
-            membership = world.kernels_by_id["i1"].plugin("membership")
-            assert membership.successor_of("i4") == "i1"
-            await stopping
-
-        virtual.run(scenario())
-
-    def test_leaving_is_sent_before_any_plug_in_stops(self):
-        async def scenario():
-            world = await _start(6)
-            kernel = world.kernels_by_id["i4"]
-            left_first = []
-
-            async def stop(grace_s):
-                membership = kernel.plugin("membership")
-                left_first.append(membership.view.state_of("i4"))
-
-            kernel.plugin("submissions").stop = stop
-            await kernel.stop(1.0)
-            assert left_first == [view_lib.LEAVING]
-
-        virtual.run(scenario())
-
-    def test_restarted_instance_is_live_and_old_messages_change_nothing(self):
-        async def scenario():
-            world = await _start(9)
-            old = world.kernels_by_id["i4"].incarnation
-            await world.kernels_by_id["i4"].stop(0.1)
-            kernel = await faults.restart(world, "i4")
-            await faults.until(
-                lambda: _all_live(world, list(world.kernels_by_id)), 1.0
-            )
-            for name in _others(world, "i4"):
-                membership = world.kernels_by_id[name].plugin("membership")
-                membership.heard("i4", old)
-                member = membership.view.members_by_id["i4"]
-                assert member.incarnation == kernel.incarnation
-                assert member.state == view_lib.LIVE
-
-        virtual.run(scenario())
-
-    def test_list_entry_leaving(self):
-        async def scenario():
-            world = await _start(9)
-            world.list_instances("i4")
-            await faults.until(
-                lambda: all(
-                    "i4" not in _view(world, name).live()
-                    for name in _others(world, "i4")
-                ),
-                1.5,
-            )
-            world.list_instances()
-            await faults.until(
-                lambda: _all_live(world, list(world.kernels_by_id)), 1.5
-            )
-
-        virtual.run(scenario())
+    async def test_leaving_acts_at_once(self):
+        world = await _start(9)
+        kernel = world.kernels_by_id["i4"]
+        kernel.plugin("submissions").successor = lambda: "i1"
+        stopping = asyncio.create_task(kernel.stop(1.0))
+        await faults.until(
+            lambda: all(
+                _view(world, name).state_of("i4") == view_lib.LEAVING
+                for name in _others(world, "i4")
+            ),
+            0.01,
+            0.001,
+        )
+        membership = world.kernels_by_id["i1"].plugin("membership")
+        assert membership.successor_of("i4") == "i1"
+        await stopping
+
+    async def test_leaving_is_sent_before_any_plug_in_stops(self):
+        world = await _start(6)
+        kernel = world.kernels_by_id["i4"]
+        left_first = []
+
+        async def stop(grace_s):
+            membership = kernel.plugin("membership")
+            left_first.append(membership.view.state_of("i4"))
+
+        kernel.plugin("submissions").stop = stop
+        await kernel.stop(1.0)
+        assert left_first == [view_lib.LEAVING]
+
+    async def test_restarted_instance_is_live_and_old_messages_change_nothing(
+        self,
+    ):
+        world = await _start(9)
+        old = world.kernels_by_id["i4"].incarnation
+        await world.kernels_by_id["i4"].stop(0.1)
+        kernel = await faults.restart(world, "i4")
+        await faults.until(
+            lambda: _all_live(world, list(world.kernels_by_id)), 1.0
+        )
+        for name in _others(world, "i4"):
+            membership = world.kernels_by_id[name].plugin("membership")
+            membership.heard("i4", old)
+            member = membership.view.members_by_id["i4"]
+            assert member.incarnation == kernel.incarnation
+            assert member.state == view_lib.LIVE
+
+    async def test_list_entry_leaving(self):
+        world = await _start(9)
+        world.list_instances("i4")
+        await faults.until(
+            lambda: all(
+                "i4" not in _view(world, name).live()
+                for name in _others(world, "i4")
+            ),
+            1.5,
+        )
+        world.list_instances()
+        await faults.until(
+            lambda: _all_live(world, list(world.kernels_by_id)), 1.5
+        )
 
 
 class TestPartition:
     """A cut-off domain expires and comes back without an operator."""
 
-    def test_cut_and_heal(self):
-        async def scenario():
-            world = await _start(45)
-            for other in ("d2", "d3"):
-                world.network.cuts.add(frozenset(("d1", other)))
-            near = [n for n, d in _domains(45).items() if d == "d1"]
-            far = _others(world, *near)
-            await faults.until(
-                lambda: (
-                    all(
-                        set(_view(world, name).live()) == set(near)
-                        for name in near
-                    )
-                    and all(
-                        set(_view(world, name).live()) == set(far)
-                        for name in far
-                    )
-                ),
-                2.5,
-            )
-            await asyncio.sleep(2)
-            world.network.cuts.clear()
-            await faults.until(
-                lambda: _all_live(world, list(world.kernels_by_id)), 0.3
-            )
-
-        virtual.run(scenario())
-
-    def test_isolated_instance_rejoins(self):
-        async def scenario():
-            world = await _start(9)
-            for name in _others(world, "i2"):
-                world.network.cuts.add(frozenset(("i2", name)))
-            await asyncio.sleep(65)
-            assert _view(world, "i2").live() == ["i2"]
-            world.network.cuts.clear()
-            await faults.until(
-                lambda: _all_live(world, list(world.kernels_by_id)), 3.0
-            )
-
-        virtual.run(scenario())
+    async def test_cut_and_heal(self):
+        world = await _start(45)
+        for other in ("d2", "d3"):
+            world.network.cuts.add(frozenset(("d1", other)))
+        near = [n for n, d in _domains(45).items() if d == "d1"]
+        far = _others(world, *near)
+        await faults.until(
+            lambda: (
+                all(
+                    set(_view(world, name).live()) == set(near) for name in near
+                )
+                and all(
+                    set(_view(world, name).live()) == set(far) for name in far
+                )
+            ),
+            2.5,
+        )
+        await asyncio.sleep(2)
+        world.network.cuts.clear()
+        await faults.until(
+            lambda: _all_live(world, list(world.kernels_by_id)), 0.3
+        )
+
+    async def test_isolated_instance_rejoins(self):
+        world = await _start(9)
+        for name in _others(world, "i2"):
+            world.network.cuts.add(frozenset(("i2", name)))
+        await asyncio.sleep(65)
+        assert _view(world, "i2").live() == ["i2"]
+        world.network.cuts.clear()
+        await faults.until(
+            lambda: _all_live(world, list(world.kernels_by_id)), 3.0
+        )
 
 
 class TestPause:
     """A resumed process trusts nothing that it believed before."""
 
-    def test_not_ready_until_a_peer_has_answered(self):
-        async def scenario():
-            world = world_lib.World()
-            world.publish({"/operator/fleet": {}})
-            kernel = world.kernel("p", "d1")
-            faults.make_pausable(kernel)
-            await world.start(_domains(9))
-            world.list_instances()
-            await kernel.start()
-            await faults.until(kernel.ready, 2.0)
-            faults.pause(world, "p")
-            await asyncio.sleep(3.0)
-            assert "p" not in _view(world, "i0").live()
-            await faults.kill(world, "i0")
-            faults.resume(world, "p")
-            assert not kernel.ready()
-            await faults.until(kernel.ready, 1.0)
-            assert "i0" not in _view(world, "p").live()
-            assert set(_view(world, "p").live()) >= set(_others(world, "i0"))
-            await faults.until(
-                lambda: all(
-                    "p" in _view(world, name).live()
-                    for name in _others(world, "i0")
-                ),
-                1.0,
-            )
-
-        virtual.run(scenario())
-
-    def test_silence_during_the_pause_makes_no_suspect(self):
-        async def scenario():
-            world = world_lib.World()
-            world.publish({"/operator/fleet": {}})
-            kernel = world.kernel("p", "d1")
-            faults.make_pausable(kernel)
-            await world.start(_domains(9))
-            world.list_instances()
-            await kernel.start()
-            await faults.until(kernel.ready, 2.0)
-            faults.pause(world, "p")
-            await asyncio.sleep(3.0)
-            faults.resume(world, "p")
-            await asyncio.sleep(1.0)
-            counted = kernel.metrics.counted(
-                "member_transitions", state=view_lib.SUSPECT
-            )
-            assert counted == 0
-
-        virtual.run(scenario())
-
-    def test_ready_again_when_nobody_can_be_reached(self):
-        async def scenario():
-            world = world_lib.World()
-            world.publish({"/operator/fleet": {}})
-            kernel = world.kernel("p", "d1")
-            faults.make_pausable(kernel)
-            await world.start(_domains(3))
-            await kernel.start()
-            await faults.until(kernel.ready, 2.0)
-            faults.pause(world, "p")
-            await asyncio.sleep(3.0)
-            world.platform_down = True
-            # An answer from before the pause proves nothing.
-            stale = messages.Pong(1, 0.0, bytes(16), True)
-            world.kernels_by_id["i0"].plugin("peers").send("p", stale)
-            await asyncio.sleep(0.01)
-            faults.resume(world, "p")
-            for name in _others(world, "p"):
-                world.network.cuts.add(frozenset(("p", name)))
-            waited_s = await faults.until(kernel.ready, 4.0)
-            assert waited_s > 0.5
-
-        virtual.run(scenario())
+    async def test_not_ready_until_a_peer_has_answered(self):
+        world = world_lib.World()
+        world.publish({"/operator/fleet": {}})
+        kernel = world.kernel("p", "d1")
+        faults.make_pausable(kernel)
+        await world.start(_domains(9))
+        world.list_instances()
+        await kernel.start()
+        await faults.until(kernel.ready, 2.0)
+        faults.pause(world, "p")
+        await asyncio.sleep(3.0)
+        assert "p" not in _view(world, "i0").live()
+        await faults.kill(world, "i0")
+        faults.resume(world, "p")
+        assert not kernel.ready()
+        await faults.until(kernel.ready, 1.0)
+        assert "i0" not in _view(world, "p").live()
+        assert set(_view(world, "p").live()) >= set(_others(world, "i0"))
+        await faults.until(
+            lambda: all(
+                "p" in _view(world, name).live()
+                for name in _others(world, "i0")
+            ),
+            1.0,
+        )
+
+    async def test_silence_during_the_pause_makes_no_suspect(self):
+        world = world_lib.World()
+        world.publish({"/operator/fleet": {}})
+        kernel = world.kernel("p", "d1")
+        faults.make_pausable(kernel)
+        await world.start(_domains(9))
+        world.list_instances()
+        await kernel.start()
+        await faults.until(kernel.ready, 2.0)
+        faults.pause(world, "p")
+        await asyncio.sleep(3.0)
+        faults.resume(world, "p")
+        await asyncio.sleep(1.0)
+        counted = kernel.metrics.counted(
+            "member_transitions", state=view_lib.SUSPECT
+        )
+        assert counted == 0
+
+    async def test_ready_again_when_nobody_can_be_reached(self):
+        world = world_lib.World()
+        world.publish({"/operator/fleet": {}})
+        kernel = world.kernel("p", "d1")
+        faults.make_pausable(kernel)
+        await world.start(_domains(3))
+        await kernel.start()
+        await faults.until(kernel.ready, 2.0)
+        faults.pause(world, "p")
+        await asyncio.sleep(3.0)
+        world.platform_down = True
+        # An answer from before the pause proves nothing.
+        stale = messages.Pong(1, 0.0, bytes(16), True)
+        world.kernels_by_id["i0"].plugin("peers").send("p", stale)
+        await asyncio.sleep(0.01)
+        faults.resume(world, "p")
+        for name in _others(world, "p"):
+            world.network.cuts.add(frozenset(("p", name)))
+        waited_s = await faults.until(kernel.ready, 4.0)
+        assert waited_s > 0.5
 
 
 class TestCost:
     """Control traffic does not grow with the number of instances."""
 
-    def test_suspicion_is_spread_only_by_those_who_noticed(self):
+    async def test_suspicion_is_spread_only_by_those_who_noticed(self):
         """Spread by every receiver, it grows with the square of the fleet."""
-
-        async def scenario():
-            world = await _start(60)
-            world.network.messages_by_type.clear()
-            await faults.kill(world, "i4")
-            await asyncio.sleep(1)
-            # Two ring neighbours and those whose turn it was to ping.
-            return world.network.messages_by_type["Suspected"] / 58
-
-        assert 1 <= virtual.run(scenario()) <= 8
+        world = await _start(60)
+        world.network.messages_by_type.clear()
+        await faults.kill(world, "i4")
+        await asyncio.sleep(1)
+        # Two ring neighbours and those whose turn it was to ping.
+        assert 1 <= (world.network.messages_by_type["Suspected"] / 58) <= 8
 
     def test_list_reads_grow_with_failure_domains(self):
         async def scenario(count):
