Share the set-up of the dispatch tests

Ruled out: fixtures, because most tests pass options of their own to the world; and the removal of tests, because no two check the same.

Change: tests/support/dispatch_client.py has `start`, `publish`, `dump`, `owner`, `attempts`, and the client's `ask_all`, `ask_paced`, `answer`, `outcomes` and `reserved`. `World.start` takes settings. Three tests of preemption by the age of the call and two of its exclusions are parametrised.

--- a/tests/support/dispatch_client.py
+++ b/tests/support/dispatch_client.py
@@ -1,6 +1,8 @@
 """A bare sender of messages to a dispatcher, with all it got back."""
 
 import asyncio
+from collections.abc import Iterable
+from typing import Any
 
 from mallowloft import messages
 from mallowloft import peers as peers_lib
@@ -8,6 +10,7 @@
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import settings as settings_lib
 from tests.support import network as network_lib
+from tests.support import upstreams as upstreams_lib
 from tests.support import world as world_lib
 
 _REPLIES = (
@@ -78,7 +81,7 @@
     def ask(
         self,
         attempt: int,
-        replica: str,
+        replica: str = "r1",
         rank: int = 0,
         remaining_ms: float = 1000.0,
         service: str = "svc",
@@ -100,10 +103,40 @@
             ),
         )
 
+    def ask_all(self, attempts: Iterable[int], **options: Any) -> None:
+        """Sends sub-requests at once; the options are those of `ask`."""
+        for attempt in attempts:
+            self.ask(attempt, **options)
+
+    async def ask_paced(
+        self, attempts: Iterable[int], pause_s: float = 0.01, **options: Any
+    ) -> None:
+        """Sends sub-requests with a pause after each."""
+        for attempt in attempts:
+            self.ask(attempt, **options)
+            await asyncio.sleep(pause_s)
+
+    async def answer(
+        self, attempt: int, timeout_s: float = 5.0, **options: Any
+    ) -> messages.SubReply:
+        """Sends a sub-request and returns the reply."""
+        self.ask(attempt, **options)
+        return await self.wait_for(messages.SubReply, attempt, timeout_s)
+
+    def outcomes(self, first: int = 0) -> list[messages.Outcome]:
+        """Returns outcomes in order of arrival, from an attempt number on."""
+        replies = self.of(messages.SubReply)
+        return [item.outcome for item in replies if item.attempt >= first]
+
+    async def reserved(self, attempt: int, **options: Any) -> int:
+        """Sends a reservation and returns the ticket that it gets."""
+        self.reserve(attempt, **options)
+        return (await self.wait_for(messages.SlotReady, attempt)).ticket
+
     def reserve(
         self,
         attempt: int,
-        replica: str,
+        replica: str = "r1",
         rank: int = 0,
         remaining_ms: float = 1000.0,
     ) -> None:
@@ -133,3 +166,70 @@
     def cancel(self, *attempts: int) -> None:
         """Cancels queries."""
         self.peers.send(self.to, messages.Cancel(attempts))
+
+
+def publish(
+    world: world_lib.World, replicas: Iterable[str], **options: Any
+) -> None:
+    """Publishes the service with replicas in the first failure domain."""
+    options.setdefault("service_s", lambda rng: 0.003)
+    world.publish_service("svc", dict.fromkeys(replicas, "d1"), **options)
+
+
+async def start(
+    instances: Iterable[str] = ("i1",),
+    replicas: Iterable[str] = ("r1",),
+    settle_s: float = 2.5,
+    preemption: bool = True,
+    fleet: dict[str, Any] | None = None,
+    **options: Any,
+) -> tuple[world_lib.World, upstreams_lib.FakeReplica, Client]:
+    """Starts instances and a service in one failure domain.
+
+    Args:
+        instances: Names of the instances.
+        replicas: Names of the replicas.
+        settle_s: Time after the start. Other instances are learned from the
+            list after the own start, and connections are opened ahead of need.
+        preemption: Setting of the instances.
+        fleet: Fleet document, if one is to be published.
+        **options: Passed to `publish_service`.
+
+    Returns:
+        The world, its replica `r1` and a client of the first instance.
+    """
+    world = world_lib.World()
+    publish(world, replicas, **options)
+    if fleet is not None:
+        world.publish({"/operator/fleet": fleet})
+    names = tuple(instances)
+    await world.start(dict.fromkeys(names, "d1"), preemption=preemption)
+    await asyncio.sleep(settle_s)
+    return world, world.replicas_by_id["r1"], Client(world, names[0])
+
+
+def dump(
+    world: world_lib.World, replica: str = "r1", instance: str = "i1"
+) -> dict[str, Any]:
+    """Returns the state of a replica's dispatcher."""
+    service = world.kernels_by_id[instance].plugin("dispatch")
+    return service.dump()["replicas"][replica]
+
+
+def owner(world: world_lib.World) -> tuple[str, list[str]]:
+    """Returns the instance that owns `r1`, and the others."""
+    (name,) = [
+        name
+        for name, kernel in world.kernels_by_id.items()
+        if "r1" in kernel.plugin("dispatch").dump()["owned"]
+    ]
+    return name, [other for other in world.kernels_by_id if other != name]
+
+
+def attempts(replica: upstreams_lib.FakeReplica, kind: str) -> list[int]:
+    """Returns the attempts of a kind of journal event, in their order."""
+    return [
+        int(event.request.split(".")[2])
+        for event in replica.journal
+        if event.kind == kind
+    ]
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -227,10 +227,12 @@
         self.list_instances()
         await self.run_at(instance, kernel.start())
 
-    async def start(self, domains_by_instance: dict[str, str]) -> None:
+    async def start(
+        self, domains_by_instance: dict[str, str], **settings: Any
+    ) -> None:
         """Builds, lists and starts instances and waits until all are ready."""
         kernels = [
-            self.kernel(instance, domain)
+            self.kernel(instance, domain, **settings)
             for instance, domain in domains_by_instance.items()
         ]
         self.list_instances()
--- a/tests/test_dispatch_direct.py
+++ b/tests/test_dispatch_direct.py
@@ -4,7 +4,6 @@
 
 from mallowloft import messages
 from mallowloft.dispatch import direct
-from tests.support import virtual
 from tests.support import world as world_lib
 
 OK = messages.Outcome.OK
@@ -14,24 +13,13 @@
     world = world_lib.World()
     options.setdefault("service_s", lambda rng: 0.003)
     world.publish_service("svc", {"r1": "d1", "r2": "d2"}, **options)
-    shards = {"svc": {"s1": ["r1", "r2"]}}
-    world.publish(
-        {
-            "/operator/indexes/main": {
-                "versions": [{"version": 1, "shards": shards}]
-            }
-        }
-    )
+    version = {"version": 1, "shards": {"svc": {"s1": ["r1", "r2"]}}}
+    world.publish({"/operator/indexes/main": {"versions": [version]}})
     world.publish_team("team", "paying")
-    for number in range(instances):
-        world.kernel(
-            f"i{number}", f"d{1 + number % 2}", dispatch=mode, hedging=hedging
-        )
-    world.list_instances()
-    for kernel in world.kernels_by_id.values():
-        await kernel.start()
-    while not all(kernel.ready() for kernel in world.kernels_by_id.values()):
-        await asyncio.sleep(0.01)
+    domains = {
+        f"i{number}": f"d{1 + number % 2}" for number in range(instances)
+    }
+    await world.start(domains, dispatch=mode, hedging=hedging)
     await asyncio.sleep(1.5)
     return world
 
@@ -39,30 +27,21 @@
 class TestDirectMode:
     """The setting decides who calls a replica."""
 
-    def _messages(self, mode):
-        async def scenario():
-            world = await _start(mode)
-            answers = [
-                await world.query(name, "team", "svc")
-                for name in world.kernels_by_id
-                for _ in range(5)
-            ]
-            sent = world.network.messages_by_type.get("SubRequest", 0)
-            return answers, sent
+    async def _sub_requests(self, mode):
+        world = await _start(mode)
+        for name in world.kernels_by_id:
+            for _ in range(5):
+                answer = await world.query(name, "team", "svc")
+                assert answer.unwrap().coverage == 1.0
+        return world.network.messages_by_type.get("SubRequest", 0)
 
-        return virtual.run(scenario())
-
-    def test_no_sub_request_leaves_the_instance(self):
+    async def test_no_sub_request_leaves_the_instance(self):
         """Guards against a baseline that still uses dispatchers."""
-        answers, sent = self._messages("direct")
-        assert all(answer.unwrap().coverage == 1.0 for answer in answers)
-        assert sent == 0
+        assert await self._sub_requests("direct") == 0
 
-    def test_dispatcher_mode_uses_the_dispatcher(self):
+    async def test_dispatcher_mode_uses_the_dispatcher(self):
         """Guards against a setting that changes nothing."""
-        answers, sent = self._messages("dispatcher")
-        assert all(answer.unwrap().coverage == 1.0 for answer in answers)
-        assert sent > 0
+        assert await self._sub_requests("dispatcher") > 0
 
     async def test_connections_are_divided_among_instances(self):
         """Guards against a baseline that wins by too many connections."""
@@ -75,10 +54,8 @@
                     for _ in range(4)
                 )
             )
-        peaks = [
-            replica.peak_connections
-            for replica in world.replicas_by_id.values()
-        ]
+        replicas = world.replicas_by_id.values()
+        peaks = [replica.peak_connections for replica in replicas]
         assert max(peaks) <= 25
         assert min(peaks) >= 8
 
@@ -89,7 +66,8 @@
         world.publish_team("other", "background")
         for _ in range(100):
             await world.query("i0", "team", "svc")
-        for replica in world.replicas_by_id.values():
+        replicas = world.replicas_by_id.values()
+        for replica in replicas:
             replica.service_s = lambda rng: 0.05
         low = [
             asyncio.create_task(world.query("i0", "other", "svc"))
@@ -98,13 +76,7 @@
         await asyncio.sleep(0.02)
         await world.query("i0", "team", "svc")
         await asyncio.gather(*low)
-        assert (
-            sum(
-                replica.count("query_cancelled")
-                for replica in world.replicas_by_id.values()
-            )
-            == 0
-        )
+        assert sum(r.count("query_cancelled") for r in replicas) == 0
 
 
 class TestLatencyLimit:
--- a/tests/test_dispatch_queue.py
+++ b/tests/test_dispatch_queue.py
@@ -4,13 +4,13 @@
 import math
 import random
 
+import pytest
+
 from mallowloft import messages
 from mallowloft.dispatch import limits
 from mallowloft.dispatch import queue as queue_lib
 from mallowloft.dispatch import replica as replica_lib
 from tests.support import dispatch_client
-from tests.support import virtual
-from tests.support import world as world_lib
 
 OK = messages.Outcome.OK
 REFUSED = messages.Outcome.REFUSED
@@ -21,6 +21,13 @@
     return queue_lib.Item(key, rank, deadline_s, 0.0, None)
 
 
+def _queue(*items):
+    queue = queue_lib.PriorityQueue(10)
+    for item in items:
+        queue.push(item)
+    return queue
+
+
 def _pop_all(queue):
     keys = []
     while (start := queue.pop()) is not None:
@@ -47,36 +54,15 @@
     __hash__ = float.__hash__
 
 
-async def _start(preemption=True, min_share=0.0, replicas=("r1",), **options):
-    world = world_lib.World()
+async def _start(min_share=0.0, **options):
     options.setdefault("service_s", lambda rng: 0.01)
-    world.publish_service("svc", dict.fromkeys(replicas, "d1"), **options)
-    world.publish({"/operator/fleet": {"min_share": min_share}})
-    kernel = world.kernel("i1", "d1", preemption=preemption)
-    world.list_instances()
-    await kernel.start()
-    while not kernel.ready():
-        await asyncio.sleep(0.01)
-    # Connections to the owned replicas are opened ahead of need.
-    await asyncio.sleep(0.05)
-    return (
-        world,
-        world.replicas_by_id["r1"],
-        dispatch_client.Client(world, "i1"),
+    return await dispatch_client.start(
+        settle_s=0.05, fleet={"min_share": min_share}, **options
     )
 
 
 def _started(replica):
-    """Returns attempts in the order in which the replica started them."""
-    return [
-        int(event.request.split(".")[2])
-        for event in replica.journal
-        if event.kind == "query_started"
-    ]
-
-
-def _metrics(world):
-    return world.kernels_by_id["i1"].metrics
+    return dispatch_client.attempts(replica, "query_started")
 
 
 class TestOrder:
@@ -84,24 +70,21 @@
 
     def test_rank_goes_before_deadline(self):
         """Guards against a lower class that passes by a short deadline."""
-        queue = queue_lib.PriorityQueue(10)
-        queue.push(_item("low", rank=1, deadline_s=0.1))
-        queue.push(_item("late", deadline_s=3.0))
-        queue.push(_item("early", deadline_s=2.0))
+        queue = _queue(
+            _item("low", rank=1, deadline_s=0.1),
+            _item("late", deadline_s=3.0),
+            _item("early", deadline_s=2.0),
+        )
         assert _pop_all(queue) == ["early", "late", "low"]
 
     def test_equal_deadlines_keep_their_order(self):
         """Guards against an old item that newer ones pass for ever."""
-        queue = queue_lib.PriorityQueue(10)
-        for key in "abc":
-            queue.push(_item(key))
+        queue = _queue(*map(_item, "abc"))
         assert _pop_all(queue) == list("abc")
 
     def test_removed_item_is_never_popped(self):
         """Guards against starting what was cancelled."""
-        queue = queue_lib.PriorityQueue(10)
-        for key in "abc":
-            queue.push(_item(key))
+        queue = _queue(*map(_item, "abc"))
         assert queue.remove("b").key == "b"
         assert queue.remove("b") is None
         assert _pop_all(queue) == ["a", "c"]
@@ -164,12 +147,12 @@
 
     async def test_refusal_is_at_once_and_states_when_to_retry(self):
         """Guards against work that waits in vain, and against hammering."""
-        world, _, client = await _start()
-        for attempt in range(replica_lib._QUEUE_LIMIT + 10):
-            client.ask(attempt, "r1", rank=2, remaining_ms=60_000.0)
+        _, _, client = await _start()
+        client.ask_all(
+            range(replica_lib._QUEUE_LIMIT + 10), rank=2, remaining_ms=60_000.0
+        )
         await asyncio.sleep(0.002)
-        for attempt in range(5000, 5005):
-            client.ask(attempt, "r1", rank=0, remaining_ms=60_000.0)
+        client.ask_all(range(5000, 5005), rank=0, remaining_ms=60_000.0)
         await asyncio.sleep(0.002)
         replies = client.of(messages.SubReply)
         assert len(replies) >= 10
@@ -223,8 +206,8 @@
         """Guards against a configured share that does not reach the queue."""
         _, replica, client = await _start(min_share=0.1)
         for attempt in range(200):
-            client.ask(attempt, "r1", rank=0, remaining_ms=9000.0)
-            client.ask(1000 + attempt, "r1", rank=2, remaining_ms=9000.0)
+            client.ask(attempt, rank=0, remaining_ms=9000.0)
+            client.ask(1000 + attempt, rank=2, remaining_ms=9000.0)
         await asyncio.sleep(0.8)
         started = _started(replica)
         assert len(started) > 100
@@ -238,11 +221,10 @@
     async def test_refuses_at_once_what_cannot_start(self):
         """Guards against work that waits only to expire."""
         _, _, client = await _start()
-        for attempt in range(100):
-            client.ask(attempt, "r1", remaining_ms=5000.0)
+        client.ask_all(range(100), remaining_ms=5000.0)
         await asyncio.sleep(0.1)
-        client.ask(500, "r1", remaining_ms=5000.0)
-        client.ask(501, "r1", rank=1, remaining_ms=50.0)
+        client.ask(500, remaining_ms=5000.0)
+        client.ask(501, rank=1, remaining_ms=50.0)
         await asyncio.sleep(0.002)
         replies = client.of(messages.SubReply)
         late = {reply.attempt: reply for reply in replies if reply.attempt > 99}
@@ -253,44 +235,35 @@
     async def test_short_deadline_passes_in_its_class(self):
         """Guards against refusing what earliest deadline first starts."""
         _, _, client = await _start()
-        for attempt in range(100):
-            client.ask(attempt, "r1", remaining_ms=5000.0)
+        client.ask_all(range(100), remaining_ms=5000.0)
         await asyncio.sleep(0.1)
-        client.ask(500, "r1", remaining_ms=50.0)
-        reply = await client.wait_for(messages.SubReply, 500)
+        reply = await client.answer(500, remaining_ms=50.0)
         assert reply.outcome is OK
 
     async def test_estimate_refuses_nothing_while_a_lower_class_waits(self):
         """Guards against an inversion by a wrong estimate."""
-        world, replica, client = await _start()
-        for attempt in range(100):
-            client.ask(attempt, "r1", remaining_ms=5000.0)
-        for attempt in range(100, 104):
-            client.ask(attempt, "r1", rank=2, remaining_ms=9000.0)
+        _, replica, client = await _start()
+        client.ask_all(range(100), remaining_ms=5000.0)
+        client.ask_all(range(100, 104), rank=2, remaining_ms=9000.0)
         await asyncio.sleep(0.1)
         replica.service_s = lambda rng: 0.0001
-        client.ask(500, "r1", rank=1, remaining_ms=100.0)
-        reply = await client.wait_for(messages.SubReply, 500)
+        reply = await client.answer(500, rank=1, remaining_ms=100.0)
         assert reply.outcome is OK
 
     async def test_lower_class_is_not_refused_on_an_idle_replica(self):
         """Guards against an estimate that takes past use for load."""
         _, _, client = await _start()
-        for attempt in range(200):
-            client.ask(attempt, "r1", remaining_ms=5000.0)
+        client.ask_all(range(200), remaining_ms=5000.0)
         await asyncio.sleep(4.0)
-        for attempt in range(500, 506):
-            client.ask(attempt, "r1", rank=2, remaining_ms=60.0)
+        client.ask_all(range(500, 506), rank=2, remaining_ms=60.0)
         await asyncio.sleep(0.1)
-        assert {r.outcome for r in client.of(messages.SubReply)} == {OK}
+        assert set(client.outcomes()) == {OK}
 
     async def test_expired_items_are_answered_and_never_called(self):
         """Guards against work for callers that are gone."""
         _, replica, client = await _start(service_s=lambda rng: 0.2)
-        for attempt in range(3):
-            client.ask(attempt, "r1")
-        client.ask(7, "r1", rank=1, remaining_ms=50.0)
-        reply = await client.wait_for(messages.SubReply, 7)
+        client.ask_all(range(3))
+        reply = await client.answer(7, rank=1, remaining_ms=50.0)
         await asyncio.sleep(1.0)
         assert reply.outcome in (EXPIRED, REFUSED)
         assert 7 not in _started(replica)
@@ -299,21 +272,17 @@
         """Guards against an entry that waits for a replica that hangs."""
         _, replica, client = await _start()
         replica.frozen = True
-        for attempt in range(3):
-            client.ask(attempt, "r1", remaining_ms=3000.0)
+        client.ask_all(range(3), remaining_ms=3000.0)
         await asyncio.sleep(0.01)
-        client.ask(9, "r1", remaining_ms=40.0)
-        reply = await client.wait_for(messages.SubReply, 9, timeout_s=0.1)
-        assert reply.outcome is EXPIRED
+        answer = await client.answer(9, remaining_ms=40.0, timeout_s=0.1)
+        assert answer.outcome is EXPIRED
 
     async def test_overload_does_not_end_in_vain_calls(self):
         """Guards against starting each call just before its deadline."""
         _, _, client = await _start()
-        for attempt in range(600):
-            client.ask(attempt, "r1", remaining_ms=50.0)
-            await asyncio.sleep(0.0025)
+        await client.ask_paced(range(600), 0.0025, remaining_ms=50.0)
         await asyncio.sleep(0.1)
-        outcomes = [r.outcome for r in client.of(messages.SubReply)]
+        outcomes = client.outcomes()
         ok = outcomes.count(OK)
         # Twice the capacity is offered for 1.5 s: 300 calls fit.
         assert ok >= 0.9 * 300
@@ -323,15 +292,11 @@
         """Guards against an estimate that no call can correct any more."""
         _, replica, client = await _start()
         replica.slow_factor = 20.0
-        for attempt in range(8):
-            client.ask(attempt, "r1", remaining_ms=5000.0)
+        client.ask_all(range(8), remaining_ms=5000.0)
         await asyncio.sleep(2.0)
         replica.slow_factor = 1.0
-        for attempt in range(100, 400):
-            client.ask(attempt, "r1", remaining_ms=50.0)
-            await asyncio.sleep(0.01)
-        late = [r for r in client.of(messages.SubReply) if r.attempt > 350]
-        assert {reply.outcome for reply in late} == {OK}
+        await client.ask_paced(range(100, 400), remaining_ms=50.0)
+        assert set(client.outcomes(351)) == {OK}
 
 
 class TestCancel:
@@ -340,8 +305,7 @@
     async def test_waiting_attempt(self):
         """Guards against running what lost its race."""
         _, replica, client = await _start()
-        for attempt in range(6):
-            client.ask(attempt, "r1")
+        client.ask_all(range(6))
         await asyncio.sleep(0.002)
         client.cancel(4)
         await asyncio.sleep(0.2)
@@ -351,23 +315,20 @@
 
     async def test_running_attempt(self):
         """Guards against slots that work for a lost race."""
-        world, replica, client = await _start(service_s=lambda rng: 0.5)
-        for attempt in range(3):
-            client.ask(attempt, "r1")
+        _, replica, client = await _start(service_s=lambda rng: 0.5)
+        client.ask_all(range(3))
         await asyncio.sleep(0.01)
         client.cancel(0)
         await asyncio.sleep(0.01)
-        assert (_started(replica), len(client.of(messages.SubReply))) == (
-            [0, 1, 2],
-            0,
-        )
+        assert _started(replica) == [0, 1, 2]
+        assert client.outcomes() == []
 
     async def test_attempt_of_another_sender_stays(self):
         """Guards against equal attempt numbers of two instances."""
         world, _, client = await _start()
         other = dispatch_client.Client(world, "i1", "other")
-        client.ask(1, "r1")
-        other.ask(1, "r1")
+        client.ask(1)
+        other.ask(1)
         await asyncio.sleep(0.002)
         other.cancel(1)
         assert (await client.wait_for(messages.SubReply, 1)).outcome is OK
@@ -399,77 +360,64 @@
         """Fills both slots with long queries of a class."""
         options.setdefault("service_s", lambda rng: 0.1)
         world, replica, client = await _start(**options)
-        for attempt in range(calls):
-            client.ask(attempt, "r1", rank=rank, remaining_ms=3000.0)
+        client.ask_all(range(calls), rank=rank, remaining_ms=3000.0)
         await asyncio.sleep(0.01)
         return world, replica, client
 
     async def test_starts_at_once_and_the_victim_runs_later(self):
         """Guards against a paying query that waits for a lower one."""
-        world, replica, client = await self._occupied()
+        world, _, client = await self._occupied()
         asked_s = asyncio.get_running_loop().time()
-        client.ask(9, "r1")
-        await client.wait_for(messages.SubReply, 9)
+        await client.answer(9)
         took_s = asyncio.get_running_loop().time() - asked_s
         await asyncio.sleep(0.5)
         replies = client.of(messages.SubReply)
-        wasted = _metrics(world).counted("wasted_slot_seconds")
+        wasted = world.kernels_by_id["i1"].metrics.counted(
+            "wasted_slot_seconds"
+        )
         assert took_s < 0.105
         assert sorted(reply.attempt for reply in replies) == [0, 1, 9]
         assert {reply.outcome for reply in replies} == {OK}
         assert 0.005 < wasted < 0.02
 
-    async def test_setting_switches_it_off(self):
-        """Guards against cancelled work where the operator forbids it."""
-        _, replica, client = await self._occupied(preemption=False)
-        client.ask(9, "r1")
-        await client.wait_for(messages.SubReply, 9)
+    @pytest.mark.parametrize("options", [{"preemption": False}, {"rank": 0}])
+    async def test_not_if_switched_off_or_in_the_same_class(self, options):
+        """Guards against cancelled work that operator or class protects."""
+        _, replica, client = await self._occupied(**options)
+        await client.answer(9)
         assert replica.count("query_cancelled") == 0
 
-    async def test_same_class_is_not_preempted(self):
-        """Guards against work of one class that cancels its own."""
-        _, replica, client = await self._occupied(rank=0)
-        client.ask(9, "r1")
-        await client.wait_for(messages.SubReply, 9)
-        assert replica.count("query_cancelled") == 0
-
-    def _asked_at(self, age_s):
-        """Returns cancelled calls if a paying one meets calls of an age."""
-
-        async def scenario():
-            _, replica, client = await _start(service_s=lambda rng: 0.02)
-            for attempt in range(100, 120):
-                client.ask(attempt, "r1", rank=2, remaining_ms=3000.0)
-            await asyncio.sleep(0.5)
-            replica.service_s = lambda rng: 0.3
-            client.ask(1, "r1", rank=2, remaining_ms=3000.0)
-            client.ask(2, "r1", remaining_ms=3000.0)
-            await asyncio.sleep(age_s)
-            client.ask(9, "r1", remaining_ms=3000.0)
-            await asyncio.sleep(0.005)
-            return replica.count("query_cancelled")
-
-        return virtual.run(scenario())
-
-    def test_slot_shared_with_the_own_class(self):
-        """Guards against waiting for a lower query next to a paying one."""
-        assert self._asked_at(0.005) == 1
-
-    def test_call_that_ends_soon_is_spared(self):
-        """Guards against losing work to save half a service time."""
-        assert self._asked_at(0.03) == 0
-
-    def test_call_of_a_long_kind_is_preempted(self):
-        """Guards against a long lower query that seems to end soon."""
-        assert self._asked_at(0.1) == 1
+    @pytest.mark.parametrize(
+        ("age_s", "cancelled"),
+        [
+            # Waiting for a lower query next to a paying one.
+            (0.005, 1),
+            # Losing work to save half a service time.
+            (0.03, 0),
+            # A long lower query that seems to end soon.
+            (0.1, 1),
+        ],
+        ids=["shares_the_slots", "ends_soon", "of_a_long_kind"],
+    )
+    async def test_age_of_the_call_decides(self, age_s, cancelled):
+        """Guards against cancelling what ends soon, and nothing else."""
+        _, replica, client = await _start(service_s=lambda rng: 0.02)
+        client.ask_all(range(100, 120), rank=2, remaining_ms=3000.0)
+        await asyncio.sleep(0.5)
+        replica.service_s = lambda rng: 0.3
+        client.ask(1, rank=2, remaining_ms=3000.0)
+        client.ask(2, remaining_ms=3000.0)
+        await asyncio.sleep(age_s)
+        client.ask(9, remaining_ms=3000.0)
+        await asyncio.sleep(0.005)
+        assert replica.count("query_cancelled") == cancelled
 
     async def test_victim_past_its_deadline_is_answered(self):
         """Guards against a preempted query that vanishes."""
-        world, replica, client = await _start(service_s=lambda rng: 0.1)
-        for attempt in range(2):
-            client.ask(attempt, "r1", rank=2, remaining_ms=120.0)
+        _, _, client = await _start(service_s=lambda rng: 0.1)
+        client.ask_all(range(2), rank=2, remaining_ms=120.0)
         await asyncio.sleep(0.01)
-        client.ask(9, "r1", remaining_ms=3000.0)
+        client.ask(9, remaining_ms=3000.0)
         await asyncio.sleep(0.4)
         replies = sorted(
             (reply.attempt, reply.outcome)
@@ -482,12 +430,12 @@
 
     async def test_reserved_start_is_not_preempted(self):
         """Guards against taking back the share of the lowest class."""
-        world, replica, client = await _start(
+        _, replica, client = await _start(
             min_share=1.0, service_s=lambda rng: 0.05
         )
         for attempt in range(20):
-            client.ask(attempt, "r1", remaining_ms=3000.0)
-            client.ask(100 + attempt, "r1", rank=2, remaining_ms=3000.0)
+            client.ask(attempt, remaining_ms=3000.0)
+            client.ask(100 + attempt, rank=2, remaining_ms=3000.0)
         await asyncio.sleep(1.0)
         started = _started(replica)
         assert replica.count("query_cancelled") == 0
@@ -495,14 +443,12 @@
 
     async def test_submission_is_never_preempted(self):
         """Guards against cancelling what is not idempotent."""
-        world, replica, client = await _start(service_s=lambda rng: 0.1)
+        _, replica, client = await _start(service_s=lambda rng: 0.1)
         for attempt in (1, 2):
-            client.reserve(attempt, "r1", rank=2)
-            ready = await client.wait_for(messages.SlotReady, attempt)
-            client.go(attempt, ready.ticket)
+            ticket = await client.reserved(attempt, rank=2)
+            client.go(attempt, ticket)
         await asyncio.sleep(0.01)
-        client.ask(9, "r1")
-        await client.wait_for(messages.SubReply, 9)
+        await client.answer(9)
         assert replica.count("submit_cancelled") == 0
 
     def test_budget_bounds_the_rate(self):
@@ -520,14 +466,13 @@
         service = world.kernels_by_id["i1"].plugin("dispatch")
         dispatcher = service._dispatchers_by_replica["r1"]
         dispatcher._preemptions = limits.TokenBudget(0.0, 0)
-        client.ask(9, "r1")
-        await client.wait_for(messages.SubReply, 9)
+        await client.answer(9)
         assert replica.count("query_cancelled") == 0
 
     async def test_waiting_call_at_the_replica_is_recalled(self):
         """Guards against a lower class that is ahead in the FIFO queue."""
         _, replica, client = await self._occupied(calls=3, preemption=False)
-        client.ask(9, "r1", remaining_ms=3000.0)
+        client.ask(9, remaining_ms=3000.0)
         await asyncio.sleep(0.6)
         assert _started(replica) == [0, 1, 9, 2]
 
@@ -538,8 +483,7 @@
     async def test_waiting_attempts_are_reported(self):
         """Guards against hedges that a long queue causes."""
         _, _, client = await _start(service_s=lambda rng: 0.05)
-        for attempt in range(5):
-            client.ask(attempt, "r1")
+        client.ask_all(range(5))
         await asyncio.sleep(0.04)
         notices = client.of(messages.SubQueued)
         attempts = [a for notice in notices for a in notice.attempts]
@@ -549,10 +493,9 @@
     async def test_attempts_that_have_started_are_not_reported(self):
         """Guards against a hedge that is held back without a queue."""
         _, _, client = await _start()
-        client.ask(0, "r1")
-        client.ask(1, "r1")
+        client.ask(0)
+        client.ask(1)
         await asyncio.sleep(0.0095)
-        for attempt in range(2, 5):
-            client.ask(attempt, "r1")
+        client.ask_all(range(2, 5))
         await asyncio.sleep(0.1)
         assert client.of(messages.SubQueued) == []
--- a/tests/test_dispatch_slots.py
+++ b/tests/test_dispatch_slots.py
@@ -7,32 +7,22 @@
 from mallowloft.dispatch import reservations
 from mallowloft.membership import view as view_lib
 from tests.support import dispatch_client
-from tests.support import virtual
-from tests.support import world as world_lib
 
 NOT_SENT = messages.SlotState.NOT_SENT
+_dump = dispatch_client.dump
 
 
 async def _start(**options):
-    """Returns a world of one replica with 2 slots, and a client."""
-    world = world_lib.World()
-    options.setdefault("service_s", lambda rng: 0.003)
-    world.publish_service("svc", {"r1": "d1"}, **options)
-    await world.start({"i1": "d1"})
-    return (
-        world,
-        world.replicas_by_id["r1"],
-        dispatch_client.Client(world, "i1"),
-    )
+    return await dispatch_client.start(settle_s=0.0, **options)
 
 
-def _states(client, attempt=None):
-    outcomes = client.of(messages.SlotOutcome, attempt)
-    return [outcome.state for outcome in outcomes]
+def _states(client):
+    return [outcome.state for outcome in client.of(messages.SlotOutcome)]
 
 
-def _dump(world):
-    return world.kernels_by_id["i1"].plugin("dispatch").dump()["replicas"]["r1"]
+def _assert_not_sent(replica, client):
+    assert set(_states(client)) == {NOT_SENT}
+    assert replica.count("submit_started") == 0
 
 
 class TestTicket:
@@ -41,9 +31,8 @@
     async def test_go_in_time_runs_once(self):
         """Guards against a submission that is lost or sent twice."""
         _, replica, client = await _start()
-        client.reserve(1, "r1")
-        ready = await client.wait_for(messages.SlotReady)
-        client.go(1, ready.ticket)
+        ticket = await client.reserved(1)
+        client.go(1, ticket)
         outcome = await client.wait_for(messages.SlotOutcome)
         assert outcome.state is messages.SlotState.DONE
         assert outcome.reply == b'"x"'
@@ -52,19 +41,16 @@
     async def test_late_go_is_not_sent(self):
         """Guards against a ticket that is used after its expiry."""
         _, replica, client = await _start()
-        client.reserve(1, "r1")
-        ready = await client.wait_for(messages.SlotReady)
+        ticket = await client.reserved(1)
         await asyncio.sleep(reservations.TICKET_S + 0.001)
-        client.go(1, ready.ticket)
+        client.go(1, ticket)
         await asyncio.sleep(0.1)
-        assert set(_states(client)) == {NOT_SENT}
-        assert replica.count("submit_started") == 0
+        _assert_not_sent(replica, client)
 
     async def test_expiry_answers_and_frees_the_slot(self):
         """Guards against a slot that a silent issuer holds for ever."""
         world, _, client = await _start()
-        client.reserve(1, "r1")
-        await client.wait_for(messages.SlotReady)
+        await client.reserved(1)
         held = _dump(world)["held"]
         outcome = await client.wait_for(messages.SlotOutcome)
         assert (held, outcome.state, _dump(world)["held"]) == (1, NOT_SENT, 0)
@@ -73,55 +59,52 @@
         """Guards against running a body without a reservation."""
         _, replica, client = await _start()
         client.go(7, 12345)
-        outcome = await client.wait_for(messages.SlotOutcome)
-        assert outcome.state is NOT_SENT
-        assert replica.count("submit_started") == 0
+        await client.wait_for(messages.SlotOutcome)
+        _assert_not_sent(replica, client)
 
     async def test_go_with_a_wrong_ticket_ends_the_reservation(self):
         """Guards against "not sent" for a reservation that runs later."""
         _, replica, client = await _start()
-        client.reserve(1, "r1")
-        ready = await client.wait_for(messages.SlotReady)
-        client.go(1, ready.ticket + 1)
+        ticket = await client.reserved(1)
+        client.go(1, ticket + 1)
         await client.wait_for(messages.SlotOutcome)
-        client.go(1, ready.ticket)
+        client.go(1, ticket)
         await asyncio.sleep(0.05)
-        assert set(_states(client)) == {NOT_SENT}
-        assert replica.count("submit_started") == 0
+        _assert_not_sent(replica, client)
 
     async def test_duplicate_of_a_running_go_is_ignored(self):
         """Guards against "not sent" for a submission that is running."""
         _, replica, client = await _start(service_s=lambda rng: 0.1)
-        client.reserve(1, "r1")
-        ready = await client.wait_for(messages.SlotReady)
+        ticket = await client.reserved(1)
         for _ in range(3):
-            client.go(1, ready.ticket)
+            client.go(1, ticket)
             await asyncio.sleep(0.01)
-        early = _states(client)
+        assert _states(client) == []
         await client.wait_for(messages.SlotOutcome)
         await asyncio.sleep(0.1)
-        assert early == []
         assert _states(client) == [messages.SlotState.DONE]
         assert replica.count("submit_started") == 1
 
     async def test_duplicate_of_an_ended_go_gets_the_true_outcome(self):
         """Guards against "not sent" after the submission has run."""
         _, replica, client = await _start()
-        client.reserve(1, "r1")
-        ready = await client.wait_for(messages.SlotReady)
-        client.go(1, ready.ticket)
+        ticket = await client.reserved(1)
+        client.go(1, ticket)
         await client.wait_for(messages.SlotOutcome)
-        client.go(1, ready.ticket)
+        client.go(1, ticket)
         await asyncio.sleep(0.05)
         assert _states(client) == [messages.SlotState.DONE] * 2
         assert replica.count("submit_started") == 1
 
-    def test_forgotten_ticket_is_answered_by_silence(self):
-        """Guards against "not sent" when the record of a run is gone."""
+    def _held(self):
         tickets = reservations.Reservations()
         key = reservations.Key("slot", "i", 1, 1)
         tickets.open(key, "r1", 0.0)
-        ticket = tickets.hold(key, 0.0)
+        return tickets, key, tickets.hold(key, 0.0)
+
+    def test_forgotten_ticket_is_answered_by_silence(self):
+        """Guards against "not sent" when the record of a run is gone."""
+        tickets, key, ticket = self._held()
         assert tickets.use(key, ticket, 0.1) is reservations.Use.RUN
         done = messages.SlotOutcome(1, messages.SlotState.DONE, "", b"", 0.0)
         tickets.end(key, 0.2, done)
@@ -133,49 +116,40 @@
     async def test_stale_ticket_after_a_pause(self):
         """Guards against a resumed process that sends what is given up."""
         world, replica, client = await _start()
-        client.reserve(1, "r1")
-        ready = await client.wait_for(messages.SlotReady)
-        client.go(1, ready.ticket)
+        ticket = await client.reserved(1)
+        client.go(1, ticket)
         await asyncio.sleep(0.0001)
         # The message is on its way when the whole process stops. It is
         # read before any timer, and too soon to count as a pause.
         asyncio.get_running_loop().advance(0.3)
         await asyncio.sleep(0.1)
-        assert set(_states(client)) == {NOT_SENT}
-        assert replica.count("submit_started") == 0
+        _assert_not_sent(replica, client)
         assert _dump(world)["held"] == 0
 
     def test_use_is_allowed_once(self):
         """Guards against a ticket that a second copy could use."""
-        tickets = reservations.Reservations()
-        key = reservations.Key("slot", "i", 1, 1)
-        tickets.open(key, "r1", 0.0)
-        ticket = tickets.hold(key, 0.0)
+        tickets, key, ticket = self._held()
         uses = [tickets.use(key, ticket, 0.1) for _ in range(2)]
         assert uses == [reservations.Use.RUN, reservations.Use.IGNORE]
 
     async def test_pause_voids_a_ticket_that_the_clock_would_allow(self):
         """Guards against a clock that stood still during the pause."""
         world, replica, client = await _start()
-        client.reserve(1, "r1")
-        ready = await client.wait_for(messages.SlotReady)
+        ticket = await client.reserved(1)
         kernel = world.kernels_by_id["i1"]
         for listener in kernel.pauses._listeners:
             listener(1.0)
-        client.go(1, ready.ticket)
+        client.go(1, ticket)
         await asyncio.sleep(0.05)
-        assert set(_states(client)) == {NOT_SENT}
-        assert replica.count("submit_started") == 0
+        _assert_not_sent(replica, client)
 
     async def test_go_past_its_deadline_is_not_sent(self):
         """Guards against running what the caller has given up."""
         world, replica, client = await _start()
-        client.reserve(1, "r1")
-        ready = await client.wait_for(messages.SlotReady)
-        client.go(1, ready.ticket, remaining_ms=0.0)
-        outcome = await client.wait_for(messages.SlotOutcome)
-        assert outcome.state is NOT_SENT
-        assert replica.count("submit_started") == 0
+        ticket = await client.reserved(1)
+        client.go(1, ticket, remaining_ms=0.0)
+        await client.wait_for(messages.SlotOutcome)
+        _assert_not_sent(replica, client)
         assert _dump(world)["held"] == 0
 
 
@@ -185,44 +159,39 @@
     async def test_waits_behind_running_queries(self):
         """Guards against a reservation that exceeds the slots."""
         world, _, client = await _start(service_s=lambda rng: 0.05)
-        client.ask(1, "r1")
-        client.ask(2, "r1")
-        client.reserve(1, "r1")
+        client.ask(1)
+        client.ask(2)
+        client.reserve(1)
         await asyncio.sleep(0.02)
-        early = client.of(messages.SlotReady)
+        assert client.of(messages.SlotReady) == []
         await client.wait_for(messages.SlotReady)
         dump = _dump(world)
-        assert early == []
-        assert (dump["running"] + dump["held"]) <= 2
+        assert dump["running"] + dump["held"] <= 2
 
     async def test_duplicate_holds_one_slot(self):
         """Guards against a repeated message that takes both slots."""
         world, _, client = await _start()
         for _ in range(3):
-            client.reserve(1, "r1")
+            client.reserve(1)
             await asyncio.sleep(0.01)
-        assert (_dump(world)["held"], len(client.of(messages.SlotReady))) == (
-            1,
-            1,
-        )
+        assert _dump(world)["held"] == len(client.of(messages.SlotReady)) == 1
 
     async def test_duplicate_after_the_end_holds_no_slot(self):
         """Guards against a late copy that blocks a slot for a ticket."""
         world, _, client = await _start()
-        client.reserve(1, "r1")
-        await client.wait_for(messages.SlotReady)
+        await client.reserved(1)
         client.release(1)
         await asyncio.sleep(0.01)
-        client.reserve(1, "r1")
+        client.reserve(1)
         await asyncio.sleep(0.01)
         assert _dump(world)["held"] == 0
 
     async def test_release_that_overtakes_the_reservation(self):
         """Guards against a slot held for an issuer that has gone on."""
-        world, _, client = await _start()
+        _, _, client = await _start()
         client.release(1)
         await asyncio.sleep(0.01)
-        client.reserve(1, "r1")
+        client.reserve(1)
         await asyncio.sleep(0.01)
         assert len(client.of(messages.SlotReady)) == 0
 
@@ -230,7 +199,7 @@
         """Guards against slots that are lost by giving up early."""
         world, _, client = await _start()
         for attempt in range(1, 5):
-            client.reserve(attempt, "r1")
+            client.reserve(attempt)
         await client.wait_for(messages.SlotReady, 2)
         client.release(1)
         client.release(3)
@@ -240,21 +209,18 @@
     async def test_reservations_of_two_incarnations_are_distinct(self):
         """Guards against a restarted issuer that is taken for its old self."""
         world, _, client = await _start()
-        client.reserve(1, "r1")
-        await client.wait_for(messages.SlotReady)
+        await client.reserved(1)
         reborn = dispatch_client.Client(world, "i1", incarnation=901)
-        reborn.reserve(1, "r1")
-        assert (
-            await reborn.wait_for(messages.SlotReady, timeout_s=0.1)
-        ).attempt == 1
+        reborn.reserve(1)
+        ready = await reborn.wait_for(messages.SlotReady, timeout_s=0.1)
+        assert ready.attempt == 1
 
     async def test_answer_for_a_past_incarnation_is_dropped(self):
         """Guards against an answer taken for that of a new attempt 1."""
         world, _, client = await _start(service_s=lambda rng: 0.05)
-        client.reserve(1, "r1")
-        ready = await client.wait_for(messages.SlotReady)
-        client.go(1, ready.ticket)
-        client.ask(1, "r1")
+        ticket = await client.reserved(1)
+        client.go(1, ticket)
+        client.ask(1)
         await asyncio.sleep(0.01)
         view = world.kernels_by_id["i1"].plugin("membership").view
         view.put(view_lib.Member("client", "d1", "", 901, view_lib.LIVE))
@@ -271,7 +237,7 @@
         world.network.jitter_s = 0.3
         rng = random.Random(7)
         for attempt in range(1, 200):
-            client.reserve(attempt, "r1", remaining_ms=5000.0)
+            client.reserve(attempt, remaining_ms=5000.0)
         answered = set()
         while len(client.of(messages.SlotOutcome)) < 199:
             for ready in client.of(messages.SlotReady):
@@ -286,12 +252,8 @@
             if asyncio.get_running_loop().time() > 30:
                 break
         await asyncio.sleep(1.0)
-        runs = [
-            event.request
-            for event in replica.journal
-            if event.kind == "submit_started"
-        ]
-        ran = {int(run.split(".")[2]) for run in runs}
+        runs = dispatch_client.attempts(replica, "submit_started")
+        ran = set(runs)
         assert len(runs) == len(ran) > 20
         for outcome in client.of(messages.SlotOutcome):
             assert (outcome.attempt in ran) == (outcome.state is not NOT_SENT)
@@ -300,38 +262,34 @@
 class TestOutcomes:
     """The upstream's word decides what a submission may do next."""
 
-    def _outcome(self, **attributes):
-        async def scenario():
-            world, replica, client = await _start()
-            for name, value in attributes.items():
-                setattr(replica, name, value)
-            client.reserve(1, "r1")
-            ready = await client.wait_for(messages.SlotReady)
-            client.go(1, ready.ticket, remaining_ms=200.0)
-            outcome = await client.wait_for(messages.SlotOutcome)
-            return outcome.state, _dump(world)["running"]
-
-        return virtual.run(scenario())
+    async def _check(self, state, **attributes):
+        world, replica, client = await _start()
+        for name, value in attributes.items():
+            setattr(replica, name, value)
+        client.go(1, await client.reserved(1), remaining_ms=200.0)
+        outcome = await client.wait_for(messages.SlotOutcome)
+        assert outcome.state is state
+        assert _dump(world)["running"] == 0
 
-    def test_shed(self):
+    async def test_shed(self):
         """Guards against "maybe run" for what certainly did not run."""
-        assert self._outcome(max_queue=0) == (messages.SlotState.SHED, 0)
+        await self._check(messages.SlotState.SHED, max_queue=0)
 
-    def test_draining(self):
+    async def test_draining(self):
         """Guards against "maybe run" from a replica that drains."""
-        assert self._outcome(draining=True) == (messages.SlotState.SHED, 0)
+        await self._check(messages.SlotState.SHED, draining=True)
 
-    def test_unsent(self):
+    async def test_unsent(self):
         """Guards against "maybe run" when nothing was written."""
-        assert self._outcome(unreachable=True) == (NOT_SENT, 0)
+        await self._check(NOT_SENT, unreachable=True)
 
-    def test_failed(self):
+    async def test_failed(self):
         """Guards against a second run after an error of unknown cause."""
-        assert self._outcome(failing=True) == (messages.SlotState.MAYBE_RUN, 0)
+        await self._check(messages.SlotState.MAYBE_RUN, failing=True)
 
-    def test_frozen_upstream(self):
+    async def test_frozen_upstream(self):
         """Guards against "not sent" when the upstream never answers."""
-        assert self._outcome(frozen=True) == (messages.SlotState.MAYBE_RUN, 0)
+        await self._check(messages.SlotState.MAYBE_RUN, frozen=True)
 
     async def test_fault_of_the_client(self):
         """Guards against a slot lost by an exception of a protocol."""
@@ -340,14 +298,11 @@
         async def submit(call):
             raise KeyError("x")
 
-        client.reserve(1, "r1")
-        ready = await client.wait_for(messages.SlotReady)
+        ticket = await client.reserved(1)
         service = world.kernels_by_id["i1"].plugin("dispatch")
         dispatcher = service._dispatchers_by_replica["r1"]
         dispatcher._upstream.submit = submit
-        client.go(1, ready.ticket)
+        client.go(1, ticket)
         outcome = await client.wait_for(messages.SlotOutcome)
-        assert (outcome.state, _dump(world)["running"]) == (
-            messages.SlotState.MAYBE_RUN,
-            0,
-        )
+        assert outcome.state is messages.SlotState.MAYBE_RUN
+        assert _dump(world)["running"] == 0
