Use the world's kill and freeze in the membership and configuration tests

Ruled out: keeping the model of a standing clock. Timers fired during its pauses, which no stopped process has; the loop holds them instead.

Change: `kill`, `make_pausable`, `pause` and the held messages of the network are removed in favour of `World.kill`, `freeze` and `thaw`. `faults.resume` lets the detector notice the pause before held callbacks run, as before. `faults` gets `domains`, `others`, `cut` and `join_and_freeze`. Two tests that compared a small and a large fleet are parametrised by the fleet's size.

Conclusion: one model of killed and paused instances.

--- a/tests/support/faults.py
+++ b/tests/support/faults.py
@@ -1,69 +1,53 @@
-"""Faults of whole instances: kill, restart, pause."""
+"""Faults of whole instances and of the links between them."""
 
 import asyncio
 from collections.abc import Callable
 
-from mallowloft.kernel import clock as clock_lib
 from mallowloft.kernel import lifecycle
+from tests.support import virtual
 from tests.support import world as world_lib
 
 
-class PausableClock:
-    """The loop's time, except while the instance is paused."""
+def domains(count: int, domains: int = 3) -> dict[str, str]:
+    """Returns failure domains by instance, in turn."""
+    return {f"i{n}": f"d{n % domains + 1}" for n in range(count)}
 
-    def __init__(self) -> None:
-        self.paused_at_s: float | None = None
 
-    def now(self) -> float:
-        """Returns the loop's time or that of the pause's start."""
-        if self.paused_at_s is not None:
-            return self.paused_at_s
-        return asyncio.get_running_loop().time()
+def others(world: world_lib.World, *instances: str) -> list[str]:
+    """Returns all instances but the given ones."""
+    return [name for name in world.kernels_by_id if name not in instances]
 
 
-async def kill(world: world_lib.World, instance: str) -> None:
-    """Takes an instance off the network and ends its tasks."""
-    world.kill(instance)
-    await world.kernels_by_id[instance].stop(0)
+def cut(world: world_lib.World, side: str, *other_sides: str) -> None:
+    """Cuts an instance or failure domain off from others."""
+    world.network.cuts.update(frozenset((side, one)) for one in other_sides)
 
 
 async def restart(world: world_lib.World, instance: str) -> lifecycle.Kernel:
     """Kills an instance and starts its successor with the same id."""
     domain = world.kernels_by_id[instance].settings.failure_domain
-    await kill(world, instance)
-    kernel = world.kernel(instance, domain)
-    await kernel.start()
-    return kernel
-
-
-def make_pausable(kernel: lifecycle.Kernel) -> None:
-    """Gives a built kernel that is not yet started a clock that can stop."""
-    kernel.clock = PausableClock()
-    kernel.pauses = clock_lib.PauseDetector(kernel.clock)
-
+    world.kill(instance)
+    await world.start_instance(instance, domain)
+    return world.kernels_by_id[instance]
 
-def pause(world: world_lib.World, instance: str) -> None:
-    """Freezes an instance: it sends nothing and its clock stands still.
 
-    Its timers still fire, hence its decisions must come from its clock.
-    """
+async def join_and_freeze(
+    world: world_lib.World, instance: str
+) -> lifecycle.Kernel:
+    """Starts an instance in `d1` and freezes it once it is ready."""
+    await world.start_instance(instance, "d1")
     kernel = world.kernels_by_id[instance]
-    kernel.clock.paused_at_s = asyncio.get_running_loop().time()
-    world.network.hold(instance)
-    world.platform_cut.add(instance)
-    peers = kernel.plugin("peers")
-    peers.send_unpaused, peers.send = peers.send, lambda *_: True
+    await until(kernel.ready, 2.0)
+    world.freeze(instance)
+    return kernel
 
 
 def resume(world: world_lib.World, instance: str) -> None:
-    """Ends a pause; what was sent meanwhile arrives at once."""
+    """Continues a frozen instance, whose first handler notices the pause."""
     kernel = world.kernels_by_id[instance]
-    kernel.clock.paused_at_s = None
-    world.platform_cut.discard(instance)
-    peers = kernel.plugin("peers")
-    peers.send = peers.send_unpaused
-    kernel.pauses.check()
-    world.network.release(instance)
+    context = virtual.context_of(kernel.plugin("peers").process)
+    context.run(kernel.pauses.check)
+    world.thaw(instance)
 
 
 async def until(
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -25,13 +25,11 @@
         self.cuts: set[frozenset[str]] = set()
         self.duplicate_share = 0.0
         self.jitter_s = 0.0
-        self.held_instances: set[str] = set()
         self.bytes_sent_by_instance: dict[str, int] = {}
         self.messages_by_type: dict[str, int] = {}
         self._rng = rng
         self._cross_domain_s = cross_domain_s
         self._peers_by_address: dict[str, FakePeers] = {}
-        self._held: list[tuple[FakePeers, str, messages.Envelope]] = []
 
     def attach(self, peers: "FakePeers") -> None:
         """Makes an instance reachable at its address."""
@@ -42,17 +40,6 @@
         if self._peers_by_address.get(peers.address) is peers:
             del self._peers_by_address[peers.address]
 
-    def hold(self, instance: str) -> None:
-        """Keeps what is sent to an instance, as when it is frozen."""
-        self.held_instances.add(instance)
-
-    def release(self, instance: str) -> None:
-        """Delivers what was kept for an instance."""
-        self.held_instances.discard(instance)
-        held, self._held = self._held, []
-        for sender, address, envelope in held:
-            self._deliver(sender, address, envelope)
-
     def reachable(self, one: "FakePeers", other: "FakePeers") -> bool:
         """Whether no cut separates two instances."""
         sides = [
@@ -99,9 +86,6 @@
         receiver = self._peers_by_address.get(address)
         if receiver is None or not self.reachable(sender, receiver):
             return
-        if receiver.instance in self.held_instances:
-            self._held.append((sender, address, envelope))
-            return
         asyncio.get_running_loop().call_soon(
             receiver.receive,
             envelope,
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -13,7 +13,6 @@
 from mallowloft.configuration import platform as platform_lib
 from mallowloft.configuration import store as store_lib
 from tests.support import faults
-from tests.support import virtual
 from tests.support import world as world_lib
 
 
@@ -35,10 +34,6 @@
     }
 
 
-def _domains(count: int, domains: int = 3) -> dict[str, str]:
-    return {f"i{n}": f"d{n % domains + 1}" for n in range(count)}
-
-
 def _store(world: world_lib.World, instance: str) -> store_lib.Store:
     return world.kernels_by_id[instance].plugin("configuration").store
 
@@ -49,8 +44,33 @@
     )
 
 
-def _others(world: world_lib.World, *instances: str) -> list[str]:
-    return [name for name in world.kernels_by_id if name not in instances]
+async def _reaches(
+    world: world_lib.World, limit_s: float, names: list[str] | None = None
+) -> None:
+    """Waits until instances, by default all, hold the newest revision."""
+    names = names or list(world.kernels_by_id)
+    await faults.until(lambda: _held(world, names, world.revision), limit_s)
+
+
+def _coverage(world: world_lib.World, instance: str) -> float:
+    """Returns the setting that `_change` publishes, as an instance has it."""
+    queries = _store(world, instance).current.queries_by_team
+    return queries["hunters"].min_coverage
+
+
+def _push(
+    world: world_lib.World,
+    sender: str,
+    receiver: str,
+    document: messages.Document,
+    relay_to: tuple[str, ...] = (),
+) -> None:
+    """Sends a document as a peer that has accepted it does."""
+    subtree = messages.ConfigSubtree(
+        acceptance.subtree_of(document.path), document.revision, (document,)
+    )
+    push = messages.ConfigSubtrees((subtree,), relay_to)
+    world.kernels_by_id[sender].plugin("peers").send(receiver, push)
 
 
 def _watchers(world: world_lib.World, domain: str | None = None) -> list[str]:
@@ -66,7 +86,7 @@
     world = world_lib.World(seed)
     world.publish({"/operator/fleet": {}})
     world.publish_team("hunters", "paying", min_coverage=0.1)
-    await world.start(_domains(count))
+    await world.start(faults.domains(count))
     await asyncio.sleep(0.5)
     return world
 
@@ -84,8 +104,10 @@
 class _Watchdog:
     """Notes every fall of an accepted revision."""
 
-    def __init__(self) -> None:
+    def __init__(self, world: world_lib.World) -> None:
         self.falls: list[str] = []
+        for name in world.kernels_by_id:
+            self.observe(world, name)
 
     def observe(self, world: world_lib.World, instance: str) -> None:
         """Follows the store of an instance from now on."""
@@ -244,17 +266,10 @@
     async def test_change_reaches_all(self, count, seed):
         world = await _start(count, seed)
         for value in (0.2, 0.3):
-            revision = _change(world, value)
-            names = list(world.kernels_by_id)
-            await faults.until(
-                lambda revision=revision, names=names: _held(
-                    world, names, revision
-                ),
-                0.1,
-            )
-            for name in names:
-                query = _store(world, name).current.queries_by_team
-                assert query["hunters"].min_coverage == value
+            _change(world, value)
+            await _reaches(world, 0.1)
+            for name in world.kernels_by_id:
+                assert _coverage(world, name) == value
 
     @pytest.mark.parametrize(("muted", "limit_s"), [(False, 0.35), (True, 3.0)])
     async def test_lost_pushes_are_repaired(self, muted, limit_s):
@@ -262,67 +277,60 @@
         world = await _start(30)
         if muted:
             _mute_ping_digests(world)
-        victim = _others(world, *_watchers(world))[0]
-        for name in _others(world, victim):
-            world.network.cuts.add(frozenset((victim, name)))
+        victim = faults.others(world, *_watchers(world))[0]
+        faults.cut(world, victim, *faults.others(world, victim))
         revision = _change(world, 0.4)
         await asyncio.sleep(0.1)
         assert not _held(world, [victim], revision)
         world.network.cuts.clear()
-        await faults.until(lambda: _held(world, [victim], revision), limit_s)
+        await _reaches(world, limit_s, [victim])
 
     async def test_watchers_of_a_domain_are_killed(self):
         world = await _start(30)
         killed = _watchers(world, "d1")
         assert len(killed) == 2
         for name in killed:
-            await faults.kill(world, name)
-        revision = _change(world, 0.5)
-        rest = _others(world, *killed)
-        await faults.until(lambda: _held(world, rest, revision), 3.0)
+            world.kill(name)
+        _change(world, 0.5)
+        rest = faults.others(world, *killed)
+        await _reaches(world, 3.0, rest)
         await asyncio.sleep(1.0)
         assert len(set(_watchers(world, "d1")) - set(killed)) == 2
         # The successors watch themselves: cut off from the other
         # domains, theirs still follows the service.
-        for other in ("d2", "d3"):
-            world.network.cuts.add(frozenset(("d1", other)))
-        revision = _change(world, 0.6)
-        await faults.until(lambda: _held(world, rest, revision), 1.0)
+        faults.cut(world, "d1", "d2", "d3")
+        _change(world, 0.6)
+        await _reaches(world, 1.0, rest)
 
     async def test_service_unreachable_for_one_domain(self):
         """Watchers of the other domains push across."""
         world = await _start(30)
         _mute_ping_digests(world)
-        near = [n for n, d in _domains(30).items() if d == "d1"]
+        near = [n for n, d in faults.domains(30).items() if d == "d1"]
         world.platform_cut.update(near)
         await asyncio.sleep(0.1)
-        revision = _change(world, 0.5)
-        await faults.until(
-            lambda: _held(world, list(world.kernels_by_id), revision), 1.0
-        )
+        _change(world, 0.5)
+        await _reaches(world, 1.0)
 
     async def test_cut_off_instances_go_on_and_catch_up(self):
         world = await _start(18)
-        near = [n for n, d in _domains(18).items() if d == "d1"]
-        for other in ("d2", "d3"):
-            world.network.cuts.add(frozenset(("d1", other)))
+        near = [n for n, d in faults.domains(18).items() if d == "d1"]
+        faults.cut(world, "d1", "d2", "d3")
         world.platform_cut.update(near)
         old = world.revision
         revision = _change(world, 0.5)
         await asyncio.sleep(5)
-        assert _held(world, _others(world, *near), revision)
+        assert _held(world, faults.others(world, *near), revision)
         for name in near:
             assert world.kernels_by_id[name].ready()
             assert _store(world, name).current.revision == old
         world.network.cuts.clear()
-        await faults.until(lambda: _held(world, near, revision), 2.0)
+        await _reaches(world, 2.0, near)
 
     async def test_receiver_validates_what_a_peer_sends(self):
         world = await _start(6)
         bad = _document("/teams/hunters/query", 99, {"min_coverage": 9})
-        subtree = messages.ConfigSubtree("/teams/hunters", 99, (bad,))
-        push = messages.ConfigSubtrees((subtree,), ("i2", "i5"))
-        world.kernels_by_id["i0"].plugin("peers").send("i3", push)
+        _push(world, "i0", "i3", bad, ("i2", "i5"))
         await asyncio.sleep(1)
         for name in world.kernels_by_id:
             held = _store(world, name).revision_by_subtree
@@ -341,8 +349,7 @@
         old_documents = copy.copy(world.documents_by_path)
         old_revision = world.revision
         revision = _change(world, 0.5)
-        names = list(world.kernels_by_id)
-        await faults.until(lambda: _held(world, names, revision), 1.0)
+        await _reaches(world, 1.0)
         if fault == "stale":
             world.stale_revision = old_revision
         elif fault == "outage":
@@ -350,18 +357,13 @@
         else:
             world.documents_by_path = old_documents
             world.revision = old_revision
-        watchdog = _Watchdog()
-        for name in names:
-            watchdog.observe(world, name)
-        if fault == "outage":
-            # Without the list a successor knows peers by its settings.
-            settings = {"peers": "i0@d1=tcp://i0,i1@d2=tcp://i1"}
-        else:
-            settings = {}
-        for name in names:
-            await faults.kill(world, name)
-            kernel = world.kernel(name, _domains(9)[name], **settings)
-            await kernel.start()
+        watchdog = _Watchdog(world)
+        # Without the list a successor knows peers by its settings.
+        peers = "i0@d1=tcp://i0,i1@d2=tcp://i1" if fault == "outage" else ""
+        for name, domain in faults.domains(9).items():
+            world.kill(name)
+            kernel = world.kernel(name, domain, peers=peers)
+            await world.run_at(name, kernel.start())
             await faults.until(kernel.ready, 5.0)
             assert _held(world, [name], revision)
             watchdog.observe(world, name)
@@ -373,9 +375,9 @@
         old_documents = copy.copy(world.documents_by_path)
         old_revision = world.revision
         for value in (0.5, 0.6, 0.7):
-            revision = _change(world, value)
+            _change(world, value)
         names = list(world.kernels_by_id)
-        await faults.until(lambda: _held(world, names, revision), 1.0)
+        await _reaches(world, 1.0)
         world.documents_by_path = old_documents
         world.revision = old_revision
         await asyncio.sleep(35)
@@ -387,42 +389,32 @@
             ),
             1.0,
         )
-        for name in names:
-            query = _store(world, name).current.queries_by_team["hunters"]
-            assert query.min_coverage == 0.7
+        assert {_coverage(world, name) for name in names} == {0.7}
 
     async def test_late_and_repeated_messages(self):
         world = await _start(12)
         world.network.duplicate_share = 0.5
         world.network.jitter_s = 0.3
-        watchdog = _Watchdog()
-        for name in world.kernels_by_id:
-            watchdog.observe(world, name)
+        watchdog = _Watchdog(world)
         for number in range(20):
-            revision = _change(world, number / 20)
+            _change(world, number / 20)
             await asyncio.sleep(0.05)
-        names = list(world.kernels_by_id)
-        await faults.until(lambda: _held(world, names, revision), 2.0)
+        await _reaches(world, 2.0)
         assert watchdog.falls == []
 
     async def test_partition_with_changes_on_one_side(self):
         world = await _start(9)
-        watchdog = _Watchdog()
-        for name in world.kernels_by_id:
-            watchdog.observe(world, name)
-        names = list(world.kernels_by_id)
-        near = [n for n, d in _domains(9).items() if d == "d1"]
+        watchdog = _Watchdog(world)
+        near = [n for n, d in faults.domains(9).items() if d == "d1"]
         for _ in range(3):
-            for other in ("d2", "d3"):
-                world.network.cuts.add(frozenset(("d1", other)))
+            faults.cut(world, "d1", "d2", "d3")
             world.platform_cut.update(near)
             _change(world, world.rng.random())
             await asyncio.sleep(2)
             world.network.cuts.clear()
             world.platform_cut.clear()
-            await faults.until(lambda: _held(world, names, world.revision), 5.0)
-        digests = {_store(world, name).digest for name in names}
-        assert len(digests) == 1
+            await _reaches(world, 5.0)
+        assert len({_store(world, n).digest for n in world.kernels_by_id}) == 1
         assert watchdog.falls == []
 
 
@@ -433,7 +425,7 @@
         world = await _start(9)
         world.publish_team("shop", "paying", min_coverage=0.1)
         names = list(world.kernels_by_id)
-        await faults.until(lambda: _held(world, names, world.revision), 1.0)
+        await _reaches(world, 1.0)
         world.publish(
             {
                 "/teams/hunters/query": {"min_coverage": 9},
@@ -444,22 +436,14 @@
         for name in names:
             queries = _store(world, name).current.queries_by_team
             assert queries["shop"].min_coverage == 0.6
-            assert queries["hunters"].min_coverage == 0.1
+            assert _coverage(world, name) == 0.1
         # A successor gets the last accepted revision from its peers.
         kernel = await faults.restart(world, "i0")
         await faults.until(kernel.ready, 3.0)
-        queries = _store(world, "i0").current.queries_by_team
-        assert queries["hunters"].min_coverage == 0.1
+        assert _coverage(world, "i0") == 0.1
         _change(world, 0.4)
         await faults.until(
-            lambda: all(
-                _store(world, name)
-                .current.queries_by_team["hunters"]
-                .min_coverage
-                == 0.4
-                for name in names
-            ),
-            1.0,
+            lambda: all(_coverage(world, name) == 0.4 for name in names), 1.0
         )
 
 
@@ -469,7 +453,7 @@
     async def test_one_result_while_watchers_see_different_changes(self):
         world = await _start(12)
         names = list(world.kernels_by_id)
-        domains = _domains(12)
+        domains = faults.domains(12)
         for number in range(6):
             lagging = f"d{number % 3 + 1}"
             cut = [n for n in names if domains[n] == lagging]
@@ -479,11 +463,9 @@
             world.publish_team("shop", "paying", min_coverage=0.2)
             await asyncio.sleep(0.02)
             world.platform_cut.clear()
-        revision = world.revision
-        await faults.until(lambda: _held(world, names, revision), 1.0)
+        await _reaches(world, 1.0)
         assert len({_store(world, name).digest for name in names}) == 1
-        query = _store(world, "i0").current.queries_by_team["hunters"]
-        assert query.min_coverage == 0.55
+        assert _coverage(world, "i0") == 0.55
 
 
 class TestFreshInstance:
@@ -493,22 +475,19 @@
         world = await _start(9)
         for number in range(30):
             world.publish_team(f"t{number}", "paying", min_coverage=0.1)
-        names = list(world.kernels_by_id)
-        revision = world.revision
-        await faults.until(lambda: _held(world, names, revision), 1.0)
+        await _reaches(world, 1.0)
         world.stale_revision = 1
         # Answers overtake each other and the content that follows them.
         world.network.jitter_s = 0.05
-        kernel = world.kernel("new", "d1")
-        world.list_instances()
-        await kernel.start()
+        await world.start_instance("new", "d1")
+        kernel = world.kernels_by_id["new"]
         while not kernel.ready():
             await asyncio.sleep(0.002)
         assert len(_store(world, "new").current.teams_by_name) == 31
 
     async def test_calls_of_a_fresh_instance_that_is_no_watcher(self):
         world = await _start(30)
-        victim = _others(world, *_watchers(world))[0]
+        victim = faults.others(world, *_watchers(world))[0]
         before = dict(world.calls_by_name)
         kernel = await faults.restart(world, victim)
         await faults.until(kernel.ready, 3.0)
@@ -516,30 +495,26 @@
 
     async def test_reads_the_service_when_no_peer_answers(self):
         world = await _start(6)
-        for name in _others(world):
-            world.network.cuts.add(frozenset(("new", name)))
-        kernel = world.kernel("new", "d1")
-        world.list_instances()
-        await kernel.start()
+        faults.cut(world, "new", *faults.others(world))
+        await world.start_instance("new", "d1")
+        kernel = world.kernels_by_id["new"]
         await faults.until(kernel.ready, 5.0)
         assert _held(world, ["new"], world.revision)
 
     async def test_not_ready_without_any_configuration(self):
         world = world_lib.World()
         world.platform_down = True
-        kernel = world.kernel("new", "d1")
-        faults.make_pausable(kernel)
-        await kernel.start()
+        await world.start_instance("new", "d1")
+        kernel = world.kernels_by_id["new"]
         await asyncio.sleep(10)
         assert not kernel.ready()
-        faults.pause(world, "new")
+        world.freeze("new")
         await asyncio.sleep(2)
         faults.resume(world, "new")
         await asyncio.sleep(5)
         assert not kernel.ready()
         world.platform_down = False
         world.publish({"/operator/fleet": {}})
-        world.list_instances()
         await faults.until(kernel.ready, 20.0)
 
     async def test_a_push_is_not_a_whole_configuration(self):
@@ -550,10 +525,7 @@
             kernel = world.kernel(name, "d1", peers=f"{peer}@d1=tcp://{peer}")
             await kernel.start()
         await asyncio.sleep(1)
-        document = _document("/operator/fleet", 3, {})
-        subtree = messages.ConfigSubtree("/operator/fleet", 3, (document,))
-        push = messages.ConfigSubtrees((subtree,), ())
-        world.kernels_by_id["b"].plugin("peers").send("a", push)
+        _push(world, "b", "a", _document("/operator/fleet", 3, {}))
         await asyncio.sleep(5)
         assert _held(world, ["a"], 3)
         assert not any(k.ready() for k in world.kernels_by_id.values())
@@ -562,74 +534,61 @@
 class TestCalls:
     """Calls to the service grow with failure domains."""
 
-    def test_watchers_per_domain(self):
-        async def scenario(count):
-            world = await _start(count)
-            await asyncio.sleep(1.0)
-            assert len(_watchers(world)) == 6
-            before = world.calls_by_name["watch"]
-            for number in range(5):
-                _change(world, 0.1 * number)
-                await asyncio.sleep(0.3)
-            return world.calls_by_name["watch"] - before
-
-        assert virtual.run(scenario(9)) == virtual.run(scenario(60)) == 30
+    @pytest.mark.parametrize("count", [9, 60])
+    async def test_watchers_per_domain(self, count):
+        world = await _start(count)
+        await asyncio.sleep(1.0)
+        assert len(_watchers(world)) == 6
+        before = world.calls_by_name["watch"]
+        for number in range(5):
+            _change(world, 0.1 * number)
+            await asyncio.sleep(0.3)
+        assert world.calls_by_name["watch"] - before == 30
 
     async def test_restart_of_the_whole_fleet(self):
         """Instances that all start at once must not all read the service."""
         world = world_lib.World(3)
         world.publish({"/operator/fleet": {}})
-        await world.start(_domains(60))
+        await world.start(faults.domains(60))
         assert world.calls_by_name["read"] <= 6
 
     async def test_fleet_without_platform_backs_off(self):
         world = world_lib.World(3)
         world.platform_down = True
-        for name, domain in _domains(30).items():
+        for name, domain in faults.domains(30).items():
             await world.kernel(name, domain).start()
         await asyncio.sleep(30)
         late = [at for at in world.call_times_s if at > 20]
         # Calls per instance and second, the list included.
-        assert (len(late) / 30 / 10) < 0.5
+        assert len(late) / 30 / 10 < 0.5
 
 
 class TestPause:
     """A resumed instance revalidates before it takes requests."""
 
     async def test_not_ready_before_the_missed_change_is_in_force(self):
-        world = world_lib.World()
-        world.publish({"/operator/fleet": {}})
-        world.publish_team("hunters", "paying", min_coverage=0.1)
-        kernel = world.kernel("p", "d1")
-        faults.make_pausable(kernel)
-        await world.start(_domains(9))
-        world.list_instances()
-        await kernel.start()
-        await faults.until(kernel.ready, 3.0)
-        faults.pause(world, "p")
+        world = await _start(9)
+        kernel = await faults.join_and_freeze(world, "p")
+        # The push that waits in the socket may be lost as well.
+        faults.cut(world, "p", *faults.others(world, "p"))
         revision = _change(world, 0.5)
         await asyncio.sleep(3.0)
-        # The push that waits in the socket may be lost as well.
-        world.network._held.clear()
+        world.network.cuts.clear()
         faults.resume(world, "p")
+        # Membership may take longer than the exchange that brings the change.
+        configuration = kernel.plugin("configuration")
         assert not kernel.ready()
-        while not kernel.ready():
+        assert not configuration.ready()
+        while not configuration.ready():
             await asyncio.sleep(0.002)
         assert _held(world, ["p"], revision)
 
     async def test_answer_from_before_the_pause_proves_nothing(self):
-        world = world_lib.World()
-        world.publish({"/operator/fleet": {}})
-        kernel = world.kernel("p", "d1")
-        faults.make_pausable(kernel)
-        await world.start(_domains(6))
-        await kernel.start()
-        await faults.until(kernel.ready, 3.0)
+        world = await _start(6)
+        kernel = await faults.join_and_freeze(world, "p")
         configuration = kernel.plugin("configuration")
-        faults.pause(world, "p")
         await asyncio.sleep(3.0)
-        for name in _others(world, "p"):
-            world.network.cuts.add(frozenset(("p", name)))
+        faults.cut(world, "p", *faults.others(world, "p"))
         faults.resume(world, "p")
         world.platform_cut.add("p")
         await asyncio.sleep(0.1)
@@ -651,15 +610,8 @@
         await faults.until(configuration.ready, 2.0)
 
     async def test_watcher_watches_on_after_a_pause(self):
-        world = world_lib.World()
-        world.publish({"/operator/fleet": {}})
-        for name, domain in _domains(3).items():
-            faults.make_pausable(world.kernel(name, domain))
-        world.list_instances()
-        for kernel in world.kernels_by_id.values():
-            await kernel.start()
+        world = await asyncio.wait_for(_start(3), 5.0)
         kernel = world.kernels_by_id["i0"]
-        await faults.until(kernel.ready, 5.0)
         platform = kernel.plugin("configuration").platform
         watch = platform.watch
 
@@ -671,11 +623,11 @@
         _change(world, 0.1)
         await asyncio.sleep(0.1)
         platform.watch = watch
-        faults.pause(world, "i0")
+        world.freeze("i0")
         await asyncio.sleep(3.0)
         faults.resume(world, "i0")
         await faults.until(kernel.ready, 3.0)
         for name in ("i1", "i2"):
-            await faults.kill(world, name)
-        revision = world.publish({"/operator/fleet": {"min_share": 0.1}})
-        await faults.until(lambda: _held(world, ["i0"], revision), 1.0)
+            world.kill(name)
+        world.publish({"/operator/fleet": {"min_share": 0.1}})
+        await _reaches(world, 1.0, ["i0"])
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,31 +11,36 @@
 from mallowloft.membership import spread
 from mallowloft.membership import view as view_lib
 from tests.support import faults
-from tests.support import virtual
 from tests.support import world as world_lib
 
 
-def _domains(count: int, domains: int = 3) -> dict[str, str]:
-    return {f"i{n}": f"d{n % domains + 1}" for n in range(count)}
-
-
 def _view(world: world_lib.World, instance: str) -> view_lib.View:
     return world.kernels_by_id[instance].plugin("membership").view
 
 
-def _others(world: world_lib.World, *instances: str) -> list[str]:
-    return [name for name in world.kernels_by_id if name not in instances]
+def _all_live(world: world_lib.World) -> bool:
+    names = set(world.kernels_by_id)
+    return all(set(_view(world, name).live()) >= names for name in names)
 
 
-def _all_live(world: world_lib.World, names: list[str]) -> bool:
-    return all(set(_view(world, name).live()) >= set(names) for name in names)
+def _lost(world: world_lib.World, name: str, *gone: str) -> bool:
+    """Whether no instance but the lost ones counts an instance as live."""
+    return not any(
+        name in _view(world, other).live()
+        for other in faults.others(world, name, *gone)
+    )
 
 
-async def _start(count: int, seed: int = 1, domains: int = 3):
+def _world(seed: int = 1) -> world_lib.World:
     world = world_lib.World(seed)
     world.publish({"/operator/fleet": {}})
-    await world.start(_domains(count, domains))
-    await faults.until(lambda: _all_live(world, list(world.kernels_by_id)), 2.0)
+    return world
+
+
+async def _start(count: int, seed: int = 1, domains: int = 3):
+    world = _world(seed)
+    await world.start(faults.domains(count, domains))
+    await faults.until(lambda: _all_live(world), 2.0)
     return world
 
 
@@ -96,24 +101,23 @@
         view = view_lib.View()
         for name in ("a", "b"):
             view.put(view_lib.Member(name, "d1", "", 1, view_lib.LIVE))
-        return prober_lib.Prober(view, "a", "d1", random.Random(1))
+        prober = prober_lib.Prober(view, "a", "d1", random.Random(1))
+        assert prober.pinged("b", 1.0)
+        return prober
 
     def test_repeated_pings_do_not_extend_the_silence(self):
         prober = self._prober()
-        assert prober.pinged("b", 1.0)
         assert not prober.pinged("b", 1.2)
         assert prober.silent(1.24) == []
         assert prober.silent(1.26) == ["b"]
 
     def test_any_message_ends_the_silence(self):
         prober = self._prober()
-        prober.pinged("b", 1.0)
         prober.heard("b", 1.1)
         assert prober.silent(2.0) == []
 
     def test_reset_drops_pings_from_before_a_pause(self):
         prober = self._prober()
-        prober.pinged("b", 1.0)
         prober.reset()
         assert prober.silent(9.0) == []
 
@@ -122,13 +126,11 @@
     """The list lags: what it names may be dead."""
 
     async def test_listed_instance_that_never_answers_gets_no_share(self):
-        world = world_lib.World()
-        world.publish({"/operator/fleet": {}})
-        ghost = world.kernel("ghost", "d1")
-        del ghost
-        await world.start(_domains(6))
+        world = _world()
+        world.kernel("ghost", "d1")
+        await world.start(faults.domains(6))
         await asyncio.sleep(1.0)
-        for name in _others(world, "ghost"):
+        for name in faults.others(world, "ghost"):
             view = _view(world, name)
             assert view.state_of("ghost") == view_lib.LISTED
             chosen = {view.dispatcher_for(f"r{n}", "d1") for n in range(99)}
@@ -136,23 +138,21 @@
 
     async def test_first_messages_lost_while_connections_open(self):
         """A lost first ping must not leave a live instance out."""
-        world = world_lib.World()
-        world.publish({"/operator/fleet": {}})
-        for domain in ("d2", "d3"):
-            world.network.cuts.add(frozenset(("d1", domain)))
+        world = _world()
+        faults.cut(world, "d1", "d2", "d3")
         asyncio.get_running_loop().call_later(0.16, world.network.cuts.clear)
-        await world.start(_domains(30))
-        assert _all_live(world, list(world.kernels_by_id))
+        await world.start(faults.domains(30))
+        assert _all_live(world)
 
     async def test_instance_gone_from_list_and_silent_is_forgotten(self):
         """Without this, 570 replaced instances a day fill the memory."""
         world = await _start(8)
-        await faults.kill(world, "i4")
-        await faults.kill(world, "i5")
+        world.kill("i4")
+        world.kill("i5")
         del world.kernels_by_id["i4"]
         world.list_instances()
         await asyncio.sleep(65)
-        for name in _others(world, "i4", "i5"):
+        for name in faults.others(world, "i4", "i5"):
             members = _view(world, name).members_by_id
             assert "i4" not in members
             assert members["i5"].state == view_lib.SUSPECT
@@ -164,20 +164,17 @@
         world.platform_down = True
         kernel = world.kernel("new", "d1", peers="i1@d2=tcp://i1")
         await kernel.start()
-        await faults.until(
-            lambda: _all_live(world, list(world.kernels_by_id)), 1.0
-        )
+        await faults.until(lambda: _all_live(world), 1.0)
 
 
 class TestDump:
     """The state that operators ask for is valid JSON."""
 
     async def test_dump_is_json_in_every_state_of_members(self):
-        world = world_lib.World()
-        world.publish({"/operator/fleet": {}})
+        world = _world()
         world.kernel("ghost", "d1")
-        await world.start(_domains(6))
-        await faults.kill(world, "i4")
+        await world.start(faults.domains(6))
+        world.kill("i4")
         await asyncio.sleep(1)
         world.publish({"/teams/a/query": {"min_coverage": 9}})
         await asyncio.sleep(1)
@@ -202,28 +199,20 @@
         victims = list(world.kernels_by_id)[:: max(1, count // 4)]
         for victim in victims:
             world.kill(victim)
-            others = _others(world, *victims[: victims.index(victim) + 1])
+            gone = victims[: victims.index(victim)]
             await faults.until(
-                lambda victim=victim, others=others: (
-                    not any(
-                        victim in _view(world, name).live() for name in others
-                    )
-                ),
-                0.5,
+                lambda lost=(victim, *gone): _lost(world, *lost), 0.5
             )
 
     async def test_members_that_fail_together_stay_suspected(self):
         """The failure of a rack must not look like a cut that has healed."""
         world = await _start(72)
-        victims = [n for n, d in _domains(72).items() if d == "d2"][:6]
-        others = _others(world, *victims)
+        victims = [n for n, d in faults.domains(72).items() if d == "d2"][:6]
         for victim in victims:
             world.kill(victim)
 
         def gone() -> bool:
-            return not any(
-                set(victims) & set(_view(world, name).live()) for name in others
-            )
+            return all(_lost(world, name, *victims) for name in victims)
 
         await faults.until(gone, 0.6)
         for _ in range(100):
@@ -232,40 +221,35 @@
 
     async def test_only_instance_of_a_domain(self):
         """No neighbour of its own domain can notice its end."""
-        world = world_lib.World()
-        world.publish({"/operator/fleet": {}})
+        world = _world()
         domains = {f"i{n}": "d1" for n in range(9)}
         domains |= {"alone": "d2", "x": "d3", "y": "d4", "z": "d5"}
         await world.start(domains)
         await asyncio.sleep(0.5)
-        await faults.kill(world, "alone")
-        others = _others(world, "alone")
-        await faults.until(
-            lambda: (
-                not any("alone" in _view(world, name).live() for name in others)
-            ),
-            0.5,
-        )
-        assert _view(world, "i0").dispatcher_for("r", "d2") in others
+        world.kill("alone")
+        await faults.until(lambda: _lost(world, "alone"), 0.5)
+        chosen = _view(world, "i0").dispatcher_for("r", "d2")
+        assert chosen in faults.others(world, "alone")
 
     async def test_silent_peer_with_outstanding_requests(self):
         """A cut between domains shows at the requests that cross it."""
         world = await _start(9)
-        world.network.cuts.add(frozenset(("i0", "i1")))
+        faults.cut(world, "i0", "i1")
         membership = world.kernels_by_id["i0"].plugin("membership")
         membership.expect("i1")
         await faults.until(lambda: "i1" not in membership.view.live(), 0.5)
         assert all(
-            "i1" in _view(world, name).live() for name in _others(world, "i0")
+            "i1" in _view(world, name).live()
+            for name in faults.others(world, "i0")
         )
 
     async def test_one_broken_link_convinces_nobody_else(self):
         """An accuser with a broken link must not shift the share."""
         world = await _start(9)
-        world.network.cuts.add(frozenset(("i0", "i3")))
+        faults.cut(world, "i0", "i3")
         for _ in range(300):
             await asyncio.sleep(0.01)
-            for name in _others(world, "i0", "i3"):
+            for name in faults.others(world, "i0", "i3"):
                 live = _view(world, name).live()
                 assert {"i0", "i3"} <= set(live)
         assert "i3" not in _view(world, "i0").live()
@@ -283,7 +267,7 @@
         await faults.until(
             lambda: all(
                 _view(world, name).state_of("i4") == view_lib.LEAVING
-                for name in _others(world, "i4")
+                for name in faults.others(world, "i4")
             ),
             0.01,
             0.001,
@@ -312,10 +296,8 @@
         old = world.kernels_by_id["i4"].incarnation
         await world.kernels_by_id["i4"].stop(0.1)
         kernel = await faults.restart(world, "i4")
-        await faults.until(
-            lambda: _all_live(world, list(world.kernels_by_id)), 1.0
-        )
-        for name in _others(world, "i4"):
+        await faults.until(lambda: _all_live(world), 1.0)
+        for name in faults.others(world, "i4"):
             membership = world.kernels_by_id[name].plugin("membership")
             membership.heard("i4", old)
             member = membership.view.members_by_id["i4"]
@@ -325,17 +307,9 @@
     async def test_list_entry_leaving(self):
         world = await _start(9)
         world.list_instances("i4")
-        await faults.until(
-            lambda: all(
-                "i4" not in _view(world, name).live()
-                for name in _others(world, "i4")
-            ),
-            1.5,
-        )
+        await faults.until(lambda: _lost(world, "i4"), 1.5)
         world.list_instances()
-        await faults.until(
-            lambda: _all_live(world, list(world.kernels_by_id)), 1.5
-        )
+        await faults.until(lambda: _all_live(world), 1.5)
 
 
 class TestPartition:
@@ -343,79 +317,56 @@
 
     async def test_cut_and_heal(self):
         world = await _start(45)
-        for other in ("d2", "d3"):
-            world.network.cuts.add(frozenset(("d1", other)))
-        near = [n for n, d in _domains(45).items() if d == "d1"]
-        far = _others(world, *near)
+        faults.cut(world, "d1", "d2", "d3")
+        near = [n for n, d in faults.domains(45).items() if d == "d1"]
+        far = faults.others(world, *near)
         await faults.until(
-            lambda: (
-                all(
-                    set(_view(world, name).live()) == set(near) for name in near
-                )
-                and all(
-                    set(_view(world, name).live()) == set(far) for name in far
-                )
+            lambda: all(
+                set(_view(world, name).live()) == set(side)
+                for side in (near, far)
+                for name in side
             ),
             2.5,
         )
         await asyncio.sleep(2)
         world.network.cuts.clear()
-        await faults.until(
-            lambda: _all_live(world, list(world.kernels_by_id)), 0.3
-        )
+        await faults.until(lambda: _all_live(world), 0.3)
 
     async def test_isolated_instance_rejoins(self):
         world = await _start(9)
-        for name in _others(world, "i2"):
-            world.network.cuts.add(frozenset(("i2", name)))
+        faults.cut(world, "i2", *faults.others(world, "i2"))
         await asyncio.sleep(65)
         assert _view(world, "i2").live() == ["i2"]
         world.network.cuts.clear()
-        await faults.until(
-            lambda: _all_live(world, list(world.kernels_by_id)), 3.0
-        )
+        await faults.until(lambda: _all_live(world), 3.0)
 
 
 class TestPause:
     """A resumed process trusts nothing that it believed before."""
 
-    async def test_not_ready_until_a_peer_has_answered(self):
-        world = world_lib.World()
-        world.publish({"/operator/fleet": {}})
-        kernel = world.kernel("p", "d1")
-        faults.make_pausable(kernel)
-        await world.start(_domains(9))
-        world.list_instances()
-        await kernel.start()
-        await faults.until(kernel.ready, 2.0)
-        faults.pause(world, "p")
+    async def _freeze(self, count: int):
+        world = _world()
+        await world.start(faults.domains(count))
+        kernel = await faults.join_and_freeze(world, "p")
         await asyncio.sleep(3.0)
+        return world, kernel
+
+    async def test_not_ready_until_a_peer_has_answered(self):
+        world, kernel = await self._freeze(9)
         assert "p" not in _view(world, "i0").live()
-        await faults.kill(world, "i0")
+        world.kill("i0")
         faults.resume(world, "p")
         assert not kernel.ready()
         await faults.until(kernel.ready, 1.0)
         assert "i0" not in _view(world, "p").live()
-        assert set(_view(world, "p").live()) >= set(_others(world, "i0"))
+        rest = faults.others(world, "i0")
+        assert set(_view(world, "p").live()) >= set(rest)
         await faults.until(
-            lambda: all(
-                "p" in _view(world, name).live()
-                for name in _others(world, "i0")
-            ),
-            1.0,
+            lambda: all("p" in _view(world, name).live() for name in rest), 1.0
         )
 
     async def test_silence_during_the_pause_makes_no_suspect(self):
-        world = world_lib.World()
-        world.publish({"/operator/fleet": {}})
-        kernel = world.kernel("p", "d1")
-        faults.make_pausable(kernel)
-        await world.start(_domains(9))
-        world.list_instances()
-        await kernel.start()
-        await faults.until(kernel.ready, 2.0)
-        faults.pause(world, "p")
-        await asyncio.sleep(3.0)
+        world, kernel = await self._freeze(9)
         faults.resume(world, "p")
         await asyncio.sleep(1.0)
         counted = kernel.metrics.counted(
@@ -424,23 +375,14 @@
         assert counted == 0
 
     async def test_ready_again_when_nobody_can_be_reached(self):
-        world = world_lib.World()
-        world.publish({"/operator/fleet": {}})
-        kernel = world.kernel("p", "d1")
-        faults.make_pausable(kernel)
-        await world.start(_domains(3))
-        await kernel.start()
-        await faults.until(kernel.ready, 2.0)
-        faults.pause(world, "p")
-        await asyncio.sleep(3.0)
+        world, kernel = await self._freeze(3)
         world.platform_down = True
         # An answer from before the pause proves nothing.
         stale = messages.Pong(1, 0.0, bytes(16), True)
         world.kernels_by_id["i0"].plugin("peers").send("p", stale)
         await asyncio.sleep(0.01)
         faults.resume(world, "p")
-        for name in _others(world, "p"):
-            world.network.cuts.add(frozenset(("p", name)))
+        faults.cut(world, "p", *faults.others(world, "p"))
         waited_s = await faults.until(kernel.ready, 4.0)
         assert waited_s > 0.5
 
@@ -452,27 +394,20 @@
         """Spread by every receiver, it grows with the square of the fleet."""
         world = await _start(60)
         world.network.messages_by_type.clear()
-        await faults.kill(world, "i4")
+        world.kill("i4")
         await asyncio.sleep(1)
         # Two ring neighbours and those whose turn it was to ping.
-        assert 1 <= (world.network.messages_by_type["Suspected"] / 58) <= 8
-
-    def test_list_reads_grow_with_failure_domains(self):
-        async def scenario(count):
-            world = await _start(count)
-            before = world.calls_by_name["instances"]
-            await asyncio.sleep(10)
-            return world.calls_by_name["instances"] - before
-
-        small = virtual.run(scenario(9))
-        large = virtual.run(scenario(45))
-        assert large == small == 60
-
-    def test_bytes_per_instance(self):
-        async def scenario(count):
-            world = await _start(count)
-            world.network.bytes_sent_by_instance.clear()
-            await asyncio.sleep(4)
-            return max(world.network.bytes_sent_by_instance.values()) / 4
-
-        assert virtual.run(scenario(60)) < 19_000
+        assert 1 <= world.network.messages_by_type["Suspected"] / 58 <= 8
+
+    @pytest.mark.parametrize("count", [9, 45])
+    async def test_list_reads_grow_with_failure_domains(self, count):
+        world = await _start(count)
+        before = world.calls_by_name["instances"]
+        await asyncio.sleep(10)
+        assert world.calls_by_name["instances"] - before == 60
+
+    async def test_bytes_per_instance(self):
+        world = await _start(60)
+        world.network.bytes_sent_by_instance.clear()
+        await asyncio.sleep(4)
+        assert max(world.network.bytes_sent_by_instance.values()) / 4 < 19_000
