--- a/tests/support/index.py
+++ b/tests/support/index.py
@@ -124,26 +124,16 @@
         for by_shard in shards.values():
             for shard, replicas in by_shard.items():
                 for replica in replicas:
-                    held = self.holdings.shards.setdefault(
-                        (replica, version), set()
-                    )
-                    held.add(shard)
+                    key = (replica, version)
+                    self.holdings.shards.setdefault(key, set()).add(shard)
 
     def publish_index(self, *versions: int) -> None:
         """Publishes the maps of versions."""
-        self.publish(
-            {
-                "/operator/indexes/main": {
-                    "versions": [
-                        {
-                            "version": version,
-                            "shards": self._maps_by_version[version],
-                        }
-                        for version in versions
-                    ]
-                }
-            }
-        )
+        items = [
+            {"version": version, "shards": self._maps_by_version[version]}
+            for version in versions
+        ]
+        self.publish({"/operator/indexes/main": {"versions": items}})
 
     def serve(self, versions: tuple[int, ...], *replicas: str) -> None:
         """Sets the versions that replicas serve, all by default."""
@@ -172,13 +162,16 @@
         }
         query = gather_model.Query(**{**values, **options})
         outcome = await kernel.plugin("gather").run(query)
-        answer = outcome.ok()
-        if answer is None:
-            answer = outcome.err().answer
+        answer = outcome.ok() or outcome.err().answer
         if answer is not None:
             self.check(answer, query, number)
         return number, outcome
 
+    async def answer(self, instance: str) -> gather_model.Answer:
+        """Runs a query that must be answered."""
+        _, outcome = await self.ask(instance)
+        return outcome.unwrap()
+
     def check(
         self,
         answer: gather_model.Answer,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import io
 import json
 import logging
@@ -32,10 +33,10 @@
 }
 
 
-def _load(*flags: str, **environment: str):
+def _load(*flags: str, base: dict[str, str] = _BASE, **environment: str):
     parser = argparse.ArgumentParser()
     settings_lib.add_arguments(parser)
-    return settings_lib.load(parser.parse_args(flags), {**_BASE, **environment})
+    return settings_lib.load(parser.parse_args(flags), {**base, **environment})
 
 
 def _faults(*flags: str, **environment: str) -> dict[str, str]:
@@ -61,35 +62,23 @@
             MALLOWLOFT_LOG_LEVEL="loud",
             MALLOWLOFT_PLATFORM_URL="ftp://127.0.0.1",
         )
-        assert set(faults) == {
-            "--host",
-            "--operator-port",
-            "--peer-port",
-            "--hedging",
-            "--peers",
-            "--tls-certificate",
-            "--tls-private-key",
-            "--peer-secret-key",
-            "--peer-public-keys",
-            "--drain-s",
-            "--log-level",
-            "--platform-url",
-        }
+        names = """
+            host operator-port peer-port hedging peers tls-certificate
+            tls-private-key peer-secret-key peer-public-keys drain-s log-level
+            platform-url
+        """
+        assert set(faults) == {f"--{name}" for name in names.split()}
         assert "'perhaps'" in faults["--hedging"]
 
     def test_names_flag_and_variable(self):
-        parser = argparse.ArgumentParser()
-        settings_lib.add_arguments(parser)
-        findings = settings_lib.load(parser.parse_args([]), {}).unwrap_err()
+        findings = _load(base={}).unwrap_err()
         places = [item.place for item in findings]
         assert "--instance-id (MALLOWLOFT_INSTANCE_ID)" in places
         assert "--failure-domain (MALLOWLOFT_FAILURE_DOMAIN)" in places
 
     def test_flag_goes_before_variable(self):
-        settings = _load(
-            "--caller-port=9001", MALLOWLOFT_CALLER_PORT="9002"
-        ).unwrap()
-        assert settings.caller_port == 9001
+        loaded = _load("--caller-port=9001", MALLOWLOFT_CALLER_PORT="9002")
+        assert loaded.unwrap().caller_port == 9001
 
     @pytest.mark.parametrize(
         ("text", "value"),
@@ -171,36 +160,35 @@
         structlog.reset_defaults()
         structlog.contextvars.clear_contextvars()
 
-    def _lines(self, monkeypatch, write) -> list[str]:
-        output = io.StringIO()
+    @contextlib.contextmanager
+    def _lines(self, monkeypatch):
+        """Yields a list that receives the lines logged in the block."""
+        output, lines = io.StringIO(), []
         monkeypatch.setattr(sys, "stderr", output)
         logs.configure("info", "i1")
-        write()
-        return output.getvalue().splitlines()
+        yield lines
+        lines += output.getvalue().splitlines()
 
     def test_line_has_instance_and_fields(self, monkeypatch):
-        (line,) = self._lines(
-            monkeypatch, lambda: logs.get("test").info("started", request="r-1")
-        )
+        with self._lines(monkeypatch) as lines:
+            logs.get("test").info("started", request="r-1")
+        (line,) = lines
         assert "instance=i1 event=started" in line
         assert "request=r-1" in line
 
     def test_caller_text_cannot_start_a_line(self, monkeypatch):
-        lines = self._lines(
-            monkeypatch,
-            lambda: logs.get("test").info("faulty", path="/a\nevent=forged"),
-        )
+        with self._lines(monkeypatch) as lines:
+            logs.get("test").info("faulty", path="/a\nevent=forged")
         assert len(lines) == 1
 
     def test_exceptions_and_libraries_write_one_line(self, monkeypatch):
         # Guards against tracebacks and library messages in another format.
-        def write():
+        with self._lines(monkeypatch) as lines:
             try:
                 raise ValueError("two\nlines")
             except ValueError:
                 logging.getLogger("uvicorn.error").exception("failed")
-
-        (line,) = self._lines(monkeypatch, write)
+        (line,) = lines
         assert "event=library_message" in line
         assert "logger=uvicorn.error" in line
         assert "ValueError" in line
@@ -214,19 +202,11 @@
         for value_ms in range(1, 101):
             metrics.observe_ms("query_latency", value_ms, priority="paying")
         text = metrics.render().decode()
-        line = (
-            'mallowloft_query_latency_ms{percentile="99.0",priority="paying"}'
-        )
-        (value,) = [
-            float(item.split()[-1])
-            for item in text.splitlines()
-            if item.startswith(line)
-        ]
-        assert 97 <= value <= 101
-        assert (
-            "mallowloft_query_latency_recorded_total"
-            '{priority="paying"} 100.0' in text
-        )
+        name = "mallowloft_query_latency"
+        line = name + '_ms{percentile="99.0",priority="paying"}'
+        (found,) = [x for x in text.splitlines() if x.startswith(line)]
+        assert 97 <= float(found.split()[-1]) <= 101
+        assert name + '_recorded_total{priority="paying"} 100.0' in text
 
     def test_shows_the_memory_of_the_process(self):
         text = metrics_lib.Metrics().render().decode()
@@ -246,39 +226,38 @@
             self.documents = documents
             return self.findings
 
-        module = types.ModuleType("mallowloft.configuration.tree")
+        name = "mallowloft.configuration.tree"
+        module = types.ModuleType(name)
         module.check_tree = check_tree
-        monkeypatch.setitem(
-            sys.modules, "mallowloft.configuration.tree", module
-        )
-        monkeypatch.setattr(
-            "mallowloft.configuration.tree", module, raising=False
-        )
+        monkeypatch.setitem(sys.modules, name, module)
+        monkeypatch.setattr(name, module, raising=False)
 
-    def _write(self, tmp_path, name: str, content: str) -> str:
-        path = tmp_path / name
-        path.write_text(content)
-        return str(path)
+    def _write(self, tmp_path, *contents: str) -> list[str]:
+        """Writes the files a.json, b.json and so on."""
+        paths = [tmp_path / f"{name}.json" for name in "abcd"[: len(contents)]]
+        for path, content in zip(paths, contents, strict=True):
+            path.write_text(content)
+        return [str(path) for path in paths]
 
     def test_files_form_one_tree(self, tmp_path, capsys):
-        paths = [
-            self._write(tmp_path, "a.json", '{"/operator/fleet": {}}'),
-            self._write(tmp_path, "b.json", '{"/teams/x/query": {}}'),
-        ]
+        paths = self._write(
+            tmp_path, '{"/operator/fleet": {}}', '{"/teams/x/query": {}}'
+        )
         assert cli.main(["check", *paths]) == 0
         assert set(self.documents) == {"/operator/fleet", "/teams/x/query"}
         assert "2 documents" in capsys.readouterr().out
 
     def test_reports_findings_of_every_file(self, tmp_path, capsys):
         self.findings.add("/operator/fleet.classes", "is empty")
-        paths = [
-            self._write(tmp_path, "a.json", '{"/operator/fleet": 1}'),
-            self._write(tmp_path, "b.json", '{"/operator/fleet": 2}'),
-            self._write(tmp_path, "c.json", '{"/a": {"x": 1, "x": 2}}'),
-            self._write(tmp_path, "d.json", '{"/a": '),
-            str(tmp_path / "missing.json"),
-        ]
-        assert cli.main(["check", *paths]) == 1
+        paths = self._write(
+            tmp_path,
+            '{"/operator/fleet": 1}',
+            '{"/operator/fleet": 2}',
+            '{"/a": {"x": 1, "x": 2}}',
+            '{"/a": ',
+        )
+        missing = str(tmp_path / "missing.json")
+        assert cli.main(["check", *paths, missing]) == 1
         output = capsys.readouterr().out
         assert len(output.splitlines()) == 5
         assert "/operator/fleet.classes: is empty" in output
@@ -300,16 +279,16 @@
         self.keys: list[str] = []
         self.first_sends: list[bool] = []
         self.url = ""
-        self._app = applications.Starlette(
-            routes=[
-                routing.Route("/v1/keys", self._issue, methods=["POST"]),
-                routing.Route(
-                    "/v1/submissions/shop", self._submit, methods=["POST"]
-                ),
-                routing.Route("/v1/query/shop", self._query, methods=["POST"]),
-                routing.Route("/v1/state", self._state),
-            ]
-        )
+        routes = [
+            routing.Route(path, endpoint, methods=[method])
+            for method, path, endpoint in (
+                ("POST", "/v1/keys", self._issue),
+                ("POST", "/v1/submissions/shop", self._submit),
+                ("POST", "/v1/query/shop", self._step),
+                ("GET", "/v1/state", self._state),
+            )
+        ]
+        self._app = applications.Starlette(routes=routes)
 
     async def start(self) -> None:
         (port,) = serving.free_ports(1)
@@ -327,17 +306,14 @@
         del request
         return responses.JSONResponse({"instance": "i1"})
 
-    async def _query(self, request):
-        return self._step(await request.json())
-
     async def _submit(self, request):
         body = await request.json()
         self.keys.append(request.headers["idempotency-key"])
         self.first_sends.append(body["first_send"])
-        return self._step(body)
+        return await self._step(request)
 
-    def _step(self, body: dict[str, Any]):
-        del body
+    async def _step(self, request):
+        await request.json()
         step = self._steps.pop(0)
         if step is None:
             return _Silent()
@@ -349,13 +325,9 @@
     """Closes the connection without an answer."""
 
     async def __call__(self, scope, receive, send) -> None:
-        await send(
-            {
-                "type": "http.response.start",
-                "status": 200,
-                "headers": [(b"content-length", b"10")],
-            }
-        )
+        headers = [(b"content-length", b"10")]
+        start = {"type": "http.response.start", "status": 200}
+        await send({**start, "headers": headers})
         await send({"type": "http.response.body", "body": b""})
 
 
@@ -434,13 +406,13 @@
         assert _run(entries, "query", "shop", '{"hint": 7}') == 0
         assert json.loads(capsys.readouterr().out) == answer
 
-    def test_query_refused(self):
-        entry = _Entry((503, {"error": "overloaded"}))
-        assert _run([entry], "query", "shop", "1") == 3
-
-    def test_query_with_faults(self):
-        entry = _Entry((400, {"findings": []}))
-        assert _run([entry], "query", "shop", "1") == 1
+    @pytest.mark.parametrize(
+        ("step", "code"),
+        [((503, {"error": "overloaded"}), 3), ((400, {"findings": []}), 1)],
+        ids=["refused", "with_faults"],
+    )
+    def test_query_that_fails(self, step, code):
+        assert _run([_Entry(step)], "query", "shop", "1") == code
 
     def test_dump(self, capsys):
         assert _run([_Entry()], "dump") == 0
--- a/tests/test_gather_snapshot.py
+++ b/tests/test_gather_snapshot.py
@@ -15,6 +15,11 @@
 _TWO = model.Shard("svc", "two")
 
 
+_each_fault = pytest.mark.parametrize(
+    "fault", ["truncating", "garbling", "foreign", "misversioned"]
+)
+
+
 def _reply(**fields) -> messages.SubReply:
     values = {
         "attempt": 1,
@@ -45,6 +50,17 @@
     return world
 
 
+async def _start_with_two_versions() -> index_lib.IndexWorld:
+    world = await _start()
+    world.set_map(2, world._maps_by_version[1])
+    world.publish_index(1, 2)
+    await asyncio.sleep(0.1)
+    return world
+
+
+_TWO_VERSIONS = _index(v1=["a"], v2=["a"])
+
+
 class TestMerge:
     """Rows are covered only if they are whole, asked for and pinned."""
 
@@ -86,18 +102,18 @@
 class TestPinning:
     """The newest version that every shard can serve now is chosen."""
 
-    def _choose(self, reports, index, now_s=0.0, **options):
+    def _choose(self, reports, index=_TWO_VERSIONS, now_s=0.0, **options):
         chosen = reports.choose("main", index, ["svc"], now_s, **options)
         return chosen.version if chosen else None
 
     def test_takes_the_newest_version_without_reports(self):
         reports = pinning.VersionReports()
-        assert self._choose(reports, _index(v1=["a"], v2=["a"])) == 2
+        assert self._choose(reports) == 2
 
     def test_avoids_a_version_that_a_shard_cannot_serve(self):
         reports = pinning.VersionReports()
         reports.report("a", (1,), 0.0)
-        assert self._choose(reports, _index(v1=["a"], v2=["a"])) == 1
+        assert self._choose(reports) == 1
 
     def test_one_able_replica_per_shard_suffices(self):
         reports = pinning.VersionReports()
@@ -109,46 +125,43 @@
         reports = pinning.VersionReports()
         reports.observe("a", 2, False, 0.0)
         reports.report("a", (1, 2), 0.1)
-        assert self._choose(reports, _index(v1=["a"], v2=["a"]), 0.1) == 1
+        assert self._choose(reports, now_s=0.1) == 1
 
     def test_a_served_version_ends_a_denial(self):
         reports = pinning.VersionReports()
         reports.observe("a", 2, False, 0.0)
         reports.observe("a", 2, True, 0.1)
-        assert self._choose(reports, _index(v1=["a"], v2=["a"]), 0.1) == 2
+        assert self._choose(reports, now_s=0.1) == 2
 
     def test_an_answer_outweighs_a_stale_report(self):
         reports = pinning.VersionReports()
         reports.report("a", (1,), 0.0)
         reports.observe("a", 2, True, 0.0)
         reports.report("a", (1,), 0.1)
-        assert self._choose(reports, _index(v1=["a"], v2=["a"]), 0.1) == 2
+        assert self._choose(reports, now_s=0.1) == 2
 
     def test_knowledge_ages_out(self):
         reports = pinning.VersionReports()
         reports.report("a", (1,), 0.0)
         reports.observe("a", 2, False, 0.0)
-        assert self._choose(reports, _index(v1=["a"], v2=["a"]), 5.0) == 2
+        assert self._choose(reports, now_s=5.0) == 2
 
     def test_one_query_per_interval_tries_a_version_despite_stale_reports(self):
         reports = pinning.VersionReports()
-        index = _index(v1=["a"], v2=["a"])
         chosen = []
         for step in range(25):
             now_s = step * pinning.PROBE_INTERVAL_S / 10
             reports.report("a", (1,), now_s)
-            chosen.append(self._choose(reports, index, now_s))
+            chosen.append(self._choose(reports, now_s=now_s))
         assert chosen.count(2) == 2
 
     def test_takes_the_version_with_fewest_unserved_shards(self):
         reports = pinning.VersionReports()
         reports.report("a", (1,), 0.0)
         reports.report("b", (), 0.0)
+        shards = {"svc": {"s": ["a"], "t": ["b"]}}
         index = config_model.Index(
-            (
-                config_model.IndexVersion(1, {"svc": {"s": ["a"], "t": ["b"]}}),
-                config_model.IndexVersion(2, {"svc": {"s": ["a"], "t": ["b"]}}),
-            )
+            tuple(config_model.IndexVersion(n, shards) for n in (1, 2))
         )
         assert self._choose(reports, index) == 1
 
@@ -170,61 +183,43 @@
     """One version per answer while replicas disagree about versions."""
 
     async def test_restarts_on_the_version_that_all_shards_serve(self):
-        world = await _start()
-        world.set_map(2, world._maps_by_version[1])
-        world.publish_index(1, 2)
-        await asyncio.sleep(0.1)
+        world = await _start_with_two_versions()
         world.serve((1, 2), "svc-0-a", "svc-0-b", "svc-1-a", "svc-1-b")
-        answers = []
-        for _ in range(3):
-            _, outcome = await world.ask("i1")
-            answers.append(outcome.unwrap())
+        answers = [await world.answer("i1") for _ in range(3)]
         assert [answer.index_version for answer in answers] == [1, 1, 1]
         assert all(answer.coverage == 1 for answer in answers)
         # The first query pays for the restart, the others know.
         assert answers[0].attempts.sent > answers[1].attempts.sent
 
     async def test_sees_a_flip(self):
-        world = await _start()
-        world.set_map(2, world._maps_by_version[1])
-        world.publish_index(1, 2)
-        await asyncio.sleep(0.1)
+        world = await _start_with_two_versions()
         versions = []
         for step in range(100):
             if step == 10:
                 world.serve((1, 2))
-            _, outcome = await world.ask("i1")
-            versions.append(outcome.unwrap().index_version)
+            versions.append((await world.answer("i1")).index_version)
             await asyncio.sleep(0.05)
         assert set(versions[:10]) == {1}
         assert set(versions[-50:]) == {2}
 
     async def test_states_what_lacks_when_no_version_is_complete(self):
-        world = await _start()
-        world.set_map(2, world._maps_by_version[1])
-        world.publish_index(1, 2)
-        await asyncio.sleep(0.1)
+        world = await _start_with_two_versions()
         world.serve((2,), "svc-0-a", "svc-0-b")
         # Each query finds out about the shards that its restart cut off.
         for _ in range(4):
-            _, outcome = await world.ask("i1")
-        answer = outcome.unwrap()
+            answer = await world.answer("i1")
         assert answer.index_version == 1
         assert {shard.service for shard in answer.lacking} == {"svc-0"}
         assert set(answer.lacking.values()) == {"wrong_version"}
         assert {shard.service for shard in answer.results} == {"svc-1", "svc-2"}
 
     async def test_keeps_the_better_run_when_a_restart_gains_less(self):
-        world = await _start()
-        world.set_map(2, world._maps_by_version[1])
-        world.publish_index(1, 2)
-        await asyncio.sleep(0.1)
+        world = await _start_with_two_versions()
         world.serve((1,), "svc-0-a", "svc-0-b")
         world.serve((2,), *(f"svc-{n}-{r}" for n in (1, 2) for r in "ab"))
         # Its denial comes after the other services have answered.
         world.holdings.delay_s = {"svc-0-a": 0.05, "svc-0-b": 0.05}
-        _, outcome = await world.ask("i1")
-        answer = outcome.unwrap()
+        answer = await world.answer("i1")
         assert answer.index_version == 2
         assert len(answer.results) == 4
         assert {shard.service for shard in answer.lacking} == {"svc-0"}
@@ -236,33 +231,24 @@
         world.set_map(1, shards)
         world.publish_index(1)
         await asyncio.sleep(0.1)
-        _, outcome = await world.ask("i1")
-        answer = outcome.unwrap()
+        answer = await world.answer("i1")
         assert answer.lacking == {model.Shard("svc-2", "*"): "no_shard_map"}
 
-    @pytest.mark.parametrize(
-        "fault", ["truncating", "garbling", "foreign", "misversioned"]
-    )
+    @_each_fault
     async def test_covers_the_shard_from_another_replica(self, fault):
         world = await _start()
         getattr(world.holdings, fault).update({"svc-0-a", "svc-1-a"})
-        answers = []
-        for instance in ("i1", "i2", "i3"):
-            _, outcome = await world.ask(instance)
-            answers.append(outcome.unwrap())
+        answers = [await world.answer(name) for name in ("i1", "i2", "i3")]
         assert all(answer.coverage == 1 for answer in answers)
         assert sum(answer.attempts.retries for answer in answers) > 0
 
-    @pytest.mark.parametrize(
-        "fault", ["truncating", "garbling", "foreign", "misversioned"]
-    )
+    @_each_fault
     async def test_states_the_shard_as_lacking_without_another_replica(
         self, fault
     ):
         world = await _start()
         getattr(world.holdings, fault).update({"svc-0-a", "svc-0-b"})
-        _, outcome = await world.ask("i1")
-        answer = outcome.unwrap()
+        answer = await world.answer("i1")
         assert {shard.service for shard in answer.lacking} == {"svc-0"}
         assert set(answer.lacking.values()) == {"invalid_rows"}
 
