Close the silent server of the upstream tests in one place

Cause: three tests opened and closed the same server and client by hand.

Ruled out: a fixture for server and client; an async context manager closes both on the test's own loop.

Change: `_client_of_silent_server`; async tests with `asyncio.run` as runner.

--- a/tests/test_dispatch_upstream.py
+++ b/tests/test_dispatch_upstream.py
@@ -1,6 +1,9 @@
 """The HTTP client tells what was certainly not sent."""
 
 import asyncio
+import contextlib
+
+import pytest
 
 from mallowloft.upstream import http
 from mallowloft.upstream import protocol
@@ -8,8 +11,15 @@
 SILENT_DEADLINE_MS = 2000.0
 
 
-async def _silent_server():
-    """Accepts connections and never answers."""
+@pytest.fixture(autouse=True)
+def run_async():
+    """Runs async tests with real sockets."""
+    return asyncio.run
+
+
+@contextlib.asynccontextmanager
+async def _client_of_silent_server():
+    """Yields a client, its server that never answers and what it received."""
     received = []
 
     async def serve(reader, writer):
@@ -19,7 +29,10 @@
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
-    return server, f"http://127.0.0.1:{port}", received
+    client = http.HttpUpstream(f"http://127.0.0.1:{port}", 1)
+    yield client, server, received
+    await client.close()
+    server.close()
 
 
 def _submit(deadline_ms):
@@ -29,53 +42,29 @@
 class TestNotSent:
     """UNSENT is said if and only if no byte was written."""
 
-    def test_wait_for_a_connection_ends_as_unsent(self):
+    async def test_wait_for_a_connection_ends_as_unsent(self):
         """Guards against "unknown" for a call that never got a connection."""
-
-        async def scenario():
-            server, url, received = await _silent_server()
-            client = http.HttpUpstream(url, 1)
-            first = asyncio.create_task(
-                client.submit(_submit(SILENT_DEADLINE_MS))
-            )
+        async with _client_of_silent_server() as (client, _, received):
+            call = client.submit(_submit(SILENT_DEADLINE_MS))
+            first = asyncio.create_task(call)
             await asyncio.sleep(0.05)
             reply = await client.submit(_submit(50.0))
             first.cancel()
             await asyncio.gather(first, return_exceptions=True)
-            await client.close()
-            server.close()
-            return reply, len(received)
-
-        reply, calls = asyncio.run(scenario())
         assert reply.outcome is protocol.CallOutcome.UNSENT
-        assert calls == 1
+        assert len(received) == 1
 
-    def test_silence_after_sending_is_open(self):
+    async def test_silence_after_sending_is_open(self):
         """Guards against "not sent" for a body that was written."""
-
-        async def scenario():
-            server, url, received = await _silent_server()
-            client = http.HttpUpstream(url, 1)
+        async with _client_of_silent_server() as (client, _, received):
             reply = await client.submit(_submit(50.0))
-            await client.close()
-            server.close()
-            return reply, len(received)
-
-        reply, calls = asyncio.run(scenario())
         assert reply.outcome is protocol.CallOutcome.FAILED
-        assert calls == 1
+        assert len(received) == 1
 
-    def test_refused_connection_is_unsent(self):
+    async def test_refused_connection_is_unsent(self):
         """Guards against "unknown" when nobody listens."""
-
-        async def scenario():
-            server, url, _ = await _silent_server()
+        async with _client_of_silent_server() as (client, server, _):
             server.close()
             await server.wait_closed()
-            client = http.HttpUpstream(url, 1)
             reply = await client.submit(_submit(500.0))
-            await client.close()
-            return reply
-
-        reply = asyncio.run(scenario())
         assert reply.outcome is protocol.CallOutcome.UNSENT
