Tell issuers of a replica whose submission had no outcome

Cause: an issuer avoids a replica only after its own call to it ended without a known outcome, so one faulty replica cost an "unknown" for each issuer. The dispatcher's ejection does not help: it needs 5 outcomes, and a stall makes it refuse only what waits.

Change: SlotReady is marked doubtful for 5 s after a submission ended without a known outcome, and while one is unanswered for 0.3 s. An issuer that does not avoid the replica yet releases the slot if the shard has another replica that did not refuse. A replica that refused a submission as often as allowed now comes after an avoided one; before, an avoided replica was never tried when the only other one was unreachable, and the submission was not run.

The new test of two issuers gives 2 unknown outcomes without the change and 1 with it.

A frozen replica costs up to two, because calls of its two slots may be in flight before the first is overdue.

--- a/src/mallowloft/dispatch/replica.py
+++ b/src/mallowloft/dispatch/replica.py
@@ -50,6 +50,11 @@
 # A call that ends at its deadline after less than this many mean service
 # times had a short deadline; that is no fault of the replica.
 _TIMEOUT_FACTOR = 4.0
+# Issuers are told for this long that a submission had no known outcome, so
+# that not each of them loses one to the same fault.
+_DOUBTFUL_S = 5.0
+# They are told too while a submission is unanswered for this long.
+_OVERDUE_SUBMISSION_S = 0.3
 
 _OUTCOMES = {
     protocol.CallOutcome.OK: messages.Outcome.OK,
@@ -169,6 +174,7 @@
         # Time of the last reply, or of the first call since all was quiet.
         self._progress_s = self._used_s
         self._denied_s = -_DENIAL_S
+        self._doubtful_until_s = float("-inf")
         self._health_versions: tuple[int, ...] = ()
         self.health_state = ""
         self._probe_task: asyncio.Task | None = None
@@ -786,7 +792,18 @@
             key,
             "ticket expired",
         )
-        self._send(key, messages.SlotReady(key.attempt, ticket))
+        self._send(
+            key, messages.SlotReady(key.attempt, ticket, self._doubtful())
+        )
+
+    def _doubtful(self) -> bool:
+        """Whether a submission would probably end without known outcome."""
+        now_s = self._kernel.clock.now()
+        return now_s < self._doubtful_until_s or any(
+            key.kind == reservations_lib.SLOT
+            and now_s - call.sent_s >= _OVERDUE_SUBMISSION_S
+            for key, call in self._calls_by_key.items()
+        )
 
     async def _submit(
         self, key: Key, call: _Call, message: messages.SlotGo
@@ -801,10 +818,14 @@
                 )
             )
         )
+        state = _SLOT_STATES[reply.outcome]
+        if state is messages.SlotState.MAYBE_RUN:
+            now_s = self._kernel.clock.now()
+            self._doubtful_until_s = now_s + _DOUBTFUL_S
         self._finish_call(key, call, reply)
         self._end_reservation(
             key,
-            _SLOT_STATES[reply.outcome],
+            state,
             reply.reason or reply.outcome.value,
             reply=reply.body,
             retry_after_ms=reply.retry_after_ms,
--- a/src/mallowloft/messages.py
+++ b/src/mallowloft/messages.py
@@ -322,10 +322,16 @@
 
 
 class SlotReady(Message):
-    """A slot is held until the ticket expires on the dispatcher's clock."""
+    """A slot is held until the ticket expires on the dispatcher's clock.
+
+    Attributes:
+        doubtful: Whether a submission to this replica recently ended without
+            a known outcome or is overdue, so that another replica is better.
+    """
 
     attempt: int
     ticket: int
+    doubtful: bool = False
 
 
 class SlotGo(Message):
--- a/src/mallowloft/submissions/running.py
+++ b/src/mallowloft/submissions/running.py
@@ -224,12 +224,14 @@
         """Reserves at the least used replica that can be reached."""
         now_s = self._kernel.clock.now()
         used = [item.replica for item in run.reservations_by_attempt.values()]
+        refusals = run.refusals_by_replica
         by_use = sorted(
             replicas,
             key=lambda replica: (
+                refusals.get(replica, 0) >= MAX_REFUSALS_PER_REPLICA,
                 self._avoided_until_s.get(replica, 0.0) > now_s,
                 used.count(replica),
-                run.refusals_by_replica.get(replica, 0),
+                refusals.get(replica, 0),
             ),
         )
         for replica in by_use:
@@ -284,6 +286,13 @@
             self._release(run, message.attempt)
             run.changed.set()
             return
+        if message.doubtful and self._has_better(run, reservation.replica):
+            until_s = self._kernel.clock.now() + AVOID_S
+            self._avoided_until_s[reservation.replica] = until_s
+            self._release(run, message.attempt)
+            run.next_try_s = 0.0
+            run.changed.set()
+            return
         self._ledger.move(run.record, ledger_lib.State.SENT)
         reservation.incarnation = sender.incarnation
         run.sent_attempt = message.attempt
@@ -305,6 +314,21 @@
             self._forget(run, message.attempt)
         run.changed.set()
 
+    def _has_better(self, run: _Run, replica: str) -> bool:
+        """Whether to try another replica before a doubtful one.
+
+        A replica that is avoided already was reserved for lack of another.
+        """
+        now_s = self._kernel.clock.now()
+        if self._avoided_until_s.get(replica, 0.0) > now_s:
+            return False
+        return any(
+            other != replica
+            and self._avoided_until_s.get(other, 0.0) <= now_s
+            and other not in run.refusals_by_replica
+            for other in self._replicas(run.work)
+        )
+
     def _on_outcome(
         self, sender: peers_lib.Sender, message: messages.SlotOutcome
     ) -> None:
--- a/tests/test_submissions_paths.py
+++ b/tests/test_submissions_paths.py
@@ -342,6 +342,38 @@
         assert outcomes.count(model.Unknown) == 1
         assert outcomes.count(model.Done) == 9
 
+    def test_one_issuer_warns_the_others(self):
+        # Guards against one "unknown" for each issuer and faulty replica.
+        async def scenario(world):
+            for name in ("r0a", "r0b"):
+                await world.send(
+                    "i1", world.submission(world.issue("i1"), request=name)
+                )
+            world.replicas_by_id["r0a"].failing = True
+            outcomes = []
+            for name in ("i1", "i2", "i1", "i2") * 3:
+                submission = world.submission(world.issue(name))
+                outcomes.append(await world.send(name, submission))
+            return [type(outcome) for outcome in outcomes]
+
+        outcomes = _run(scenario)
+        assert outcomes.count(model.Unknown) == 1
+        assert outcomes.count(model.Done) == 11
+
+    def test_a_doubtful_replica_is_used_if_there_is_no_other(self):
+        # Guards against refusing what the only replica could run.
+        async def scenario(world):
+            world.replicas_by_id["r0b"].unreachable = True
+            world.replicas_by_id["r0a"].failing = True
+            failed = await world.send("i1", world.submission(world.issue("i1")))
+            world.replicas_by_id["r0a"].failing = False
+            done = await world.send("i2", world.submission(world.issue("i2")))
+            return failed, done
+
+        failed, done = _run(scenario)
+        assert isinstance(failed, model.Unknown)
+        assert done == model.Done(b'"lamp"')
+
 
 class TestRestart:
     """Guards against answers that were meant for an earlier process."""
