Suspend probes and hedges that load explains

Change: no probe while a sibling reports a long queue; a late attempt at a replica that refused within 1 s and is not avoided is not hedged.

--- a/src/mallowloft/gather/run.py
+++ b/src/mallowloft/gather/run.py
@@ -543,6 +543,11 @@
         rank = self.query.rank
         if health.is_crowded(attempt.replica, rank, now_s):
             return []
+        if health.refused_lately(attempt.replica, now_s) and not health.avoided(
+            attempt.replica, now_s
+        ):
+            # Load explains the lateness.
+            return []
         untried = [
             replica
             for replica in self._untried[shard]
--- a/src/mallowloft/gather/selection.py
+++ b/src/mallowloft/gather/selection.py
@@ -330,7 +330,12 @@
         state = self._states.get(replica)
         if state is None or not state.avoided or now_s < state.probe_s:
             return False
-        return not self.is_overloaded(replica, now_s)
+        return not self.is_overloaded(replica, now_s) and not any(
+            self.queue_is_long(sibling, rank, now_s)
+            for sibling in self._siblings.get(replica, ())
+            if sibling != replica and sibling in self._states
+            for rank in self._states[sibling].delays_by_rank
+        )
 
     def probe_sent(self, replica: str, now_s: float) -> None:
         """Records a probe; the next one is twice as far away."""
