Take messages of submissions and dispatch as signs of life

Cause: submissions and dispatch did not report received messages to membership, nor the members whose answers they wait for. A member whose probes were lost was suspected while its answers still arrived.

Ruled out: one such handler in each part of submissions, which repeated the same method four times; the plug-in registers it once.

Change: both plug-ins call `membership.heard` with instance and incarnation for every message type that they receive. The forwarder and the runner call `membership.expect` for the issuer and the dispatcher that they wait for.

The new test, in which all probes are lost while submissions pass between two instances, sees the state "suspect" without the change and only "live" with it.

Conclusion: members are no longer suspected while they answer.

--- a/src/mallowloft/dispatch/service.py
+++ b/src/mallowloft/dispatch/service.py
@@ -116,6 +116,15 @@
     async def start(self) -> None:
         """Registers message handlers."""
         peers = self._kernel.plugin("peers")
+        for kind in (
+            messages.SubRequest,
+            messages.Cancel,
+            messages.SlotReserve,
+            messages.SlotGo,
+            messages.SlotRelease,
+            messages.UpstreamLeaving,
+        ):
+            peers.on(kind, self._on_any)
         peers.on(messages.SubRequest, self._on_request)
         peers.on(messages.Cancel, self._on_cancel)
         peers.on(messages.SlotReserve, self._on_reserve)
@@ -398,6 +407,14 @@
             dispatcher.leave()
         return dispatcher
 
+    def _on_any(
+        self, sender: peers_lib.Sender, message: messages.Message
+    ) -> None:
+        """Takes each received message as a sign of life."""
+        del message
+        membership = self._kernel.plugin("membership")
+        membership.heard(sender.instance, sender.incarnation)
+
     def _on_request(
         self, sender: peers_lib.Sender, request: messages.SubRequest
     ) -> None:
--- a/src/mallowloft/submissions/forwarding.py
+++ b/src/mallowloft/submissions/forwarding.py
@@ -168,6 +168,7 @@
             team=exchange.submission.team,
             digest=exchange.submission.digest,
         )
+        self._kernel.plugin("membership").expect(exchange.key.instance)
         for instance in self._targets(exchange.key, tries):
             self._kernel.plugin("peers").send(instance, message)
 
--- a/src/mallowloft/submissions/running.py
+++ b/src/mallowloft/submissions/running.py
@@ -245,6 +245,7 @@
                 remaining_ms=(run.work.end_s - now_s) * 1000,
             )
             if dispatcher is not None and self._send(dispatcher, message):
+                self._kernel.plugin("membership").expect(dispatcher)
                 self._runs_by_attempt[attempt] = run
                 run.reservations_by_attempt[attempt] = _Reservation(
                     replica, dispatcher
@@ -306,6 +307,7 @@
             remaining_ms=(remaining_s + EXTRA_RUN_S) * 1000,
         )
         if self._send(sender.instance, go):
+            self._kernel.plugin("membership").expect(sender.instance)
             self._release_others(run, message.attempt)
         else:
             # The message was not even queued, so nothing can have run.
--- a/src/mallowloft/submissions/service.py
+++ b/src/mallowloft/submissions/service.py
@@ -5,6 +5,8 @@
 import secrets
 from typing import Any
 
+from mallowloft import messages
+from mallowloft import peers as peers_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
@@ -23,6 +25,17 @@
 _HANDOVER_SHARE = 0.25
 _HANDOVER_LIMIT_S = 3.0
 _STOP_POLL_S = 0.01
+_RECEIVED = (
+    messages.SubmitOpen,
+    messages.SubmitTicket,
+    messages.SubmitGo,
+    messages.SubmitOutcome,
+    messages.SlotReady,
+    messages.SlotOutcome,
+    messages.LedgerHandover,
+    messages.LedgerReceived,
+    messages.LedgerHeld,
+)
 
 
 @registry.plugins.register("submissions")
@@ -47,6 +60,8 @@
 
     async def start(self) -> None:
         """Registers message handlers."""
+        for kind in _RECEIVED:
+            self._kernel.plugin("peers").on(kind, self._on_any)
         self._issuer.start()
         self._forwarder.start()
         self._successors.start()
@@ -107,6 +122,14 @@
         )
         return outcome
 
+    def _on_any(
+        self, sender: peers_lib.Sender, message: messages.Message
+    ) -> None:
+        """Takes each received message as a sign of life."""
+        del message
+        membership = self._kernel.plugin("membership")
+        membership.heard(sender.instance, sender.incarnation)
+
     async def _outcome(
         self, submission: model.Submission, end_s: float
     ) -> model.Outcome:
--- a/tests/test_submissions_paths.py
+++ b/tests/test_submissions_paths.py
@@ -7,6 +7,7 @@
 from mallowloft import messages
 from mallowloft import peers as peers_lib
 from mallowloft.kernel import logs
+from mallowloft.membership import view as view_lib
 from mallowloft.submissions import forwarding
 from mallowloft.submissions import handover
 from mallowloft.submissions import issuing
@@ -375,6 +376,27 @@
         assert done == model.Done(b'"lamp"')
 
 
+class TestSignsOfLife:
+    """Guards against a member that is suspected though its answers arrive."""
+
+    def test_answers_and_requests_keep_a_silent_member_live(self):
+        async def scenario(world):
+            # Without probes only the messages of submissions are left.
+            world.network.drop = lambda message: isinstance(
+                message, (messages.Ping, messages.Pong, messages.Suspected)
+            )
+            states = set()
+            for _ in range(40):
+                await world.send("i3", world.submission(world.issue("i1")))
+                await asyncio.sleep(0.05)
+                for one, other in (("i1", "i3"), ("i3", "i1")):
+                    view = world.kernels_by_id[one].plugin("membership").view
+                    states.add(view.state_of(other))
+            return states
+
+        assert _run(scenario) == {view_lib.LIVE}
+
+
 class TestRestart:
     """Guards against answers that were meant for an earlier process."""
 
