Move the reading of the platform's list out of the membership plug-in

Cause: membership/service.py had grown to 800 lines with three jobs. The choice of readers and the polling of the list are now membership/listing.py; behaviour is unchanged and test_membership and test_configuration pass.

--- a/src/mallowloft/membership/service.py
+++ b/src/mallowloft/membership/service.py
@@ -17,8 +17,8 @@
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
+from mallowloft.membership import listing
 from mallowloft.membership import prober as prober_lib
-from mallowloft.membership import rendezvous
 from mallowloft.membership import spread
 from mallowloft.membership import view as view_lib
 
@@ -31,13 +31,6 @@
 _DIGEST_TICKS = 20
 # Limits the burst of first pings: 860 members take 0.7 s.
 _FIRST_PINGS_PER_TICK = 64
-_LIST_INTERVAL_S = 1.0
-_LIST_BACKOFF_S = 0.5
-_LIST_BACKOFF_MAX_S = 8.0
-# Highest rate at which instances without live peers read the list together.
-_LIST_READS_PER_S = 200.0
-# Instances of each failure domain that read the platform for the others.
-READERS = 2
 # An instance that reaches nobody becomes ready after this time.
 _UNREACHABLE_READY_S = 2.0
 _FORGET_S = 60.0
@@ -94,9 +87,10 @@
         self._former_by_id: dict[str, list[int]] = {}
         self._successor_by_id: dict[str, str] = {}
         self._left = False
-        self._wakes = 0
-        self._readers: list[str] | None = None
-        self.view.subscribe(self._forget_readers)
+        self._readers = listing.Readers(self.view, self._domain)
+        self._follower = listing.ListFollower(
+            kernel, self.view, lambda: self.is_reader(), self._on_list
+        )
 
     async def start(self) -> None:
         """Adds this instance and configured peers, then follows the list."""
@@ -130,14 +124,14 @@
         )
         self._tasks = [
             asyncio.create_task(self._run()),
-            asyncio.create_task(self._follow_list()),
+            asyncio.create_task(self._follower.run()),
         ]
 
     def leave(self) -> None:
         """Tells all members that this instance takes no new work."""
         self._left = True
         # Without another live member, work in flight still needs this one.
-        if not self._alone():
+        if not self._follower.is_alone():
             self.view.set_state(self._own, view_lib.LEAVING)
         message = self._leaving_message()
         for member in list(self.view.members_by_id.values()):
@@ -177,7 +171,7 @@
                 for member in self.view.members_by_id.values()
             },
             "list_read": self._list_read,
-            "reads_list": self._reads_list(),
+            "reads_list": self._follower.reads(),
         }
 
     def expect(self, instance: str) -> None:
@@ -634,7 +628,7 @@
         _log.warning("process_was_paused", pause_s=pause_s)
         self._kernel.metrics.count("process_pauses")
         self._prober.reset()
-        self._wakes += 1
+        self._follower.wakes += 1
         self._validated = False
         self._valid_sequence = self._sequence + 1
         self._unreachable_ready_s = now_s + _UNREACHABLE_READY_S
@@ -651,32 +645,7 @@
 
     def readers(self) -> list[str]:
         """Returns the instances that read the platform for this domain."""
-        if self._readers is None:
-            live = self.view.live(self._domain)
-            ranked = rendezvous.ranked(live, f"readers/{self._domain}")
-            self._readers = ranked[:READERS]
-        return self._readers
-
-    def _forget_readers(self) -> None:
-        self._readers = None
-
-    def _alone(self) -> bool:
-        return len(self.view.live()) <= 1
-
-    def _reads_list(self) -> bool:
-        return self._alone() or self.is_reader()
-
-    async def _follow_list(self) -> None:
-        backoff_s = _LIST_BACKOFF_S
-        while True:
-            if not self._reads_list() or await self._read_list():
-                backoff_s = _LIST_BACKOFF_S
-                await asyncio.sleep(_LIST_INTERVAL_S)
-                if self._alone():
-                    await asyncio.sleep(self._alone_interval_s())
-                continue
-            await asyncio.sleep(backoff_s * self._kernel.rng.uniform(0.5, 1.5))
-            backoff_s = min(2 * backoff_s, _LIST_BACKOFF_MAX_S)
+        return self._readers.names
 
     def subscribe_upstreams(
         self, listener: Callable[[Mapping[str, str]], None]
@@ -684,33 +653,13 @@
         """Adds a listener for the upstreams' states by replica in the list."""
         self._upstream_listeners.append(listener)
 
-    async def _read_list(self) -> bool:
-        # Taken anew each time, because tests replace the client.
-        platform = self._kernel.plugin("configuration").platform
-        wakes = self._wakes
-        self._kernel.metrics.count("platform_calls", call="instances")
-        answer = await platform.instances()
-        if answer.is_err():
-            self._kernel.metrics.count(
-                "platform_calls_failed", call="instances"
-            )
-            _log.warning("list_unreachable", reason=answer.unwrap_err())
-            return False
-        try:
-            self._take_list(answer.unwrap().instances)
-            for listener in self._upstream_listeners:
-                listener(answer.unwrap().upstream_states)
-        except Exception:  # noqa: BLE001
-            _log.exception("list_not_taken")
-            return False
-        # A read from before a pause shows nothing of the present.
-        self._validated |= wakes == self._wakes
-        return True
-
-    def _alone_interval_s(self) -> float:
-        """Returns what keeps a fleet without contact under the rate."""
-        known = len(self.view.members_by_id)
-        return self._kernel.rng.uniform(0.0, 2 * known / _LIST_READS_PER_S)
+    def _on_list(
+        self, listed: platform_lib.InstanceList, current: bool
+    ) -> None:
+        self._take_list(listed.instances)
+        for listener in self._upstream_listeners:
+            listener(listed.upstream_states)
+        self._validated |= current
 
     def _take_list(self, items: Iterable[platform_lib.ListedInstance]) -> None:
         items_by_id = {item.id: item for item in items}
