Report a submission as done when its reply is too large to pass on

Cause: an outcome with a reply above the frame limit was dropped by the transport, and the issuer had to answer unknown for a submission that ran.

--- a/src/mallowloft/dispatch/replica.py
+++ b/src/mallowloft/dispatch/replica.py
@@ -823,11 +823,15 @@
             now_s = self._kernel.clock.now()
             self._doubtful_until_s = now_s + _DOUBTFUL_S
         self._finish_call(key, call, reply)
+        body, reason = reply.body, reply.reason or reply.outcome.value
+        if len(body) > messages.MAX_CONTENT_BYTES:
+            # The submission ran; an outcome that fits no frame would be lost.
+            body, reason = b"", "the reply is too large to be passed on"
         self._end_reservation(
             key,
             state,
-            reply.reason or reply.outcome.value,
-            reply=reply.body,
+            reason,
+            reply=body,
             retry_after_ms=reply.retry_after_ms,
         )
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,6 +4,7 @@
 from mallowloft import peers
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import settings as settings_lib
+from mallowloft.submissions import model as submissions_model
 from tests.support import virtual
 from tests.support import world as world_lib
 
@@ -77,3 +78,38 @@
         answer = virtual.run(scenario()).unwrap()
         assert not answer.results
         assert list(answer.lacking.values()) == ["too_large"]
+
+    def test_submission_with_a_large_reply_is_done_without_it(self):
+        """Guards against "unknown" because the reply fits no frame."""
+
+        async def scenario():
+            world = world_lib.World()
+            world.publish_service("svc", {"a": "d1"})
+            world.publish(
+                {
+                    "/operator/indexes/main": {
+                        "versions": [
+                            {"version": 1, "shards": {"svc": {"s": ["a"]}}}
+                        ]
+                    }
+                }
+            )
+            world.publish_team("team", "paying")
+            await world.start({"i1": "d1"})
+            submissions = world.kernels_by_id["i1"].plugin("submissions")
+            (key,) = submissions.issue("team", 1)
+            submission = submissions_model.Submission(
+                request="r",
+                team="team",
+                key=key,
+                service="svc",
+                shard="s",
+                # The fake upstream sends the body back.
+                body=b"x" * (messages.MAX_CONTENT_BYTES + 1),
+                rank=0,
+                deadline_ms=1000.0,
+                first_send=True,
+            )
+            return await world.run_at("i1", submissions.submit(submission))
+
+        assert virtual.run(scenario()) == submissions_model.Done(b"")
