Do not follow redirects of upstreams

Cause: the HTTP client followed a 307, which sends the body of a submission again; found while joining the doubled handling of status codes in query and submit. Ruled out: retries on a closed kept-alive connection, which the client makes for idempotent methods only.

--- a/src/mallowloft/upstream/http.py
+++ b/src/mallowloft/upstream/http.py
@@ -21,8 +21,6 @@
 _DEADLINE_MARGIN_S = 0.05
 _KEEPALIVE_S = 300.0
 
-_HttpAnswer = tuple[int, bytes]
-
 
 class _Raw(msgspec.Struct):
     """Answer to a query; results stay undecoded."""
@@ -85,11 +83,8 @@
         answer = await self._call("/v1/query", body, call.deadline_ms)
         if isinstance(answer, protocol.CallReply):
             return answer
-        status, content = answer
-        if status != 200:
-            return _refusal(status, content)
         try:
-            raw = _raw_decoder.decode(content)
+            raw = _raw_decoder.decode(answer)
         except msgspec.DecodeError as error:
             return protocol.CallReply(
                 protocol.CallOutcome.FAILED, reason=f"malformed: {error}"
@@ -111,10 +106,7 @@
         answer = await self._call("/v1/submit", body, call.deadline_ms)
         if isinstance(answer, protocol.CallReply):
             return answer
-        status, content = answer
-        if status != 200:
-            return _refusal(status, content)
-        return protocol.CallReply(protocol.CallOutcome.OK, body=content)
+        return protocol.CallReply(protocol.CallOutcome.OK, body=answer)
 
     async def cancel(self, request: str) -> None:
         """Asks the replica to drop a call."""
@@ -153,7 +145,8 @@
 
     async def _call(
         self, path: str, body: dict[str, Any], deadline_ms: float
-    ) -> _HttpAnswer | protocol.CallReply:
+    ) -> bytes | protocol.CallReply:
+        """Returns the content of a 200, or how the call ended otherwise."""
         timeout = aiohttp.ClientTimeout(
             total=deadline_ms / 1000 + _DEADLINE_MARGIN_S,
             # A call that waits for a connection until its deadline ends as
@@ -167,8 +160,13 @@
                 data=msgspec.json.encode(body),
                 headers={"Content-Type": "application/json"},
                 timeout=timeout,
+                # Following a redirect would send a submission again.
+                allow_redirects=False,
             ) as response:
-                return response.status, await response.read()
+                content = await response.read()
+                if response.status != 200:
+                    return _refusal(response.status, content)
+                return content
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
--- a/tests/test_dispatch_upstream.py
+++ b/tests/test_dispatch_upstream.py
@@ -68,3 +68,29 @@
             await server.wait_closed()
             reply = await client.submit(_submit(500.0))
         assert reply.outcome is protocol.CallOutcome.UNSENT
+
+
+class TestSentOnce:
+    """A submission is written at most once, whatever the upstream answers."""
+
+    async def test_a_redirect_is_not_followed(self):
+        """Guards against sending a submission again because of a 307."""
+        posts = []
+
+        async def serve(reader, writer):
+            posts.append(await reader.read(1 << 16))
+            writer.write(
+                b"HTTP/1.1 307 Again\r\nLocation: /v1/submit\r\n"
+                b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+            )
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = http.HttpUpstream(f"http://127.0.0.1:{port}", 1)
+        reply = await client.submit(_submit(SILENT_DEADLINE_MS))
+        await client.close()
+        server.close()
+        assert reply.outcome is protocol.CallOutcome.FAILED
+        assert len(posts) == 1
