--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -114,20 +114,15 @@
     return _codec(operation)
 
 
-@dataclasses.dataclass(frozen=True)
-class _DataClassRequest:
-    """The same fields as `SubRequest` in a data class, as a baseline."""
-
-    attempt: int
-    request: str
-    service: str
-    replica: str
-    shards: tuple[str, ...]
-    index_version: int
-    rank: int
-    remaining_ms: float
-    hedge: bool
-    query: bytes
+# The fields of `SubRequest` in a data class, as a baseline.
+_DataClassRequest = dataclasses.make_dataclass(
+    "_DataClassRequest",
+    [
+        (field.name, field.type)
+        for field in msgspec.structs.fields(messages.SubRequest)
+    ],
+    frozen=True,
+)
 
 
 def _data_class_frame(count: int):
