Log the end of a submission once

Cause: the callers' interface and the submissions plug-in of the same instance both wrote submission_answered for one submission, and one event has one line. The callers' line stays; it also has the latency and the outcome's name in the callers' terms. Metrics are unchanged.

--- a/src/mallowloft/submissions/service.py
+++ b/src/mallowloft/submissions/service.py
@@ -8,7 +8,6 @@
 from mallowloft import messages
 from mallowloft import peers as peers_lib
 from mallowloft.kernel import lifecycle
-from mallowloft.kernel import logs
 from mallowloft.kernel import registry
 from mallowloft.submissions import forwarding
 from mallowloft.submissions import handover
@@ -17,8 +16,6 @@
 from mallowloft.submissions import model
 from mallowloft.submissions import stopping
 
-_log = logs.get("submissions")
-
 _SECRET_BYTES = 32
 # Of the grace period, this share but no more than the limit is kept for
 # handing the final ledger over.
@@ -112,14 +109,6 @@
         outcome = await self._outcome(submission, end_s)
         name = type(outcome).__name__
         self._kernel.metrics.count("submissions", outcome=name)
-        _log.info(
-            "submission_answered",
-            request=submission.request,
-            team=submission.team,
-            service=submission.service,
-            outcome=name,
-            reason=getattr(outcome, "reason", ""),
-        )
         return outcome
 
     def _on_any(
