Serve opaque requests by routes and run on the users' platform

Cause: the product had no interface for opaque requests over published routes, and nothing spoke the platform's protocol. Change: plug-in routes (matching, splits, replica choice, hedges, allowances, merging of records, HTTP/1.1 connections that skip late extra replies), a follower of published listings, and the adapter in platform/. Quantiles, operators' endpoints and the process loop moved to where both use them; log lines go to standard output without blocking. Ruled out: aiohttp for replicas (9 MB a process by import, a late second reply is taken for the next one's); pydantic in the process of the platform (4 MB).

--- a/src/mallowloft/callers/answers.py
+++ b/src/mallowloft/callers/answers.py
@@ -53,15 +53,6 @@
         }
 
 
-def state(dump: Mapping[str, Any]) -> bytes:
-    """Returns an instance's state as JSON.
-
-    Plug-ins dump what they hold: numbers that JSON lacks become null, other
-    types become strings.
-    """
-    return msgspec.json.encode(dump, enc_hook=str)
-
-
 def error(
     status: int,
     code: str,
--- a/src/mallowloft/callers/server.py
+++ b/src/mallowloft/callers/server.py
@@ -46,8 +46,16 @@
     """One listening port and its connections."""
 
     def __init__(
-        self, app: Any, host: str, port: int, tls: dict[str, str]
+        self, app: Any, host: str, port: int, options: dict[str, Any]
     ) -> None:
+        """Prepares a server.
+
+        Args:
+            app: The ASGI application.
+            host: IP address to listen on.
+            port: Port to listen on.
+            options: Further settings of uvicorn: TLS files, time-outs.
+        """
         self._address = (host, port)
         self._config = uvicorn.Config(
             app,
@@ -55,7 +63,10 @@
             access_log=False,
             lifespan="off",
             server_header=False,
-            **tls,
+            ws="none",
+            interface="asgi3",
+            proxy_headers=False,
+            **options,
         )
         self._server = _Uvicorn(self._config)
         self._listener: socket.socket | None = None
@@ -66,6 +77,10 @@
         """Whether new connections are accepted."""
         return self._server.started and self._listener is not None
 
+    def set_idle_timeout(self, seconds: float) -> None:
+        """Changes how long connections opened from now on may be idle."""
+        self._config.timeout_keep_alive = seconds
+
     async def start(self) -> None:
         """Listens; raises OSError if the port is taken.
 
--- a/src/mallowloft/callers/service.py
+++ b/src/mallowloft/callers/service.py
@@ -1,4 +1,4 @@
-"""Plug-in with the HTTP interfaces of callers and operators."""
+"""Plug-in with the HTTP interface of callers."""
 
 import asyncio
 from collections.abc import Awaitable
@@ -146,9 +146,15 @@
 
 @registry.plugins.register("callers")
 class CallersService:
-    """Serves callers' requests and the operators' endpoints."""
+    """Serves callers' requests."""
 
-    requires = ("gather", "submissions", "configuration", "dispatch")
+    requires = (
+        "operators",
+        "gather",
+        "submissions",
+        "configuration",
+        "dispatch",
+    )
 
     def __init__(self, kernel: lifecycle.Kernel) -> None:
         self._kernel = kernel
@@ -157,7 +163,7 @@
         self._open_requests = 0
         self._refusing = False
         self._submissions: set[asyncio.Task] = set()
-        self._servers: list[server_lib.Server] = []
+        self._server: server_lib.Server | None = None
         self.caller_app = applications.Starlette(
             routes=[
                 self._route("/v1/query/{target}", self._query),
@@ -166,28 +172,21 @@
             ],
             exception_handlers={exceptions.HTTPException: self._no_route},
         )
-        self.operator_app = applications.Starlette(
-            routes=[
-                routing.Route("/livez", self._livez),
-                routing.Route("/readyz", self._readyz),
-                routing.Route("/metrics", self._metrics),
-                routing.Route("/v1/state", self._state),
-            ],
-            exception_handlers={exceptions.HTTPException: self._no_route},
-        )
         kernel.metrics.gauge("caller_requests_in_flight", self._count_open)
 
     async def start(self) -> None:
-        """Starts both HTTP servers."""
+        """Starts the HTTP server."""
         settings = self._kernel.settings
-        await self._serve(self.operator_app, settings.operator_port, {})
         tls = {}
         if settings.tls_certificate:
             tls = {
                 "ssl_certfile": settings.tls_certificate,
                 "ssl_keyfile": settings.tls_private_key,
             }
-        await self._serve(self.caller_app, settings.caller_port, tls)
+        self._server = server_lib.Server(
+            self.caller_app, settings.host, settings.caller_port, tls
+        )
+        await self._server.start()
 
     async def stop(self, grace_s: float) -> None:
         """Finishes requests in flight, then closes the servers.
@@ -204,13 +203,12 @@
         ):
             await asyncio.sleep(_POLL_S)
         remaining_s = max(0.0, end_s - clock.now())
-        await asyncio.gather(
-            *(server.stop(remaining_s) for server in self._servers)
-        )
+        if self._server is not None:
+            await self._server.stop(remaining_s)
 
     def ready(self) -> bool:
-        """Whether the servers accept connections."""
-        return all(server.listening for server in self._servers)
+        """Whether the server accepts connections."""
+        return self._server is not None and self._server.listening
 
     def dump(self) -> dict[str, Any]:
         """Returns the requests in flight."""
@@ -225,13 +223,6 @@
     def _count_open(self) -> int:
         return self._open_requests
 
-    async def _serve(
-        self, app: applications.Starlette, port: int, tls: dict[str, str]
-    ) -> None:
-        server = server_lib.Server(app, self._kernel.settings.host, port, tls)
-        self._servers.append(server)
-        await server.start()
-
     def _route(self, path: str, handler: Handler) -> routing.Route:
         async def endpoint(request: http_requests.Request):
             self._open_requests += 1
@@ -568,25 +559,3 @@
             error.headers,
             "application/json",
         )
-
-    async def _livez(self, request: http_requests.Request):
-        del request
-        return responses.PlainTextResponse("live\n")
-
-    async def _readyz(self, request: http_requests.Request):
-        del request
-        if self._kernel.ready():
-            return responses.PlainTextResponse("ready\n")
-        return responses.PlainTextResponse("not ready\n", 503)
-
-    async def _metrics(self, request: http_requests.Request):
-        del request
-        return responses.Response(
-            self._kernel.metrics.render(), media_type="text/plain"
-        )
-
-    async def _state(self, request: http_requests.Request):
-        del request
-        return responses.Response(
-            answers.state(self._kernel.dump()), media_type="application/json"
-        )
--- a/src/mallowloft/cli.py
+++ b/src/mallowloft/cli.py
@@ -7,16 +7,15 @@
 from collections.abc import Sequence
 import json
 import os
-import signal
 import sys
 from typing import Any
 
 import mallowloft
 from mallowloft import client as client_lib
-from mallowloft.callers import answers
 from mallowloft.kernel import findings as findings_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
+from mallowloft.kernel import process
 from mallowloft.kernel import registry
 from mallowloft.kernel import settings as settings_lib
 
@@ -46,21 +45,10 @@
     print(json.dumps(value, indent=2))
 
 
-def _log_state(kernel: lifecycle.Kernel) -> None:
-    _log.info("state_dump", state=answers.state(kernel.dump()).decode())
-
-
 async def _run_instance(settings: settings_lib.Settings) -> None:
     kernel = lifecycle.Kernel(settings)
     kernel.build()
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGUSR1, _log_state, kernel)
-    await kernel.start()
-    await stop.wait()
-    await kernel.stop(settings.stop_grace_s)
+    await process.run(kernel)
 
 
 @commands.register("entry")
--- a/src/mallowloft/kernel/findings.py
+++ b/src/mallowloft/kernel/findings.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Iterator
 import dataclasses
+from typing import TYPE_CHECKING
 
-import pydantic
+if TYPE_CHECKING:
+    # Only for annotations: it takes more memory than the rest of the kernel.
+    import pydantic
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,7 +50,7 @@
         self._items.append(Finding(place, message))
 
     def add_validation_error(
-        self, prefix: str, error: pydantic.ValidationError
+        self, prefix: str, error: "pydantic.ValidationError"
     ) -> None:
         """Records every fault of a pydantic error.
 
--- a/src/mallowloft/kernel/lifecycle.py
+++ b/src/mallowloft/kernel/lifecycle.py
@@ -79,6 +79,7 @@
         self.rng = rng or random.Random()
         self.incarnation = incarnation or secrets.randbits(63)
         self.metrics = metrics_lib.Metrics()
+        self.metrics.gauge("log_lines_dropped", logs.dropped_lines)
         self.pauses = clock_lib.PauseDetector(self.clock)
         self.stopping = False
         self.plugins_by_name: dict[str, Any] = {}
--- a/src/mallowloft/kernel/registry.py
+++ b/src/mallowloft/kernel/registry.py
@@ -42,8 +42,9 @@
 plugins: Registry[type] = Registry("plug-in")
 
 # Importing a module registers its plug-ins. PyInstaller-like packers and
-# newcomers can see from this list what a process is made of.
-_PLUGIN_MODULES = (
+# newcomers can see from these lists what a process is made of.
+_QUERY_MODULES = (
+    "mallowloft.callers.operators",
     "mallowloft.peers",
     "mallowloft.configuration.service",
     "mallowloft.membership.service",
@@ -53,9 +54,22 @@
     "mallowloft.submissions.service",
     "mallowloft.callers.service",
 )
+_ROUTED_MODULES = (
+    "mallowloft.callers.operators",
+    "mallowloft.routes.service",
+)
 
 
 def load_plugins() -> None:
-    """Imports every module that registers plug-ins."""
-    for module in _PLUGIN_MODULES:
+    """Imports every module with a plug-in of an instance for queries."""
+    for module in _QUERY_MODULES:
+        importlib.import_module(module)
+
+
+def load_routed_plugins() -> None:
+    """Imports the modules of an instance that serves opaque requests.
+
+    The source of routes and replicas is a further plug-in.
+    """
+    for module in _ROUTED_MODULES:
         importlib.import_module(module)
--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -1,5 +1,7 @@
 """Process settings from flags and environment variables."""
 
+from __future__ import annotations
+
 import argparse
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -7,24 +9,26 @@
 import ipaddress
 import re
 import socket
-import ssl
 import typing
-from typing import Annotated
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import Literal
 import urllib.parse
 
-import pydantic
 import result
-from zmq.utils import z85
 
 from mallowloft.kernel import findings as findings_lib
 
-_ENVIRONMENT_PREFIX = "MALLOWLOFT_"
+if TYPE_CHECKING:
+    # Imported only where settings are checked: an adapter that builds them
+    # itself saves the memory of the validation library.
+    from mallowloft.kernel.setting_types import AnswerBytes
+    from mallowloft.kernel.setting_types import BodyBytes
+    from mallowloft.kernel.setting_types import Name
+    from mallowloft.kernel.setting_types import Port
+    from mallowloft.kernel.setting_types import Seconds
 
-Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
-Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
-Seconds = Annotated[float, pydantic.Field(ge=0, le=86_400)]
+_ENVIRONMENT_PREFIX = "MALLOWLOFT_"
 
 
 def _setting(help_text: str, default: Any = dataclasses.MISSING) -> Any:
@@ -41,6 +45,13 @@
     host: str = _setting("IP address to listen on", "127.0.0.1")
     caller_port: Port = _setting("port for callers (HTTP)", 8080)
     operator_port: Port = _setting("port for operators (HTTP)", 8081)
+    metrics_port: Port = _setting(
+        "second port for operators, 0 for none (HTTP)", 0
+    )
+    ready_path: str = _setting(
+        "further path on the operators' port that reports readiness",
+        "/readyz",
+    )
     peer_port: Port = _setting("port for other instances (ZeroMQ)", 8082)
     platform_url: str = _setting("base URL of the platform's services", "")
     peers: str = _setting(
@@ -67,11 +78,11 @@
     key_lifetime_s: Seconds = _setting(
         "lifetime of an idempotency key, seconds", 900.0
     )
-    max_body_bytes: Annotated[int, pydantic.Field(ge=1, le=8 << 20)] = _setting(
+    max_body_bytes: BodyBytes = _setting(
         "largest accepted request body, bytes", 1 << 20
     )
-    max_answer_bytes: Annotated[int, pydantic.Field(ge=1, le=1 << 30)] = (
-        _setting("largest answer to a query, bytes", 64 << 20)
+    max_answer_bytes: AnswerBytes = _setting(
+        "largest answer to a query, bytes", 64 << 20
     )
     tls_certificate: str = _setting("PEM certificate chain for callers", "")
     tls_private_key: str = _setting("PEM private key for callers", "")
@@ -241,6 +252,8 @@
                 self._add(name, f"{error.filename}: {error.strerror}")
         if len(given) < len(names) or not readable:
             return
+        import ssl
+
         try:
             context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
             # A password callback keeps OpenSSL from asking at the terminal.
@@ -275,6 +288,8 @@
 
 
 def _is_key(key: bytes) -> bool:
+    from zmq.utils import z85
+
     try:
         return len(key) == 40 and len(z85.decode(key)) == 32
     except (ValueError, KeyError, OverflowError):
@@ -334,8 +349,14 @@
     Each field is checked alone, so that the checks across fields still run
     for the others.
     """
+    import pydantic
+
+    from mallowloft.kernel import setting_types
+
     valid = {}
-    types = typing.get_type_hints(Settings, include_extras=True)
+    types = typing.get_type_hints(
+        Settings, localns=vars(setting_types), include_extras=True
+    )
     for field in dataclasses.fields(Settings):
         if field.name not in values:
             if field.default is dataclasses.MISSING:
--- /dev/null
+++ b/src/mallowloft/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Opaque HTTP requests, forwarded by routes to replicas of services."""
--- /dev/null
+++ b/src/mallowloft/routes/directory.py
@@ -0,0 +1,166 @@
+"""The replicas that are known to live, by service."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+
+from mallowloft.kernel import logs
+from mallowloft.routes import health as health_lib
+from mallowloft.routes import model
+from mallowloft.upstream import http1
+
+_log = logs.get("directory")
+
+# A replica accepts its connections from all instances together, of which an
+# instance does not know the number: today's fleets have 7 or 8 and add a few.
+_INSTANCES_PER_REPLICA = 8
+_DEFAULT_CONNECTIONS = 2
+_MAX_CONNECTIONS = 32
+
+
+class Entry:
+    """A replica with its connections and what is known of its health."""
+
+    __slots__ = ("draining", "health", "pool", "replica")
+
+    def __init__(
+        self,
+        replica: model.Replica,
+        pool: http1.Pool,
+        health: health_lib.ReplicaHealth,
+    ) -> None:
+        self.replica = replica
+        self.pool = pool
+        self.health = health
+        self.draining = replica.draining
+
+
+class Directory:
+    """Replicas as listed; the source of the list calls `put` and `remove`."""
+
+    def __init__(self, note: Callable[[str], None]) -> None:
+        self._note = note
+        self._entries_by_id: dict[str, Entry] = {}
+        self._entries_by_service: dict[str, list[Entry]] = {}
+        self._max_connections_by_service: dict[str, int] = {}
+        self._wanted_services: frozenset[str] = frozenset()
+
+    def __len__(self) -> int:
+        return len(self._entries_by_id)
+
+    def entries(self, service: str) -> list[Entry]:
+        """Returns the replicas of a service, leaving ones included."""
+        return self._entries_by_service.get(service, [])
+
+    def ids(self) -> set[str]:
+        """Returns the ids of all replicas."""
+        return set(self._entries_by_id)
+
+    def put(self, replica: model.Replica) -> None:
+        """Adds a replica or changes what is known of it."""
+        known = self._entries_by_id.get(replica.id)
+        if known is not None and known.replica.key == replica.key:
+            self._change(known, replica)
+            return
+        if known is not None:
+            self.remove(replica.id, "started_again")
+        now_s = asyncio.get_running_loop().time()
+        entry = Entry(
+            replica,
+            http1.Pool(
+                replica.host,
+                replica.port,
+                self._share(replica.service),
+                self._note,
+            ),
+            health_lib.ReplicaHealth(now_s + replica.cold_s),
+        )
+        self._entries_by_id[replica.id] = entry
+        self._entries_by_service.setdefault(replica.service, []).append(entry)
+        if replica.service in self._wanted_services and not replica.draining:
+            entry.pool.warm()
+        _log.info(
+            "replica_listed",
+            replica=replica.id,
+            service=replica.service,
+            address=entry.pool.address,
+            failure_domain=replica.failure_domain,
+            draining=replica.draining,
+        )
+
+    def remove(self, replica_id: str, reason: str) -> None:
+        """Removes a replica; its running requests may end."""
+        entry = self._entries_by_id.pop(replica_id, None)
+        if entry is None:
+            return
+        entry.draining = True
+        entries = self._entries_by_service[entry.replica.service]
+        entries.remove(entry)
+        if not entries:
+            del self._entries_by_service[entry.replica.service]
+        entry.pool.close()
+        _log.info(
+            "replica_removed",
+            replica=replica_id,
+            service=entry.replica.service,
+            reason=reason,
+        )
+
+    def use(
+        self, services: Iterable[str], max_connections: dict[str, int]
+    ) -> None:
+        """Takes the services of the routes and their connection limits."""
+        self._max_connections_by_service = max_connections
+        self._wanted_services = frozenset(services)
+        for entry in self._entries_by_id.values():
+            service = entry.replica.service
+            entry.pool.max_connections = self._share(service)
+            if service in self._wanted_services and not entry.draining:
+                entry.pool.warm()
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for entry in self._entries_by_id.values():
+            entry.pool.abort()
+
+    def dump(self) -> dict[str, list[dict]]:
+        """Returns the replicas by service as JSON-ready data."""
+        return {
+            service: [self._describe(entry) for entry in entries]
+            for service, entries in self._entries_by_service.items()
+        }
+
+    def _describe(self, entry: Entry) -> dict:
+        now_s = asyncio.get_running_loop().time()
+        return {
+            **dataclasses.asdict(entry.replica),
+            "slowness": round(entry.health.slowness(now_s), 2),
+            "ejected": entry.health.ejected(now_s),
+            "in_flight": entry.health.in_flight,
+            "connections": entry.pool.open_count,
+        }
+
+    def _share(self, service: str) -> int:
+        limit = self._max_connections_by_service.get(service)
+        if limit is None:
+            return _DEFAULT_CONNECTIONS
+        share = limit // _INSTANCES_PER_REPLICA
+        return max(1, min(_MAX_CONNECTIONS, share))
+
+    def _change(self, entry: Entry, replica: model.Replica) -> None:
+        if replica == entry.replica:
+            return
+        if replica.draining and not entry.draining:
+            _log.info(
+                "replica_draining",
+                replica=replica.id,
+                service=replica.service,
+            )
+        entry.replica = replica
+        entry.draining = replica.draining
+        now_s = asyncio.get_running_loop().time()
+        if replica.cold_s:
+            entry.health.set_cold(now_s + replica.cold_s)
+        if replica.draining:
+            entry.pool.drain()
--- /dev/null
+++ b/src/mallowloft/routes/gathering.py
@@ -0,0 +1,269 @@
+"""One request that needs a part from every shard of a route."""
+
+import asyncio
+import dataclasses
+import math
+
+from mallowloft.kernel import logs
+from mallowloft.routes import attempts as attempts_lib
+from mallowloft.routes import directory as directory_lib
+from mallowloft.routes import merge
+from mallowloft.routes import model
+from mallowloft.routes import running
+
+_log = logs.get("gathering")
+
+# Merging, writing and the way to the caller take time after the last part.
+_LEAVE_MARGIN_S = 0.006
+_LEAVE_MARGIN_SHARE = 0.05
+_CONTENT_TYPE = (b"content-type", b"application/octet-stream")
+
+
+@dataclasses.dataclass(slots=True)
+class _Shard:
+    """Attempts for one shard; `due_s` is when the newest one is late."""
+
+    service: str
+    tried: list[directory_lib.Entry] = dataclasses.field(default_factory=list)
+    running: list[attempts_lib.Attempt] = dataclasses.field(
+        default_factory=list
+    )
+    due_s: float = math.inf
+    failure: str = ""
+
+
+def leave_time(
+    route: model.Route, started_s: float, waited_s: float, end_s: float
+) -> float:
+    """Returns when an answer may leave with fewer parts than there are.
+
+    Shortly before the route's objective: an answer that is late is worth a
+    fraction, while a few missing parts cost little. A caller that repeats has
+    spent a part of the objective before.
+
+    Args:
+        route: The route.
+        started_s: When the request arrived.
+        waited_s: How long its caller has waited before.
+        end_s: When the caller or the route gives up.
+    """
+    margin_s = _LEAVE_MARGIN_S + _LEAVE_MARGIN_SHARE * route.objective_s
+    left_s = route.objective_s - margin_s - waited_s
+    if left_s <= 0:
+        left_s = route.objective_s - margin_s
+    return min(end_s, started_s + left_s)
+
+
+class Gathering:
+    """Asks one replica of each shard, hedges, and merges the parts."""
+
+    def __init__(self, context: running.Context, run: running.Run) -> None:
+        self._context = context
+        self._run = run
+        self._route = run.route
+        self._parts: dict[str, model.Reply] = {}
+        self._open: dict[str, _Shard] = {}
+        self._leave_s = leave_time(
+            run.route, run.started_s, run.waited_s, run.end_s
+        )
+        self._late_s = run.latency.late_s
+        self._needed = math.ceil(
+            run.route.min_coverage * len(run.route.shards) - 1e-9
+        )
+        self._timer: asyncio.TimerHandle | None = None
+        self._loop = asyncio.get_running_loop()
+        self.done: asyncio.Future[model.Answer] = self._loop.create_future()
+        self.sent = 0
+        self.hedges = 0
+        self.retries = 0
+
+    def start(self) -> None:
+        """Sends the first attempts."""
+        now_s = self._loop.time()
+        for service in self._route.shards:
+            self._context.extra(service).earn()
+            self._open[service] = _Shard(service)
+        for shard in list(self._open.values()):
+            if self.done.done():
+                return
+            self._try_first(shard, now_s)
+        if not self.done.done():
+            self._settle(now_s)
+            self._schedule(now_s)
+
+    def cancel(self) -> None:
+        """Stops because the caller has left."""
+        self._release()
+        if not self.done.done():
+            self.done.cancel()
+
+    def _try_first(self, shard: _Shard, now_s: float) -> None:
+        entry = self._context.selector.choose(
+            self._context.directory.entries(shard.service), now_s
+        )
+        if entry is None:
+            shard.failure = "no_replica"
+            return
+        self._send(shard, entry, now_s)
+
+    def _send(
+        self, shard: _Shard, entry: directory_lib.Entry, now_s: float
+    ) -> None:
+        shard.tried.append(entry)
+        shard.due_s = now_s + self._late_s
+        self.sent += 1
+        attempt = self._context.sender.start(
+            entry,
+            self._run.outgoing,
+            self._run.end_s,
+            self._run.latency,
+            lambda attempt, outcome: self._on_end(shard, attempt, outcome),
+        )
+        if attempt.wanted:
+            shard.running.append(attempt)
+
+    def _on_end(
+        self,
+        shard: _Shard,
+        attempt: attempts_lib.Attempt,
+        outcome: attempts_lib.Outcome,
+    ) -> None:
+        if attempt in shard.running:
+            shard.running.remove(attempt)
+        if self.done.done() or shard.service not in self._open:
+            return
+        if isinstance(outcome, model.Reply) and outcome.success:
+            self._parts[shard.service] = outcome
+            del self._open[shard.service]
+            for other in shard.running:
+                other.release()
+        else:
+            self._on_failure(shard, outcome)
+        self._settle(self._loop.time())
+
+    def _on_failure(self, shard: _Shard, outcome: attempts_lib.Outcome) -> None:
+        shard.failure = running.describe(outcome)
+        if shard.running:
+            return
+        now_s = self._loop.time()
+        entry = self._next(shard, now_s, sound=False)
+        if entry is None:
+            return
+        free = outcome is model.Failure.UNSENT
+        if free or self._context.extra(shard.service).take_retry():
+            self.retries += 1
+            self._send(shard, entry, now_s)
+
+    def _next(
+        self, shard: _Shard, now_s: float, sound: bool
+    ) -> directory_lib.Entry | None:
+        if len(shard.tried) >= self._route.max_attempts:
+            return None
+        entries = self._context.directory.entries(shard.service)
+        return self._context.selector.choose(entries, now_s, shard.tried, sound)
+
+    def _tick(self) -> None:
+        self._timer = None
+        now_s = self._loop.time()
+        for shard in list(self._open.values()):
+            if shard.due_s <= now_s and shard.running:
+                self._hedge(shard, now_s)
+        self._settle(now_s)
+        if not self.done.done():
+            self._schedule(now_s)
+
+    def _hedge(self, shard: _Shard, now_s: float) -> None:
+        for attempt in shard.running:
+            attempt.entry.health.late(attempt, now_s)
+        shard.due_s = now_s + self._late_s / 2
+        entry = self._next(shard, now_s, sound=True)
+        if entry is None:
+            if len(shard.tried) >= self._route.max_attempts:
+                shard.due_s = math.inf
+            return
+        if self._context.extra(shard.service).take_hedge():
+            self.hedges += 1
+            self._send(shard, entry, now_s)
+
+    def _schedule(self, now_s: float) -> None:
+        due_s = min(
+            (shard.due_s for shard in self._open.values()), default=math.inf
+        )
+        if now_s < self._leave_s:
+            due_s = min(due_s, self._leave_s)
+        due_s = min(due_s, self._run.end_s)
+        self._timer = self._loop.call_at(due_s, self._tick)
+
+    def _settle(self, now_s: float) -> None:
+        """Answers as soon as waiting gains nothing."""
+        if self.done.done():
+            return
+        # Without an attempt in flight no further part will come.
+        hopeless = not any(shard.running for shard in self._open.values())
+        enough = len(self._parts) >= max(1, self._needed)
+        ended = now_s >= self._run.end_s
+        if enough and (hopeless or now_s >= self._leave_s or ended):
+            self._finish(self._answer())
+        elif hopeless or ended:
+            self._finish(self._failure(ended))
+
+    def _answer(self) -> model.Answer:
+        names = self._context.names
+        signatures = b", ".join(
+            reply.signature for reply in self._parts.values()
+        )
+        body = merge.greatest(
+            (reply.body for reply in self._parts.values()),
+            self._route.top_records,
+        )
+        missing = len(self._open)
+        return model.Answer(
+            200,
+            (
+                (names.signatures, signatures),
+                (names.missing, b"%d" % missing),
+                _CONTENT_TYPE,
+            ),
+            body,
+            missing=missing,
+        )
+
+    def _failure(self, ended: bool) -> model.Answer:
+        if not self.sent:
+            return model.refusal("no_replica", running.RETRY_NO_REPLICA_S)
+        if ended:
+            return model.failure(504, "parts_late")
+        return model.failure(502, "parts_failed")
+
+    def _finish(self, answer: model.Answer) -> None:
+        self._release()
+        if not self.done.done():
+            self.done.set_result(answer)
+
+    def _release(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        for shard in self._open.values():
+            for attempt in shard.running:
+                attempt.release()
+
+    def describe(self) -> dict[str, object]:
+        """Returns what decided the answer, for the log."""
+        open_shards = list(self._open.values())
+        return {
+            "parts": len(self._parts),
+            "shards": len(self._route.shards),
+            "sent": self.sent,
+            "hedges": self.hedges,
+            "retries": self.retries,
+            "lacking": ",".join(
+                f"{shard.service}:{shard.failure or 'late'}"
+                f"@{'+'.join(item.replica.id for item in shard.tried)}"
+                for shard in open_shards[:_MAX_LOGGED]
+            ),
+        }
+
+
+# Shards that a log line names.
+_MAX_LOGGED = 4
--- /dev/null
+++ b/src/mallowloft/routes/merge.py
@@ -0,0 +1,21 @@
+"""Merges parts of fixed-size records into the greatest ones."""
+
+from collections.abc import Iterable
+import heapq
+
+RECORD_BYTES = 16
+
+
+def records_of(body: bytes) -> list[bytes]:
+    """Splits a part into records; a shorter remainder is none."""
+    end = len(body) - len(body) % RECORD_BYTES
+    return [
+        body[start : start + RECORD_BYTES]
+        for start in range(0, end, RECORD_BYTES)
+    ]
+
+
+def greatest(bodies: Iterable[bytes], count: int) -> bytes:
+    """Returns the greatest records of all parts, greatest first."""
+    records = [record for body in bodies for record in records_of(body)]
+    return b"".join(heapq.nlargest(count, records))
--- /dev/null
+++ b/src/mallowloft/routes/running.py
@@ -0,0 +1,51 @@
+"""What running requests share."""
+
+import dataclasses
+from typing import Protocol
+
+from mallowloft.routes import attempts as attempts_lib
+from mallowloft.routes import directory as directory_lib
+from mallowloft.routes import limits
+from mallowloft.routes import model
+from mallowloft.routes import selection
+
+# Replicas are listed within a second or two after they have started.
+RETRY_NO_REPLICA_S = 0.5
+
+
+class Context(Protocol):
+    """Parts of the service that running requests use."""
+
+    names: model.HeaderNames
+    directory: directory_lib.Directory
+    selector: selection.Selector
+    sender: attempts_lib.Sender
+
+    def extra(self, service: str) -> limits.ExtraAttempts:
+        """Returns the allowance of a service for extra attempts."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """One accepted request.
+
+    Attributes:
+        waited_s: How long its caller waited in earlier attempts.
+        end_s: Loop time of the final answer at the latest.
+    """
+
+    route: model.Route
+    outgoing: attempts_lib.Outgoing
+    latency: limits.RouteLatency
+    started_s: float
+    waited_s: float
+    end_s: float
+
+
+def describe(outcome: attempts_lib.Outcome) -> str:
+    """Returns a failed outcome as one word."""
+    if isinstance(outcome, model.Failure):
+        return outcome.value
+    if outcome.not_run:
+        return f"not_run_{outcome.status}"
+    return f"status_{outcome.status}"
--- /dev/null
+++ b/src/mallowloft/routes/single.py
@@ -0,0 +1,174 @@
+"""One request that a single replica answers."""
+
+import asyncio
+
+from mallowloft.routes import attempts as attempts_lib
+from mallowloft.routes import directory as directory_lib
+from mallowloft.routes import model
+from mallowloft.routes import running
+
+# Shed replicas have room again after about one request.
+_MIN_RETRY_S = 0.02
+
+
+class Single:
+    """Forwards a request to one replica, and to others where that is safe.
+
+    A request that must not run twice goes to another replica only if the
+    first certainly did not and will not run it.
+    """
+
+    def __init__(
+        self, context: running.Context, run: running.Run, service: str
+    ) -> None:
+        self._context = context
+        self._run = run
+        self._route = run.route
+        self._service = service
+        self._tried: list[directory_lib.Entry] = []
+        self._running: list[attempts_lib.Attempt] = []
+        self._may_have_run = False
+        self._last: attempts_lib.Outcome | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._loop = asyncio.get_running_loop()
+        self.done: asyncio.Future[model.Answer] = self._loop.create_future()
+        self.hedges = 0
+
+    def start(self) -> None:
+        """Sends the first attempt."""
+        self._context.extra(self._service).earn()
+        entry = self._next(sound=False)
+        if entry is None:
+            self._finish(
+                model.refusal("no_replica", running.RETRY_NO_REPLICA_S)
+            )
+            return
+        self._send(entry)
+        if not self.done.done():
+            self._schedule()
+
+    def cancel(self) -> None:
+        """Stops because the caller has left."""
+        self._release()
+        if not self.done.done():
+            self.done.cancel()
+
+    def describe(self) -> dict[str, object]:
+        """Returns what decided the answer, for the log."""
+        return {
+            "service": self._service,
+            "sent": len(self._tried),
+            "hedges": self.hedges,
+            "replicas": ",".join(entry.replica.id for entry in self._tried),
+            "last": running.describe(self._last) if self._last else "",
+        }
+
+    def _next(self, sound: bool) -> directory_lib.Entry | None:
+        if len(self._tried) >= self._route.max_attempts:
+            return None
+        return self._context.selector.choose(
+            self._context.directory.entries(self._service),
+            self._loop.time(),
+            self._tried,
+            sound,
+        )
+
+    def _send(self, entry: directory_lib.Entry) -> None:
+        self._tried.append(entry)
+        attempt = self._context.sender.start(
+            entry,
+            self._run.outgoing,
+            self._run.end_s,
+            self._run.latency,
+            self._on_end,
+        )
+        if attempt.wanted:
+            self._running.append(attempt)
+
+    def _on_end(
+        self, attempt: attempts_lib.Attempt, outcome: attempts_lib.Outcome
+    ) -> None:
+        if attempt in self._running:
+            self._running.remove(attempt)
+        if self.done.done():
+            return
+        self._last = outcome
+        if isinstance(outcome, model.Reply) and not outcome.not_run:
+            self._may_have_run = True
+            if outcome.status < 500 or not self._route.idempotent:
+                self._finish(self._passed_on(outcome))
+                return
+        elif outcome in (model.Failure.BROKEN, model.Failure.MALFORMED):
+            self._may_have_run = True
+        if self._running:
+            return
+        if not self._retry(outcome):
+            self._finish(self._conclude(outcome))
+
+    def _retry(self, outcome: attempts_lib.Outcome) -> bool:
+        if self._may_have_run and not self._route.idempotent:
+            return False
+        entry = self._next(sound=False)
+        if entry is None:
+            return False
+        free = outcome is model.Failure.UNSENT
+        if not free and not self._context.extra(self._service).take_retry():
+            return False
+        self._send(entry)
+        return True
+
+    def _conclude(self, outcome: attempts_lib.Outcome) -> model.Answer:
+        if isinstance(outcome, model.Reply) and not outcome.not_run:
+            return self._passed_on(outcome)
+        if self._may_have_run:
+            return model.failure(502, "replica_failed")
+        wait_s = max(_MIN_RETRY_S, self._run.latency.usual_s)
+        return model.refusal(running.describe(outcome), wait_s)
+
+    def _passed_on(self, reply: model.Reply) -> model.Answer:
+        headers = attempts_lib.forwarded(reply.headers, frozenset())
+        return model.Answer(reply.status, headers, reply.body)
+
+    def _schedule(self) -> None:
+        due_s = self._run.end_s
+        if self._route.idempotent and not self.hedges:
+            hedge_s = self._loop.time() + self._run.latency.late_s
+            due_s = min(due_s, hedge_s)
+        self._timer = self._loop.call_at(due_s, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        now_s = self._loop.time()
+        if now_s >= self._run.end_s:
+            self._finish(self._ended())
+            return
+        for attempt in self._running:
+            attempt.entry.health.late(attempt, now_s)
+        entry = self._next(sound=True)
+        if entry is not None and (
+            self._context.extra(self._service).take_hedge()
+        ):
+            self.hedges += 1
+            self._send(entry)
+        if not self.done.done():
+            self._schedule()
+
+    def _ended(self) -> model.Answer:
+        sent = self._may_have_run or any(
+            attempt.sent for attempt in self._running
+        )
+        if sent:
+            return model.failure(504, "replica_late")
+        return model.refusal("not_sent", running.RETRY_NO_REPLICA_S)
+
+    def _finish(self, answer: model.Answer) -> None:
+        self._release()
+        if not self.done.done():
+            self.done.set_result(answer)
+
+    def _release(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        for attempt in self._running:
+            attempt.release()
--- /dev/null
+++ b/src/mallowloft/routes/table.py
@@ -0,0 +1,70 @@
+"""Finds the route of a request and the service that serves it."""
+
+import random
+
+from mallowloft.routes import model
+
+
+class WeightedSplit:
+    """Deals requests to services so that every prefix keeps the weights.
+
+    Smooth weighted round robin: no service deviates from its share by more
+    than one request, however few requests an instance gets. The start is
+    random, since instances that begin with the same service would together
+    favour it.
+    """
+
+    def __init__(
+        self, targets: tuple[model.Target, ...], rng: random.Random
+    ) -> None:
+        self._targets = targets
+        self._total = sum(target.weight for target in targets)
+        self._credits = [target.weight * rng.random() for target in targets]
+
+    def next(self) -> str:
+        """Returns the service of the next request."""
+        for index, target in enumerate(self._targets):
+            self._credits[index] += target.weight
+        chosen = max(range(len(self._credits)), key=self._credits.__getitem__)
+        self._credits[chosen] -= self._total
+        return self._targets[chosen].service
+
+
+class RouteMatcher:
+    """The routes of one version, by host and prefix."""
+
+    def __init__(
+        self,
+        table: model.Table,
+        rng: random.Random,
+        previous: "RouteMatcher | None" = None,
+    ) -> None:
+        self.table = table
+        self._routes_by_host: dict[str, list[model.Route]] = {}
+        for route in table.routes:
+            self._routes_by_host.setdefault(route.host, []).append(route)
+        for routes in self._routes_by_host.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+        known = previous._split_by_targets if previous else {}
+        self._split_by_targets: dict[
+            tuple[str, tuple[model.Target, ...]], WeightedSplit
+        ] = {}
+        for route in table.routes:
+            key = (route.name, route.targets)
+            if len(route.targets) > 1:
+                self._split_by_targets[key] = known.get(key) or WeightedSplit(
+                    route.targets, rng
+                )
+
+    def find(self, host: str, path: str) -> model.Route | None:
+        """Returns the route with the longest prefix of the path."""
+        for route in self._routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def service_of(self, route: model.Route) -> str:
+        """Returns the service for the next request of a route."""
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        return self._split_by_targets[(route.name, route.targets)].next()
--- a/tests/test_gather_budget.py
+++ b/tests/test_gather_budget.py
@@ -9,6 +9,7 @@
 from mallowloft.gather import budget as budget_lib
 from mallowloft.gather import hedging
 from mallowloft.gather import model
+from mallowloft.kernel import quantile as quantile_lib
 from tests.support import index as index_lib
 from tests.support import virtual
 
@@ -68,18 +69,18 @@
         return sorted(values)[int(0.95 * count)]
 
     def test_is_near_the_p95(self):
-        quantile = hedging.Quantile()
+        quantile = quantile_lib.Quantile(0.95)
         p95 = self._fed(quantile, random.Random(3), 2000)
         assert 0.8 * p95 < quantile.read_ms() < 1.25 * p95
 
     def test_is_near_the_p95_early(self):
-        quantile = hedging.Quantile()
+        quantile = quantile_lib.Quantile(0.95)
         quantile.record(60.0)
         self._fed(quantile, random.Random(3), 25)
         assert 4 < quantile.read_ms() < 12
 
     def test_follows_a_slower_shard(self):
-        quantile = hedging.Quantile()
+        quantile = quantile_lib.Quantile(0.95)
         rng = random.Random(3)
         self._fed(quantile, rng, 1000)
         p95 = self._fed(quantile, rng, 1000, scale=4)
