Leave callers of a cut-off failure domain to others

Ruled out: the share of failing pools as evidence, since idle connections into a cut stay open without traffic (25 of 60 seen as lost). Change: evidence of reach by failure domain; not ready while all others are out of reach and shards cannot be covered, which are refused at once; changes of 0.4 s fetched with one call; attempts that failed no longer restart a run's timer at once (a busy loop, found by playing the load on virtual time). Tests: connections against misbehaving servers, routes, allowances, health, and the load of pauses, slow, dark and failing replicas on virtual time.

--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -8,6 +8,7 @@
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import limits
 from mallowloft.routes import model
+from mallowloft.routes import reach as reach_lib
 from mallowloft.upstream import http1
 
 _log = logs.get("attempts")
@@ -16,6 +17,8 @@
 # connection costs the replica more than the rest of most attempts.
 _RELEASE_S = 0.25
 _MIN_DEADLINE_MS = 1
+# Another replica has the address; the named one is gone.
+_MISDIRECTED = 421
 
 Outcome = model.Reply | model.Failure
 
@@ -93,9 +96,15 @@
 class Attempt:
     """A request at one replica."""
 
-    __slots__ = ("entry", "exchange", "started_s", "wanted")
+    __slots__ = ("_reach", "entry", "exchange", "started_s", "wanted")
 
-    def __init__(self, entry: directory_lib.Entry, started_s: float) -> None:
+    def __init__(
+        self,
+        entry: directory_lib.Entry,
+        started_s: float,
+        reach: reach_lib.DomainReach,
+    ) -> None:
+        self._reach = reach
         self.entry = entry
         self.started_s = started_s
         self.exchange: http1.Exchange | None = None
@@ -126,6 +135,7 @@
         now_s = asyncio.get_running_loop().time()
         if sent:
             self.entry.health.failed(self, now_s)
+            self._reach.failed(self.entry.replica.failure_domain)
         else:
             self.entry.health.dropped(self)
 
@@ -134,10 +144,14 @@
     """Starts attempts and records what they tell about replicas."""
 
     def __init__(
-        self, names: model.HeaderNames, metrics: metrics_lib.Metrics
+        self,
+        names: model.HeaderNames,
+        metrics: metrics_lib.Metrics,
+        reach: reach_lib.DomainReach,
     ) -> None:
         self._names = names
         self._metrics = metrics
+        self._reach = reach
 
     def start(
         self,
@@ -157,7 +171,7 @@
             on_end: Called once, unless the attempt is released before.
         """
         now_s = asyncio.get_running_loop().time()
-        attempt = Attempt(entry, now_s)
+        attempt = Attempt(entry, now_s, self._reach)
 
         def ended(
             exchange: http1.Exchange, result: http1.Response | http1.Ending
@@ -191,13 +205,18 @@
     ) -> Outcome:
         now_s = asyncio.get_running_loop().time()
         health = attempt.entry.health
+        domain = attempt.entry.replica.failure_domain
         if isinstance(result, http1.Ending):
             health.failed(attempt, now_s)
+            self._reach.failed(domain)
             failure = model.Failure(result.value)
             self._metrics.count("route_attempts", outcome=failure.value)
             return failure
+        self._reach.succeeded(domain, now_s)
         reply = self._reply(result)
         health.waiting = reply.waiting
+        if reply.status == _MISDIRECTED:
+            self._note_misdirected(attempt.entry)
         if reply.not_run:
             health.failed(attempt, now_s)
             self._metrics.count("route_attempts", outcome="not_run")
@@ -214,6 +233,18 @@
         self._metrics.count("route_attempts", outcome=outcome)
         return reply
 
+    def _note_misdirected(self, entry: directory_lib.Entry) -> None:
+        """Sends nothing more to a replica whose address another one has."""
+        if entry.draining:
+            return
+        entry.draining = True
+        _log.info(
+            "replica_misdirected",
+            replica=entry.replica.id,
+            service=entry.replica.service,
+            address=entry.pool.address,
+        )
+
     def _record(
         self, attempt: Attempt, now_s: float, latency: limits.RouteLatency
     ) -> None:
@@ -230,7 +261,7 @@
             headers=response.headers,
             body=response.body,
             signature=response.header(self._names.signature) or b"",
-            not_run=not_run or response.status == 421,
+            not_run=not_run or response.status == _MISDIRECTED,
             waiting=_waiting(response.header(self._names.load)),
         )
 
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -4,12 +4,17 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import functools
+from typing import TYPE_CHECKING
 
 from mallowloft.kernel import logs
 from mallowloft.routes import health as health_lib
 from mallowloft.routes import model
 from mallowloft.upstream import http1
 
+if TYPE_CHECKING:
+    from mallowloft.routes import reach as reach_lib
+
 _log = logs.get("directory")
 
 # A replica accepts its connections from all instances together, of which an
@@ -35,12 +40,24 @@
         self.health = health
         self.draining = replica.draining
 
+    @property
+    def usable(self) -> bool:
+        """Whether it takes new work, as far as is known without a call."""
+        return not self.draining and not self.pool.failing
+
 
 class Directory:
     """Replicas as listed; the source of the list calls `put` and `remove`."""
 
-    def __init__(self, note: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        note: Callable[[str], None],
+        reach: "reach_lib.DomainReach",
+        open_pool: Callable[..., http1.Pool] = http1.Pool,
+    ) -> None:
         self._note = note
+        self._open_pool = open_pool
+        self.reach = reach
         self._entries_by_id: dict[str, Entry] = {}
         self._entries_by_service: dict[str, list[Entry]] = {}
         self._max_connections_by_service: dict[str, int] = {}
@@ -53,9 +70,13 @@
         """Returns the replicas of a service, leaving ones included."""
         return self._entries_by_service.get(service, [])
 
-    def ids(self) -> set[str]:
-        """Returns the ids of all replicas."""
-        return set(self._entries_by_id)
+    def all(self) -> list[Entry]:
+        """Returns the replicas of all services that routes use."""
+        return [
+            entry
+            for service in self._wanted_services
+            for entry in self.entries(service)
+        ]
 
     def put(self, replica: model.Replica) -> None:
         """Adds a replica or changes what is known of it."""
@@ -68,11 +89,13 @@
         now_s = asyncio.get_running_loop().time()
         entry = Entry(
             replica,
-            http1.Pool(
+            self._open_pool(
                 replica.host,
                 replica.port,
                 self._share(replica.service),
-                self._note,
+                functools.partial(
+                    self._note_connection, replica.failure_domain
+                ),
             ),
             health_lib.ReplicaHealth(now_s + replica.cold_s),
         )
@@ -131,6 +154,14 @@
             for service, entries in self._entries_by_service.items()
         }
 
+    def _note_connection(self, failure_domain: str, event: str) -> None:
+        self._note(event)
+        if event == http1.CONNECTED:
+            now_s = asyncio.get_running_loop().time()
+            self.reach.succeeded(failure_domain, now_s)
+        elif event == http1.CONNECT_FAILED:
+            self.reach.failed(failure_domain)
+
     def _describe(self, entry: Entry) -> dict:
         now_s = asyncio.get_running_loop().time()
         return {
--- a/src/mallowloft/routes/following.py
+++ b/src/mallowloft/routes/following.py
@@ -21,6 +21,9 @@
 # An open connection may fall silent without notice: a change must be in force
 # within 3 s, so a call waits for less than that.
 WATCH_S = 2.0
+# Changes come in series, and each call counts: those of a moment are fetched
+# together.
+_PAUSE_S = 0.4
 _RETRY_FIRST_S = 0.05
 _RETRY_MAX_S = 0.8
 # Entries that lapsed while the source was away are back within 2 s of its
@@ -187,6 +190,7 @@
             called = await self._call()
             if called.is_ok():
                 self._failures = 0
+                await asyncio.sleep(_PAUSE_S)
             else:
                 await self._recover(called.unwrap_err())
 
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -9,6 +9,7 @@
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import merge
 from mallowloft.routes import model
+from mallowloft.routes import reach
 from mallowloft.routes import running
 
 _log = logs.get("gathering")
@@ -67,19 +68,23 @@
             run.route, run.started_s, run.waited_s, run.end_s
         )
         self._late_s = run.latency.late_s
-        self._needed = math.ceil(
-            run.route.min_coverage * len(run.route.shards) - 1e-9
-        )
         self._timer: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
         self.done: asyncio.Future[model.Answer] = self._loop.create_future()
         self.sent = 0
         self.hedges = 0
         self.retries = 0
+        self.denied = 0
 
     def start(self) -> None:
         """Sends the first attempts."""
         now_s = self._loop.time()
+        covered = reach.coverable(self._route, self._context.directory)
+        if covered < self._route.needed_shards:
+            self._finish(
+                model.refusal("not_coverable", running.RETRY_NO_REPLICA_S)
+            )
+            return
         for service in self._route.shards:
             self._context.extra(service).earn()
             self._open[service] = _Shard(service)
@@ -153,6 +158,8 @@
         if free or self._context.extra(shard.service).take_retry():
             self.retries += 1
             self._send(shard, entry, now_s)
+        else:
+            self.denied += 1
 
     def _next(
         self, shard: _Shard, now_s: float, sound: bool
@@ -184,10 +191,13 @@
         if self._context.extra(shard.service).take_hedge():
             self.hedges += 1
             self._send(shard, entry, now_s)
+        else:
+            self.denied += 1
 
     def _schedule(self, now_s: float) -> None:
         due_s = min(
-            (shard.due_s for shard in self._open.values()), default=math.inf
+            (shard.due_s for shard in self._open.values() if shard.running),
+            default=math.inf,
         )
         if now_s < self._leave_s:
             due_s = min(due_s, self._leave_s)
@@ -200,7 +210,7 @@
             return
         # Without an attempt in flight no further part will come.
         hopeless = not any(shard.running for shard in self._open.values())
-        enough = len(self._parts) >= max(1, self._needed)
+        enough = len(self._parts) >= self._route.needed_shards
         ended = now_s >= self._run.end_s
         if enough and (hopeless or now_s >= self._leave_s or ended):
             self._finish(self._answer())
@@ -257,6 +267,7 @@
             "sent": self.sent,
             "hedges": self.hedges,
             "retries": self.retries,
+            "denied": self.denied,
             "lacking": ",".join(
                 f"{shard.service}:{shard.failure or 'late'}"
                 f"@{'+'.join(item.replica.id for item in shard.tried)}"
--- a/src/mallowloft/routes/health.py
+++ b/src/mallowloft/routes/health.py
@@ -25,7 +25,7 @@
 _STALL_MIN_S = 0.015
 # Doubled for each failure in a row.
 _EJECT_S = 0.2
-_EJECT_MAX_S = 4.0
+_EJECT_MAX_S = 2.0
 
 
 class ReplicaHealth:
@@ -87,9 +87,9 @@
     def failed(self, attempt: object, now_s: float) -> None:
         """Ejects the replica for a while, longer after each failure."""
         self._pending.pop(attempt, None)
-        self._failures += 1
         eject_s = min(_EJECT_MAX_S, _EJECT_S * 2 ** min(self._failures, 10))
-        self._ejected_until_s = now_s + eject_s / 2
+        self._failures += 1
+        self._ejected_until_s = now_s + eject_s
 
     def slowness(self, now_s: float) -> float:
         """Returns recent durations as a multiple of the usual ones."""
--- a/src/mallowloft/routes/model.py
+++ b/src/mallowloft/routes/model.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -92,6 +93,12 @@
     top_records: int = 0
     min_coverage: float = 0.0
 
+    @property
+    def needed_shards(self) -> int:
+        """Shards that a successful answer has at least."""
+        # The product of floats may lie just above a whole number.
+        return max(1, math.ceil(self.min_coverage * len(self.shards) - 1e-9))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
--- a/src/mallowloft/routes/selection.py
+++ b/src/mallowloft/routes/selection.py
@@ -19,6 +19,7 @@
 _WAITING_COST = 0.5
 _STALLED_COST = 10.0
 _EJECTED_COST = 30.0
+_UNREACHABLE_COST = 60.0
 # Keeps instances from choosing alike between equal replicas.
 _NOISE = 0.05
 
@@ -59,7 +60,9 @@
 
     def _is_sound(self, entry: directory_lib.Entry, now_s: float) -> bool:
         health = entry.health
-        return not health.stalled(now_s) and not health.ejected(now_s)
+        return not (
+            entry.pool.failing or health.stalled(now_s) or health.ejected(now_s)
+        )
 
     def _cost(self, entry: directory_lib.Entry, now_s: float) -> float:
         health = entry.health
@@ -69,7 +72,9 @@
         cost += _WAITING_COST * health.waiting / slots
         if entry.replica.failure_domain != self._failure_domain:
             cost += _REMOTE_COST
-        if not entry.pool.open_count:
+        if entry.pool.failing:
+            cost += _UNREACHABLE_COST
+        elif not entry.pool.open_count:
             cost += _UNCONNECTED_COST
         if health.cold(now_s):
             cost += _COLD_COST
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -14,6 +14,7 @@
 from mallowloft.routes import gathering
 from mallowloft.routes import limits
 from mallowloft.routes import model
+from mallowloft.routes import reach
 from mallowloft.routes import running
 from mallowloft.routes import selection
 from mallowloft.routes import single
@@ -33,6 +34,8 @@
 # One of so many answered requests is logged; failed ones always are.
 _LOG_SAMPLE = 50
 _POLL_S = 0.02
+# The balancer asks once a second whether the instance is ready.
+_REACH_S = 0.25
 
 
 class _RouteUse:
@@ -131,15 +134,21 @@
         self.names: model.HeaderNames = kernel.plugin(
             "route_source"
         ).header_names
-        self.directory = directory_lib.Directory(self._note_connection)
+        self.directory = directory_lib.Directory(
+            self._note_connection, reach.DomainReach()
+        )
         self.selector = selection.Selector(
             kernel.settings.failure_domain, kernel.rng
         )
-        self.sender = attempts_lib.Sender(self.names, kernel.metrics)
+        self.sender = attempts_lib.Sender(
+            self.names, kernel.metrics, self.directory.reach
+        )
         self._dropped_headers = frozenset(
             (self.names.deadline, self.names.expected_replica)
         )
         self._matcher: table_lib.RouteMatcher | None = None
+        self._isolated = False
+        self._reach_task: asyncio.Task | None = None
         self._extra_by_service: dict[str, limits.ExtraAttempts] = {}
         self._use_by_route: dict[str, _RouteUse] = {}
         self._open_requests = 0
@@ -168,6 +177,7 @@
     async def start(self) -> None:
         """Starts to accept callers' connections."""
         await self._server.start()
+        self._reach_task = asyncio.create_task(self._watch_reach())
 
     async def stop(self, grace_s: float) -> None:
         """Serves while balancers notice, then ends all connections."""
@@ -177,14 +187,16 @@
         await self._server.stop(max(0.0, end_s - loop.time()))
         while self._open_requests and loop.time() < end_s:
             await asyncio.sleep(_POLL_S)
+        self._reach_task.cancel()
         self.directory.close()
 
     def ready(self) -> bool:
-        """Whether routes and replicas are known."""
+        """Whether routes and replicas are known and within reach."""
         return (
             self._server.listening
             and self._matcher is not None
             and len(self.directory) > 0
+            and not self._isolated
         )
 
     def dump(self) -> dict[str, Any]:
@@ -249,6 +261,21 @@
             extra = self._extra_by_service[service] = limits.ExtraAttempts()
         return extra
 
+    async def _watch_reach(self) -> None:
+        """Notes whether callers are served better elsewhere."""
+        while True:
+            await asyncio.sleep(_REACH_S)
+            table = self.table
+            isolated = table is not None and reach.isolated(
+                table.routes,
+                self.directory,
+                self._kernel.settings.failure_domain,
+                asyncio.get_running_loop().time(),
+            )
+            if isolated != self._isolated:
+                self._isolated = isolated
+                _log.warning("reach_changed", isolated=isolated)
+
     def _note_connection(self, event: str) -> None:
         self._kernel.metrics.count("replica_connections", event=event)
 
@@ -279,7 +306,9 @@
                 "request_failed", request=request_id.decode("latin1")
             )
             answer, fields = model.failure(500, "internal"), {}
-        await exchange.respond(answer, self._kernel.stopping)
+        # A caller with a kept connection would not come to another instance.
+        closing = self._kernel.stopping or self._isolated
+        await exchange.respond(answer, closing)
         self._log_end(request_id, started_s, answer, fields)
 
     async def _answer(
@@ -395,6 +424,11 @@
             if missing and not answer.reason:
                 outcome = "answered_partly"
         metrics = self._kernel.metrics
+        for cause in ("hedges", "retries", "denied"):
+            if fields.get(cause):
+                metrics.count(
+                    "route_extra_attempts", fields[cause], cause=cause
+                )
         route = fields.get("route", "")
         metrics.count("route_requests", route=route, outcome=outcome)
         metrics.observe_ms("route_request", elapsed_ms, route=route)
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -33,6 +33,8 @@
         self._loop = asyncio.get_running_loop()
         self.done: asyncio.Future[model.Answer] = self._loop.create_future()
         self.hedges = 0
+        self.retries = 0
+        self.denied = 0
 
     def start(self) -> None:
         """Sends the first attempt."""
@@ -59,6 +61,8 @@
             "service": self._service,
             "sent": len(self._tried),
             "hedges": self.hedges,
+            "retries": self.retries,
+            "denied": self.denied,
             "replicas": ",".join(entry.replica.id for entry in self._tried),
             "last": running.describe(self._last) if self._last else "",
         }
@@ -113,7 +117,9 @@
             return False
         free = outcome is model.Failure.UNSENT
         if not free and not self._context.extra(self._service).take_retry():
+            self.denied += 1
             return False
+        self.retries += 1
         self._send(entry)
         return True
 
@@ -145,11 +151,12 @@
         for attempt in self._running:
             attempt.entry.health.late(attempt, now_s)
         entry = self._next(sound=True)
-        if entry is not None and (
-            self._context.extra(self._service).take_hedge()
-        ):
-            self.hedges += 1
-            self._send(entry)
+        if entry is not None:
+            if self._context.extra(self._service).take_hedge():
+                self.hedges += 1
+                self._send(entry)
+            else:
+                self.denied += 1
         if not self.done.done():
             self._schedule()
 
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -30,11 +30,16 @@
 _DEFAULT_IDLE_S = 60.0
 # Delay before a lost last connection is opened again, doubled for each failure.
 _REOPEN_S = 0.1
-_REOPEN_MAX_S = 2.0
+_REOPEN_MAX_S = 0.5
 # A connection that was not used for this long is not opened again.
 _RECENT_USE_S = 5.0
 _MAX_REPLY_BYTES = 64 << 20
 
+# Events that a pool reports.
+CONNECTED = "connected"
+CONNECT_FAILED = "connect_failed"
+STALE_REPLY = "stale_reply"
+
 
 class Ending(enum.StrEnum):
     """Why an exchange has no reply; only UNSENT excludes that it ran."""
@@ -134,7 +139,7 @@
         self._body: list[bytes] = []
         self._size = 0
         self._framed = False
-        self._in_message = False
+        self._in_body = False
         self._response: Response | None = None
         self._surplus = False
         self._reusable = True
@@ -157,7 +162,7 @@
         exchange.connection = self
         self._parser = httptools.HttpResponseParser(self)
         self._response = None
-        self._in_message = False
+        self._in_body = False
         self._transport.write(exchange.wire)
 
     def close(self, reason: str) -> None:
@@ -186,7 +191,7 @@
 
     def eof_received(self) -> bool:
         """Ends a response that is delimited by the end of the connection."""
-        if self._in_message and not self._framed and self._exchange is not None:
+        if self._in_body and not self._framed:
             self._reusable = False
             self.on_message_complete()
             self._deliver()
@@ -205,9 +210,9 @@
         self._body = []
         self._size = 0
         self._framed = False
+        self._in_body = False
         if self._response is not None:
             self._surplus = True
-        self._in_message = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Takes a header."""
@@ -218,6 +223,7 @@
 
     def on_headers_complete(self) -> None:
         """Ends a response that has no body by its method."""
+        self._in_body = True
         if not self._exchange.has_body:
             self._reusable = False
             self._framed = True
@@ -231,7 +237,7 @@
 
     def on_message_complete(self) -> None:
         """Keeps the response unless it belongs to an earlier request."""
-        self._in_message = False
+        self._in_body = False
         if self._response is not None:
             return
         status = self._parser.get_status_code()
@@ -241,7 +247,7 @@
         exchange = self._exchange
         echoed = response.header(exchange.id_name) if exchange.id_name else None
         if echoed is not None and echoed != exchange.id:
-            self._pool.note("stale_reply")
+            self._pool.note(STALE_REPLY)
             return
         if not self._parser.should_keep_alive():
             self._reusable = False
@@ -325,6 +331,11 @@
         """Connections that are open."""
         return len(self._open)
 
+    @property
+    def failing(self) -> bool:
+        """Whether no connection is open and the last attempt failed."""
+        return self._failures > 0 and not self._open
+
     def now(self) -> float:
         """Returns the loop's time in seconds."""
         return self._loop.time()
@@ -349,6 +360,7 @@
     def drain(self) -> None:
         """Opens no more connections ahead of need."""
         self._used_s = -_RECENT_USE_S
+        self._failures = 0
 
     def close(self) -> None:
         """Closes idle connections now and busy ones after their reply."""
@@ -448,7 +460,7 @@
             raise
         self._opening.discard(task)
         self._failures = 0
-        self.note("connected")
+        self.note(CONNECTED)
         if connection.closed:
             self._open_for_waiting()
             return
@@ -458,7 +470,7 @@
 
     def _on_refused(self, reason: str) -> None:
         self._failures += 1
-        self.note("connect_failed")
+        self.note(CONNECT_FAILED)
         _log.debug("connect_failed", address=self.address, reason=reason)
         if not self._open and not self._opening:
             self._end_waiting()
@@ -478,5 +490,5 @@
 
     def _reopen(self) -> None:
         self._reopen_timer = None
-        if self.now() - self._used_s < _RECENT_USE_S:
+        if self._failures or self.now() - self._used_s < _RECENT_USE_S:
             self.warm()
--- /dev/null
+++ b/tests/support/replicas.py
@@ -0,0 +1,186 @@
+"""Replicas and instances on virtual time that carry routed requests."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import itertools
+import math
+import random
+
+from mallowloft.kernel import metrics as metrics_lib
+from mallowloft.routes import attempts as attempts_lib
+from mallowloft.routes import directory as directory_lib
+from mallowloft.routes import gathering
+from mallowloft.routes import limits
+from mallowloft.routes import model
+from mallowloft.routes import reach
+from mallowloft.routes import running
+from mallowloft.routes import selection
+from mallowloft.routes import single
+from mallowloft.upstream import http1
+
+NAMES = model.HeaderNames()
+DOMAINS = ("d1", "d2", "d3")
+_NEAR_S = 0.0002
+_FAR_S = 0.0014
+
+
+@dataclasses.dataclass
+class Replica:
+    """A replica with slots, pauses and faults; counts what arrives."""
+
+    id: str
+    service: str
+    domain: str
+    rng: random.Random
+    work_s: Callable[[random.Random], float]
+    slots: int = 2
+    pause_s: float = 0.0
+    pause_every_s: float = math.inf
+    slow: Callable[[float], float] = lambda now_s: 1.0
+    dark: Callable[[float], bool] = lambda now_s: False
+    status: Callable[[float], int] = lambda now_s: 200
+    busy: int = 0
+    arrivals: int = 0
+
+    def __post_init__(self) -> None:
+        self._queue: list[tuple[http1.Exchange, float]] = []
+        self._phase_s = self.rng.random() * min(self.pause_every_s, 60.0)
+
+    def arrive(self, exchange: http1.Exchange, delay_s: float) -> None:
+        """Takes a request from the network."""
+        self.arrivals += 1
+        if self.dark(asyncio.get_running_loop().time()):
+            return
+        self._queue.append((exchange, delay_s))
+        self._start()
+
+    def _paused_s(self, now_s: float) -> float:
+        if math.isinf(self.pause_every_s):
+            return 0.0
+        into_s = (now_s + self._phase_s) % self.pause_every_s
+        return max(0.0, self.pause_s - into_s)
+
+    def _start(self) -> None:
+        loop = asyncio.get_running_loop()
+        while self._queue and self.busy < self.slots:
+            exchange, delay_s = self._queue.pop(0)
+            if exchange.ended:
+                continue
+            self.busy += 1
+            now_s = loop.time()
+            begin_s = now_s + self._paused_s(now_s)
+            end_s = begin_s + self.work_s(self.rng) * self.slow(now_s)
+            end_s += self._paused_s(end_s)
+            loop.call_at(end_s, self._end, exchange, delay_s)
+
+    def _end(self, exchange: http1.Exchange, delay_s: float) -> None:
+        self.busy -= 1
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        if not self.dark(now_s):
+            response = http1.Response(
+                self.status(now_s),
+                ((NAMES.signature, self.id.encode()),),
+                b"\0" * 16,
+            )
+            loop.call_later(delay_s, exchange.end, response)
+        self._start()
+
+
+class Pool:
+    """The connections of one instance to one replica."""
+
+    def __init__(self, replica: Replica, near: bool) -> None:
+        self._replica = replica
+        self._delay_s = _NEAR_S if near else _FAR_S
+        self.address = replica.id
+        self.max_connections = 8
+        self.open_count = 1
+        self.failing = False
+
+    def submit(self, exchange: http1.Exchange) -> None:
+        """Sends a request."""
+        exchange.connection = self
+        asyncio.get_running_loop().call_later(
+            self._delay_s, self._replica.arrive, exchange, self._delay_s
+        )
+
+    def close(self, reason: str = "") -> None:
+        """Does nothing."""
+
+    warm = drain = abort = close
+
+
+class Instance:
+    """What one instance knows; a context of running requests."""
+
+    names = NAMES
+
+    def __init__(
+        self, domain: str, replicas: list[Replica], rng: random.Random
+    ) -> None:
+        by_id = {replica.id: replica for replica in replicas}
+        ids = iter(by_id)
+        self.directory = directory_lib.Directory(
+            lambda event: None,
+            reach.DomainReach(),
+            lambda *args: self._pool(by_id[next(ids)], domain),
+        )
+        for replica in replicas:
+            self.directory.put(
+                model.Replica(
+                    replica.id,
+                    replica.service,
+                    "127.0.0.1",
+                    1,
+                    replica.domain,
+                    replica.slots,
+                )
+            )
+        self.selector = selection.Selector(domain, rng)
+        self.sender = attempts_lib.Sender(
+            NAMES, metrics_lib.Metrics(), self.directory.reach
+        )
+        self._extra: dict[str, limits.ExtraAttempts] = {}
+        self._latency: dict[str, limits.RouteLatency] = {}
+        self._numbers = itertools.count()
+
+    @staticmethod
+    def _pool(replica: Replica, domain: str) -> Pool:
+        return Pool(replica, replica.domain == domain)
+
+    def extra(self, service: str) -> limits.ExtraAttempts:
+        """Returns the allowance of a service."""
+        return self._extra.setdefault(service, limits.ExtraAttempts())
+
+    async def serve(self, route: model.Route) -> model.Answer:
+        """Runs one request of a caller."""
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        latency = self._latency.setdefault(
+            route.name, limits.RouteLatency(route.objective_s)
+        )
+        request = model.Request(
+            b"%d" % next(self._numbers),
+            b"GET" if route.idempotent else b"POST",
+            b"/",
+            (),
+            b"",
+            now_s,
+            now_s + route.timeout_s,
+        )
+        run = running.Run(
+            route,
+            attempts_lib.Outgoing(request, 0, NAMES),
+            latency,
+            now_s,
+            0.0,
+            now_s + route.timeout_s,
+        )
+        if route.shards:
+            work = gathering.Gathering(self, run)
+        else:
+            work = single.Single(self, run, route.targets[0].service)
+        work.start()
+        return await work.done
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -16,6 +16,7 @@
 
 from mallowloft import client as client_lib
 from mallowloft import messages
+from mallowloft.callers import operators as operators_lib
 from mallowloft.callers import requests as checks
 from mallowloft.callers import server as server_lib
 from mallowloft.callers import service as callers_lib
@@ -165,11 +166,13 @@
         self.configuration = _Configuration()
         self.gather = _Gather()
         self.submissions = _Submissions()
+        self.operators = operators_lib.OperatorsService(self.kernel)
         self.callers = callers_lib.CallersService(self.kernel)
         self.kernel.plugins_by_name.update(
             configuration=self.configuration,
             gather=self.gather,
             submissions=self.submissions,
+            operators=self.operators,
             callers=self.callers,
         )
         self.scheme = "https" if settings.get("tls_certificate") else "http"
@@ -177,6 +180,7 @@
         self.session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> "_Instance":
+        await self.operators.start()
         await self.callers.start()
         self.session = aiohttp.ClientSession()
         return self
@@ -186,6 +190,7 @@
         self.submissions.release.set()
         await self.session.close()
         await self.callers.stop(5.0)
+        await self.operators.stop(5.0)
 
     def url(self, path: str) -> str:
         return f"{self.scheme}://127.0.0.1:{self.port}{path}"
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -3,9 +3,9 @@
 import argparse
 import asyncio
 import contextlib
-import io
 import json
 import logging
+import os
 import socket
 import sys
 import types
@@ -161,29 +161,32 @@
         structlog.contextvars.clear_contextvars()
 
     @contextlib.contextmanager
-    def _lines(self, monkeypatch):
+    def _lines(self, monkeypatch, tmp_path):
         """Yields a list that receives the lines logged in the block."""
-        output, lines = io.StringIO(), []
-        monkeypatch.setattr(sys, "stderr", output)
-        logs.configure("info", "i1")
-        yield lines
-        lines += output.getvalue().splitlines()
-
-    def test_line_has_instance_and_fields(self, monkeypatch):
-        with self._lines(monkeypatch) as lines:
+        path, lines = tmp_path / "output", []
+        with path.open("w") as output:
+            monkeypatch.setattr(sys, "stdout", output)
+            logs.configure("info", "i1")
+            yield lines
+        lines += path.read_text().splitlines()
+
+    def test_line_has_instance_and_fields(self, monkeypatch, tmp_path):
+        with self._lines(monkeypatch, tmp_path) as lines:
             logs.get("test").info("started", request="r-1")
         (line,) = lines
         assert "instance=i1 event=started" in line
         assert "request=r-1" in line
 
-    def test_caller_text_cannot_start_a_line(self, monkeypatch):
-        with self._lines(monkeypatch) as lines:
+    def test_caller_text_cannot_start_a_line(self, monkeypatch, tmp_path):
+        with self._lines(monkeypatch, tmp_path) as lines:
             logs.get("test").info("faulty", path="/a\nevent=forged")
         assert len(lines) == 1
 
-    def test_exceptions_and_libraries_write_one_line(self, monkeypatch):
+    def test_exceptions_and_libraries_write_one_line(
+        self, monkeypatch, tmp_path
+    ):
         # Guards against tracebacks and library messages in another format.
-        with self._lines(monkeypatch) as lines:
+        with self._lines(monkeypatch, tmp_path) as lines:
             try:
                 raise ValueError("two\nlines")
             except ValueError:
@@ -194,6 +197,50 @@
         assert "ValueError" in line
 
 
+class TestLineWriter:
+    """A reader that falls behind costs lines and never time."""
+
+    @pytest.fixture
+    def pipe(self):
+        reader, writer = os.pipe()
+        yield reader, writer
+        os.close(reader)
+        os.close(writer)
+
+    def test_does_not_wait_for_a_reader_that_stops(self, pipe):
+        reader, descriptor = pipe
+        writer = logs.LineWriter(descriptor)
+        line = "x" * 999 + "\n"
+        for _ in range(3000):
+            writer.write(line)
+            writer.flush()
+        assert writer.dropped > 0
+        assert writer.dropped < 3000
+        assert os.read(reader, 1000) == line.encode()
+
+    def test_writes_the_rest_when_the_reader_goes_on(self, pipe):
+        reader, descriptor = pipe
+        writer = logs.LineWriter(descriptor)
+        lines = [f"{number}:{'x' * 500}\n" for number in range(300)]
+        for line in lines:
+            writer.write(line)
+        received = b""
+        while len(received) < sum(map(len, lines)):
+            writer.drain()
+            received += os.read(reader, 1 << 16)
+        assert received.decode() == "".join(lines)
+        assert writer.dropped == 0
+
+    def test_survives_a_reader_that_is_gone(self):
+        reader, descriptor = os.pipe()
+        os.close(reader)
+        writer = logs.LineWriter(descriptor)
+        writer.write("x\n")
+        writer.flush()
+        assert writer.dropped == 1
+        os.close(descriptor)
+
+
 class TestMetrics:
     """Rendered metrics carry what the operations page describes."""
 
--- a/tests/test_cli_documents.py
+++ b/tests/test_cli_documents.py
@@ -20,13 +20,14 @@
 def _named(pattern: re.Pattern, directory: str = "") -> set[str]:
     """Returns what the source names."""
     source = _ROOT / "src" / "mallowloft" / directory
-    texts = [path.read_text() for path in source.rglob("*.py")]
+    paths = [*source.rglob("*.py"), *(_ROOT / "platform").rglob("*.py")]
+    texts = [path.read_text() for path in paths]
     return {name for text in texts for name in pattern.findall(text)}
 
 
 def _missing(names: set[str]) -> set[str]:
     """Returns the names that the page does not have as a word."""
-    page = (_ROOT / "docs" / "operations.md").read_text()
+    page = (_ROOT / "docs" / "OPERATIONS.md").read_text()
     return {
         name
         for name in names
