--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -188,7 +188,11 @@
             if len(shard.tried) >= self._route.max_attempts:
                 shard.due_s = math.inf
             return
-        if self._context.extra(shard.service).take_hedge():
+        extra = self._context.extra(shard.service)
+        stalled = any(
+            attempt.entry.health.stalled(now_s) for attempt in shard.running
+        )
+        if extra.take_retry() if stalled else extra.take_hedge():
             self.hedges += 1
             self._send(shard, entry, now_s)
         else:
--- a/src/mallowloft/routes/limits.py
+++ b/src/mallowloft/routes/limits.py
@@ -9,8 +9,11 @@
 # full savings stay near the allowance of small fleets (54 in 10 s).
 _MAX_SAVED = 5.0
 _INITIAL = 2.0
-# Retries of failed attempts may overdraw; the next requests pay them back
-# before the next hedge.
+# Hedges of attempts that are only somewhat late leave this much for those
+# that get no reply at all.
+_RESERVE = 1.5
+# Retries of failed attempts and hedges of stalled ones may overdraw; the next
+# requests pay them back before the next hedge.
 _DEBT = 2.0
 
 # Attempts slower than this quantile of their route are hedged. Pauses and
@@ -48,11 +51,11 @@
         self._tokens = min(_MAX_SAVED, self._tokens + EXTRA_SHARE)
 
     def take_hedge(self) -> bool:
-        """Takes an extra attempt while another one is still running."""
-        return self._take(1.0)
+        """Takes an extra attempt while a late one is still running."""
+        return self._take(1.0 + _RESERVE)
 
     def take_retry(self) -> bool:
-        """Takes an extra attempt after a failed one."""
+        """Takes an extra attempt after one that failed or is stalled."""
         return self._take(1.0 - _DEBT)
 
     def _take(self, needed: float) -> bool:
