--- a/src/mallowloft/kernel/registry.py
+++ b/src/mallowloft/kernel/registry.py
@@ -56,6 +56,7 @@
 )
 _ROUTED_MODULES = (
     "mallowloft.callers.operators",
+    "mallowloft.routes.fleet",
     "mallowloft.routes.service",
 )
 
--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -22,11 +22,13 @@
 if TYPE_CHECKING:
     # Imported only where settings are checked: an adapter that builds them
     # itself saves the memory of the validation library.
+    from mallowloft.kernel.setting_types import Amount
     from mallowloft.kernel.setting_types import AnswerBytes
     from mallowloft.kernel.setting_types import BodyBytes
     from mallowloft.kernel.setting_types import Name
     from mallowloft.kernel.setting_types import Port
     from mallowloft.kernel.setting_types import Seconds
+    from mallowloft.kernel.setting_types import Share
 
 _ENVIRONMENT_PREFIX = "MALLOWLOFT_"
 
@@ -52,6 +54,27 @@
         "further path on the operators' port that reports readiness",
         "/readyz",
     )
+    fleet_port: Port = _setting(
+        "port on which this instance counts the others if it is a seed, 0 for"
+        " none (HTTP)",
+        0,
+    )
+    seeds: str = _setting(
+        "instances that count the others, comma-separated address:port", ""
+    )
+    extra_share: Share = _setting(
+        "extra attempts at a service over all instances, as a share of the"
+        " requests for it",
+        0.2,
+    )
+    extra_allowance: Amount = _setting(
+        "extra attempts at a service over all instances beyond the share, in"
+        " one window",
+        50.0,
+    )
+    extra_window_s: Seconds = _setting(
+        "window of the extra attempts, seconds", 10.0
+    )
     peer_port: Port = _setting("port for other instances (ZeroMQ)", 8082)
     platform_url: str = _setting("base URL of the platform's services", "")
     peers: str = _setting(
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from mallowloft.kernel import logs
+from mallowloft.membership import rendezvous
 from mallowloft.routes import health as health_lib
 from mallowloft.routes import model
 from mallowloft.upstream import http1
@@ -17,17 +18,17 @@
 
 _log = logs.get("directory")
 
-# A replica accepts its connections from all instances together, of which an
-# instance does not know the number: today's fleets have 7 or 8 and add a few.
-_INSTANCES_PER_REPLICA = 8
 _DEFAULT_CONNECTIONS = 2
 _MAX_CONNECTIONS = 32
+# Replicas of a service that an instance uses as long as they are sound. In
+# large fleets a replica accepts fewer connections than there are instances.
+_HOME_REPLICAS = 2
 
 
 class Entry:
     """A replica with its connections and what is known of its health."""
 
-    __slots__ = ("draining", "health", "pool", "replica")
+    __slots__ = ("draining", "health", "home", "pool", "replica")
 
     def __init__(
         self,
@@ -39,6 +40,8 @@
         self.pool = pool
         self.health = health
         self.draining = replica.draining
+        # Whether this instance keeps a connection to it.
+        self.home = True
 
     @property
     def usable(self) -> bool:
@@ -51,10 +54,14 @@
 
     def __init__(
         self,
+        instance: str,
+        failure_domain: str,
         note: Callable[[str], None],
         reach: "reach_lib.DomainReach",
         open_pool: Callable[..., http1.Pool] = http1.Pool,
     ) -> None:
+        self._instance = instance
+        self._failure_domain = failure_domain
         self._note = note
         self._open_pool = open_pool
         self.reach = reach
@@ -62,6 +69,7 @@
         self._entries_by_service: dict[str, list[Entry]] = {}
         self._max_connections_by_service: dict[str, int] = {}
         self._wanted_services: frozenset[str] = frozenset()
+        self._instances = 1
 
     def __len__(self) -> int:
         return len(self._entries_by_id)
@@ -101,8 +109,7 @@
         )
         self._entries_by_id[replica.id] = entry
         self._entries_by_service.setdefault(replica.service, []).append(entry)
-        if replica.service in self._wanted_services and not replica.draining:
-            entry.pool.warm()
+        self._choose_homes(replica.service)
         _log.info(
             "replica_listed",
             replica=replica.id,
@@ -123,6 +130,7 @@
         if not entries:
             del self._entries_by_service[entry.replica.service]
         entry.pool.close()
+        self._choose_homes(entry.replica.service)
         _log.info(
             "replica_removed",
             replica=replica_id,
@@ -139,8 +147,14 @@
         for entry in self._entries_by_id.values():
             service = entry.replica.service
             entry.pool.max_connections = self._share(service)
-            if service in self._wanted_services and not entry.draining:
-                entry.pool.warm()
+        for service in self._wanted_services:
+            self._choose_homes(service)
+
+    def share(self, instances: int) -> None:
+        """Divides the replicas' connections among the instances."""
+        self._instances = max(1, instances)
+        for entry in self._entries_by_id.values():
+            entry.pool.max_connections = self._share(entry.replica.service)
 
     def close(self) -> None:
         """Closes all connections."""
@@ -176,7 +190,7 @@
         limit = self._max_connections_by_service.get(service)
         if limit is None:
             return _DEFAULT_CONNECTIONS
-        share = limit // _INSTANCES_PER_REPLICA
+        share = limit // self._instances
         return max(1, min(_MAX_CONNECTIONS, share))
 
     def _change(self, entry: Entry, replica: model.Replica) -> None:
@@ -195,3 +209,29 @@
             entry.health.set_cold(now_s + replica.cold_s)
         if replica.draining:
             entry.pool.drain()
+        self._choose_homes(replica.service)
+
+    def _choose_homes(self, service: str) -> None:
+        """Chooses the replicas of a service that this instance uses.
+
+        One of its own failure domain first; the others by rendezvous hashing,
+        so that the instances spread evenly and few move with each change.
+        """
+        entries = [
+            entry for entry in self.entries(service) if not entry.draining
+        ]
+        if len(entries) > _HOME_REPLICAS:
+            entries.sort(key=self._home_order)
+        for place, entry in enumerate(entries):
+            entry.home = place < _HOME_REPLICAS
+            if entry.home and service in self._wanted_services:
+                entry.pool.keep_open()
+            else:
+                entry.pool.drain()
+
+    def _home_order(self, entry: Entry) -> tuple[bool, int]:
+        replica = entry.replica
+        return (
+            replica.failure_domain != self._failure_domain,
+            -rendezvous.weight(self._instance, replica.id),
+        )
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -86,7 +86,7 @@
             )
             return
         for service in self._route.shards:
-            self._context.extra(service).earn()
+            self._context.extra(service).earn(now_s)
             self._open[service] = _Shard(service)
         for shard in list(self._open.values()):
             if self.done.done():
@@ -188,11 +188,9 @@
             if len(shard.tried) >= self._route.max_attempts:
                 shard.due_s = math.inf
             return
-        extra = self._context.extra(shard.service)
-        stalled = any(
-            attempt.entry.health.stalled(now_s) for attempt in shard.running
-        )
-        if extra.take_retry() if stalled else extra.take_hedge():
+        if running.take_hedge(
+            self._context.extra(shard.service), shard.running, now_s
+        ):
             self.hedges += 1
             self._send(shard, entry, now_s)
         else:
--- a/src/mallowloft/routes/limits.py
+++ b/src/mallowloft/routes/limits.py
@@ -1,20 +1,20 @@
 """Limits on extra attempts, and when an attempt is late."""
 
+import dataclasses
+
 from mallowloft.kernel import quantile
 
-# Share of the requests for a service that its replicas may get again. The
-# operators' bound is 0.2 over all instances and callers' uneven shares.
-EXTRA_SHARE = 0.18
-# Extra attempts that one instance may save for a fault. Ten instances with
-# full savings stay near the allowance of small fleets (54 in 10 s).
-_MAX_SAVED = 5.0
-_INITIAL = 2.0
+# Parts of the operators' limit that an instance uses: of the share of the
+# requests, and of the allowance as savings, as income in a window, and as debt.
+# Their sum over all instances stays below the limit in every window.
+_SHARE_PART = 0.9
+_SAVED_PART = 0.5
+_INCOME_PART = 0.2
+_DEBT_PART = 0.2
 # Hedges of attempts that are only somewhat late leave this much for those
-# that get no reply at all.
+# that get no reply at all, as far as the savings allow.
 _RESERVE = 1.5
-# Retries of failed attempts and hedges of stalled ones may overdraw; the next
-# requests pay them back before the next hedge.
-_DEBT = 2.0
+_MIN_SAVED = 1.0
 
 # Attempts slower than this quantile of their route are hedged. Pauses and
 # long tails of replicas make 5 to 6% of the attempts late.
@@ -29,34 +29,78 @@
 _DEFAULT_SHARE = 0.25
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExtraLimit:
+    """One instance's part of the limit on extra attempts at a service.
+
+    Attributes:
+        share: Extra attempts earned with each request.
+        saved: Extra attempts that may be saved.
+        income_per_s: Extra attempts earned with time.
+        debt: Extra attempts that retries may overdraw.
+    """
+
+    share: float
+    saved: float
+    income_per_s: float
+    debt: float
+
+    @classmethod
+    def part_of(
+        cls, share: float, allowance: float, window_s: float, instances: int
+    ) -> "ExtraLimit":
+        """Divides the operators' limit among the instances.
+
+        Args:
+            share: Extra attempts over all instances by requests.
+            allowance: Further ones in a window.
+            window_s: Length of the window in seconds.
+            instances: Number of instances.
+        """
+        part = allowance / max(1, instances)
+        return cls(
+            share=_SHARE_PART * share,
+            saved=max(_MIN_SAVED, _SAVED_PART * part),
+            income_per_s=_INCOME_PART * part / max(1.0, window_s),
+            debt=_DEBT_PART * part,
+        )
+
+
 class ExtraAttempts:
     """Allowance of one service for hedges and retries of one instance.
 
-    Earned in proportion to the requests, so that instances that share no
-    state keep a common bound together.
+    Replicas that pause, are slow or go dark make a few attempts late; a second
+    attempt for each late one would double the load when all are.
     """
 
-    __slots__ = ("_tokens",)
+    __slots__ = ("_tokens", "_updated_s", "limit")
 
-    def __init__(self) -> None:
-        self._tokens = _INITIAL
+    def __init__(self, limit: ExtraLimit, now_s: float) -> None:
+        self.limit = limit
+        self._tokens = limit.saved / 2
+        self._updated_s = now_s
 
     @property
     def tokens(self) -> float:
         """Extra attempts that are allowed now."""
         return self._tokens
 
-    def earn(self) -> None:
+    def earn(self, now_s: float) -> None:
         """Counts one request of a caller."""
-        self._tokens = min(_MAX_SAVED, self._tokens + EXTRA_SHARE)
+        income = (now_s - self._updated_s) * self.limit.income_per_s
+        self._updated_s = now_s
+        self._tokens = min(
+            self.limit.saved, self._tokens + income + self.limit.share
+        )
 
     def take_hedge(self) -> bool:
         """Takes an extra attempt while a late one is still running."""
-        return self._take(1.0 + _RESERVE)
+        reserve = max(0.0, min(_RESERVE, self.limit.saved - 1.5))
+        return self._take(1.0 + reserve)
 
     def take_retry(self) -> bool:
         """Takes an extra attempt after one that failed or is stalled."""
-        return self._take(1.0 - _DEBT)
+        return self._take(1.0 - self.limit.debt)
 
     def _take(self, needed: float) -> bool:
         if self._tokens < needed:
--- a/src/mallowloft/routes/running.py
+++ b/src/mallowloft/routes/running.py
@@ -1,5 +1,6 @@
 """What running requests share."""
 
+from collections.abc import Iterable
 import dataclasses
 from typing import Protocol
 
@@ -49,3 +50,20 @@
     if outcome.not_run:
         return f"not_run_{outcome.status}"
     return f"status_{outcome.status}"
+
+
+def take_hedge(
+    extra: limits.ExtraAttempts,
+    late: Iterable[attempts_lib.Attempt],
+    now_s: float,
+) -> bool:
+    """Takes an extra attempt beside late ones if the allowance has one.
+
+    Args:
+        extra: Allowance of the service.
+        late: Attempts without a reply.
+        now_s: Current time.
+    """
+    if any(attempt.entry.health.stalled(now_s) for attempt in late):
+        return extra.take_retry()
+    return extra.take_hedge()
--- a/src/mallowloft/routes/selection.py
+++ b/src/mallowloft/routes/selection.py
@@ -15,6 +15,7 @@
 _REMOTE_COST = 0.25
 _UNCONNECTED_COST = 0.4
 _COLD_COST = 0.6
+_NOT_HOME_COST = 4.0
 _IN_FLIGHT_COST = 0.5
 _WAITING_COST = 0.5
 _STALLED_COST = 10.0
@@ -76,6 +77,8 @@
             cost += _UNREACHABLE_COST
         elif not entry.pool.open_count:
             cost += _UNCONNECTED_COST
+        if not entry.home:
+            cost += _NOT_HOME_COST
         if health.cold(now_s):
             cost += _COLD_COST
         if health.stalled(now_s):
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -127,7 +127,7 @@
     attribute `header_names` has the names of headers.
     """
 
-    requires: tuple[str, ...] = ("operators", "route_source")
+    requires: tuple[str, ...] = ("operators", "fleet", "route_source")
 
     def __init__(self, kernel: lifecycle.Kernel) -> None:
         self._kernel = kernel
@@ -135,7 +135,10 @@
             "route_source"
         ).header_names
         self.directory = directory_lib.Directory(
-            self._note_connection, reach.DomainReach()
+            kernel.settings.instance_id,
+            kernel.settings.failure_domain,
+            self._note_connection,
+            reach.DomainReach(),
         )
         self.selector = selection.Selector(
             kernel.settings.failure_domain, kernel.rng
@@ -150,6 +153,9 @@
         self._isolated = False
         self._reach_task: asyncio.Task | None = None
         self._extra_by_service: dict[str, limits.ExtraAttempts] = {}
+        fleet = kernel.plugin("fleet")
+        fleet.subscribe(self._share_limits)
+        self._share_limits(fleet.instances)
         self._use_by_route: dict[str, _RouteUse] = {}
         self._open_requests = 0
         self._answered = 0
@@ -258,9 +264,24 @@
         """Returns the allowance of a service for extra attempts."""
         extra = self._extra_by_service.get(service)
         if extra is None:
-            extra = self._extra_by_service[service] = limits.ExtraAttempts()
+            now_s = asyncio.get_running_loop().time()
+            extra = limits.ExtraAttempts(self._extra_limit, now_s)
+            self._extra_by_service[service] = extra
         return extra
 
+    def _share_limits(self, instances: int) -> None:
+        """Takes this instance's part of what the fleet may use."""
+        settings = self._kernel.settings
+        self._extra_limit = limits.ExtraLimit.part_of(
+            settings.extra_share,
+            settings.extra_allowance,
+            settings.extra_window_s,
+            instances,
+        )
+        for extra in self._extra_by_service.values():
+            extra.limit = self._extra_limit
+        self.directory.share(instances)
+
     async def _watch_reach(self) -> None:
         """Notes whether callers are served better elsewhere."""
         while True:
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -38,7 +38,7 @@
 
     def start(self) -> None:
         """Sends the first attempt."""
-        self._context.extra(self._service).earn()
+        self._context.extra(self._service).earn(self._loop.time())
         entry = self._next(sound=False)
         if entry is None:
             self._finish(
@@ -152,7 +152,8 @@
             attempt.entry.health.late(attempt, now_s)
         entry = self._next(sound=True)
         if entry is not None:
-            if self._context.extra(self._service).take_hedge():
+            extra = self._context.extra(self._service)
+            if running.take_hedge(extra, self._running, now_s):
                 self.hedges += 1
                 self._send(entry)
             else:
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -31,14 +31,17 @@
 # Delay before a lost last connection is opened again, doubled for each failure.
 _REOPEN_S = 0.1
 _REOPEN_MAX_S = 0.5
-# A connection that was not used for this long is not opened again.
-_RECENT_USE_S = 5.0
+# A connection that ends so soon after it was opened was one too many for the
+# replica; another one is opened later, again doubled each time.
+_EARLY_END_S = 0.3
+_CROWDED_MAX_S = 4.0
 _MAX_REPLY_BYTES = 64 << 20
 
 # Events that a pool reports.
 CONNECTED = "connected"
 CONNECT_FAILED = "connect_failed"
 STALE_REPLY = "stale_reply"
+CROWDED = "crowded"
 
 
 class Ending(enum.StrEnum):
@@ -144,6 +147,8 @@
         self._surplus = False
         self._reusable = True
         self._idle_s = _DEFAULT_IDLE_S
+        self.opened_s = pool.now()
+        self.answered = False
         self.idle_until_s = 0.0
         self.closed = False
 
@@ -259,6 +264,7 @@
             if self._size > _MAX_REPLY_BYTES:
                 self._malformed()
             return
+        self.answered = True
         self._note_idle_time(response)
         exchange, self._exchange = self._exchange, None
         self._response = None
@@ -322,7 +328,8 @@
         self._waiting: list[tuple[int, int, Exchange]] = []
         self._numbers = itertools.count()
         self._failures = 0
-        self._used_s = -_RECENT_USE_S
+        self._crowded = 0
+        self._kept_open = False
         self._reopen_timer: asyncio.TimerHandle | None = None
         self._closing = False
 
@@ -333,8 +340,8 @@
 
     @property
     def failing(self) -> bool:
-        """Whether no connection is open and the last attempt failed."""
-        return self._failures > 0 and not self._open
+        """Whether no connection is open and the last one failed."""
+        return self._failures + self._crowded > 0 and not self._open
 
     def now(self) -> float:
         """Returns the loop's time in seconds."""
@@ -342,7 +349,6 @@
 
     def submit(self, exchange: Exchange) -> None:
         """Sends a request on an idle connection, or when there is one."""
-        self._used_s = self.now()
         connection = self._take_idle()
         if connection is not None:
             connection.send(exchange)
@@ -352,15 +358,14 @@
         )
         self._open_for_waiting()
 
-    def warm(self) -> None:
-        """Opens a connection if there is none."""
-        if not self._open and not self._opening and not self._closing:
-            self._start_opening()
+    def keep_open(self) -> None:
+        """Keeps a connection open from now on, ahead of need."""
+        self._kept_open = True
+        self._warm()
 
     def drain(self) -> None:
-        """Opens no more connections ahead of need."""
-        self._used_s = -_RECENT_USE_S
-        self._failures = 0
+        """Opens connections only for requests from now on."""
+        self._kept_open = False
 
     def close(self) -> None:
         """Closes idle connections now and busy ones after their reply."""
@@ -386,6 +391,7 @@
     def finished(self, connection: Connection) -> None:
         """Takes a connection back, or learns that it is closed."""
         if connection.closed:
+            self._note_early_end(connection)
             self._open.discard(connection)
             if connection in self._idle:
                 self._idle.remove(connection)
@@ -404,6 +410,13 @@
             return
         self._idle.append(connection)
 
+    def _note_early_end(self, connection: Connection) -> None:
+        if connection.answered:
+            self._crowded = 0
+        elif self.now() - connection.opened_s < _EARLY_END_S:
+            self._crowded += 1
+            self.note(CROWDED)
+
     def _send_or_requeue(
         self, connection: Connection, exchange: Exchange
     ) -> None:
@@ -440,6 +453,11 @@
         for _ in range(min(room, wanted - len(self._opening))):
             self._start_opening()
 
+    def _warm(self) -> None:
+        """Opens a connection if there is none."""
+        if not self._open and not self._opening and not self._closing:
+            self._start_opening()
+
     def _start_opening(self) -> None:
         task = self._loop.create_task(self._connect())
         self._opening.add(task)
@@ -483,12 +501,42 @@
 
     def _keep_one_open(self) -> None:
         """Opens a connection ahead of the next request."""
+        if not self._kept_open:
+            # Forgotten, since nothing would find out that it is over.
+            self._failures = 0
+            return
         if self._open or self._opening or self._closing or self._reopen_timer:
             return
-        delay_s = min(_REOPEN_MAX_S, _REOPEN_S * 2 ** min(self._failures, 8))
+        longest_s = _CROWDED_MAX_S if self._crowded else _REOPEN_MAX_S
+        failures = min(self._failures + self._crowded, 8)
+        delay_s = min(longest_s, _REOPEN_S * 2**failures)
         self._reopen_timer = self._loop.call_later(delay_s, self._reopen)
 
     def _reopen(self) -> None:
         self._reopen_timer = None
-        if self._failures or self.now() - self._used_s < _RECENT_USE_S:
-            self.warm()
+        if self._kept_open:
+            self._warm()
+
+
+async def get(
+    pool: Pool, target: str, host: str, timeout_s: float
+) -> Response | Ending:
+    """Returns the response to a GET request.
+
+    Args:
+        pool: Connections to the server.
+        target: Path and query.
+        host: Value of the Host header.
+        timeout_s: Seconds after which the request is abandoned.
+    """
+    ended = asyncio.get_running_loop().create_future()
+    wire = f"GET {target} HTTP/1.1\r\nhost: {host}\r\n\r\n".encode()
+    exchange = Exchange(wire, lambda _, outcome: ended.set_result(outcome))
+    pool.submit(exchange)
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await ended
+    except TimeoutError:
+        return Ending.BROKEN
+    finally:
+        exchange.abandon()
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -109,7 +109,7 @@
     def close(self, reason: str = "") -> None:
         """Does nothing."""
 
-    warm = drain = abort = close
+    keep_open = drain = abort = close
 
 
 class Instance:
@@ -123,6 +123,8 @@
         by_id = {replica.id: replica for replica in replicas}
         ids = iter(by_id)
         self.directory = directory_lib.Directory(
+            f"instance-{rng.random()}",
+            domain,
             lambda event: None,
             reach.DomainReach(),
             lambda *args: self._pool(by_id[next(ids)], domain),
@@ -142,6 +144,7 @@
         self.sender = attempts_lib.Sender(
             NAMES, metrics_lib.Metrics(), self.directory.reach
         )
+        self._limit = limits.ExtraLimit.part_of(0.2, 54, 10.0, 7)
         self._extra: dict[str, limits.ExtraAttempts] = {}
         self._latency: dict[str, limits.RouteLatency] = {}
         self._numbers = itertools.count()
@@ -152,7 +155,12 @@
 
     def extra(self, service: str) -> limits.ExtraAttempts:
         """Returns the allowance of a service."""
-        return self._extra.setdefault(service, limits.ExtraAttempts())
+        extra = self._extra.get(service)
+        if extra is None:
+            now_s = asyncio.get_running_loop().time()
+            extra = limits.ExtraAttempts(self._limit, now_s)
+            self._extra[service] = extra
+        return extra
 
     async def serve(self, route: model.Route) -> model.Answer:
         """Runs one request of a caller."""
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -229,6 +229,7 @@
     def test_refused_connection_leaves_the_request_unsent(self):
         async def main():
             client = _Client(1)
+            client.pool.keep_open()
             exchange, ended = client.send(b"a")
             assert await ended == http1.Ending.UNSENT
             assert not exchange.sent
@@ -237,6 +238,29 @@
 
         asyncio.run(main())
 
+    def test_failures_are_forgotten_where_nothing_tries_again(self):
+        # Guards against a replica that is taken for unreachable for good.
+        async def main():
+            client = _Client(1)
+            _, ended = client.send(b"a")
+            assert await ended == http1.Ending.UNSENT
+            assert not client.pool.failing
+            client.pool.abort()
+
+        asyncio.run(main())
+
+    def test_connections_that_are_one_too_many_are_tried_ever_less_often(self):
+        async def serve(server, reader, writer):
+            writer.transport.abort()
+
+        async def test(server, client):
+            client.pool.keep_open()
+            await asyncio.sleep(1.0)
+            assert client.pool.failing
+            assert 2 <= server.connections <= 5
+
+        _run(serve, test)
+
     def test_waiting_requests_go_by_rank(self):
         release = None
 
--- a/tests/test_routes_policy.py
+++ b/tests/test_routes_policy.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mallowloft.routes import fleet as fleet_lib
 from mallowloft.routes import gathering
 from mallowloft.routes import health as health_lib
 from mallowloft.routes import limits
@@ -38,38 +39,79 @@
 
 
 class TestExtraAttempts:
-    """Extra attempts stay within the share of the requests."""
+    """Extra attempts of all instances together stay within the limit."""
 
-    # The users' bound on one service over all instances.
-    _RATIO, _SLACK = 0.2, 54
+    # The users' bounds on one service: share, allowance, window.
+    _SHARE, _ALLOWANCE, _WINDOW_S = 0.2, 54, 10.0
 
-    @pytest.mark.parametrize("instances", [3, 7, 10])
-    def test_all_instances_together_keep_the_bound(self, instances):
-        fleet = [limits.ExtraAttempts() for _ in range(instances)]
+    def _limit(self, instances: int) -> limits.ExtraLimit:
+        return limits.ExtraLimit.part_of(
+            self._SHARE, self._ALLOWANCE, self._WINDOW_S, instances
+        )
+
+    @pytest.mark.parametrize("instances", [1, 3, 7, 10, 40])
+    def test_all_instances_together_keep_the_limit(self, instances):
+        limit = self._limit(instances)
+        fleet = [limits.ExtraAttempts(limit, 0.0) for _ in range(instances)]
         for allowance in fleet:
             # Long quiet before: everything that can be saved is saved.
-            for _ in range(100):
-                allowance.earn()
+            for second in range(1000):
+                allowance.earn(float(second))
         rng = random.Random(2)
         requests, extra = 450, 0
-        for _ in range(requests):
+        for number in range(requests):
             allowance = rng.choice(fleet)
-            allowance.earn()
+            allowance.earn(1000.0 + self._WINDOW_S * number / requests)
             while allowance.take_hedge() or allowance.take_retry():
                 extra += 1
-        assert extra <= self._RATIO * requests + self._SLACK
+        assert extra <= self._SHARE * requests + self._ALLOWANCE
 
     def test_retries_may_overdraw_and_hedges_pay_back(self):
-        allowance = limits.ExtraAttempts()
+        allowance = limits.ExtraAttempts(self._limit(7), 0.0)
         while allowance.take_hedge():
             pass
         assert allowance.take_retry()
         assert not allowance.take_hedge()
         for _ in range(30):
-            allowance.earn()
+            allowance.earn(0.0)
+        assert allowance.take_hedge()
+
+    def test_instances_with_few_requests_may_hedge(self):
+        # Guards against a reserve that is larger than what can be saved.
+        limit = limits.ExtraLimit.part_of(0.2, 158, 10.0, 59)
+        allowance = limits.ExtraAttempts(limit, 0.0)
+        for second in range(60):
+            allowance.earn(float(second))
         assert allowance.take_hedge()
 
 
+class TestCensus:
+    """The count follows the fleet and outlasts short cuts."""
+
+    def test_counts_each_instance_once(self):
+        census = fleet_lib.Census()
+        for now_s in range(3):
+            for number in range(59):
+                count = census.report(f"i{number}", float(now_s))
+        assert count == 59
+
+    def test_forgets_instances_that_are_gone(self):
+        census = fleet_lib.Census()
+        for number in range(59):
+            census.report(f"i{number}", 0.0)
+        assert census.report("i1", 60.0) == 1
+
+    def test_keeps_the_largest_count_for_a_while(self):
+        # Guards against a cut-off part of the fleet taking the whole limit.
+        census = fleet_lib.Census()
+        census.hear(7, 0.0)
+        census.hear(3, 2.0)
+        assert census.instances == 7
+        for now_s in range(4, 40, 2):
+            census.hear(3, float(now_s))
+        assert census.instances == 3
+
+
 class TestRouteLatency:
     """Hedges leave room for a second attempt within the objective."""
 
