--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -23,6 +23,8 @@
 # Replicas of a service that an instance uses as long as they are sound. In
 # large fleets a replica accepts fewer connections than there are instances.
 _HOME_REPLICAS = 2
+# More are no news to others: they see the same fault.
+_MAX_SUSPECTS = 200
 
 
 class Entry:
@@ -150,6 +152,24 @@
         for service in self._wanted_services:
             self._choose_homes(service)
 
+    def suspects(self) -> list[str]:
+        """Returns the replicas that fare badly here."""
+        now_s = asyncio.get_running_loop().time()
+        found = [
+            entry.replica.id
+            for entry in self.all()
+            if entry.health.suspect(now_s)
+        ]
+        return found[:_MAX_SUSPECTS]
+
+    def warn(self, suspects: Iterable[str]) -> None:
+        """Takes the replicas that fare badly elsewhere."""
+        now_s = asyncio.get_running_loop().time()
+        for replica_id in suspects:
+            entry = self._entries_by_id.get(replica_id)
+            if entry is not None:
+                entry.health.warn(now_s)
+
     def share(self, instances: int) -> None:
         """Divides the replicas' connections among the instances."""
         self._instances = max(1, instances)
--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -1,15 +1,18 @@
-"""Plug-in that counts the instances of the fleet through a few known ones.
+"""Plug-in through which instances learn of each other by way of the seeds.
 
 Instances share limits: a replica's connections, and extra attempts at a
 service. Each takes its part by the number of instances, which nobody publishes.
-Every instance reports to the seeds, which answer with how many reported; no
+Besides, an instance of a large fleet meets a replica too seldom to learn by
+itself that it is slow. Every instance reports to the seeds, which answer with
+how many reported and which replicas several of them found to be slow; no
 instance keeps a connection to all others.
 """
 
 import asyncio
+import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
-import urllib.parse
 
 import msgspec
 
@@ -33,28 +36,60 @@
 _REMEMBER_S = 30.0
 
 
-class _Count(msgspec.Struct):
+# A replica counts as suspect if so many instances say so: one may have a bad
+# link of its own.
+_MIN_REPORTERS = 2
+_SUSPECT_S = 3.0
+_MAX_BODY_BYTES = 1 << 16
+
+
+class Report(msgspec.Struct, frozen=True):
+    """What an instance says of itself and of replicas that fare badly."""
+
+    instance: str
+    suspects: tuple[str, ...] = ()
+
+
+class Summary(msgspec.Struct, frozen=True):
+    """What all instances together say."""
+
     instances: int
+    suspects: tuple[str, ...] = ()
+
+
+_report_decoder = msgspec.json.Decoder(Report)
+_summary_decoder = msgspec.json.Decoder(Summary)
 
 
 class Census:
     """Instances that reported lately, and the largest count lately heard."""
 
     def __init__(self) -> None:
-        self._reported_s: dict[str, float] = {}
+        self._reports_by_instance: dict[str, tuple[float, Report]] = {}
         self._heard: list[tuple[float, int]] = []
 
-    def report(self, instance: str, now_s: float) -> int:
-        """Notes a report and returns the number of instances."""
-        self._reported_s[instance] = now_s
-        oldest_s = now_s - _REMEMBER_S
-        if len(self._reported_s) > 1:
-            self._reported_s = {
-                name: reported_s
-                for name, reported_s in self._reported_s.items()
-                if reported_s > oldest_s
-            }
-        return len(self._reported_s)
+    def report(self, report: Report, now_s: float) -> Summary:
+        """Notes a report and returns what all say."""
+        self._reports_by_instance[report.instance] = (now_s, report)
+        self._reports_by_instance = {
+            instance: (reported_s, known)
+            for instance, (reported_s, known) in (
+                self._reports_by_instance.items()
+            )
+            if reported_s > now_s - _REMEMBER_S
+        }
+        reporters = collections.Counter(
+            suspect
+            for reported_s, known in self._reports_by_instance.values()
+            if reported_s > now_s - _SUSPECT_S
+            for suspect in known.suspects
+        )
+        suspects = (
+            suspect
+            for suspect, count in reporters.items()
+            if count >= _MIN_REPORTERS
+        )
+        return Summary(len(self._reports_by_instance), tuple(sorted(suspects)))
 
     def hear(self, instances: int, now_s: float) -> None:
         """Notes a seed's answer."""
@@ -74,6 +109,21 @@
         return max(count for _, count in self._heard)
 
 
+def _ignore(suspects: Iterable[str]) -> None:
+    del suspects
+
+
+async def _read(receive) -> bytes:
+    """Returns the body of a request, cut off at the largest report."""
+    body = b""
+    more = True
+    while more and len(body) < _MAX_BODY_BYTES:
+        message = await receive()
+        body += message.get("body", b"")
+        more = message.get("more_body", False)
+    return body
+
+
 @registry.plugins.register("fleet")
 class FleetService:
     """Reports to the seeds and answers reports."""
@@ -85,6 +135,9 @@
         self._census = Census()
         self._pools_by_seed: dict[str, http1.Pool] = {}
         self._listeners: list[Callable[[int], None]] = []
+        # Set by the plug-in that calls replicas.
+        self.find_suspects: Callable[[], Iterable[str]] = tuple
+        self.warn_of: Callable[[Iterable[str]], None] = _ignore
         self._task: asyncio.Task | None = None
         settings = kernel.settings
         self._server: server_lib.Server | None = None
@@ -131,16 +184,13 @@
     async def _run(self) -> None:
         delay_s = _FIRST_REPORT_S
         while True:
-            await asyncio.sleep(delay_s * self._kernel.rng.uniform(0.8, 1.2))
-            before = self.instances
-            for seed in self._seeds():
+            seeds = self._seeds()
+            for seed in seeds:
+                spread = self._kernel.rng.uniform(0.8, 1.2)
+                await asyncio.sleep(delay_s * spread / len(seeds))
                 await self._report(seed)
-            if self.instances != before:
-                _log.info(
-                    "fleet_changed", instances=self.instances, before=before
-                )
-                for listener in self._listeners:
-                    listener(self.instances)
+            if not seeds:
+                await asyncio.sleep(_REPORT_S)
             delay_s = max(_REPORT_S, self.instances / _REPORTS_PER_S)
 
     def _seeds(self) -> list[str]:
@@ -156,29 +206,43 @@
             host, _, port = seed.rpartition(":")
             pool = http1.Pool(host.strip("[]"), int(port), 1)
             self._pools_by_seed[seed] = pool
-        instance = urllib.parse.quote(self._kernel.settings.instance_id)
-        response = await http1.get(
-            pool, f"{_PATH}?instance={instance}", seed, _CALL_TIMEOUT_S
+        report = Report(
+            self._kernel.settings.instance_id, tuple(self.find_suspects())
+        )
+        response = await http1.call(
+            pool,
+            b"POST",
+            _PATH,
+            seed,
+            _CALL_TIMEOUT_S,
+            msgspec.json.encode(report),
         )
         if isinstance(response, http1.Ending) or response.status != 200:
+            # Seeds may be gone for good; the others answer.
+            _log.debug("fleet_report_failed", seed=seed, reason=str(response))
             return
         try:
-            count = msgspec.json.decode(response.body, type=_Count)
+            summary = _summary_decoder.decode(response.body)
         except msgspec.MsgspecError as error:
             _log.warning("fleet_report_failed", seed=seed, reason=str(error))
             return
+        self._take(summary)
+
+    def _take(self, summary: Summary) -> None:
+        before = self.instances
         now_s = asyncio.get_running_loop().time()
-        self._census.hear(count.instances, now_s)
+        self._census.hear(summary.instances, now_s)
+        self.warn_of(summary.suspects)
+        if self.instances == before:
+            return
+        _log.info("fleet_changed", instances=self.instances, before=before)
+        for listener in self._listeners:
+            listener(self.instances)
 
     async def _app(self, scope, receive, send) -> None:
-        del receive
-        query = urllib.parse.parse_qs(scope["query_string"].decode("latin1"))
         status, body = 404, b"{}"
-        if scope["path"] == _PATH and "instance" in query:
-            count = self._census.report(
-                query["instance"][0], asyncio.get_running_loop().time()
-            )
-            status, body = 200, msgspec.json.encode(_Count(count))
+        if scope["path"] == _PATH and scope["method"] == "POST":
+            status, body = self._answer(await _read(receive))
         headers = [(b"content-length", b"%d" % len(body))]
         await send(
             {
@@ -188,3 +252,12 @@
             }
         )
         await send({"type": "http.response.body", "body": body})
+
+    def _answer(self, body: bytes) -> tuple[int, bytes]:
+        try:
+            report = _report_decoder.decode(body)
+        except msgspec.MsgspecError as error:
+            return 400, msgspec.json.encode({"error": str(error)})
+        now_s = asyncio.get_running_loop().time()
+        summary = self._census.report(report, now_s)
+        return 200, msgspec.json.encode(summary)
--- a/src/mallowloft/routes/health.py
+++ b/src/mallowloft/routes/health.py
@@ -23,6 +23,12 @@
 # not answer at the moment.
 _STALL_FACTOR = 3.0
 _STALL_MIN_S = 0.015
+# An estimate above this makes a replica suspect to other instances.
+_SUSPECT_SLOWNESS = 2.5
+# How long the word of other instances holds, and how recent an own reply must
+# be to count for more.
+_WARNED_S = 3.0
+_OWN_WORD_S = 1.0
 # Doubled for each failure in a row.
 _EJECT_S = 0.2
 _EJECT_MAX_S = 2.0
@@ -38,6 +44,7 @@
         "_pending",
         "_sampled_s",
         "_slowness",
+        "_warned_until_s",
         "waiting",
     )
 
@@ -47,6 +54,7 @@
         self._failures = 0
         self._ejected_until_s = -math.inf
         self._cold_until_s = cold_until_s
+        self._warned_until_s = -math.inf
         # Start and usual duration by attempt.
         self._pending: dict[object, tuple[float, float]] = {}
         self.waiting = 0
@@ -108,6 +116,22 @@
                 return True
         return False
 
+    def suspect(self, now_s: float) -> bool:
+        """Whether other instances should know how it fares."""
+        if self._failures > 1 and self.ejected(now_s):
+            return True
+        return self.slowness(now_s) > _SUSPECT_SLOWNESS
+
+    def warn(self, now_s: float) -> None:
+        """Takes the word of several other instances that it fares badly."""
+        self._warned_until_s = now_s + _WARNED_S
+
+    def warned(self, now_s: float) -> bool:
+        """Whether others found it slow and no reply here says otherwise."""
+        if now_s >= self._warned_until_s:
+            return False
+        return now_s - self._sampled_s > _OWN_WORD_S
+
     def cold(self, now_s: float) -> bool:
         """Whether the replica started a moment ago."""
         return now_s < self._cold_until_s
--- a/src/mallowloft/routes/limits.py
+++ b/src/mallowloft/routes/limits.py
@@ -8,9 +8,9 @@
 # requests, and of the allowance as savings, as income in a window, and as debt.
 # Their sum over all instances stays below the limit in every window.
 _SHARE_PART = 0.9
-_SAVED_PART = 0.5
-_INCOME_PART = 0.2
-_DEBT_PART = 0.2
+_SAVED_PART = 0.45
+_INCOME_PART = 0.4
+_DEBT_PART = 0.1
 # Hedges of attempts that are only somewhat late leave this much for those
 # that get no reply at all, as far as the savings allow.
 _RESERVE = 1.5
--- a/src/mallowloft/routes/selection.py
+++ b/src/mallowloft/routes/selection.py
@@ -15,9 +15,10 @@
 _REMOTE_COST = 0.25
 _UNCONNECTED_COST = 0.4
 _COLD_COST = 0.6
-_NOT_HOME_COST = 4.0
+_NOT_HOME_COST = 2.0
 _IN_FLIGHT_COST = 0.5
 _WAITING_COST = 0.5
+_WARNED_COST = 3.0
 _STALLED_COST = 10.0
 _EJECTED_COST = 30.0
 _UNREACHABLE_COST = 60.0
@@ -81,6 +82,8 @@
             cost += _NOT_HOME_COST
         if health.cold(now_s):
             cost += _COLD_COST
+        if health.warned(now_s):
+            cost += _WARNED_COST
         if health.stalled(now_s):
             cost += _STALLED_COST
         if health.ejected(now_s):
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -33,6 +33,7 @@
 _MAX_DEADLINE_MS = 600_000
 # One of so many answered requests is logged; failed ones always are.
 _LOG_SAMPLE = 50
+_LOG_PARTLY_SAMPLE = 5
 _POLL_S = 0.02
 # The balancer asks once a second whether the instance is ready.
 _REACH_S = 0.25
@@ -155,6 +156,8 @@
         self._extra_by_service: dict[str, limits.ExtraAttempts] = {}
         fleet = kernel.plugin("fleet")
         fleet.subscribe(self._share_limits)
+        fleet.find_suspects = self.directory.suspects
+        fleet.warn_of = self.directory.warn
         self._share_limits(fleet.instances)
         self._use_by_route: dict[str, _RouteUse] = {}
         self._open_requests = 0
@@ -454,7 +457,9 @@
         metrics.count("route_requests", route=route, outcome=outcome)
         metrics.observe_ms("route_request", elapsed_ms, route=route)
         self._answered += 1
-        if outcome.startswith("answered") and self._answered % _LOG_SAMPLE:
+        if outcome == "answered" and self._answered % _LOG_SAMPLE:
+            return
+        if outcome == "answered_partly" and self._answered % _LOG_PARTLY_SAMPLE:
             return
         _log.info(
             "request_ended",
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -518,19 +518,32 @@
             self._warm()
 
 
-async def get(
-    pool: Pool, target: str, host: str, timeout_s: float
+async def call(
+    pool: Pool,
+    method: bytes,
+    target: str,
+    host: str,
+    timeout_s: float,
+    body: bytes = b"",
 ) -> Response | Ending:
-    """Returns the response to a GET request.
+    """Returns the response to a request of this process itself.
 
     Args:
         pool: Connections to the server.
+        method: Method of the request.
         target: Path and query.
         host: Value of the Host header.
         timeout_s: Seconds after which the request is abandoned.
+        body: Body of the request.
     """
     ended = asyncio.get_running_loop().create_future()
-    wire = f"GET {target} HTTP/1.1\r\nhost: {host}\r\n\r\n".encode()
+    wire = b"%s %s HTTP/1.1\r\nhost: %s\r\ncontent-length: %d\r\n\r\n%s" % (
+        method,
+        target.encode(),
+        host.encode(),
+        len(body),
+        body,
+    )
     exchange = Exchange(wire, lambda _, outcome: ended.set_result(outcome))
     pool.submit(exchange)
     try:
--- a/tests/test_routes_policy.py
+++ b/tests/test_routes_policy.py
@@ -92,14 +92,24 @@
         census = fleet_lib.Census()
         for now_s in range(3):
             for number in range(59):
-                count = census.report(f"i{number}", float(now_s))
-        assert count == 59
+                report = fleet_lib.Report(f"i{number}")
+                summary = census.report(report, float(now_s))
+        assert summary.instances == 59
 
     def test_forgets_instances_that_are_gone(self):
         census = fleet_lib.Census()
         for number in range(59):
-            census.report(f"i{number}", 0.0)
-        assert census.report("i1", 60.0) == 1
+            census.report(fleet_lib.Report(f"i{number}"), 0.0)
+        assert census.report(fleet_lib.Report("i1"), 60.0).instances == 1
+
+    def test_passes_on_what_several_instances_suspect(self):
+        census = fleet_lib.Census()
+        census.report(fleet_lib.Report("a", ("r1", "r2")), 0.0)
+        summary = census.report(fleet_lib.Report("b", ("r2",)), 1.0)
+        assert summary.suspects == ("r2",)
+        # Old reports no longer count.
+        summary = census.report(fleet_lib.Report("b", ("r2",)), 9.0)
+        assert summary.suspects == ()
 
     def test_keeps_the_largest_count_for_a_while(self):
         # Guards against a cut-off part of the fleet taking the whole limit.
@@ -185,6 +195,24 @@
         assert not health.ejected(0.2)
 
 
+class TestWarnings:
+    """The word of others holds until an own reply says otherwise."""
+
+    def test_holds_for_a_while(self):
+        health = health_lib.ReplicaHealth()
+        health.warn(10.0)
+        assert health.warned(10.5)
+        assert not health.warned(20.0)
+
+    def test_an_own_reply_counts_for_more(self):
+        health = health_lib.ReplicaHealth()
+        health.warn(10.0)
+        attempt = object()
+        health.started(attempt, 10.1, 0.01)
+        health.replied(attempt, 10.11)
+        assert not health.warned(10.2)
+
+
 class TestLeaveTime:
     """Answers leave shortly before the objective of the caller."""
 
