--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -17,6 +17,11 @@
 # Merging, writing and the way to the caller take time after the last part.
 _LEAVE_MARGIN_S = 0.006
 _LEAVE_MARGIN_SHARE = 0.05
+# Hedges wait while so many shards are late at once, for so many times the
+# usual delay: links of small instances take that long for 90 parts.
+_CROWD_MIN = 3
+_CROWD_SHARE = 0.15
+_CROWD_FACTOR = 2.0
 _CONTENT_TYPE = (b"content-type", b"application/octet-stream")
 
 
@@ -68,6 +73,9 @@
             run.route, run.started_s, run.waited_s, run.end_s
         )
         self._late_s = run.latency.late_s
+        # More late shards than this at one time have a cause on this side.
+        self._crowd = max(_CROWD_MIN, int(_CROWD_SHARE * len(run.route.shards)))
+        self._crowd_until_s = run.started_s + _CROWD_FACTOR * self._late_s
         # Attempts in flight for shards that are still open.
         self._in_flight = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -178,8 +186,18 @@
     def _tick(self) -> None:
         self._timer = None
         now_s = self._loop.time()
-        for shard in list(self._open.values()):
-            if shard.due_s <= now_s and shard.running:
+        late = [
+            shard
+            for shard in self._open.values()
+            if shard.due_s <= now_s and shard.running
+        ]
+        if len(late) > self._crowd and now_s < self._crowd_until_s:
+            # Not the replicas but this instance's link or processor is late;
+            # hedges would keep it longer.
+            for shard in late:
+                shard.due_s = now_s + self._late_s / 4
+        else:
+            for shard in late:
                 self._hedge(shard, now_s)
         self._settle(now_s)
         if not self.done.done():
