--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -62,6 +62,10 @@
     seeds: str = _setting(
         "instances that count the others, comma-separated address:port", ""
     )
+    watch_s: Seconds = _setting(
+        "how long a call to the source of routes waits for changes, seconds",
+        2.0,
+    )
     extra_share: Share = _setting(
         "extra attempts at a service over all instances, as a share of the"
         " requests for it",
--- a/src/mallowloft/routes/following.py
+++ b/src/mallowloft/routes/following.py
@@ -17,10 +17,6 @@
 
 _log = logs.get("following")
 
-# One waiting call is all that an instance costs the source in quiet times.
-# An open connection may fall silent without notice: a change must be in force
-# within 3 s, so a call waits for less than that.
-WATCH_S = 2.0
 # Changes come in series, and each call counts: those of a moment are fetched
 # together.
 _PAUSE_S = 0.4
@@ -158,8 +154,22 @@
     """Reads the listing, then waits for changes, until it is stopped."""
 
     def __init__(
-        self, client: Client, listener: Listener, rng: random.Random
+        self,
+        client: Client,
+        listener: Listener,
+        rng: random.Random,
+        watch_s: float,
     ) -> None:
+        """Prepares to follow a source.
+
+        Args:
+            client: Calls of the source.
+            listener: Gets the items.
+            rng: Spreads the instances' repeated calls.
+            watch_s: How long a call may wait for changes. A connection may
+                fall silent without notice, which is seen only at the end.
+        """
+        self._watch_s = watch_s
         self._client = client
         self._rng = rng
         self._mirror = Mirror(listener)
@@ -196,7 +206,7 @@
 
     async def _call(self) -> result.Result[None, Problem]:
         self.calls += 1
-        wait_s = WATCH_S
+        wait_s = self._watch_s
         if self._mirror.held:
             loop_s = asyncio.get_running_loop().time()
             next_s = min(self._mirror.held.values())
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -16,7 +16,7 @@
 
 # Merging, writing and the way to the caller take time after the last part.
 _LEAVE_MARGIN_S = 0.006
-_LEAVE_MARGIN_SHARE = 0.05
+_LEAVE_MARGIN_SHARE = 0.08
 # Hedges wait while so many shards are late at once, for so many times the
 # usual delay: links of small instances take that long for 90 parts.
 _CROWD_MIN = 3
--- a/src/mallowloft/routes/selection.py
+++ b/src/mallowloft/routes/selection.py
@@ -13,7 +13,7 @@
 from mallowloft.routes import directory as directory_lib
 
 # Costs in usual durations of a request.
-_REMOTE_COST = 0.25
+_REMOTE_COST = 0.4
 _UNCONNECTED_COST = 0.4
 _NOT_HOME_COST = 2.0
 _LOAD_COST = 0.5
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -547,7 +547,14 @@
         len(body),
         body,
     )
-    exchange = Exchange(wire, lambda _, outcome: ended.set_result(outcome))
+
+    def end(exchange: Exchange, outcome: Response | Ending) -> None:
+        del exchange
+        # A cancelled caller has cancelled the future before.
+        if not ended.done():
+            ended.set_result(outcome)
+
+    exchange = Exchange(wire, end)
     pool.submit(exchange)
     try:
         async with asyncio.timeout(timeout_s):
