Judge reach by failure domain, with late attempts as evidence

Change: shards count as coverable only by replicas outside lost failure domains; late attempts count as evidence; idle connections to a lost one are replaced.

--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -120,6 +120,11 @@
         """Whether the replica may run the request."""
         return self.exchange.sent
 
+    def note_late(self, now_s: float) -> None:
+        """Notes that there is no reply when there should be one."""
+        self.entry.health.late(self, now_s)
+        self._reach.failed(self.entry.replica.failure_domain, now_s)
+
     def release(self) -> None:
         """Gives up the reply; a late one still tells how the replica fares."""
         if not self.wanted:
@@ -140,7 +145,7 @@
         now_s = asyncio.get_running_loop().time()
         if sent:
             self.entry.health.failed(self, now_s)
-            self._reach.failed(self.entry.replica.failure_domain)
+            self._reach.failed(self.entry.replica.failure_domain, now_s)
         else:
             self.entry.health.dropped(self)
 
@@ -216,11 +221,11 @@
         domain = attempt.entry.replica.failure_domain
         if isinstance(result, http1.Ending):
             health.failed(attempt, now_s)
-            self._reach.failed(domain)
+            self._reach.failed(domain, now_s)
             failure = model.Failure(result.value)
             self._count_by_outcome[failure]()
             return failure
-        self._reach.succeeded(domain, now_s)
+        self._reach.succeeded(domain)
         reply = self._reply(result)
         health.waiting = reply.waiting
         if reply.status == _MISDIRECTED:
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
 import functools
@@ -156,6 +157,16 @@
         for service in self._wanted_services:
             self._choose_homes(service)
 
+    def reconnect(self, failure_domains: Collection[str]) -> None:
+        """Replaces idle connections to failure domains out of reach.
+
+        Open ones may be silent for good; new ones show when a failure domain
+        is within reach again.
+        """
+        for entry in self.all():
+            if entry.replica.failure_domain in failure_domains:
+                entry.pool.renew()
+
     def suspects(self) -> list[str]:
         """Returns the replicas that fare badly here."""
         now_s = asyncio.get_running_loop().time()
@@ -195,10 +206,10 @@
     def _note_connection(self, failure_domain: str, event: str) -> None:
         self._note(event)
         if event == http1.CONNECTED:
-            now_s = asyncio.get_running_loop().time()
-            self.reach.succeeded(failure_domain, now_s)
+            self.reach.succeeded(failure_domain)
         elif event == http1.CONNECT_FAILED:
-            self.reach.failed(failure_domain)
+            now_s = asyncio.get_running_loop().time()
+            self.reach.failed(failure_domain, now_s)
 
     def _describe(self, entry: Entry) -> dict:
         now_s = asyncio.get_running_loop().time()
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -89,7 +89,9 @@
     def start(self) -> None:
         """Sends the first attempts."""
         now_s = self._loop.time()
-        covered = reach.coverable(self._route, self._context.directory)
+        directory = self._context.directory
+        lost = directory.reach.lost(now_s)
+        covered = reach.coverable(self._route, directory, lost)
         if covered < self._route.needed_shards:
             self._finish(
                 model.refusal("not_coverable", running.RETRY_NO_REPLICA_S)
@@ -205,7 +207,7 @@
 
     def _hedge(self, shard: _Shard, now_s: float) -> None:
         for attempt in shard.running:
-            attempt.entry.health.late(attempt, now_s)
+            attempt.note_late(now_s)
         shard.due_s = now_s + self._late_s / 2
         entry = self._next(shard, now_s, sound=True)
         if entry is None:
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -285,18 +285,29 @@
 
     async def _watch_reach(self) -> None:
         """Notes whether callers are served better elsewhere."""
+        lost: frozenset[str] = frozenset()
         while True:
             await asyncio.sleep(_REACH_S)
+            before, lost = lost, self._lost_domains()
+            if lost - before:
+                self.directory.reconnect(lost - before)
             table = self.table
             isolated = table is not None and reach.isolated(
                 table.routes,
                 self.directory,
                 self._kernel.settings.failure_domain,
-                asyncio.get_running_loop().time(),
+                lost,
             )
-            if isolated != self._isolated:
+            if lost != before or isolated != self._isolated:
                 self._isolated = isolated
-                _log.warning("reach_changed", isolated=isolated)
+                _log.warning(
+                    "reach_changed",
+                    lost=",".join(sorted(lost)),
+                    isolated=isolated,
+                )
+
+    def _lost_domains(self) -> frozenset[str]:
+        return self.directory.reach.lost(asyncio.get_running_loop().time())
 
     def _note_connection(self, event: str) -> None:
         self._kernel.metrics.count("replica_connections", event=event)
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -149,7 +149,7 @@
             self._finish(self._ended())
             return
         for attempt in self._running:
-            attempt.entry.health.late(attempt, now_s)
+            attempt.note_late(now_s)
         entry = self._next(sound=True)
         if entry is not None:
             extra = self._context.extra(self._service)
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -366,6 +366,12 @@
         self._kept_open = True
         self._warm()
 
+    def renew(self) -> None:
+        """Closes idle connections; a kept one is opened again."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close("renewed")
+
     def drain(self) -> None:
         """Opens connections only for requests from now on."""
         self._kept_open = False
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -109,7 +109,7 @@
     def close(self, reason: str = "") -> None:
         """Does nothing."""
 
-    keep_open = drain = abort = close
+    keep_open = drain = renew = abort = close
 
 
 class Instance:
