--- a/src/mallowloft/cli.py
+++ b/src/mallowloft/cli.py
@@ -12,6 +12,7 @@
 
 import mallowloft
 from mallowloft import client as client_lib
+from mallowloft import explain
 from mallowloft.kernel import findings as findings_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
@@ -226,6 +227,24 @@
     return _EXIT_OK
 
 
+@commands.register("explain")
+def _explain(arguments: argparse.Namespace) -> int:
+    texts: list[str] = []
+    for path in arguments.files:
+        try:
+            with open(path, encoding="utf-8", errors="replace") as file:
+                texts += file
+        except OSError as error:
+            print(f"{path}: {error.strerror}", file=sys.stderr)
+            return _EXIT_USAGE
+    lines = explain.story(arguments.request, texts)
+    if not lines:
+        print(f"no line has request={arguments.request}", file=sys.stderr)
+        return _EXIT_FAULTS
+    print("\n".join(lines))
+    return _EXIT_OK
+
+
 @commands.register("version")
 def _version(arguments: argparse.Namespace) -> int:
     del arguments
@@ -328,6 +347,14 @@
     check.add_argument("files", nargs="+", metavar="FILE")
     dump = subparsers.add_parser("dump", help="print an instance's state")
     _add_url(dump, "MALLOWLOFT_OPERATOR_URL", "address of the operators' port")
+    explain_parser = subparsers.add_parser(
+        "explain",
+        help="print what the logs say of one request",
+        description="Prints the lines of one request and what its instance"
+        " believed, in order of time. Exit status 1 if there is none.",
+    )
+    explain_parser.add_argument("request", help="id of the request")
+    explain_parser.add_argument("files", nargs="+", metavar="FILE")
     subparsers.add_parser("version", help="print the version")
     return parser
 
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -81,6 +81,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
         self.done: asyncio.Future[model.Answer] = self._loop.create_future()
+        self._covered = 0
+        self._lost: frozenset[str] = frozenset()
         self.sent = 0
         self.hedges = 0
         self.retries = 0
@@ -90,9 +92,9 @@
         """Sends the first attempts."""
         now_s = self._loop.time()
         directory = self._context.directory
-        lost = directory.reach.lost(now_s)
-        covered = reach.coverable(self._route, directory, lost)
-        if covered < self._route.needed_shards:
+        self._lost = directory.reach.lost(now_s)
+        self._covered = reach.coverable(self._route, directory, self._lost)
+        if self._covered < self._route.needed_shards:
             self._finish(
                 model.refusal("not_coverable", running.RETRY_NO_REPLICA_S)
             )
@@ -292,6 +294,9 @@
         return {
             "parts": len(self._parts),
             "shards": len(self._route.shards),
+            "needed": self._route.needed_shards,
+            "coverable": self._covered,
+            "lost": ",".join(sorted(self._lost)),
             "sent": self.sent,
             "hedges": self.hedges,
             "retries": self.retries,
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -28,7 +28,7 @@
         self._tried: list[directory_lib.Entry] = []
         self._running: list[attempts_lib.Attempt] = []
         self._may_have_run = False
-        self._last: attempts_lib.Outcome | None = None
+        self._outcomes: list[str] = []
         self._timer: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
         self.done: asyncio.Future[model.Answer] = self._loop.create_future()
@@ -64,7 +64,7 @@
             "retries": self.retries,
             "denied": self.denied,
             "replicas": ",".join(entry.replica.id for entry in self._tried),
-            "last": running.describe(self._last) if self._last else "",
+            "outcomes": ",".join(self._outcomes),
         }
 
     def _next(self, sound: bool) -> directory_lib.Entry | None:
@@ -96,7 +96,11 @@
             self._running.remove(attempt)
         if self.done.done():
             return
-        self._last = outcome
+        elapsed_ms = (self._loop.time() - attempt.started_s) * 1000
+        self._outcomes.append(
+            f"{attempt.entry.replica.id}:{running.describe(outcome)}"
+            f"@{elapsed_ms:.1f}ms"
+        )
         if isinstance(outcome, model.Reply) and not outcome.not_run:
             self._may_have_run = True
             if outcome.status < 500 or not self._route.idempotent:
