--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -92,7 +92,7 @@
         """Sends the first attempts."""
         now_s = self._loop.time()
         directory = self._context.directory
-        self._lost = directory.reach.lost(now_s)
+        self._lost = directory.reach.lost()
         self._covered = reach.coverable(self._route, directory, self._lost)
         if self._covered < self._route.needed_shards:
             self._finish(
--- a/src/mallowloft/routes/reach.py
+++ b/src/mallowloft/routes/reach.py
@@ -7,7 +7,6 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
-import math
 
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import model
@@ -15,15 +14,16 @@
 # Failed and late attempts without any success in between that put a failure
 # domain out of reach; fewer may be those of single replicas.
 _LOST_FAILURES = 5
-# How long there must have been failures only: replicas pause for a tenth of a
-# second and may do so together.
+# How far the first and the last of these failures must be apart: replicas pause
+# for a tenth of a second and may do so together.
 _LOST_S = 0.3
 
 
 @dataclasses.dataclass(slots=True)
 class _Evidence:
+    first_s: float
+    last_s: float
     failures: int = 0
-    since_s: float = math.inf
 
 
 class DomainReach:
@@ -40,17 +40,18 @@
         """Notes an attempt that failed or is late."""
         evidence = self._evidence_by_domain.get(failure_domain)
         if evidence is None:
-            evidence = _Evidence(since_s=now_s)
+            evidence = _Evidence(now_s, now_s)
             self._evidence_by_domain[failure_domain] = evidence
+        evidence.last_s = now_s
         evidence.failures += 1
 
-    def lost(self, now_s: float) -> frozenset[str]:
+    def lost(self) -> frozenset[str]:
         """Returns the failure domains in which no replica is reached."""
         return frozenset(
             domain
             for domain, evidence in self._evidence_by_domain.items()
             if evidence.failures >= _LOST_FAILURES
-            and now_s - evidence.since_s > _LOST_S
+            and evidence.last_s - evidence.first_s > _LOST_S
         )
 
 
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -288,7 +288,7 @@
         lost: frozenset[str] = frozenset()
         while True:
             await asyncio.sleep(_REACH_S)
-            before, lost = lost, self._lost_domains()
+            before, lost = lost, self.directory.reach.lost()
             if lost - before:
                 self.directory.reconnect(lost - before)
             table = self.table
@@ -306,9 +306,6 @@
                     isolated=isolated,
                 )
 
-    def _lost_domains(self) -> frozenset[str]:
-        return self.directory.reach.lost(asyncio.get_running_loop().time())
-
     def _note_connection(self, event: str) -> None:
         self._kernel.metrics.count("replica_connections", event=event)
 
--- a/tests/test_routes_reach.py
+++ b/tests/test_routes_reach.py
@@ -12,7 +12,7 @@
 
 def _fail(domains: reach.DomainReach, name: str, count: int) -> None:
     for number in range(count):
-        domains.failed(name, 0.01 * number)
+        domains.failed(name, 0.05 * number)
 
 
 class TestDomainReach:
@@ -20,21 +20,31 @@
 
     def test_lost_after_failures_for_a_while(self):
         domains = reach.DomainReach()
-        _fail(domains, "d2", 10)
         # All replicas may pause together for a tenth of a second.
-        assert not domains.lost(0.15)
-        assert domains.lost(0.5) == {"d2"}
+        _fail(domains, "d2", 4)
+        assert not domains.lost()
+        _fail(domains, "d2", 10)
+        assert domains.lost() == {"d2"}
+
+    def test_silence_without_requests_is_no_evidence(self):
+        # An instance may get no request for half a second after one that met
+        # several slow replicas.
+        domains = reach.DomainReach()
+        for _ in range(20):
+            domains.failed("d2", 1.0)
+        assert not domains.lost()
 
     def test_any_success_brings_it_back(self):
         domains = reach.DomainReach()
         _fail(domains, "d2", 10)
         domains.succeeded("d2")
-        assert not domains.lost(9.0)
+        assert not domains.lost()
 
     def test_a_few_failures_are_those_of_replicas(self):
         domains = reach.DomainReach()
-        _fail(domains, "d2", 3)
-        assert not domains.lost(9.0)
+        domains.failed("d2", 0.0)
+        domains.failed("d2", 9.0)
+        assert not domains.lost()
 
 
 class TestIsolated:
