Let large fleets fetch changes of the store less often

Change: the time in which changes are fetched together grows with the number of instances, up to 0.3 of the time that a call may wait.

--- a/src/mallowloft/routes/following.py
+++ b/src/mallowloft/routes/following.py
@@ -18,8 +18,11 @@
 _log = logs.get("following")
 
 # Changes come in series, and each call counts: those of a moment are fetched
-# together.
+# together. The moment grows with the fleet, so that the calls of all instances
+# grow more slowly, up to a part of the time that a call may wait.
 _PAUSE_S = 0.4
+_PAUSE_INSTANCES = 20
+_PAUSE_MAX_SHARE = 0.3
 _RETRY_FIRST_S = 0.05
 _RETRY_MAX_S = 0.8
 # Entries that lapsed while the source was away are back within 2 s of its
@@ -170,6 +173,7 @@
                 fall silent without notice, which is seen only at the end.
         """
         self._watch_s = watch_s
+        self._pause_s = _PAUSE_S
         self._client = client
         self._rng = rng
         self._mirror = Mirror(listener)
@@ -188,6 +192,12 @@
         """Whether the last call succeeded."""
         return self._heard_s is not None and not self._failures
 
+    def share(self, instances: int) -> None:
+        """Takes the number of instances that call the source."""
+        longest_s = max(_PAUSE_S, _PAUSE_MAX_SHARE * self._watch_s)
+        wanted_s = _PAUSE_S * instances / _PAUSE_INSTANCES
+        self._pause_s = min(longest_s, max(_PAUSE_S, wanted_s))
+
     def silent_s(self) -> float:
         """Returns for how long nothing has been heard of the source."""
         if self._heard_s is None:
@@ -200,7 +210,7 @@
             called = await self._call()
             if called.is_ok():
                 self._failures = 0
-                await asyncio.sleep(_PAUSE_S)
+                await asyncio.sleep(self._pause_s)
             else:
                 await self._recover(called.unwrap_err())
 
