--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -1,6 +1,5 @@
 """One request that needs a part from every shard of a route."""
 
-import asyncio
 import dataclasses
 import math
 
@@ -60,13 +59,11 @@
     return min(end_s, started_s + left_s)
 
 
-class Gathering:
+class Gathering(running.Work):
     """Asks one replica of each shard, hedges, and merges the parts."""
 
     def __init__(self, context: running.Context, run: running.Run) -> None:
-        self._context = context
-        self._run = run
-        self._route = run.route
+        super().__init__(context, run)
         self._parts: dict[str, model.Reply] = {}
         self._open: dict[str, _Shard] = {}
         self._leave_s = leave_time(
@@ -78,15 +75,9 @@
         self._crowd_until_s = run.started_s + _CROWD_FACTOR * self._late_s
         # Attempts in flight for shards that are still open.
         self._in_flight = 0
-        self._timer: asyncio.TimerHandle | None = None
-        self._loop = asyncio.get_running_loop()
-        self.done: asyncio.Future[model.Answer] = self._loop.create_future()
         self._covered = 0
         self._lost: frozenset[str] = frozenset()
         self.sent = 0
-        self.hedges = 0
-        self.retries = 0
-        self.denied = 0
 
     def start(self) -> None:
         """Sends the first attempts."""
@@ -110,12 +101,6 @@
             self._settle(now_s)
             self._schedule(now_s)
 
-    def cancel(self) -> None:
-        """Stops because the caller has left."""
-        self._release()
-        if not self.done.done():
-            self.done.cancel()
-
     def _try_first(self, shard: _Shard, now_s: float) -> None:
         entry = self._context.selector.choose(
             self._context.directory.entries(shard.service), now_s
@@ -275,18 +260,12 @@
             return model.failure(504, "parts_late")
         return model.failure(502, "parts_failed")
 
-    def _finish(self, answer: model.Answer) -> None:
-        self._release()
-        if not self.done.done():
-            self.done.set_result(answer)
-
-    def _release(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        for shard in self._open.values():
-            for attempt in shard.running:
-                attempt.release()
+    def _attempts(self) -> list[attempts_lib.Attempt]:
+        return [
+            attempt
+            for shard in self._open.values()
+            for attempt in shard.running
+        ]
 
     def describe(self) -> dict[str, object]:
         """Returns what decided the answer, for the log."""
--- a/src/mallowloft/routes/running.py
+++ b/src/mallowloft/routes/running.py
@@ -1,5 +1,7 @@
 """What running requests share."""
 
+import abc
+import asyncio
 from collections.abc import Iterable
 import dataclasses
 from typing import Protocol
@@ -43,6 +45,58 @@
     end_s: float
 
 
+class Work(abc.ABC):
+    """Attempts of one request until its answer is known.
+
+    Attributes:
+        done: The answer; cancelled if the caller has left.
+        hedges: Attempts that were sent beside late ones.
+        retries: Attempts that were sent after failed ones.
+        denied: Attempts that the allowance did not permit.
+    """
+
+    def __init__(self, context: Context, run: Run) -> None:
+        self._context = context
+        self._run = run
+        self._route = run.route
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.TimerHandle | None = None
+        self.done: asyncio.Future[model.Answer] = self._loop.create_future()
+        self.hedges = 0
+        self.retries = 0
+        self.denied = 0
+
+    @abc.abstractmethod
+    def start(self) -> None:
+        """Sends the first attempts."""
+
+    @abc.abstractmethod
+    def describe(self) -> dict[str, object]:
+        """Returns what decided the answer, for the log."""
+
+    @abc.abstractmethod
+    def _attempts(self) -> Iterable[attempts_lib.Attempt]:
+        """Returns the attempts without a reply."""
+
+    def cancel(self) -> None:
+        """Stops because the caller has left."""
+        self._release()
+        if not self.done.done():
+            self.done.cancel()
+
+    def _finish(self, answer: model.Answer) -> None:
+        self._release()
+        if not self.done.done():
+            self.done.set_result(answer)
+
+    def _release(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        for attempt in self._attempts():
+            attempt.release()
+
+
 def describe(outcome: attempts_lib.Outcome) -> str:
     """Returns a failed outcome as one word."""
     if isinstance(outcome, model.Failure):
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -363,6 +363,7 @@
         if run.end_s <= asyncio.get_running_loop().time():
             refused = model.refusal("deadline_passed", _RETRY_STARTING_S)
             return refused, {"route": route.name}
+        work: running.Work
         if route.shards:
             work = gathering.Gathering(self, run)
         else:
@@ -420,7 +421,7 @@
     async def _finish(
         self,
         exchange: _Exchange,
-        work: gathering.Gathering | single.Single,
+        work: running.Work,
     ) -> model.Answer:
         """Returns the answer; stops the work if the caller leaves."""
         work.start()
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -1,7 +1,5 @@
 """One request that a single replica answers."""
 
-import asyncio
-
 from mallowloft.routes import attempts as attempts_lib
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import model
@@ -11,7 +9,7 @@
 _MIN_RETRY_S = 0.02
 
 
-class Single:
+class Single(running.Work):
     """Forwards a request to one replica, and to others where that is safe.
 
     A request that must not run twice goes to another replica only if the
@@ -21,20 +19,12 @@
     def __init__(
         self, context: running.Context, run: running.Run, service: str
     ) -> None:
-        self._context = context
-        self._run = run
-        self._route = run.route
+        super().__init__(context, run)
         self._service = service
         self._tried: list[directory_lib.Entry] = []
         self._running: list[attempts_lib.Attempt] = []
         self._may_have_run = False
         self._outcomes: list[str] = []
-        self._timer: asyncio.TimerHandle | None = None
-        self._loop = asyncio.get_running_loop()
-        self.done: asyncio.Future[model.Answer] = self._loop.create_future()
-        self.hedges = 0
-        self.retries = 0
-        self.denied = 0
 
     def start(self) -> None:
         """Sends the first attempt."""
@@ -49,12 +39,6 @@
         if not self.done.done():
             self._schedule()
 
-    def cancel(self) -> None:
-        """Stops because the caller has left."""
-        self._release()
-        if not self.done.done():
-            self.done.cancel()
-
     def describe(self) -> dict[str, object]:
         """Returns what decided the answer, for the log."""
         return {
@@ -173,14 +157,5 @@
             return model.failure(504, "replica_late")
         return model.refusal("not_sent", running.RETRY_NO_REPLICA_S)
 
-    def _finish(self, answer: model.Answer) -> None:
-        self._release()
-        if not self.done.done():
-            self.done.set_result(answer)
-
-    def _release(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        for attempt in self._running:
-            attempt.release()
+    def _attempts(self) -> list[attempts_lib.Attempt]:
+        return self._running
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -25,6 +25,22 @@
 _FAR_S = 0.0014
 
 
+def route(**fields: object) -> model.Route:
+    """Returns a route with usual values where none are given."""
+    return model.Route(
+        **{
+            "name": "r",
+            "host": "h",
+            "prefix": "/",
+            "idempotent": True,
+            "timeout_s": 0.4,
+            "objective_s": 0.092,
+            "max_attempts": 2,
+            **fields,
+        }
+    )
+
+
 @dataclasses.dataclass
 class Replica:
     """A replica with slots, pauses and faults; counts what arrives."""
--- a/tests/test_routes_load.py
+++ b/tests/test_routes_load.py
@@ -65,14 +65,9 @@
 
 
 def _route(kind: str) -> model.Route:
-    return model.Route(
+    return replicas_lib.route(
         name=kind,
-        host="h",
-        prefix="/",
-        idempotent=True,
-        timeout_s=0.4,
         objective_s=_OBJECTIVE_S[kind],
-        max_attempts=2,
         shards=tuple(f"s{shard}" for shard in range(_SHARDS)),
         top_records=5,
         min_coverage=0.75,
--- a/tests/test_routes_policy.py
+++ b/tests/test_routes_policy.py
@@ -9,7 +9,7 @@
 from mallowloft.routes import health as health_lib
 from mallowloft.routes import limits
 from mallowloft.routes import merge
-from mallowloft.routes import model
+from tests.support import replicas as replicas_lib
 
 
 def _record(number: int) -> bytes:
@@ -216,15 +216,7 @@
 class TestLeaveTime:
     """Answers leave shortly before the objective of the caller."""
 
-    _ROUTE = model.Route(
-        name="r",
-        host="h",
-        prefix="/",
-        idempotent=True,
-        timeout_s=0.4,
-        objective_s=0.092,
-        max_attempts=2,
-    )
+    _ROUTE = replicas_lib.route()
 
     def test_before_the_objective(self):
         leave_s = gathering.leave_time(self._ROUTE, 10.0, 0.0, 10.4)
--- a/tests/test_routes_reach.py
+++ b/tests/test_routes_reach.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from mallowloft.routes import model
 from mallowloft.routes import reach
 from tests.support import replicas as replicas_lib
 from tests.support import virtual
@@ -51,14 +50,7 @@
     """Callers are left to others only if those can do better."""
 
     def _isolated(self, replicas_per_shard, lost) -> bool:
-        route = model.Route(
-            name="r",
-            host="h",
-            prefix="/",
-            idempotent=True,
-            timeout_s=1.0,
-            objective_s=0.1,
-            max_attempts=2,
+        route = replicas_lib.route(
             shards=tuple(f"s{number}" for number in range(10)),
             min_coverage=0.8,
         )
