--- a/src/mallowloft/routes/health.py
+++ b/src/mallowloft/routes/health.py
@@ -27,10 +27,10 @@
 _STALL_MIN_S = 0.015
 # An estimate above this makes a replica suspect to other instances.
 _SUSPECT_SLOWNESS = 2.5
-# How long the word of other instances holds, and how recent an own reply must
+# How long a warning of other instances holds, and how recent an own reply must
 # be to count for more.
 _WARNED_S = 3.0
-_OWN_WORD_S = 1.0
+_OWN_REPLY_S = 1.0
 # Costs in usual durations of a request, for the choice of a replica.
 _COLD_COST = 0.6
 _WARNED_COST = 3.0
@@ -124,7 +124,7 @@
         return cost
 
     def caution_cost(self, now_s: float) -> float:
-        """Returns what a recent start or the word of others costs."""
+        """Returns what a recent start or a warning of others costs."""
         cost = 0.0
         if now_s < self._cold_until_s:
             cost += _COLD_COST
@@ -151,14 +151,14 @@
         return self.slowness(now_s) > _SUSPECT_SLOWNESS
 
     def warn(self, now_s: float) -> None:
-        """Takes the word of several other instances that it fares badly."""
+        """Takes the warning of several other instances that it fares badly."""
         self._warned_until_s = now_s + _WARNED_S
 
     def warned(self, now_s: float) -> bool:
         """Whether others found it slow and no reply here says otherwise."""
         if now_s >= self._warned_until_s:
             return False
-        return now_s - self._sampled_s > _OWN_WORD_S
+        return now_s - self._sampled_s > _OWN_REPLY_S
 
     def cold(self, now_s: float) -> bool:
         """Whether the replica started a moment ago."""
