Answer the next request of kept connections for 3 s of a stop; list a red test

Change: idle kept connections of the callers' interface end after 3 s, not 1 s (test_request_after_some_idle_time_is_answered failed before).

--- a/src/mallowloft/callers/server.py
+++ b/src/mallowloft/callers/server.py
@@ -97,11 +97,20 @@
         while not self._server.started and not self._task.done():
             await asyncio.sleep(_POLL_S)
 
-    async def stop(self, grace_s: float) -> None:
-        """Answers what is on its way, then closes all connections."""
+    async def stop(
+        self, grace_s: float, idle_s: float = _LAST_REQUESTS_S
+    ) -> None:
+        """Answers what is on its way, then closes all connections.
+
+        Args:
+            grace_s: Limit of the stop, seconds.
+            idle_s: How long kept connections may bring one more request. A
+                connection that is closed just as its client uses it is reset,
+                so those that clients use often should get their answer.
+        """
         await self._stop_accepting()
         loop = asyncio.get_running_loop()
-        end_s = loop.time() + min(grace_s, _LAST_REQUESTS_S)
+        end_s = loop.time() + min(grace_s, idle_s)
         connections = self._server.server_state.connections
         while connections and loop.time() < end_s:
             await asyncio.sleep(_POLL_S)
--- a/src/mallowloft/callers/service.py
+++ b/src/mallowloft/callers/service.py
@@ -36,6 +36,9 @@
 _RETRY_LIMIT_MS = 100.0
 _RETRY_DEADLINE_MS = 100.0
 _POLL_S = 0.01
+# Connections that callers keep bring their next request within this time, or
+# are not in use.
+_LAST_REQUESTS_S = 3.0
 
 
 class _Discarding(responses.Response):
@@ -204,7 +207,7 @@
             await asyncio.sleep(_POLL_S)
         remaining_s = max(0.0, end_s - clock.now())
         if self._server is not None:
-            await self._server.stop(remaining_s)
+            await self._server.stop(remaining_s, _LAST_REQUESTS_S)
 
     def ready(self) -> bool:
         """Whether the server accepts connections."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -466,6 +466,29 @@
         assert "Retry-After" in answer.headers
 
 
+class TestKeptConnection:
+    """A stop answers the next request of a kept connection."""
+
+    async def test_request_after_some_idle_time_is_answered(self, instance):
+        # Guards against connections that are reset while callers use them.
+        reader, writer = await instance.connect()
+        request = (
+            b"POST /v1/keys HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n"
+            b"authorization: Bearer secret\r\n\r\n{}"
+        )
+        writer.write(request)
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.read(1 << 16)
+        stopping = asyncio.create_task(instance.callers.stop(10.0))
+        await asyncio.sleep(1.5)
+        writer.write(request)
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b" 503 " in head
+        assert b"connection: close" in head.lower()
+        writer.close()
+        await stopping
+
+
 class TestOperators:
     """Operators see the state of an instance whatever it holds."""
 
