Let hubs gather for instances with small links and relay the store's changes

Ruled out: the replicas (slots a tenth busy); hedging (crowd rule: links late). Change: the seeds name hubs, the instances of each failure domain with the largest links (fleets over 20 only). Instances with small links pass gathered requests on and get the merged answer; a hub acknowledges with an interim response, else the request is taken back, and a hub that reads it later finds the connection closed. What a second hub or the instance itself asks for then counts as extra and keeps within the route's attempts. Hubs relay the source's changes; others call it only if no hub is current. First listings may be old (a tenth of the price) and are brought up to date before use.

--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -62,6 +62,9 @@
     seeds: str = _setting(
         "instances that count the others, comma-separated address:port", ""
     )
+    link_mbps: Amount = _setting(
+        "bandwidth of this instance's network link, Mbit/s; 0 if unknown", 0.0
+    )
     watch_s: Seconds = _setting(
         "how long a call to the source of routes waits for changes, seconds",
         2.0,
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -75,7 +75,11 @@
         self._entries_by_service: dict[str, list[Entry]] = {}
         self._max_connections_by_service: dict[str, int] = {}
         self._wanted_services: frozenset[str] = frozenset()
-        self._instances = 1
+        # Those of shards, and those to which no connection is kept.
+        self._shards: frozenset[str] = frozenset()
+        self._spared: frozenset[str] = frozenset()
+        self._sharers = 1.0
+        self._shard_sharers = 1.0
 
     def __len__(self) -> int:
         return len(self._entries_by_id)
@@ -146,11 +150,24 @@
         )
 
     def use(
-        self, services: Iterable[str], max_connections: dict[str, int]
+        self,
+        services: Iterable[str],
+        max_connections: dict[str, int],
+        shards: Iterable[str] = (),
+        spared: Iterable[str] = (),
     ) -> None:
-        """Takes the services of the routes and their connection limits."""
+        """Takes the services of the routes and their connection limits.
+
+        Args:
+            services: Services that routes use.
+            max_connections: Connections that a replica accepts, by service.
+            shards: Services that hold parts of gathered answers.
+            spared: Services to which connections are opened only for use.
+        """
         self._max_connections_by_service = max_connections
         self._wanted_services = frozenset(services)
+        self._shards = frozenset(shards)
+        self._spared = frozenset(spared)
         for entry in self._entries_by_id.values():
             service = entry.replica.service
             entry.pool.max_connections = self._share(service)
@@ -185,9 +202,15 @@
             if entry is not None:
                 entry.health.warn(now_s)
 
-    def share(self, instances: int) -> None:
-        """Divides the replicas' connections among the instances."""
-        self._instances = max(1, instances)
+    def share(self, sharers: float, shard_sharers: float) -> None:
+        """Divides the replicas' connections among the instances.
+
+        Args:
+            sharers: By what the connections of a replica are divided.
+            shard_sharers: The same for replicas of shards.
+        """
+        self._sharers = max(1.0, sharers)
+        self._shard_sharers = max(1.0, shard_sharers)
         for entry in self._entries_by_id.values():
             entry.pool.max_connections = self._share(entry.replica.service)
 
@@ -225,8 +248,9 @@
         limit = self._max_connections_by_service.get(service)
         if limit is None:
             return _DEFAULT_CONNECTIONS
-        share = limit // self._instances
-        return max(1, min(_MAX_CONNECTIONS, share))
+        is_shard = service in self._shards
+        sharers = self._shard_sharers if is_shard else self._sharers
+        return max(1, min(_MAX_CONNECTIONS, int(limit / sharers)))
 
     def _change(self, entry: Entry, replica: model.Replica) -> None:
         if replica == entry.replica:
@@ -259,7 +283,11 @@
             entries.sort(key=self._home_order)
         for place, entry in enumerate(entries):
             entry.home = place < _HOME_REPLICAS
-            if entry.home and service in self._wanted_services:
+            if (
+                entry.home
+                and service in self._wanted_services
+                and service not in self._spared
+            ):
                 entry.pool.keep_open()
             else:
                 entry.pool.drain()
--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -6,10 +6,15 @@
 itself that it is slow. Every instance reports to the seeds, which answer with
 how many reported and which replicas several of them found to be slow; no
 instance keeps a connection to all others.
+
+In a large fleet the seeds also name hubs: a few instances of each failure
+domain, those with the largest links, that read the source of routes for the
+others and gather answers for those whose links are small.
 """
 
 import asyncio
 import collections
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Any
@@ -20,6 +25,8 @@
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
+from mallowloft.routes import exchange as exchange_lib
+from mallowloft.routes import hubs as hubs_lib
 from mallowloft.upstream import http1
 
 _log = logs.get("fleet")
@@ -41,6 +48,17 @@
 _MIN_REPORTERS = 2
 _SUSPECT_S = 3.0
 _MAX_BODY_BYTES = 1 << 16
+# A seed that has heard reports for less than this does not know all instances.
+_YOUNG_S = 1.25 * _REPORT_S
+# A hub was heard of lately.
+_HUB_ALIVE_S = 2.5 * _REPORT_S
+# An instance that has heard of no hubs for this long asks any seed; otherwise
+# only those of its failure domain name them.
+_ASK_HUBS_S = 2.5 * _REPORT_S
+# Longer than callers of this process keep connections without use.
+_KEEP_ALIVE_S = 75
+
+Application = Callable[..., Awaitable[None]]
 
 
 class Report(msgspec.Struct, frozen=True):
@@ -48,13 +66,23 @@
 
     instance: str
     suspects: tuple[str, ...] = ()
+    address: str = ""
+    failure_domain: str = ""
+    link_mbps: float = 0.0
+    wants_hubs: bool = False
 
 
 class Summary(msgspec.Struct, frozen=True):
-    """What all instances together say."""
+    """What all instances together say; no hubs if they are not known.
+
+    Attributes:
+        small_links: Instances whose links are small beside the largest.
+    """
 
     instances: int
     suspects: tuple[str, ...] = ()
+    hubs: tuple[hubs_lib.Hub, ...] | None = None
+    small_links: int = 0
 
 
 _report_decoder = msgspec.json.Decoder(Report)
@@ -64,12 +92,17 @@
 class Census:
     """Instances that reported lately, and the largest count lately heard."""
 
-    def __init__(self) -> None:
+    def __init__(self, failure_domain: str = "") -> None:
+        self._failure_domain = failure_domain
         self._reports_by_instance: dict[str, tuple[float, Report]] = {}
         self._heard: list[tuple[float, int]] = []
+        self._first_report_s: float | None = None
 
     def report(self, report: Report, now_s: float) -> Summary:
         """Notes a report and returns what all say."""
+        if self._first_report_s is None:
+            self._first_report_s = now_s
+        young = now_s - self._first_report_s < _YOUNG_S
         self._reports_by_instance[report.instance] = (now_s, report)
         self._reports_by_instance = {
             instance: (reported_s, known)
@@ -89,7 +122,34 @@
             for suspect, count in reporters.items()
             if count >= _MIN_REPORTERS
         )
-        return Summary(len(self._reports_by_instance), tuple(sorted(suspects)))
+        count = len(self._reports_by_instance)
+        near = report.failure_domain == self._failure_domain
+        suspects = tuple(sorted(suspects))
+        if young:
+            return Summary(max(count, _DEFAULT_INSTANCES), suspects)
+        if not near and not report.wants_hubs:
+            return Summary(count, suspects)
+        members = self._members(now_s)
+        largest_mbps = max(
+            (member.link_mbps for member in members), default=0.0
+        )
+        small_links = sum(
+            hubs_lib.has_small_link(member.link_mbps, largest_mbps)
+            for member in members
+        )
+        return Summary(count, suspects, hubs_lib.choose(members), small_links)
+
+    def _members(self, now_s: float) -> list[hubs_lib.Hub]:
+        return [
+            hubs_lib.Hub(
+                known.instance,
+                known.address,
+                known.failure_domain,
+                known.link_mbps,
+            )
+            for reported_s, known in self._reports_by_instance.values()
+            if known.address and reported_s > now_s - _HUB_ALIVE_S
+        ]
 
     def hear(self, instances: int, now_s: float) -> None:
         """Notes a seed's answer."""
@@ -124,6 +184,11 @@
     return body
 
 
+async def _not_found(scope, receive, send) -> None:
+    del scope, receive
+    await exchange_lib.respond(send, 404, b"{}")
+
+
 @registry.plugins.register("fleet")
 class FleetService:
     """Reports to the seeds and answers reports."""
@@ -132,18 +197,29 @@
 
     def __init__(self, kernel: lifecycle.Kernel) -> None:
         self._kernel = kernel
-        self._census = Census()
+        settings = kernel.settings
+        self._census = Census(settings.failure_domain)
         self._pools_by_seed: dict[str, http1.Pool] = {}
         self._listeners: list[Callable[[int], None]] = []
+        self._apps_by_path: dict[str, Application] = {_PATH: self._serve_report}
+        self.hubs = hubs_lib.Hubs(
+            settings.instance_id, settings.failure_domain, settings.link_mbps
+        )
+        self._hub_listeners: list[Callable[[], None]] = []
+        self._hubs_heard_s = -_ASK_HUBS_S
         # Set by the plug-in that calls replicas.
         self.find_suspects: Callable[[], Iterable[str]] = tuple
         self.warn_of: Callable[[Iterable[str]], None] = _ignore
         self._task: asyncio.Task | None = None
-        settings = kernel.settings
         self._server: server_lib.Server | None = None
+        self._address = ""
         if settings.fleet_port:
+            self._address = f"{settings.host}:{settings.fleet_port}"
             self._server = server_lib.Server(
-                self._app, settings.host, settings.fleet_port, {}
+                self._app,
+                settings.host,
+                settings.fleet_port,
+                {"timeout_keep_alive": _KEEP_ALIVE_S},
             )
         kernel.metrics.gauge("fleet_instances", lambda: self.instances)
 
@@ -156,6 +232,14 @@
         """Adds a listener that is called with each new number."""
         self._listeners.append(listener)
 
+    def subscribe_hubs(self, listener: Callable[[], None]) -> None:
+        """Adds a listener that is called when the hubs have changed."""
+        self._hub_listeners.append(listener)
+
+    def mount(self, path: str, application: Application) -> None:
+        """Serves a path to other instances with an ASGI application."""
+        self._apps_by_path[path] = application
+
     async def start(self) -> None:
         """Starts to answer reports and to report."""
         if self._server is not None:
@@ -167,6 +251,7 @@
         self._task.cancel()
         for pool in self._pools_by_seed.values():
             pool.abort()
+        self.hubs.close()
         if self._server is not None:
             await self._server.stop(min(grace_s, _CALL_TIMEOUT_S))
 
@@ -179,6 +264,7 @@
         return {
             "instances": self.instances,
             "seeds": self._kernel.settings.seeds,
+            "hubs": self.hubs.dump(),
         }
 
     async def _run(self) -> None:
@@ -206,8 +292,16 @@
             host, _, port = seed.rpartition(":")
             pool = http1.Pool(host.strip("[]"), int(port), 1)
             self._pools_by_seed[seed] = pool
+        settings = self._kernel.settings
+        now_s = asyncio.get_running_loop().time()
         report = Report(
-            self._kernel.settings.instance_id, tuple(self.find_suspects())
+            settings.instance_id,
+            tuple(self.find_suspects()),
+            # An instance that stops is no hub any more.
+            "" if self._kernel.stopping else self._address,
+            settings.failure_domain,
+            settings.link_mbps,
+            now_s - self._hubs_heard_s > _ASK_HUBS_S,
         )
         response = await http1.call(
             pool,
@@ -233,25 +327,36 @@
         now_s = asyncio.get_running_loop().time()
         self._census.hear(summary.instances, now_s)
         self.warn_of(summary.suspects)
+        if summary.hubs is not None:
+            self._hubs_heard_s = now_s
+            self._take_hubs(summary.hubs, summary.small_links)
         if self.instances == before:
             return
         _log.info("fleet_changed", instances=self.instances, before=before)
         for listener in self._listeners:
             listener(self.instances)
 
-    async def _app(self, scope, receive, send) -> None:
-        status, body = 404, b"{}"
-        if scope["path"] == _PATH and scope["method"] == "POST":
-            status, body = self._answer(await _read(receive))
-        headers = [(b"content-length", b"%d" % len(body))]
-        await send(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": headers,
-            }
+    def _take_hubs(
+        self, hubs: tuple[hubs_lib.Hub, ...], small_links: int
+    ) -> None:
+        if not self.hubs.use(hubs, small_links):
+            return
+        _log.info(
+            "hubs_changed",
+            hubs=",".join(hub.instance for hub in hubs),
+            small_links=small_links,
         )
-        await send({"type": "http.response.body", "body": body})
+        for listener in self._hub_listeners:
+            listener()
+
+    async def _app(self, scope, receive, send) -> None:
+        application = self._apps_by_path.get(scope["path"], _not_found)
+        await application(scope, receive, send)
+
+    async def _serve_report(self, scope, receive, send) -> None:
+        del scope
+        status, body = self._answer(await _read(receive))
+        await exchange_lib.respond(send, status, body)
 
     def _answer(self, body: bytes) -> tuple[int, bytes]:
         try:
--- a/src/mallowloft/routes/following.py
+++ b/src/mallowloft/routes/following.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Mapping
+import collections
 import dataclasses
 import enum
 import random
@@ -23,6 +23,9 @@
 _PAUSE_S = 0.4
 _PAUSE_INSTANCES = 20
 _PAUSE_MAX_SHARE = 0.3
+# A source may cut off long answers; the rest of one with so many changes is
+# fetched at once.
+LONG_ANSWER_ITEMS = 20
 _RETRY_FIRST_S = 0.05
 _RETRY_MAX_S = 0.8
 # Entries that lapsed while the source was away are back within 2 s of its
@@ -30,6 +33,14 @@
 _RETURN_S = 2.3
 # A source that did not answer for this long was away, not merely slow.
 _AWAY_S = 1.0
+# Calls of an instance that others rely on wait no longer than this, so that it
+# soon knows that it has lost the source; answers may be late by the second.
+_WAIT_FOR_OTHERS_S = 1.2
+_LATE_S = 0.5
+# Until a removal that is due now.
+_MIN_WAIT_S = 0.05
+# Removals that other instances may still ask for.
+_MAX_REMOVALS = 2_000
 
 
 class Problem(enum.StrEnum):
@@ -80,6 +91,15 @@
         """Takes a removal."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Removal:
+    """A removal that was carried out; numbers grow by one."""
+
+    number: int
+    key: str
+    revision: int
+
+
 class Mirror:
     """The items that are in force, without I/O.
 
@@ -89,14 +109,53 @@
 
     def __init__(self, listener: Listener) -> None:
         self._listener = listener
-        self._revisions_by_key: dict[str, int] = {}
-        self._held_until_by_key: dict[str, float] = {}
+        self._items_by_key: dict[str, Item] = {}
+        # Time at which a removal is carried out, and its revision.
+        self._held_by_key: dict[str, tuple[float, int]] = {}
         self._hold_until_s = 0.0
+        self._removals: collections.deque[Removal] = collections.deque(
+            maxlen=_MAX_REMOVALS
+        )
+        self.removal_count = 0
+        # Removals before the first listing are not known.
+        self._first_revision = 0
 
     @property
-    def held(self) -> Mapping[str, float]:
-        """Times until which removals are held back, by key."""
-        return self._held_until_by_key
+    def release_s(self) -> float | None:
+        """When the next removal that is held back is due, None without any."""
+        return min(
+            (at_s for at_s, _ in self._held_by_key.values()), default=None
+        )
+
+    def items_after(self, revision: int) -> list[Item]:
+        """Returns the items in force that were written after a revision."""
+        return [
+            item
+            for item in self._items_by_key.values()
+            if item.revision > revision
+        ]
+
+    def removals_after(
+        self, revision: int, number: int
+    ) -> list[Removal] | None:
+        """Returns later removals, None if they are not all known.
+
+        Args:
+            revision: What was removed up to it is known already.
+            number: Removals up to it are known already; -1 if the asker knows
+                nothing of this mirror's removals.
+        """
+        if revision < self._first_revision:
+            return None
+        if number < 0:
+            oldest = self._removals[0] if self._removals else None
+            forgotten = oldest is not None and oldest.number > 1
+            if forgotten and revision < oldest.revision:
+                return None
+            return [item for item in self._removals if item.revision > revision]
+        found = [item for item in self._removals if item.number > number]
+        complete = len(found) == self.removal_count - number
+        return found if complete else None
 
     def source_returned(self, now_s: float) -> None:
         """Learns that the source was away until now."""
@@ -104,52 +163,62 @@
 
     def replace(self, batch: Batch, now_s: float) -> None:
         """Takes a whole listing."""
+        self._first_revision = self._first_revision or batch.revision
         listed = {item.key for item in batch.items}
         for item in batch.items:
             self._put(item)
-        for key in set(self._revisions_by_key) - listed:
-            self._remove(key, now_s)
+        for key in set(self._items_by_key) - listed:
+            self._remove(key, batch.revision, now_s)
 
     def update(self, batch: Batch, now_s: float) -> None:
         """Takes changes in their order."""
         for item in batch.items:
             if item.value is not None:
                 self._put(item)
-            elif item.revision > self._revisions_by_key.get(item.key, 0):
-                self._remove(item.key, now_s)
+            elif item.revision > self._revision_of(item.key):
+                self._remove(item.key, item.revision, now_s)
 
     def release(self, now_s: float) -> None:
         """Carries out the removals that are due."""
         due = [
-            key
-            for key, at_s in self._held_until_by_key.items()
+            (key, revision)
+            for key, (at_s, revision) in self._held_by_key.items()
             if at_s <= now_s
         ]
-        for key in due:
-            self._remove_now(key)
+        for key, revision in due:
+            self._remove_now(key, revision)
+
+    def _revision_of(self, key: str) -> int:
+        item = self._items_by_key.get(key)
+        return item.revision if item is not None else 0
 
     def _put(self, item: Item) -> None:
-        if item.revision <= self._revisions_by_key.get(item.key, 0):
+        known = self._revision_of(item.key)
+        if item.revision <= known:
             # Unchanged, or a later page of the listing was newer than the
             # changes that are replayed after it.
-            if item.revision == self._revisions_by_key[item.key]:
-                self._held_until_by_key.pop(item.key, None)
+            if item.revision == known:
+                self._held_by_key.pop(item.key, None)
             return
-        self._held_until_by_key.pop(item.key, None)
-        self._revisions_by_key[item.key] = item.revision
+        self._held_by_key.pop(item.key, None)
+        self._items_by_key[item.key] = item
         self._listener.changed(item.key, item.value)
 
-    def _remove(self, key: str, now_s: float) -> None:
-        if key not in self._revisions_by_key:
+    def _remove(self, key: str, revision: int, now_s: float) -> None:
+        if key not in self._items_by_key:
             return
         if now_s < self._hold_until_s:
-            self._held_until_by_key.setdefault(key, self._hold_until_s)
+            held = (self._hold_until_s, revision)
+            self._held_by_key.setdefault(key, held)
         else:
-            self._remove_now(key)
+            self._remove_now(key, revision)
 
-    def _remove_now(self, key: str) -> None:
-        self._held_until_by_key.pop(key, None)
-        self._revisions_by_key.pop(key, None)
+    def _remove_now(self, key: str, revision: int) -> None:
+        self._held_by_key.pop(key, None)
+        if self._items_by_key.pop(key, None) is None:
+            return
+        self.removal_count += 1
+        self._removals.append(Removal(self.removal_count, key, revision))
         self._listener.removed(key)
 
 
@@ -173,10 +242,13 @@
                 fall silent without notice, which is seen only at the end.
         """
         self._watch_s = watch_s
+        self._wait_s = watch_s
         self._pause_s = _PAUSE_S
         self._client = client
         self._rng = rng
-        self._mirror = Mirror(listener)
+        self.mirror = Mirror(listener)
+        # Set and replaced whenever something new is known.
+        self.updated = asyncio.Event()
         self._revision: int | None = None
         self._failures = 0
         self._heard_s: float | None = None
@@ -187,16 +259,30 @@
         """Revision up to which changes are known, 0 before the first."""
         return self._revision or 0
 
+    @property
+    def current(self) -> bool:
+        """Whether what is known is as new as the source's answers allow."""
+        longest_s = self._wait_s + _LATE_S
+        return self._heard_s is not None and self.silent_s() < longest_s
+
     @property
     def reachable(self) -> bool:
         """Whether the last call succeeded."""
         return self._heard_s is not None and not self._failures
 
-    def share(self, instances: int) -> None:
-        """Takes the number of instances that call the source."""
+    def share(self, callers: int, for_others: bool = False) -> None:
+        """Takes the number of instances that call the source.
+
+        Args:
+            callers: Instances that call the source.
+            for_others: Whether further ones rely on what is known here.
+        """
         longest_s = max(_PAUSE_S, _PAUSE_MAX_SHARE * self._watch_s)
-        wanted_s = _PAUSE_S * instances / _PAUSE_INSTANCES
+        wanted_s = _PAUSE_S * callers / _PAUSE_INSTANCES
         self._pause_s = min(longest_s, max(_PAUSE_S, wanted_s))
+        self._wait_s = self._watch_s
+        if for_others:
+            self._wait_s = min(self._watch_s, _WAIT_FOR_OTHERS_S)
 
     def silent_s(self) -> float:
         """Returns for how long nothing has been heard of the source."""
@@ -210,17 +296,19 @@
             called = await self._call()
             if called.is_ok():
                 self._failures = 0
-                await asyncio.sleep(self._pause_s)
+                if called.unwrap() < LONG_ANSWER_ITEMS:
+                    await asyncio.sleep(self._pause_s)
             else:
                 await self._recover(called.unwrap_err())
 
-    async def _call(self) -> result.Result[None, Problem]:
+    async def _call(self) -> result.Result[int, Problem]:
+        """Returns the number of changes that a call brought."""
         self.calls += 1
-        wait_s = self._watch_s
-        if self._mirror.held:
-            loop_s = asyncio.get_running_loop().time()
-            next_s = min(self._mirror.held.values())
-            wait_s = min(wait_s, max(0.05, next_s - loop_s))
+        wait_s = self._wait_s
+        release_s = self.mirror.release_s
+        if release_s is not None:
+            left_s = release_s - asyncio.get_running_loop().time()
+            wait_s = min(wait_s, max(_MIN_WAIT_S, left_s))
         whole = self._revision is None
         if whole:
             called = await self._client.read()
@@ -232,12 +320,14 @@
         self._note_success(now_s, wait_s)
         batch = called.unwrap()
         if whole:
-            self._mirror.replace(batch, now_s)
+            self.mirror.replace(batch, now_s)
         else:
-            self._mirror.update(batch, now_s)
-        self._mirror.release(now_s)
+            self.mirror.update(batch, now_s)
+        self.mirror.release(now_s)
         self._revision = batch.revision
-        return result.Ok(None)
+        updated, self.updated = self.updated, asyncio.Event()
+        updated.set()
+        return result.Ok(0 if whole else len(batch.items))
 
     def _note_success(self, now_s: float, wait_s: float) -> None:
         known = self._heard_s is not None
@@ -247,7 +337,7 @@
             return
         away_s = now_s - before_s
         if self._failures and away_s > wait_s + _AWAY_S:
-            self._mirror.source_returned(now_s)
+            self.mirror.source_returned(now_s)
         if self._failures:
             _log.info(
                 "source_regained",
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -3,7 +3,6 @@
 import dataclasses
 import math
 
-from mallowloft.kernel import logs
 from mallowloft.routes import attempts as attempts_lib
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import merge
@@ -11,8 +10,6 @@
 from mallowloft.routes import reach
 from mallowloft.routes import running
 
-_log = logs.get("gathering")
-
 # Merging, writing and the way to the caller take time after the last part.
 _LEAVE_MARGIN_S = 0.006
 _LEAVE_MARGIN_SHARE = 0.08
@@ -62,8 +59,24 @@
 class Gathering(running.Work):
     """Asks one replica of each shard, hedges, and merges the parts."""
 
-    def __init__(self, context: running.Context, run: running.Run) -> None:
+    def __init__(
+        self,
+        context: running.Context,
+        run: running.Run,
+        repeated: bool = False,
+    ) -> None:
+        """Prepares to gather.
+
+        Args:
+            context: What running requests share.
+            run: The request.
+            repeated: Whether another instance may have asked for the parts
+                before, so that all attempts are extra ones.
+        """
         super().__init__(context, run)
+        self._repeated = repeated
+        used = 1 if repeated else 0
+        self._max_attempts = max(1, run.route.max_attempts - used)
         self._parts: dict[str, model.Reply] = {}
         self._open: dict[str, _Shard] = {}
         self._leave_s = leave_time(
@@ -91,7 +104,8 @@
             )
             return
         for service in self._route.shards:
-            self._context.extra(service).earn(now_s)
+            if not self._repeated:
+                self._context.extra(service).earn(now_s)
             self._open[service] = _Shard(service)
         for shard in list(self._open.values()):
             if self.done.done():
@@ -108,6 +122,12 @@
         if entry is None:
             shard.failure = "no_replica"
             return
+        if self._repeated:
+            if not self._context.extra(shard.service).take_retry():
+                self.denied += 1
+                shard.failure = "denied"
+                return
+            self.retries += 1
         self._send(shard, entry, now_s)
 
     def _send(
@@ -167,7 +187,7 @@
     def _next(
         self, shard: _Shard, now_s: float, sound: bool
     ) -> directory_lib.Entry | None:
-        if len(shard.tried) >= self._route.max_attempts:
+        if len(shard.tried) >= self._max_attempts:
             return None
         entries = self._context.directory.entries(shard.service)
         return self._context.selector.choose(entries, now_s, shard.tried, sound)
@@ -198,7 +218,7 @@
         shard.due_s = now_s + self._late_s / 2
         entry = self._next(shard, now_s, sound=True)
         if entry is None:
-            if len(shard.tried) >= self._route.max_attempts:
+            if len(shard.tried) >= self._max_attempts:
                 shard.due_s = math.inf
             return
         if running.take_hedge(
--- a/src/mallowloft/routes/model.py
+++ b/src/mallowloft/routes/model.py
@@ -130,7 +130,6 @@
     Attributes:
         target: Path and query as received.
         headers: Those that are forwarded unchanged.
-        deadline_s: Loop time at which the caller gives up.
     """
 
     id: bytes
@@ -138,8 +137,6 @@
     target: bytes
     headers: Headers
     body: bytes
-    received_s: float
-    deadline_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -1,17 +1,21 @@
 """Plug-in that serves opaque requests by routes."""
 
 import asyncio
-from collections.abc import Mapping
 import dataclasses
 from typing import Any
 
+import msgspec
+
 from mallowloft.callers import server as server_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
 from mallowloft.routes import attempts as attempts_lib
+from mallowloft.routes import delegation
 from mallowloft.routes import directory as directory_lib
+from mallowloft.routes import exchange as exchange_lib
 from mallowloft.routes import gathering
+from mallowloft.routes import hubs as hubs_lib
 from mallowloft.routes import limits
 from mallowloft.routes import model
 from mallowloft.routes import reach
@@ -19,11 +23,11 @@
 from mallowloft.routes import selection
 from mallowloft.routes import single
 from mallowloft.routes import table as table_lib
+from mallowloft.upstream import http1
 
 _log = logs.get("routes")
 
 _RETRY_STARTING_S = 0.3
-_RETRY_STOPPING_S = 0.05
 # The final answer leaves this long before the caller gives up.
 _END_MARGIN_S = 0.01
 _END_MARGIN_SHARE = 0.04
@@ -37,15 +41,22 @@
 _POLL_S = 0.02
 # The balancer asks once a second whether the instance is ready.
 _REACH_S = 0.25
+_HUB_TIMEOUT_S = 0.2
+_HUB_STATE_PATH = "/v1/hub"
+_ISOLATED = b"isolated"
+# A caller's largest request and what is said about it.
+_MAX_CALL_BYTES = 16 << 20
 
 
 class _RouteUse:
     """What is learnt from the requests of one route."""
 
-    __slots__ = ("_longest_s", "latency")
+    __slots__ = ("_longest_s", "delegated", "latency")
 
     def __init__(self, route: model.Route) -> None:
+        # Durations of attempts at replicas, and at hubs.
         self.latency = limits.RouteLatency(route.objective_s)
+        self.delegated = limits.RouteLatency(route.objective_s)
         self._longest_s = 0.0
 
     def waited_s(self, deadline_s: float) -> float:
@@ -58,66 +69,16 @@
         return self._longest_s - deadline_s
 
 
-class _CallerLeftError(Exception):
-    """The caller has closed its connection."""
-
-
-class _Exchange:
-    """One request of a caller in ASGI terms."""
-
-    def __init__(self, scope: Mapping[str, Any], receive, send) -> None:
-        self.scope = scope
-        self._receive = receive
-        self._send = send
-        self.headers: model.Headers = tuple(
-            (bytes(name), bytes(value)) for name, value in scope["headers"]
-        )
-
-    def header(self, name: bytes) -> bytes:
-        """Returns the first header of a name, empty if there is none."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return b""
-
-    async def read_body(self, limit: int) -> bytes | None:
-        """Returns the body, None if it is larger than the limit."""
-        chunks = []
-        size = 0
-        while True:
-            message = await self._receive()
-            if message["type"] == "http.disconnect":
-                raise _CallerLeftError
-            chunk = message.get("body", b"")
-            size += len(chunk)
-            if size > limit:
-                return None
-            chunks.append(chunk)
-            if not message.get("more_body"):
-                return b"".join(chunks)
-
-    async def left(self) -> None:
-        """Returns when the caller has closed its connection."""
-        while (await self._receive())["type"] != "http.disconnect":
-            pass
-
-    async def respond(self, answer: model.Answer, closing: bool) -> None:
-        """Sends the answer."""
-        headers = list(answer.headers)
-        # Answers without a body by their status or method have no length
-        # of ours: a replica's reply to HEAD states that of the body.
-        if answer.status not in (204, 304) and self.scope["method"] != "HEAD":
-            headers.append((b"content-length", b"%d" % len(answer.body)))
-        if closing:
-            headers.append((b"connection", b"close"))
-        await self._send(
-            {
-                "type": "http.response.start",
-                "status": answer.status,
-                "headers": headers,
-            }
+def _services(table: model.Table) -> frozenset[str]:
+    """Returns all services that the routes of a table use."""
+    return frozenset(
+        service
+        for route in table.routes
+        for service in (
+            *route.shards,
+            *(target.service for target in route.targets),
         )
-        await self._send({"type": "http.response.body", "body": answer.body})
+    )
 
 
 @registry.plugins.register("routes")
@@ -152,8 +113,15 @@
         self._isolated = False
         self._reach_task: asyncio.Task | None = None
         self._extra_by_service: dict[str, limits.ExtraAttempts] = {}
+        self._shards: frozenset[str] = frozenset()
+        # A hub of this failure domain that said to be isolated.
+        self._isolated_hub: directory_lib.Entry | None = None
         fleet = kernel.plugin("fleet")
+        self.hubs: hubs_lib.Hubs = fleet.hubs
         fleet.subscribe(self._share_limits)
+        fleet.subscribe_hubs(self._use_hubs)
+        fleet.mount(delegation.PATH, self._gather_for_others)
+        fleet.mount(_HUB_STATE_PATH, self._tell_state)
         fleet.find_suspects = self.directory.suspects
         fleet.warn_of = self.directory.warn
         self._share_limits(fleet.instances)
@@ -227,17 +195,10 @@
         if self._matcher is not None and table.version <= self.version:
             return False
         previous = self._matcher
+        services = _services(table)
         self._matcher = table_lib.RouteMatcher(
             table, self._kernel.rng, previous
         )
-        services = {
-            service
-            for route in table.routes
-            for service in (
-                *route.shards,
-                *(target.service for target in route.targets),
-            )
-        }
         self._extra_by_service = {
             service: extra
             for service, extra in self._extra_by_service.items()
@@ -249,7 +210,7 @@
             for name, use in self._use_by_route.items()
             if name in names
         }
-        self.directory.use(services, table.max_connections_by_service)
+        self._use_services()
         self._server.set_idle_timeout(table.limits.idle_timeout_s)
         _log.info(
             "routes_changed",
@@ -266,22 +227,56 @@
         extra = self._extra_by_service.get(service)
         if extra is None:
             now_s = asyncio.get_running_loop().time()
-            extra = limits.ExtraAttempts(self._extra_limit, now_s)
+            extra = limits.ExtraAttempts(self._limit_of(service), now_s)
             self._extra_by_service[service] = extra
         return extra
 
+    def _limit_of(self, service: str) -> limits.ExtraLimit:
+        if service in self._shards:
+            return self._shard_extra_limit
+        return self._extra_limit
+
+    def _use_services(self) -> None:
+        """Tells the directory which services and connections are needed."""
+        table = self.table
+        if table is None:
+            return
+        self._shards = frozenset(
+            shard for route in table.routes for shard in route.shards
+        )
+        spared = {
+            shard
+            for route in table.routes
+            if self.hubs.gather_for(route)
+            for shard in route.shards
+        }
+        self.directory.use(
+            _services(table),
+            table.max_connections_by_service,
+            self._shards,
+            spared,
+        )
+
+    def _use_hubs(self) -> None:
+        self._use_services()
+        self._share_limits(self._kernel.plugin("fleet").instances)
+
     def _share_limits(self, instances: int) -> None:
         """Takes this instance's part of what the fleet may use."""
         settings = self._kernel.settings
-        self._extra_limit = limits.ExtraLimit.part_of(
-            settings.extra_share,
-            settings.extra_allowance,
-            settings.extra_window_s,
-            instances,
+        shard_sharers = self.hubs.sharers(instances)
+        self._extra_limit, self._shard_extra_limit = (
+            limits.ExtraLimit.part_of(
+                settings.extra_share,
+                settings.extra_allowance,
+                settings.extra_window_s,
+                sharers,
+            )
+            for sharers in (instances, shard_sharers)
         )
-        for extra in self._extra_by_service.values():
-            extra.limit = self._extra_limit
-        self.directory.share(instances)
+        for service, extra in self._extra_by_service.items():
+            extra.limit = self._limit_of(service)
+        self.directory.share(instances, shard_sharers)
 
     async def _watch_reach(self) -> None:
         """Notes whether callers are served better elsewhere."""
@@ -292,11 +287,14 @@
             if lost - before:
                 self.directory.reconnect(lost - before)
             table = self.table
-            isolated = table is not None and reach.isolated(
-                table.routes,
-                self.directory,
-                self._kernel.settings.failure_domain,
-                lost,
+            isolated = await self._hub_isolated() or (
+                table is not None
+                and reach.isolated(
+                    table.routes,
+                    self.directory,
+                    self._kernel.settings.failure_domain,
+                    lost,
+                )
             )
             if lost != before or isolated != self._isolated:
                 self._isolated = isolated
@@ -306,6 +304,27 @@
                     isolated=isolated,
                 )
 
+    def _note_isolated(self, hub: directory_lib.Entry) -> None:
+        if not hub.remote:
+            self._isolated_hub = hub
+
+    async def _hub_isolated(self) -> bool:
+        """Asks the hub that said to be isolated whether it still is."""
+        hub = self._isolated_hub
+        if hub is None:
+            return False
+        response = await http1.call(
+            hub.pool, b"GET", _HUB_STATE_PATH, hub.pool.address, _HUB_TIMEOUT_S
+        )
+        if isinstance(response, http1.Ending) or response.body != _ISOLATED:
+            self._isolated_hub = None
+        return self._isolated_hub is not None
+
+    async def _tell_state(self, scope, receive, send) -> None:
+        del scope, receive
+        body = _ISOLATED if self._isolated else b"connected"
+        await exchange_lib.respond(send, 200, body)
+
     def _note_connection(self, event: str) -> None:
         self._kernel.metrics.count("replica_connections", event=event)
 
@@ -316,19 +335,19 @@
         return use
 
     async def _app(self, scope, receive, send) -> None:
-        exchange = _Exchange(scope, receive, send)
+        exchange = exchange_lib.Exchange(scope, receive, send)
         self._open_requests += 1
         try:
             await self._serve(exchange)
         finally:
             self._open_requests -= 1
 
-    async def _serve(self, exchange: _Exchange) -> None:
+    async def _serve(self, exchange: exchange_lib.Exchange) -> None:
         started_s = asyncio.get_running_loop().time()
         request_id = exchange.header(self.names.request_id)
         try:
             answer, fields = await self._answer(exchange, started_s)
-        except _CallerLeftError:
+        except exchange_lib.CallerLeftError:
             self._log_end(request_id, started_s, "abandoned", {})
             return
         except Exception:  # noqa: BLE001
@@ -342,7 +361,7 @@
         self._log_end(request_id, started_s, answer, fields)
 
     async def _answer(
-        self, exchange: _Exchange, started_s: float
+        self, exchange: exchange_lib.Exchange, started_s: float
     ) -> tuple[model.Answer, dict[str, Any]]:
         matcher = self._matcher
         if matcher is None:
@@ -364,11 +383,19 @@
             refused = model.refusal("deadline_passed", _RETRY_STARTING_S)
             return refused, {"route": route.name}
         work: running.Work
-        if route.shards:
+        if route.shards and self.hubs.gather_for(route):
+            work = delegation.Delegated(
+                self,
+                run,
+                self.hubs,
+                self._use(route).delegated,
+                self._note_isolated,
+            )
+        elif route.shards:
             work = gathering.Gathering(self, run)
         else:
             work = single.Single(self, run, matcher.service_of(route))
-        answer = await self._finish(exchange, work)
+        answer = await exchange_lib.finish(exchange, work)
         fields = {
             "route": route.name,
             "version": matcher.table.version,
@@ -379,9 +406,78 @@
         }
         return answer, fields
 
+    async def _gather_for_others(self, scope, receive, send) -> None:
+        """Answers a request that another instance passed on."""
+        exchange = exchange_lib.Exchange(scope, receive, send)
+        started_s = asyncio.get_running_loop().time()
+        self._open_requests += 1
+        try:
+            body = await exchange.read_body(_MAX_CALL_BYTES)
+            try:
+                call = delegation.call_decoder.decode(body or b"")
+            except msgspec.MsgspecError as error:
+                _log.warning("call_malformed", reason=str(error))
+                await exchange_lib.respond(send, 400, b"malformed")
+                return
+            await self._answer_call(exchange, call, started_s)
+        except exchange_lib.CallerLeftError:
+            _log.debug("call_abandoned")
+        finally:
+            self._open_requests -= 1
+
+    async def _answer_call(
+        self,
+        exchange: exchange_lib.Exchange,
+        call: delegation.Call,
+        started_s: float,
+    ) -> None:
+        # A sender that has taken the request back has closed the connection.
+        if await exchange.has_left():
+            raise exchange_lib.CallerLeftError
+        route = self._route_of_call(call)
+        if isinstance(route, str):
+            await exchange_lib.respond(exchange.send, 409, route.encode())
+            return
+        request = model.Request(
+            call.id, call.method, call.target, call.headers, call.body
+        )
+        run = running.Run(
+            route=route,
+            outgoing=attempts_lib.Outgoing(request, route.rank, self.names),
+            latency=self._use(route).latency,
+            started_s=started_s,
+            waited_s=call.waited_s,
+            end_s=started_s + call.left_s,
+        )
+        work = gathering.Gathering(self, run, call.repeated)
+        fields = {"route": route.name, "version": self.version}
+        try:
+            answer = await exchange_lib.finish(exchange, work)
+        except exchange_lib.CallerLeftError:
+            self._log_end(call.id, started_s, "abandoned", fields, True)
+            return
+        await exchange_lib.respond(
+            exchange.send, 200, delegation.encode(answer, self._isolated)
+        )
+        fields.update(work.describe())
+        self._log_end(call.id, started_s, answer, fields, True)
+
+    def _route_of_call(self, call: delegation.Call) -> model.Route | str:
+        """Returns the route, or why this instance does not gather."""
+        if self._kernel.stopping:
+            return "stopping"
+        table = self.table
+        if table is None:
+            return "starting"
+        for route in table.routes:
+            if route.name == call.route:
+                same = delegation.digest(route) == call.digest
+                return route if same else "route_differs"
+        return "route_differs"
+
     def _run(
         self,
-        exchange: _Exchange,
+        exchange: exchange_lib.Exchange,
         route: model.Route,
         started_s: float,
         body: bytes,
@@ -400,8 +496,6 @@
                 exchange.headers, self._dropped_headers
             ),
             body=body,
-            received_s=started_s,
-            deadline_s=started_s + deadline_s,
         )
         return running.Run(
             route=route,
@@ -412,39 +506,21 @@
             end_s=started_s + allowed_s - margin_s,
         )
 
-    def _deadline_s(self, exchange: _Exchange, route: model.Route) -> float:
+    def _deadline_s(
+        self, exchange: exchange_lib.Exchange, route: model.Route
+    ) -> float:
         value = exchange.header(self.names.deadline)
         if value.isdigit():
             return min(int(value), _MAX_DEADLINE_MS) / 1000
         return route.timeout_s
 
-    async def _finish(
-        self,
-        exchange: _Exchange,
-        work: running.Work,
-    ) -> model.Answer:
-        """Returns the answer; stops the work if the caller leaves."""
-        work.start()
-        if work.done.done():
-            return work.done.result()
-        leaving = asyncio.ensure_future(exchange.left())
-        try:
-            await asyncio.wait(
-                (work.done, leaving), return_when=asyncio.FIRST_COMPLETED
-            )
-            if work.done.done():
-                return work.done.result()
-            raise _CallerLeftError
-        finally:
-            leaving.cancel()
-            work.cancel()
-
     def _log_end(
         self,
         request_id: bytes,
         started_s: float,
         answer: model.Answer | str,
         fields: dict[str, Any],
+        for_other: bool = False,
     ) -> None:
         elapsed_ms = (asyncio.get_running_loop().time() - started_s) * 1000
         if isinstance(answer, str):
@@ -461,15 +537,18 @@
                     "route_extra_attempts", fields[cause], cause=cause
                 )
         route = fields.get("route", "")
-        metrics.count("route_requests", route=route, outcome=outcome)
-        metrics.observe_ms("route_request", elapsed_ms, route=route)
+        if for_other:
+            metrics.count("hub_requests", route=route, outcome=outcome)
+        else:
+            metrics.count("route_requests", route=route, outcome=outcome)
+            metrics.observe_ms("route_request", elapsed_ms, route=route)
         self._answered += 1
         if outcome == "answered" and self._answered % _LOG_SAMPLE:
             return
         if outcome == "answered_partly" and self._answered % _LOG_PARTLY_SAMPLE:
             return
         _log.info(
-            "request_ended",
+            "hub_request_ended" if for_other else "request_ended",
             request=request_id.decode("latin1"),
             outcome=outcome,
             status=status,
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -79,10 +79,12 @@
         id_name: Header that must carry `id` in the response, lower case;
             other responses belong to earlier requests and are skipped.
         rank: Order in which requests wait for a connection.
+        acknowledged: Whether an interim response has arrived.
     """
 
     __slots__ = (
         "_on_end",
+        "acknowledged",
         "connection",
         "has_body",
         "id",
@@ -105,6 +107,7 @@
         self.id = id_value
         self.rank = rank
         self.has_body = has_body
+        self.acknowledged = False
         self.connection: Connection | None = None
         self._on_end: Callable | None = on_end
 
@@ -250,6 +253,7 @@
             return
         status = self._parser.get_status_code()
         if 100 <= status < 200:
+            self._exchange.acknowledged = True
             return
         response = Response(status, tuple(self._headers), b"".join(self._body))
         exchange = self._exchange
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -191,8 +191,6 @@
             b"/",
             (),
             b"",
-            now_s,
-            now_s + route.timeout_s,
         )
         run = running.Run(
             route,
--- a/tests/test_routes_following.py
+++ b/tests/test_routes_following.py
@@ -59,6 +59,43 @@
         assert listener.value_by_key == {"a": b"z"}
 
 
+class TestRemovalsForOthers:
+    """Another instance learns of every removal that is carried out."""
+
+    def _mirror(self) -> following.Mirror:
+        mirror = following.Mirror(_Listener())
+        mirror.replace(_batch(5, ("a", 1, b"x"), ("b", 2, b"y")), 0.0)
+        return mirror
+
+    def test_later_than_the_items(self):
+        mirror = self._mirror()
+        mirror.update(_batch(6, ("a", 6, None)), 1.0)
+        (removal,) = mirror.removals_after(5, -1)
+        assert (removal.key, removal.revision) == ("a", 6)
+        assert mirror.removals_after(6, removal.number) == []
+
+    def test_held_ones_have_the_revision_of_the_removal(self):
+        # Guards against instances that take them for older than the item.
+        mirror = self._mirror()
+        mirror.source_returned(1.0)
+        mirror.update(_batch(6, ("a", 6, None)), 1.0)
+        assert mirror.removals_after(6, 0) == []
+        mirror.release(4.0)
+        (removal,) = mirror.removals_after(6, 0)
+        assert removal.revision == 6
+
+    def test_unknown_before_the_first_listing(self):
+        assert self._mirror().removals_after(4, -1) is None
+
+    def test_unknown_once_they_are_forgotten(self, monkeypatch):
+        monkeypatch.setattr(following, "_MAX_REMOVALS", 1)
+        mirror = self._mirror()
+        mirror.update(_batch(7, ("a", 6, None), ("b", 7, None)), 1.0)
+        assert mirror.removals_after(5, 0) is None
+        assert mirror.removals_after(5, -1) is None
+        assert len(mirror.removals_after(7, 1)) == 1
+
+
 class _Client:
     """A source with a change at every moment."""
 
@@ -95,3 +132,28 @@
 
     def test_large_fleets_call_less_often(self):
         assert self._calls_in_a_minute(60) < self._calls_in_a_minute(7) / 2
+
+    def test_backlog_is_fetched_without_pauses(self):
+        # Guards against instances of a large fleet that stay seconds behind
+        # after an outage, because each answer holds only so many changes.
+        class Backlog(_Client):
+            async def watch(self, after: int, wait_s: float):
+                last = min(1_000, after + 50)
+                if last == after:
+                    await asyncio.sleep(wait_s)
+                items = [
+                    ("a", item, b"") for item in range(after + 1, last + 1)
+                ]
+                return result.Ok(_batch(last, *items))
+
+        async def main() -> int:
+            follower = following.Follower(
+                Backlog(), _Listener(), random.Random(1), 3.0
+            )
+            follower.share(60)
+            task = asyncio.create_task(follower.run())
+            await asyncio.sleep(2.0)
+            task.cancel()
+            return follower.revision
+
+        assert virtual.run(main()) == 1_000
