--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -65,6 +65,11 @@
     link_mbps: Amount = _setting(
         "bandwidth of this instance's network link, Mbit/s; 0 if unknown", 0.0
     )
+    hubs_above: Amount = _setting(
+        "number of instances above which a few hubs read the source of routes"
+        " for the others and gather for those with small links",
+        20,
+    )
     watch_s: Seconds = _setting(
         "how long a call to the source of routes waits for changes, seconds",
         2.0,
--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -92,8 +92,11 @@
 class Census:
     """Instances that reported lately, and the largest count lately heard."""
 
-    def __init__(self, failure_domain: str = "") -> None:
+    def __init__(
+        self, failure_domain: str = "", hubs_above: float = 20
+    ) -> None:
         self._failure_domain = failure_domain
+        self._hubs_above = hubs_above
         self._reports_by_instance: dict[str, tuple[float, Report]] = {}
         self._heard: list[tuple[float, int]] = []
         self._first_report_s: float | None = None
@@ -137,7 +140,12 @@
             hubs_lib.has_small_link(member.link_mbps, largest_mbps)
             for member in members
         )
-        return Summary(count, suspects, hubs_lib.choose(members), small_links)
+        return Summary(
+            count,
+            suspects,
+            hubs_lib.choose(members, self._hubs_above),
+            small_links,
+        )
 
     def _members(self, now_s: float) -> list[hubs_lib.Hub]:
         return [
@@ -198,7 +206,7 @@
     def __init__(self, kernel: lifecycle.Kernel) -> None:
         self._kernel = kernel
         settings = kernel.settings
-        self._census = Census(settings.failure_domain)
+        self._census = Census(settings.failure_domain, settings.hubs_above)
         self._pools_by_seed: dict[str, http1.Pool] = {}
         self._listeners: list[Callable[[int], None]] = []
         self._apps_by_path: dict[str, Application] = {_PATH: self._serve_report}
--- a/src/mallowloft/routes/hubs.py
+++ b/src/mallowloft/routes/hubs.py
@@ -27,9 +27,6 @@
 _LINK_SHARE = 0.1
 _CONNECTIONS = 8
 _SERVICE = "hubs"
-# Fleets up to this size need no hubs: all their instances together cost the
-# source and the replicas little.
-_MAX_WITHOUT_HUBS = 20
 # Enough for the loss of one; more share the work where links are large.
 _MIN_HUBS = 2
 _MAX_HUBS = 4
@@ -56,10 +53,15 @@
     return link_mbps < _LARGE_LINK_SHARE * largest_mbps
 
 
-def choose(members: Iterable[Hub]) -> tuple[Hub, ...]:
-    """Returns the hubs of each failure domain; none for a small fleet."""
+def choose(members: Iterable[Hub], above: float) -> tuple[Hub, ...]:
+    """Returns the hubs of each failure domain.
+
+    Args:
+        members: Instances of the fleet.
+        above: Number of instances above which there are hubs.
+    """
     members = tuple(members)
-    if len(members) <= _MAX_WITHOUT_HUBS:
+    if len(members) <= above:
         return ()
     largest_mbps = max(member.link_mbps for member in members)
     members_by_domain: dict[str, list[Hub]] = {}
--- a/tests/test_routes_hubs.py
+++ b/tests/test_routes_hubs.py
@@ -6,6 +6,7 @@
 from mallowloft.routes import hubs as hubs_lib
 from tests.support import replicas as replicas_lib
 
+_ABOVE = 20
 _SMALL_MBPS = 8.75
 _LARGE_MBPS = 70.0
 
@@ -29,24 +30,28 @@
     """A few instances of each failure domain, those with large links."""
 
     def test_small_fleets_have_none(self):
-        assert hubs_lib.choose(_members(2, 1)) == ()
+        assert hubs_lib.choose(_members(2, 1), _ABOVE) == ()
 
     def test_large_links_come_first(self):
-        hubs = hubs_lib.choose(_members(18, 2))
+        hubs = hubs_lib.choose(_members(18, 2), _ABOVE)
         assert len(hubs) == 6
         assert {hub.link_mbps for hub in hubs} == {_LARGE_MBPS}
 
     def test_a_failure_domain_without_large_links_has_hubs_too(self):
         members = _members(18, 2, ("d1",)) + _members(18, 0, ("d2",))
-        domains = [hub.failure_domain for hub in hubs_lib.choose(members)]
+        domains = [
+            hub.failure_domain for hub in hubs_lib.choose(members, _ABOVE)
+        ]
         assert domains == ["d1", "d1", "d2", "d2"]
 
     def test_few_of_many_large_links(self):
-        assert len(hubs_lib.choose(_members(0, 20))) == 12
+        assert len(hubs_lib.choose(_members(0, 20), _ABOVE)) == 12
 
     def test_seeds_choose_alike_in_any_order(self):
         members = _members(18, 6)
-        assert hubs_lib.choose(members) == hubs_lib.choose(members[::-1])
+        assert hubs_lib.choose(members, _ABOVE) == hubs_lib.choose(
+            members[::-1], _ABOVE
+        )
 
 
 def _hubs(instance: str, mbps: float, members) -> hubs_lib.Hubs:
@@ -56,7 +61,7 @@
         hubs_lib.has_small_link(member.link_mbps, largest_mbps)
         for member in members
     )
-    hubs.use(hubs_lib.choose(members), small)
+    hubs.use(hubs_lib.choose(members, _ABOVE), small)
     return hubs
 
 
