--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 import dataclasses
 import functools
 import hashlib
@@ -131,7 +130,6 @@
         run: running.Run,
         hubs: hubs_lib.Hubs,
         latency: limits.RouteLatency,
-        note_isolated: Callable[[directory_lib.Entry], None],
     ) -> None:
         """Prepares to pass a request on.
 
@@ -140,7 +138,6 @@
             run: The request.
             hubs: The hubs.
             latency: Durations of requests of this route at hubs.
-            note_isolated: Called with a hub that says to be isolated.
         """
         super().__init__(context, run)
         self._hubs = hubs
@@ -148,7 +145,6 @@
         self._patience_s = min(
             _ACKNOWLEDGED_S, _ACKNOWLEDGED_SHARE * run.route.objective_s
         )
-        self._note_isolated = note_isolated
         self._tried: list[directory_lib.Entry] = []
         self._running: list[_Attempt] = []
         self._outcomes: list[str] = []
@@ -306,7 +302,7 @@
         entry.health.replied(attempt, now_s)
         self._latency.record(now_s - attempt.started_s)
         if gathered.isolated:
-            self._note_isolated(entry)
+            self._hubs.note_isolated(entry)
         self._note(attempt, gathered.reason or "answered")
         return model.Answer(
             gathered.status,
--- a/src/mallowloft/routes/hubs.py
+++ b/src/mallowloft/routes/hubs.py
@@ -116,6 +116,10 @@
         self._entries_by_id: dict[str, directory_lib.Entry] = {}
         # Hubs with much larger links than this instance has.
         self.gatherers: list[directory_lib.Entry] = []
+        # Whether this instance leaves its callers to other failure domains.
+        self.isolated = False
+        # A hub of this failure domain that said to be isolated.
+        self.isolated_hub: directory_lib.Entry | None = None
         self._small_links = 0
 
     @property
@@ -133,6 +137,11 @@
     def __len__(self) -> int:
         return len(self._hubs_by_id)
 
+    def note_isolated(self, hub: directory_lib.Entry) -> None:
+        """Notes that a hub said to be isolated."""
+        if not hub.remote:
+            self.isolated_hub = hub
+
     def preferred(
         self, entries: Iterable[directory_lib.Entry]
     ) -> directory_lib.Entry | None:
--- a/src/mallowloft/routes/relaying.py
+++ b/src/mallowloft/routes/relaying.py
@@ -27,13 +27,15 @@
 # of a hub cost little.
 _WAIT_S = 1.2
 _MARGIN_S = 0.4
-# How soon a waiting call learns that the hub has lost the source.
+# How soon a waiting call learns that the hub has lost the source, or that its
+# failure domain is cut off.
 _CHECK_S = 0.3
 # Not asked again for this long after a failure.
 _AVOID_S = 2.0
 _CURRENT = 200
 _GONE = 410
 _BEHIND = 503
+_ISOLATED = b"isolated"
 
 
 class Changes(msgspec.Struct, frozen=True, array_like=True):
@@ -63,8 +65,11 @@
 class Relay:
     """Answers other instances from what this one follows."""
 
-    def __init__(self, follower: following.Follower) -> None:
+    def __init__(
+        self, follower: following.Follower, hubs: hubs_lib.Hubs
+    ) -> None:
         self._follower = follower
+        self._hubs = hubs
 
     async def serve(self, scope, receive, send) -> None:
         """Serves a call of `HubClient` as an ASGI application."""
@@ -90,6 +95,7 @@
         end_s = loop.time() + wait_s
         while (
             follower.current
+            and not self._hubs.isolated
             and follower.revision <= after
             and mirror.removal_count <= removals
             and loop.time() < end_s
@@ -97,6 +103,8 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(min(_CHECK_S, wait_s)):
                     await follower.updated.wait()
+        if self._hubs.isolated:
+            return _BEHIND, _ISOLATED
         if not follower.current:
             return _BEHIND, b"source_lost"
         removed: list[following.Removal] | None = []
@@ -224,6 +232,8 @@
         if response.status == _GONE:
             return result.Err(following.Problem.HISTORY_LOST)
         if response.status != _CURRENT:
+            if response.body == _ISOLATED:
+                self._hubs.note_isolated(hub)
             return self._failed(hub, response.body.decode("latin1"))
         try:
             changes = _decoder.decode(response.body)
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -110,12 +110,9 @@
             (self.names.deadline, self.names.expected_replica)
         )
         self._matcher: table_lib.RouteMatcher | None = None
-        self._isolated = False
         self._reach_task: asyncio.Task | None = None
         self._extra_by_service: dict[str, limits.ExtraAttempts] = {}
         self._shards: frozenset[str] = frozenset()
-        # A hub of this failure domain that said to be isolated.
-        self._isolated_hub: directory_lib.Entry | None = None
         fleet = kernel.plugin("fleet")
         self.hubs: hubs_lib.Hubs = fleet.hubs
         fleet.subscribe(self._share_limits)
@@ -171,7 +168,7 @@
             self._server.listening
             and self._matcher is not None
             and len(self.directory) > 0
-            and not self._isolated
+            and not self.hubs.isolated
         )
 
     def dump(self) -> dict[str, Any]:
@@ -296,33 +293,29 @@
                     lost,
                 )
             )
-            if lost != before or isolated != self._isolated:
-                self._isolated = isolated
+            if lost != before or isolated != self.hubs.isolated:
+                self.hubs.isolated = isolated
                 _log.warning(
                     "reach_changed",
                     lost=",".join(sorted(lost)),
                     isolated=isolated,
                 )
 
-    def _note_isolated(self, hub: directory_lib.Entry) -> None:
-        if not hub.remote:
-            self._isolated_hub = hub
-
     async def _hub_isolated(self) -> bool:
         """Asks the hub that said to be isolated whether it still is."""
-        hub = self._isolated_hub
+        hub = self.hubs.isolated_hub
         if hub is None:
             return False
         response = await http1.call(
             hub.pool, b"GET", _HUB_STATE_PATH, hub.pool.address, _HUB_TIMEOUT_S
         )
         if isinstance(response, http1.Ending) or response.body != _ISOLATED:
-            self._isolated_hub = None
-        return self._isolated_hub is not None
+            self.hubs.isolated_hub = None
+        return self.hubs.isolated_hub is not None
 
     async def _tell_state(self, scope, receive, send) -> None:
         del scope, receive
-        body = _ISOLATED if self._isolated else b"connected"
+        body = _ISOLATED if self.hubs.isolated else b"connected"
         await exchange_lib.respond(send, 200, body)
 
     def _note_connection(self, event: str) -> None:
@@ -356,7 +349,7 @@
             )
             answer, fields = model.failure(500, "internal"), {}
         # A caller with a kept connection would not come to another instance.
-        closing = self._kernel.stopping or self._isolated
+        closing = self._kernel.stopping or self.hubs.isolated
         await exchange.respond(answer, closing)
         self._log_end(request_id, started_s, answer, fields)
 
@@ -389,7 +382,6 @@
                 run,
                 self.hubs,
                 self._use(route).delegated,
-                self._note_isolated,
             )
         elif route.shards:
             work = gathering.Gathering(self, run)
@@ -457,7 +449,7 @@
             self._log_end(call.id, started_s, "abandoned", fields, True)
             return
         await exchange_lib.respond(
-            exchange.send, 200, delegation.encode(answer, self._isolated)
+            exchange.send, 200, delegation.encode(answer, self.hubs.isolated)
         )
         fields.update(work.describe())
         self._log_end(call.id, started_s, answer, fields, True)
--- a/tests/test_routes_delegation.py
+++ b/tests/test_routes_delegation.py
@@ -129,9 +129,7 @@
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         if with_hubs:
-            work = delegation.Delegated(
-                small, small.run(route), hubs, latency, lambda hub: None
-            )
+            work = delegation.Delegated(small, small.run(route), hubs, latency)
             work.start()
             answer = await work.done
         else:
