--- a/src/mallowloft/kernel/registry.py
+++ b/src/mallowloft/kernel/registry.py
@@ -58,6 +58,7 @@
     "mallowloft.callers.operators",
     "mallowloft.routes.fleet",
     "mallowloft.routes.service",
+    "mallowloft.routes.hub_server",
 )
 
 
--- /dev/null
+++ b/src/mallowloft/routes/hub_server.py
@@ -0,0 +1,153 @@
+"""Plug-in of a hub that gathers answers for other instances."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+
+from mallowloft.kernel import lifecycle
+from mallowloft.kernel import logs
+from mallowloft.kernel import registry
+from mallowloft.routes import attempts as attempts_lib
+from mallowloft.routes import delegation
+from mallowloft.routes import exchange as exchange_lib
+from mallowloft.routes import gathering
+from mallowloft.routes import hubs as hubs_lib
+from mallowloft.routes import model
+from mallowloft.routes import running
+from mallowloft.upstream import http1
+
+_log = logs.get("hub_server")
+
+_STATE_PATH = "/v1/hub"
+_ISOLATED = b"isolated"
+_CONNECTED = b"connected"
+# Of the question whether a hub is still isolated; a round trip within a
+# failure domain takes less than a tenth of it.
+_STATE_TIMEOUT_S = 0.2
+# A caller's largest request and what is said about it.
+_MAX_CALL_BYTES = 16 << 20
+
+
+async def says_isolated(hubs: hubs_lib.Hubs) -> bool:
+    """Asks the hub that said to be isolated, if any, whether it still is."""
+    hub = hubs.isolated_hub
+    if hub is None:
+        return False
+    response = await http1.call(
+        hub.pool, b"GET", _STATE_PATH, hub.pool.address, _STATE_TIMEOUT_S
+    )
+    if isinstance(response, http1.Ending) or response.body != _ISOLATED:
+        hubs.isolated_hub = None
+    return hubs.isolated_hub is not None
+
+
+@registry.plugins.register("hub_server")
+class HubServer:
+    """Serves calls of other instances with what the plug-in `routes` knows."""
+
+    requires: tuple[str, ...] = ("fleet", "routes")
+
+    def __init__(self, kernel: lifecycle.Kernel) -> None:
+        self._kernel = kernel
+        self._routes = kernel.plugin("routes")
+        self._hubs: hubs_lib.Hubs = kernel.plugin("fleet").hubs
+        self._open_calls = 0
+        fleet = kernel.plugin("fleet")
+        fleet.mount(delegation.PATH, self._gather)
+        fleet.mount(_STATE_PATH, self._tell_state)
+
+    async def start(self) -> None:
+        """Does nothing; the plug-in `fleet` listens."""
+
+    async def stop(self, grace_s: float) -> None:
+        """Does nothing; new calls are refused, running ones end soon."""
+
+    def ready(self) -> bool:
+        """Always ready; callers do not depend on it."""
+        return True
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the calls in flight."""
+        return {"open_calls": self._open_calls}
+
+    async def _tell_state(self, scope, receive, send) -> None:
+        del scope, receive
+        body = _ISOLATED if self._hubs.isolated else _CONNECTED
+        await exchange_lib.respond(send, 200, body)
+
+    async def _gather(self, scope, receive, send) -> None:
+        """Answers a request that another instance passed on."""
+        exchange = exchange_lib.Exchange(scope, receive, send)
+        started_s = asyncio.get_running_loop().time()
+        self._open_calls += 1
+        try:
+            body = await exchange.read_body(_MAX_CALL_BYTES)
+            call = delegation.call_decoder.decode(body or b"")
+            await self._answer(exchange, call, started_s)
+        except msgspec.MsgspecError as error:
+            _log.warning("call_malformed", reason=str(error))
+            await exchange_lib.respond(send, 400, b"malformed")
+        except exchange_lib.CallerLeftError:
+            _log.debug("call_abandoned")
+        finally:
+            self._open_calls -= 1
+
+    async def _answer(
+        self,
+        exchange: exchange_lib.Exchange,
+        call: delegation.Call,
+        started_s: float,
+    ) -> None:
+        # A sender that has taken the request back has closed the connection.
+        if await exchange.has_left():
+            raise exchange_lib.CallerLeftError
+        route = self._route_of(call)
+        if isinstance(route, str):
+            await exchange_lib.respond(exchange.send, 409, route.encode())
+            return
+        routes = self._routes
+        work = gathering.Gathering(
+            routes, self._run(call, route, started_s), call.repeated
+        )
+        fields = {"route": route.name, "version": routes.version}
+        try:
+            answer = await exchange_lib.finish(exchange, work)
+        except exchange_lib.CallerLeftError:
+            routes.log_end(call.id, started_s, "abandoned", fields, True)
+            return
+        await exchange_lib.respond(
+            exchange.send, 200, delegation.encode(answer, self._hubs.isolated)
+        )
+        fields.update(work.describe())
+        routes.log_end(call.id, started_s, answer, fields, True)
+
+    def _run(
+        self, call: delegation.Call, route: model.Route, started_s: float
+    ) -> running.Run:
+        request = model.Request(
+            call.id, call.method, call.target, call.headers, call.body
+        )
+        return running.Run(
+            route=route,
+            outgoing=attempts_lib.Outgoing(
+                request, route.rank, self._routes.names
+            ),
+            latency=self._routes.use_of(route).latency,
+            started_s=started_s,
+            waited_s=call.waited_s,
+            end_s=started_s + call.left_s,
+        )
+
+    def _route_of(self, call: delegation.Call) -> model.Route | str:
+        """Returns the route, or why this instance does not gather."""
+        if self._kernel.stopping:
+            return "stopping"
+        table = self._routes.table
+        if table is None:
+            return "starting"
+        for route in table.routes:
+            if route.name == call.route:
+                same = delegation.digest(route) == call.digest
+                return route if same else "route_differs"
+        return "route_differs"
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -4,8 +4,6 @@
 import dataclasses
 from typing import Any
 
-import msgspec
-
 from mallowloft.callers import server as server_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
@@ -15,6 +13,7 @@
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import exchange as exchange_lib
 from mallowloft.routes import gathering
+from mallowloft.routes import hub_server
 from mallowloft.routes import hubs as hubs_lib
 from mallowloft.routes import limits
 from mallowloft.routes import model
@@ -23,7 +22,6 @@
 from mallowloft.routes import selection
 from mallowloft.routes import single
 from mallowloft.routes import table as table_lib
-from mallowloft.upstream import http1
 
 _log = logs.get("routes")
 
@@ -41,11 +39,6 @@
 _POLL_S = 0.02
 # The balancer asks once a second whether the instance is ready.
 _REACH_S = 0.25
-_HUB_TIMEOUT_S = 0.2
-_HUB_STATE_PATH = "/v1/hub"
-_ISOLATED = b"isolated"
-# A caller's largest request and what is said about it.
-_MAX_CALL_BYTES = 16 << 20
 
 
 class _RouteUse:
@@ -117,8 +110,6 @@
         self.hubs: hubs_lib.Hubs = fleet.hubs
         fleet.subscribe(self._share_limits)
         fleet.subscribe_hubs(self._use_hubs)
-        fleet.mount(delegation.PATH, self._gather_for_others)
-        fleet.mount(_HUB_STATE_PATH, self._tell_state)
         fleet.find_suspects = self.directory.suspects
         fleet.warn_of = self.directory.warn
         self._share_limits(fleet.instances)
@@ -284,7 +275,7 @@
             if lost - before:
                 self.directory.reconnect(lost - before)
             table = self.table
-            isolated = await self._hub_isolated() or (
+            isolated = await hub_server.says_isolated(self.hubs) or (
                 table is not None
                 and reach.isolated(
                     table.routes,
@@ -301,27 +292,11 @@
                     isolated=isolated,
                 )
 
-    async def _hub_isolated(self) -> bool:
-        """Asks the hub that said to be isolated whether it still is."""
-        hub = self.hubs.isolated_hub
-        if hub is None:
-            return False
-        response = await http1.call(
-            hub.pool, b"GET", _HUB_STATE_PATH, hub.pool.address, _HUB_TIMEOUT_S
-        )
-        if isinstance(response, http1.Ending) or response.body != _ISOLATED:
-            self.hubs.isolated_hub = None
-        return self.hubs.isolated_hub is not None
-
-    async def _tell_state(self, scope, receive, send) -> None:
-        del scope, receive
-        body = _ISOLATED if self.hubs.isolated else b"connected"
-        await exchange_lib.respond(send, 200, body)
-
     def _note_connection(self, event: str) -> None:
         self._kernel.metrics.count("replica_connections", event=event)
 
-    def _use(self, route: model.Route) -> _RouteUse:
+    def use_of(self, route: model.Route) -> _RouteUse:
+        """Returns what is learnt from the requests of a route."""
         use = self._use_by_route.get(route.name)
         if use is None:
             use = self._use_by_route[route.name] = _RouteUse(route)
@@ -341,7 +316,7 @@
         try:
             answer, fields = await self._answer(exchange, started_s)
         except exchange_lib.CallerLeftError:
-            self._log_end(request_id, started_s, "abandoned", {})
+            self.log_end(request_id, started_s, "abandoned", {})
             return
         except Exception:  # noqa: BLE001
             _log.exception(
@@ -351,7 +326,7 @@
         # A caller with a kept connection would not come to another instance.
         closing = self._kernel.stopping or self.hubs.isolated
         await exchange.respond(answer, closing)
-        self._log_end(request_id, started_s, answer, fields)
+        self.log_end(request_id, started_s, answer, fields)
 
     async def _answer(
         self, exchange: exchange_lib.Exchange, started_s: float
@@ -381,7 +356,7 @@
                 self,
                 run,
                 self.hubs,
-                self._use(route).delegated,
+                self.use_of(route).delegated,
             )
         elif route.shards:
             work = gathering.Gathering(self, run)
@@ -398,75 +373,6 @@
         }
         return answer, fields
 
-    async def _gather_for_others(self, scope, receive, send) -> None:
-        """Answers a request that another instance passed on."""
-        exchange = exchange_lib.Exchange(scope, receive, send)
-        started_s = asyncio.get_running_loop().time()
-        self._open_requests += 1
-        try:
-            body = await exchange.read_body(_MAX_CALL_BYTES)
-            try:
-                call = delegation.call_decoder.decode(body or b"")
-            except msgspec.MsgspecError as error:
-                _log.warning("call_malformed", reason=str(error))
-                await exchange_lib.respond(send, 400, b"malformed")
-                return
-            await self._answer_call(exchange, call, started_s)
-        except exchange_lib.CallerLeftError:
-            _log.debug("call_abandoned")
-        finally:
-            self._open_requests -= 1
-
-    async def _answer_call(
-        self,
-        exchange: exchange_lib.Exchange,
-        call: delegation.Call,
-        started_s: float,
-    ) -> None:
-        # A sender that has taken the request back has closed the connection.
-        if await exchange.has_left():
-            raise exchange_lib.CallerLeftError
-        route = self._route_of_call(call)
-        if isinstance(route, str):
-            await exchange_lib.respond(exchange.send, 409, route.encode())
-            return
-        request = model.Request(
-            call.id, call.method, call.target, call.headers, call.body
-        )
-        run = running.Run(
-            route=route,
-            outgoing=attempts_lib.Outgoing(request, route.rank, self.names),
-            latency=self._use(route).latency,
-            started_s=started_s,
-            waited_s=call.waited_s,
-            end_s=started_s + call.left_s,
-        )
-        work = gathering.Gathering(self, run, call.repeated)
-        fields = {"route": route.name, "version": self.version}
-        try:
-            answer = await exchange_lib.finish(exchange, work)
-        except exchange_lib.CallerLeftError:
-            self._log_end(call.id, started_s, "abandoned", fields, True)
-            return
-        await exchange_lib.respond(
-            exchange.send, 200, delegation.encode(answer, self.hubs.isolated)
-        )
-        fields.update(work.describe())
-        self._log_end(call.id, started_s, answer, fields, True)
-
-    def _route_of_call(self, call: delegation.Call) -> model.Route | str:
-        """Returns the route, or why this instance does not gather."""
-        if self._kernel.stopping:
-            return "stopping"
-        table = self.table
-        if table is None:
-            return "starting"
-        for route in table.routes:
-            if route.name == call.route:
-                same = delegation.digest(route) == call.digest
-                return route if same else "route_differs"
-        return "route_differs"
-
     def _run(
         self,
         exchange: exchange_lib.Exchange,
@@ -475,7 +381,7 @@
         body: bytes,
     ) -> running.Run:
         deadline_s = self._deadline_s(exchange, route)
-        use = self._use(route)
+        use = self.use_of(route)
         query = exchange.scope["query_string"]
         target = exchange.scope["raw_path"]
         allowed_s = min(deadline_s, route.timeout_s)
@@ -506,7 +412,7 @@
             return min(int(value), _MAX_DEADLINE_MS) / 1000
         return route.timeout_s
 
-    def _log_end(
+    def log_end(
         self,
         request_id: bytes,
         started_s: float,
@@ -514,6 +420,15 @@
         fields: dict[str, Any],
         for_other: bool = False,
     ) -> None:
+        """Counts the end of a request and logs it, if it failed or is sampled.
+
+        Args:
+            request_id: The caller's id of the request.
+            started_s: Loop time of its arrival.
+            answer: The answer, or the outcome if there is none.
+            fields: What decided it.
+            for_other: Whether another instance asked on a caller's behalf.
+        """
         elapsed_ms = (asyncio.get_running_loop().time() - started_s) * 1000
         if isinstance(answer, str):
             outcome, status, missing = answer, 499, 0
