--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -48,8 +48,12 @@
 _MIN_REPORTERS = 2
 _SUSPECT_S = 3.0
 _MAX_BODY_BYTES = 1 << 16
-# A seed that has heard reports for less than this does not know all instances.
-_YOUNG_S = 1.25 * _REPORT_S
+# Instances report more often until this long after their start, or until they
+# know the hubs: after a loss of the whole fleet nobody knows them.
+_EAGER_S = 3.0
+# A seed that has heard reports for less than this does not know all instances:
+# processes that ended together are back within a second of each other.
+_YOUNG_S = 1.2
 # A hub was heard of lately.
 _HUB_ALIVE_S = 2.5 * _REPORT_S
 # An instance that has heard of no hubs for this long asks any seed; otherwise
@@ -276,6 +280,8 @@
         }
 
     async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        eager_until_s = loop.time() + _EAGER_S
         delay_s = _FIRST_REPORT_S
         while True:
             seeds = self._seeds()
@@ -285,7 +291,9 @@
                 await self._report(seed)
             if not seeds:
                 await asyncio.sleep(_REPORT_S)
-            delay_s = max(_REPORT_S, self.instances / _REPORTS_PER_S)
+            eager = loop.time() < eager_until_s and not self.hubs
+            usual_s = _FIRST_REPORT_S if eager else _REPORT_S
+            delay_s = max(usual_s, self.instances / _REPORTS_PER_S)
 
     def _seeds(self) -> list[str]:
         return [
--- a/tests/test_routes_hubs.py
+++ b/tests/test_routes_hubs.py
@@ -148,6 +148,15 @@
         assert summary.instances == 8
         assert summary.hubs is None
 
+    def test_named_soon_after_the_whole_fleet_has_started(self):
+        # Guards against seconds in which each instance gathers by itself
+        # after a loss of all.
+        census = fleet_lib.Census("d1")
+        near = _members(1, 0)[0]
+        for number, member in enumerate(_members(18, 2)):
+            census.report(self._report(member), 1.0 + 0.02 * number)
+        assert len(census.report(self._report(near), 2.3).hubs) == 6
+
     def test_named_to_the_own_failure_domain_and_to_those_who_ask(self):
         census = self._census(0.0, 3)
         near, _, far = (_members(1, 0)[number] for number in range(3))
