Relay nothing while the source is listed anew

Cause, found by reading the code: a hub that has lost the store's history and reads all pages again answered with its items but revision 0; the asker then knew no revision, was told that the history is lost, and asked for the whole listing again and again until the hub had its pages (seconds with a slow store). Change: the hub says that it has no current knowledge meanwhile. Test: test_nothing_while_the_source_is_listed_anew (failed before).

--- a/src/mallowloft/routes/relaying.py
+++ b/src/mallowloft/routes/relaying.py
@@ -105,7 +105,7 @@
                     await follower.updated.wait()
         if self._hubs.isolated:
             return _BEHIND, _ISOLATED
-        if not follower.current:
+        if not follower.current or not follower.revision:
             return _BEHIND, b"source_lost"
         removed: list[following.Removal] | None = []
         if after >= 0:
--- /dev/null
+++ b/tests/test_routes_relaying.py
@@ -0,0 +1,104 @@
+"""What a hub tells other instances of the source of routes."""
+
+import asyncio
+import random
+
+import msgspec
+import result
+
+from mallowloft.routes import following
+from mallowloft.routes import hubs as hubs_lib
+from mallowloft.routes import relaying
+from tests.support import virtual
+
+
+class _Listener:
+    """Takes everything."""
+
+    def changed(self, key: str, value: bytes) -> None:
+        """Takes a new value."""
+
+    def removed(self, key: str) -> None:
+        """Takes a removal."""
+
+
+class _Source:
+    """A source that is listed once and then loses its history for good."""
+
+    def __init__(self) -> None:
+        self._reads = 0
+
+    async def read(self):
+        self._reads += 1
+        if self._reads > 1:
+            await asyncio.sleep(60.0)
+        item = following.Item("a", 7, b"x")
+        return result.Ok(following.Batch((item,), 7))
+
+    async def watch(self, after: int, wait_s: float):
+        await asyncio.sleep(0.5)
+        return result.Err(following.Problem.HISTORY_LOST)
+
+
+async def _ask(relay: relaying.Relay, after: int) -> tuple[int, bytes]:
+    """Returns status and body of the answer to an instance."""
+    messages = []
+
+    async def receive():
+        return {"type": "http.request", "body": b""}
+
+    async def send(message):
+        messages.append(message)
+
+    query = f"after={after}&removals=-1&wait_ms=0"
+    scope = {"headers": [], "query_string": query.encode()}
+    await relay.serve(scope, receive, send)
+    return messages[0]["status"], messages[1]["body"]
+
+
+class TestRelay:
+    """Only what is known for sure is passed on."""
+
+    def _answers_at(self, *times_s: float) -> list[tuple[int, bytes]]:
+        async def main():
+            follower = following.Follower(
+                _Source(), _Listener(), random.Random(1), 2.0
+            )
+            relay = relaying.Relay(follower, hubs_lib.Hubs("i1", "d1", 0.0))
+            task = asyncio.create_task(follower.run())
+            answers = []
+            loop = asyncio.get_running_loop()
+            for at_s in times_s:
+                await asyncio.sleep(at_s - loop.time())
+                answers.append(await _ask(relay, -1))
+            task.cancel()
+            return answers
+
+        return virtual.run(main())
+
+    def test_whole_listing(self):
+        ((status, body),) = self._answers_at(0.2)
+        assert status == 200
+        changes = msgspec.msgpack.decode(body, type=relaying.Changes)
+        assert changes.revision == 7
+        assert changes.items == (("a", 7, b"x"),)
+
+    def test_nothing_while_the_source_is_listed_anew(self):
+        # Guards against instances that ask for the whole listing over and
+        # over, because it is given without a revision.
+        ((status, body),) = self._answers_at(1.2)
+        assert (status, body) == (503, b"source_lost")
+
+    def test_nothing_once_the_source_is_silent(self):
+        ((status, _),) = self._answers_at(9.0)
+        assert status == 503
+
+    def test_malformed_calls_are_refused(self):
+        async def main():
+            follower = following.Follower(
+                _Source(), _Listener(), random.Random(1), 2.0
+            )
+            relay = relaying.Relay(follower, hubs_lib.Hubs("i1", "d1", 0.0))
+            return (await _ask(relay, "x"))[0]
+
+        assert virtual.run(main()) == 400
