Reserve the ports of test processes while they are in use

Change: ReservedPorts keeps each port bound without listening until the fleet or drill stops. Servers that set SO_REUSEADDR, as all of ours do, can listen on it; the kernel gives it to nobody else. Tests in test_support.

--- a/bench/cost.py
+++ b/bench/cost.py
@@ -18,7 +18,6 @@
 
 from mallowloft import client as client_lib
 from standins import fleet as fleet_lib
-from standins import serving
 
 _CONCURRENCY = 8
 _WARM_UP_QUERIES = 50
@@ -27,12 +26,12 @@
 _QUERY = {"hint": 7}
 
 
-def _specs(fan_out: int) -> list[fleet_lib.ReplicaSpec]:
+def _specs(ports: list[int]) -> list[fleet_lib.ReplicaSpec]:
     return [
         fleet_lib.ReplicaSpec(
             f"r{number:02}", f"svc-{number:02}", "work", port, 16, 256, 0.0
         )
-        for number, port in enumerate(serving.free_ports(fan_out))
+        for number, port in enumerate(ports)
     ]
 
 
@@ -161,8 +160,8 @@
 
 
 async def _measure(queries: int, rounds: int, fan_out: int) -> None:
-    specs = _specs(fan_out)
     async with fleet_lib.Fleet() as fleet:
+        specs = _specs(fleet.ports.reserve(fan_out))
         await fleet.start_platform()
         await fleet.start_upstreams(specs)
         await fleet.publish(_documents(specs))
--- a/packing/verify.py
+++ b/packing/verify.py
@@ -182,11 +182,11 @@
     """Checks a running instance and the subcommands except `explain`."""
     empty = directory / "empty"
     command = ("/usr/bin/env", "-i", "-C", str(empty), str(binary))
-    specs = demo.replica_specs()
-    documents = demo.configuration_documents(specs)
     documents_path = directory / "documents.json"
-    documents_path.write_text(json.dumps(documents))
     async with fleet_lib.Fleet(command=command) as fleet:
+        specs = demo.replica_specs(fleet.ports)
+        documents = demo.configuration_documents(specs)
+        documents_path.write_text(json.dumps(documents))
         instance = await _start_instance(fleet, documents, specs)
         children: set[str] = set()
         pid = instance.process.pid
@@ -212,9 +212,9 @@
         return
     output = directory / "trace"
     calls = "trace=process,openat,open,creat,mkdir,rename,unlink,symlink,link"
-    specs = demo.replica_specs()
     command = (strace, "-f", "-s", "200", "-e", calls, "-o", str(output))
     async with fleet_lib.Fleet(command=(*command, str(binary))) as fleet:
+        specs = demo.replica_specs(fleet.ports)
         instance = await _start_instance(
             fleet, demo.configuration_documents(specs), specs
         )
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -11,7 +11,7 @@
 
 from mallowloft import client as client_lib
 from standins import fleet as fleet_lib
-from standins import serving
+from standins import ports as ports_lib
 
 FAILURE_DOMAINS = ("fukuoka-a", "fukuoka-b", "kumamoto-a")
 SERVICES = tuple(f"checker-{number:02}" for number in range(1, 7))
@@ -23,9 +23,11 @@
 _RETRY_DELAY_S = 0.2
 
 
-def replica_specs() -> list[fleet_lib.ReplicaSpec]:
+def replica_specs(
+    reserved: ports_lib.ReservedPorts,
+) -> list[fleet_lib.ReplicaSpec]:
     """Returns two replicas of each service in different failure domains."""
-    ports = iter(serving.free_ports(2 * len(SERVICES)))
+    ports = iter(reserved.reserve(2 * len(SERVICES)))
     specs = []
     for number, service in enumerate(SERVICES):
         for copy in range(2):
@@ -151,7 +153,7 @@
 
 
 async def _run(fleet: fleet_lib.Fleet, started_s: float) -> bool:
-    specs = replica_specs()
+    specs = replica_specs(fleet.ports)
     print("starting stand-ins and 6 instances in 3 failure domains", flush=True)
     await fleet.start_platform()
     await fleet.start_upstreams(specs)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -13,7 +13,7 @@
 
 import aiohttp
 
-from standins import serving
+from standins import ports as ports_lib
 
 _START_TIMEOUT_S = 20.0
 _REPOSITORY_ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -93,6 +93,9 @@
             of this checkout.
         environment: Environment variables that instances get in addition to
             the inherited ones.
+
+    Attributes:
+        ports: The ports of the processes, reserved until `stop`.
     """
 
     def __init__(
@@ -106,6 +109,7 @@
         self.platform_url = ""
         self.session: aiohttp.ClientSession | None = None
         self._processes: list[asyncio.subprocess.Process] = []
+        self.ports = ports_lib.ReservedPorts()
         self._log_path = log_path
         self._command = tuple(command)
         self._environment = dict(environment or {})
@@ -124,7 +128,7 @@
 
     async def start_platform(self) -> None:
         """Starts the platform stand-in."""
-        (port,) = serving.free_ports(1)
+        (port,) = self.ports.reserve(1)
         self.platform_url = f"http://127.0.0.1:{port}"
         await self._spawn(
             sys.executable, "-m", "standins.platform", "--port", str(port)
@@ -148,7 +152,7 @@
         instance = self.instances_by_id.get(instance_id)
         if instance is None:
             instance = Instance(
-                instance_id, failure_domain, *serving.free_ports(3)
+                instance_id, failure_domain, *self.ports.reserve(3)
             )
             self.instances_by_id[instance_id] = instance
         await self.publish_instances()
@@ -243,6 +247,7 @@
             except TimeoutError:
                 process.kill()
                 await process.wait()
+        self.ports.release()
         if self.session is not None:
             await self.session.close()
 
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 
 import uvicorn
 
@@ -16,17 +15,6 @@
         yield
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns ports that were free at the time of the call."""
-    sockets = [socket.socket() for _ in range(count)]
-    for bound_socket in sockets:
-        bound_socket.bind(("127.0.0.1", 0))
-    ports = [bound_socket.getsockname()[1] for bound_socket in sockets]
-    for bound_socket in sockets:
-        bound_socket.close()
-    return ports
-
-
 async def start(app, port: int) -> tuple[Server, asyncio.Task]:
     """Starts a server and returns once the port accepts connections.
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -28,7 +28,7 @@
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import settings as settings_lib
 from mallowloft.submissions import model as submissions_model
-from standins import serving
+from standins import ports as ports_lib
 from tests.support import certificates
 
 _TEAM_HEADERS = {"Authorization": "Bearer token-hunters"}
@@ -153,7 +153,8 @@
     """The plug-in with real sockets and stubs of the other plug-ins."""
 
     def __init__(self, **settings: Any) -> None:
-        caller_port, operator_port = serving.free_ports(2)
+        self.ports = ports_lib.ReservedPorts()
+        caller_port, operator_port = self.ports.reserve(2)
         self.kernel = lifecycle.Kernel(
             settings_lib.Settings(
                 instance_id="i1",
@@ -191,6 +192,7 @@
         await self.session.close()
         await self.callers.stop(5.0)
         await self.operators.stop(5.0)
+        self.ports.release()
 
     def url(self, path: str) -> str:
         return f"{self.scheme}://127.0.0.1:{self.port}{path}"
@@ -712,7 +714,7 @@
             await send({"type": "http.response.body", "body": b""})
 
         async def scenario():
-            (port,) = serving.free_ports(1)
+            (port,) = ports.reserve(1)
             server = server_lib.Server(app, "127.0.0.1", port, {})
             await server.start()
             callers = []
@@ -732,7 +734,9 @@
                 caller.close()
             return answers
 
-        for answer in asyncio.run(scenario()):
+        with ports_lib.ReservedPorts() as ports:
+            answers = asyncio.run(scenario())
+        for answer in answers:
             assert answer.startswith(b"HTTP/1.1 204 ")
 
     def test_idle_server_rarely_wakes_and_stops_at_once(self, monkeypatch):
@@ -750,7 +754,7 @@
         monkeypatch.setattr(server_lib, "_DATE_HEADER_INTERVAL_S", 60.0)
 
         async def scenario():
-            (port,) = serving.free_ports(1)
+            (port,) = ports.reserve(1)
             server = server_lib.Server(None, "127.0.0.1", port, {})
             await server.start()
             await asyncio.sleep(0.5)
@@ -759,7 +763,8 @@
             await server.stop(10.0)
             return ticks_while_idle, time.monotonic() - started_s
 
-        ticks_while_idle, stop_s = asyncio.run(scenario())
+        with ports_lib.ReservedPorts() as ports:
+            ticks_while_idle, stop_s = asyncio.run(scenario())
         assert ticks_while_idle <= 2
         assert stop_s < 30
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -23,6 +23,7 @@
 from mallowloft.kernel import logs
 from mallowloft.kernel import metrics as metrics_lib
 from mallowloft.kernel import settings as settings_lib
+from standins import ports as ports_lib
 from standins import serving
 from tests.support import certificates
 
@@ -329,6 +330,7 @@
         self.keys: list[str] = []
         self.first_sends: list[bool] = []
         self.url = ""
+        self._ports = ports_lib.ReservedPorts()
         routes = [
             routing.Route(path, endpoint, methods=[method])
             for method, path, endpoint in (
@@ -341,12 +343,13 @@
         self._app = applications.Starlette(routes=routes)
 
     async def start(self) -> None:
-        (port,) = serving.free_ports(1)
+        (port,) = self._ports.reserve(1)
         self.url = f"http://127.0.0.1:{port}"
         self._server, _ = await serving.start(self._app, port)
 
     def stop(self) -> None:
         self._server.should_exit = True
+        self._ports.release()
 
     async def _issue(self, request):
         del request
@@ -447,8 +450,10 @@
         assert _run([_StubInstance(faulty)], *_SUBMIT) == 1
 
     def test_unreachable_instance_is_not_run(self):
-        (port,) = serving.free_ports(1)
-        assert cli.main([*_SUBMIT, f"--url=http://127.0.0.1:{port}"]) == 3
+        with ports_lib.ReservedPorts() as ports:
+            (port,) = ports.reserve(1)
+            url = f"http://127.0.0.1:{port}"
+            assert cli.main([*_SUBMIT, f"--url={url}"]) == 3
 
 
 class TestQueryAndDump:
--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -188,8 +188,8 @@
     Returns:
         What the callers observed, and how often each submission was started.
     """
-    specs = demo.replica_specs()
     async with fleet_lib.Fleet() as fleet:
+        specs = demo.replica_specs(fleet.ports)
         await fleet.start_platform()
         await fleet.start_upstreams(specs)
         await fleet.publish(demo.configuration_documents(specs))
@@ -255,8 +255,8 @@
     Returns:
         Status and body of each response.
     """
-    specs = demo.replica_specs()
     async with fleet_lib.Fleet() as fleet:
+        specs = demo.replica_specs(fleet.ports)
         await fleet.start_platform()
         await fleet.start_upstreams(specs)
         await fleet.publish(demo.configuration_documents(specs))
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -12,7 +12,6 @@
 
 from mallowloft import client as client_lib
 from standins import fleet as fleet_lib
-from standins import serving
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _ENVIRONMENT = {**os.environ, "PYTHONPATH": f"{_ROOT}/src:{_ROOT}"}
@@ -37,7 +36,7 @@
 
 async def _start(fleet: fleet_lib.Fleet) -> fleet_lib.Instance:
     """Starts the platform, one replica and one instance."""
-    (port,) = serving.free_ports(1)
+    (port,) = fleet.ports.reserve(1)
     spec = fleet_lib.ReplicaSpec("shop-a", "shop", "d1", port)
     await fleet.start_platform()
     await fleet.start_upstreams([spec])
@@ -146,10 +145,8 @@
 
     def test_invalid_settings_are_listed(self):
         async def scenario():
-            (port,) = serving.free_ports(1)
-            taken = await asyncio.start_server(
-                lambda *_: None, "127.0.0.1", port
-            )
+            taken = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+            port = taken.sockets[0].getsockname()[1]
             required = (
                 "--instance-id=i1",
                 "--failure-domain=d1",
--- a/tests/test_support.py
+++ b/tests/test_support.py
@@ -1,7 +1,11 @@
-"""Tests of the virtual event loop that other tests run on."""
+"""Tests of the virtual event loop and the ports that other tests use."""
 
 import asyncio
+import socket
 
+import pytest
+
+from standins import ports as ports_lib
 from tests.support import virtual
 
 
@@ -37,3 +41,26 @@
             return times
 
         assert virtual.run(scenario()) == [1, 10, 11]
+
+
+class TestReservedPorts:
+    """Ports for servers of other processes are not given out twice."""
+
+    def test_two_reservations_have_no_port_in_common(self):
+        with ports_lib.ReservedPorts() as one, ports_lib.ReservedPorts() as two:
+            ports = one.reserve(100) + two.reserve(100)
+        assert len(set(ports)) == 200
+
+    def test_a_server_that_reuses_addresses_can_listen_repeatedly(self):
+        with ports_lib.ReservedPorts() as reserved:
+            (port,) = reserved.reserve(1)
+            for _ in range(2):
+                with socket.create_server(("127.0.0.1", port)):
+                    caller = socket.create_connection(("127.0.0.1", port))
+                    caller.close()
+
+    def test_other_sockets_do_not_get_the_port(self):
+        with ports_lib.ReservedPorts() as reserved, socket.socket() as other:
+            (port,) = reserved.reserve(1)
+            with pytest.raises(OSError, match="in use"):
+                other.bind(("127.0.0.1", port))
