Send answers early enough for the caller's distance

A fixed margin (6 ms and 8% of the objective) did not hold the round trips of callers 3 ms away that open a new connection, nor the 4 to 5 ms that an answer of 135 signatures takes on a link of 7 Mbit/s.

Change: routes/timing.py computes when an answer must be written from the kernel's round-trip time of the caller's connection (new or reused; a checked setting where it is unknown), the transfer time of answers on this instance's link, the measured delays of merging and writing, and what the caller has already waited. Hubs get the time that is left after the way back. If the objective cannot be met any more, the whole objective applies again.

Ruled out: a larger constant, which costs coverage where callers are near.

--- a/src/mallowloft/kernel/quantile.py
+++ b/src/mallowloft/kernel/quantile.py
@@ -24,10 +24,21 @@
 
     __slots__ = ("_initial_ms", "_quantile", "_value_ms")
 
-    def __init__(self, quantile: float) -> None:
+    def __init__(
+        self, quantile: float, assumed_ms: float | None = None
+    ) -> None:
+        """Creates an estimator.
+
+        Args:
+            quantile: The quantile, between 0 and 1.
+            assumed_ms: Estimate before the first value. If it is not given,
+                there is no estimate until enough values were recorded.
+        """
         self._quantile = quantile
-        self._initial_ms: list[float] | None = []
-        self._value_ms = 0.0
+        self._initial_ms: list[float] | None = (
+            [] if assumed_ms is None else None
+        )
+        self._value_ms = assumed_ms or 0.0
 
     def record(self, value_ms: float) -> None:
         """Records one latency."""
--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -71,6 +71,11 @@
         " for the others and gather answers for instances with slow links",
         20,
     )
+    caller_round_trip_s: NonNegativeNumber = _setting(
+        "round-trip time to callers whose connections have measured none,"
+        " seconds",
+        0.002,
+    )
     watch_s: Seconds = _setting(
         "how long a call to the source of routes waits for changes, seconds",
         2.0,
--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -33,7 +33,7 @@
 # route's objective if that is shorter, is frozen, cut off or overloaded.
 _ACK_TIMEOUT_S = 0.02
 _ACK_TIMEOUT_OBJECTIVE_SHARE = 0.2
-# Time reserved for transferring the request to the hub and the answer back.
+# Assumed round trip to a hub until its connection has measured one.
 _HUB_ROUND_TRIP_S = 0.003
 # Hubs are preferred if their failure domain covers at least this share of the
 # shards that the best failure domain covers.
@@ -49,7 +49,8 @@
         route: Name of the route.
         digest: Digest of the route as configured at the sender.
         left_s: Time within which the hub must answer.
-        waited_s: How long the caller has already waited.
+        answer_in_s: Time within which the hub must write the answer to meet the
+            objective; the transfer to the hub is already deducted.
         repeated: Whether another hub may already have sent the request to the
             replicas.
     """
@@ -62,7 +63,7 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     left_s: float
-    waited_s: float
+    answer_in_s: float
     repeated: bool
 
 
@@ -136,6 +137,7 @@
         request_context: running.RequestContext,
         hubs: hubs_lib.Hubs,
         latency: limits.RouteLatency,
+        transfer_s: float = 0.0,
     ) -> None:
         """Prepares to pass a request on.
 
@@ -144,10 +146,12 @@
             request_context: The request.
             hubs: The hubs.
             latency: Durations of this route's requests at hubs.
+            transfer_s: Time that an answer occupies this instance's link.
         """
         super().__init__(context, request_context)
         self._hubs = hubs
         self._latency = latency
+        self._transfer_s = transfer_s
         self._ack_timeout_s = min(
             _ACK_TIMEOUT_S,
             _ACK_TIMEOUT_OBJECTIVE_SHARE * request_context.route.objective_s,
@@ -255,7 +259,16 @@
         self, entry: directory_lib.ReplicaEntry, now_s: float
     ) -> bytes:
         request = self._request_context.outgoing.request
-        elapsed_s = now_s - self._request_context.started_s
+        round_trip_s = entry.pool.round_trip_s() or _HUB_ROUND_TRIP_S
+        write_s = self._context.response_delays.write_s(self._route.objective_s)
+        left_s = self._request_context.end_s - now_s - round_trip_s
+        answer_in_s = (
+            self._request_context.answer_by_s
+            - now_s
+            - round_trip_s
+            - self._transfer_s
+            - write_s
+        )
         call = Call(
             self._route.name,
             digest(self._route),
@@ -264,8 +277,8 @@
             request.target,
             request.headers,
             request.body,
-            max(0.0, self._request_context.end_s - now_s - _HUB_ROUND_TRIP_S),
-            self._request_context.waited_s + elapsed_s + _HUB_ROUND_TRIP_S,
+            max(0.0, left_s),
+            max(0.0, answer_in_s),
             self._may_have_run,
         )
         body = msgspec.msgpack.encode(call)
--- a/src/mallowloft/routes/exchange.py
+++ b/src/mallowloft/routes/exchange.py
@@ -4,8 +4,10 @@
 from collections.abc import Mapping
 from typing import Any
 
+from mallowloft.callers import server as server_lib
 from mallowloft.routes import model
 from mallowloft.routes import running
+from mallowloft.routes import timing
 
 # Iterations that the event loop needs to detect a connection that was closed
 # before its request was read.
@@ -34,6 +36,23 @@
                 return value
         return b""
 
+    def caller_path(self, default_round_trip_s: float) -> timing.CallerPath:
+        """Returns the network path to the caller.
+
+        Args:
+            default_round_trip_s: Round-trip time if the kernel knows none.
+        """
+        connection = self.scope.get("extensions", {}).get(
+            server_lib.CONNECTION_EXTENSION
+        )
+        if connection is None:
+            return timing.CallerPath(default_round_trip_s, False)
+        measured_s = connection.round_trip_s()
+        return timing.CallerPath(
+            default_round_trip_s if measured_s is None else measured_s,
+            connection.reused,
+        )
+
     async def read_body(self, limit: int) -> bytes | None:
         """Returns the body, None if it exceeds the limit in bytes.
 
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -10,10 +10,6 @@
 from mallowloft.routes import reach
 from mallowloft.routes import running
 
-# Margin for merging the parts, writing the answer and sending it to the caller.
-# The margin is this time plus this share of the objective.
-_RESPONSE_MARGIN_S = 0.006
-_RESPONSE_MARGIN_SHARE = 0.08
 # If more shards are late at once than the larger of these two limits, this
 # instance's own link or processor is assumed to be congested. Hedges are then
 # postponed until _CONGESTION_DELAY_FACTOR hedge delays after the request
@@ -48,29 +44,6 @@
     failure: str = ""
 
 
-def partial_answer_time(
-    route: model.Route, started_s: float, waited_s: float, end_s: float
-) -> float:
-    """Returns the loop time from which a partial answer may be sent.
-
-    This is shortly before the route's objective, because a late answer is worth
-    a fraction of an answer in time, while a few missing parts cost little. A
-    caller that retries has already used up a part of the objective; if nothing
-    of the objective is left, the full objective applies again.
-
-    Args:
-        route: The route.
-        started_s: Loop time at which the request arrived.
-        waited_s: How long the caller waited in earlier attempts.
-        end_s: Loop time of the request's deadline.
-    """
-    margin_s = _RESPONSE_MARGIN_S + _RESPONSE_MARGIN_SHARE * route.objective_s
-    remaining_s = route.objective_s - margin_s - waited_s
-    if remaining_s <= 0:
-        remaining_s = route.objective_s - margin_s
-    return min(end_s, started_s + remaining_s)
-
-
 class ScatterGather(running.RequestTask):
     """Queries one replica of each shard and merges the parts.
 
@@ -100,12 +73,15 @@
         )
         self._parts: dict[str, model.Reply] = {}
         self._pending_shards: dict[str, _ShardState] = {}
-        self._partial_answer_s = partial_answer_time(
-            request_context.route,
-            request_context.started_s,
-            request_context.waited_s,
+        objective_s = request_context.route.objective_s
+        # Loop time from which a partial answer is sent.
+        self._partial_answer_s = min(
             request_context.end_s,
+            request_context.answer_by_s
+            - context.response_delays.merge_s(objective_s)
+            - context.response_delays.write_s(objective_s),
         )
+        self._timer_due_s = math.inf
         self._hedge_delay_s = request_context.latency.hedge_delay_s
         # More late shards than this at once indicate a local delay.
         self._congestion_threshold = max(
@@ -254,6 +230,10 @@
         self._finish_if_decided(now_s)
         if not self.done.done():
             self._schedule_timer(now_s)
+        elif self._timer_due_s == self._partial_answer_s:
+            self._context.response_delays.record_merge(
+                self._loop.time() - self._partial_answer_s
+            )
 
     def _hedge(self, shard: _ShardState, now_s: float) -> None:
         for attempt in shard.in_flight:
@@ -284,6 +264,7 @@
         if now_s < self._partial_answer_s:
             due_s = min(due_s, self._partial_answer_s)
         due_s = min(due_s, self._request_context.end_s)
+        self._timer_due_s = due_s
         self._timer = self._loop.call_at(due_s, self._on_timer)
 
     def _finish_if_decided(self, now_s: float) -> None:
--- a/src/mallowloft/routes/hub_server.py
+++ b/src/mallowloft/routes/hub_server.py
@@ -143,7 +143,7 @@
             ),
             latency=self._routes.stats_of(route).latency,
             started_s=started_s,
-            waited_s=call.waited_s,
+            answer_by_s=started_s + call.answer_in_s,
             end_s=started_s + call.left_s,
         )
 
--- a/src/mallowloft/routes/running.py
+++ b/src/mallowloft/routes/running.py
@@ -11,6 +11,7 @@
 from mallowloft.routes import limits
 from mallowloft.routes import model
 from mallowloft.routes import selection
+from mallowloft.routes import timing
 
 # Retry-after of requests without a usable replica. A new replica is listed
 # within one to two seconds of its start.
@@ -24,6 +25,7 @@
     directory: directory_lib.Directory
     selector: selection.Selector
     sender: attempts_lib.Sender
+    response_delays: timing.ResponseDelays
 
     def extra_attempts(self, service: str) -> limits.ExtraAttemptBucket:
         """Returns the token bucket for extra attempts at a service."""
@@ -34,7 +36,8 @@
     """One accepted request.
 
     Attributes:
-        waited_s: How long the caller waited in earlier attempts.
+        answer_by_s: Loop time by which an answer must be written to meet the
+            objective.
         end_s: Loop time of the deadline for the final answer.
     """
 
@@ -42,7 +45,7 @@
     outgoing: attempts_lib.OutgoingRequest
     latency: limits.RouteLatency
     started_s: float
-    waited_s: float
+    answer_by_s: float
     end_s: float
 
 
@@ -51,6 +54,7 @@
 
     Attributes:
         done: Future of the answer; cancelled if the caller has disconnected.
+        finished_s: Loop time at which the answer was decided.
         hedges: Number of attempts sent while a late one was in flight.
         retries: Number of attempts sent after a failed one. Includes first
             attempts if another instance may have queried the replicas already.
@@ -66,6 +70,7 @@
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
         self.done: asyncio.Future[model.Answer] = self._loop.create_future()
+        self.finished_s = 0.0
         self.hedges = 0
         self.retries = 0
         self.denied = 0
@@ -94,6 +99,7 @@
     def _finish(self, answer: model.Answer) -> None:
         self._release()
         if not self.done.done():
+            self.finished_s = self._loop.time()
             self.done.set_result(answer)
 
     def _release(self) -> None:
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -22,6 +22,7 @@
 from mallowloft.routes import selection
 from mallowloft.routes import single
 from mallowloft.routes import table as table_lib
+from mallowloft.routes import timing
 
 _log = logs.get_logger("routes")
 
@@ -43,29 +44,50 @@
 _REACH_CHECK_INTERVAL_S = 0.25
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Result:
+    """The answer to a request.
+
+    Attributes:
+        fields: Log fields that explain the answer.
+        decided_s: Loop time at which the answer was decided; None if the
+            request was rejected on arrival.
+    """
+
+    answer: model.Answer
+    fields: dict[str, Any] = dataclasses.field(default_factory=dict)
+    decided_s: float | None = None
+
+
 class _RouteStats:
     """Statistics of the requests of one route.
 
     Attributes:
         latency: Durations of attempts at replicas.
         hub_latency: Durations of requests at hubs.
+        answer_size: Size of the gathered answers.
     """
 
-    __slots__ = ("_max_deadline_s", "hub_latency", "latency")
+    __slots__ = ("_max_allowed_s", "answer_size", "hub_latency", "latency")
 
     def __init__(self, route: model.Route) -> None:
         self.latency = limits.RouteLatency(route.objective_s)
         self.hub_latency = limits.RouteLatency(route.objective_s)
-        self._max_deadline_s = 0.0
+        self.answer_size = timing.AnswerSize(route)
+        self._max_allowed_s = 0.0
+
+    def waited_s(self, deadline_s: float, setup_s: float) -> float:
+        """Returns how long the caller had waited when it sent the request.
 
-    def waited_s(self, deadline_s: float) -> float:
-        """Returns an estimate of how long the caller has waited already.
+        A caller sends only its remaining time as the deadline. The longest
+        time allowed that was seen is assumed to be that of all callers.
 
-        A caller that retries sends only its remaining time as the deadline; the
-        longest deadline seen is assumed to be that of first attempts.
+        Args:
+            deadline_s: Remaining time that the caller sent.
+            setup_s: Time that the caller spent on opening the connection.
         """
-        self._max_deadline_s = max(self._max_deadline_s, deadline_s)
-        return self._max_deadline_s - deadline_s
+        self._max_allowed_s = max(self._max_allowed_s, deadline_s + setup_s)
+        return self._max_allowed_s - deadline_s
 
 
 def _services_of(table: model.Table) -> frozenset[str]:
@@ -108,6 +130,7 @@
         self._dropped_headers = frozenset(
             (self.names.deadline, self.names.expected_replica)
         )
+        self.response_delays = timing.ResponseDelays()
         self._matcher: table_lib.RouteMatcher | None = None
         self._reach_task: asyncio.Task | None = None
         self._extra_by_service: dict[str, limits.ExtraAttemptBucket] = {}
@@ -190,6 +213,7 @@
                 for service, extra in self._extra_by_service.items()
             },
             "requests_open": self._open_requests,
+            "response_delays": self.response_delays.dump(),
         }
 
     def apply(self, table: model.Table, source: str) -> bool:
@@ -342,7 +366,7 @@
         started_s = asyncio.get_running_loop().time()
         request_id = exchange.header(self.names.request_id)
         try:
-            answer, fields = await self._answer(exchange, started_s)
+            result = await self._answer(exchange, started_s)
         except exchange_lib.CallerLeftError:
             self.record_end(request_id, started_s, "abandoned", {})
             return
@@ -350,18 +374,22 @@
             _log.exception(
                 "request_failed", request=request_id.decode("latin1")
             )
-            answer, fields = model.failure(500, "internal"), {}
+            result = _Result(model.failure(500, "internal"))
         # A caller that keeps its connection would not move to another instance.
         close_connection = self._kernel.stopping or self.hubs.instance_isolated
-        await exchange.respond(answer, close_connection)
-        self.record_end(request_id, started_s, answer, fields)
+        await exchange.respond(result.answer, close_connection)
+        if result.decided_s is not None:
+            self.response_delays.record_write(
+                asyncio.get_running_loop().time() - result.decided_s
+            )
+        self.record_end(request_id, started_s, result.answer, result.fields)
 
     async def _answer(
         self, exchange: exchange_lib.ServerExchange, started_s: float
-    ) -> tuple[model.Answer, dict[str, Any]]:
+    ) -> _Result:
         matcher = self._matcher
         if matcher is None:
-            return model.refusal("starting", _DEFAULT_RETRY_AFTER_S), {}
+            return _Result(model.refusal("starting", _DEFAULT_RETRY_AFTER_S))
         path = exchange.scope["raw_path"]
         host = exchange.header(b"host").partition(b":")[0]
         route = matcher.find(host.decode("latin1"), path.decode("latin1"))
@@ -370,23 +398,26 @@
                 "path": path.decode("latin1"),
                 "version": matcher.table.version,
             }
-            return model.failure(404, "no_route"), fields
+            return _Result(model.failure(404, "no_route"), fields)
         body = await exchange.read_body(matcher.table.limits.max_body_bytes)
         if body is None:
-            return model.failure(413, "body_too_large"), {"route": route.name}
+            refused = model.failure(413, "body_too_large")
+            return _Result(refused, {"route": route.name})
         request_context = self._build_request_context(
             exchange, route, started_s, body
         )
         if request_context.end_s <= asyncio.get_running_loop().time():
             refused = model.refusal("deadline_passed", _DEFAULT_RETRY_AFTER_S)
-            return refused, {"route": route.name}
+            return _Result(refused, {"route": route.name})
+        stats = self.stats_of(route)
         task: running.RequestTask
         if route.shards and self.hubs.should_gather(route):
             task = delegation.DelegatedRequest(
                 self,
                 request_context,
                 self.hubs,
-                self.stats_of(route).hub_latency,
+                stats.hub_latency,
+                stats.answer_size.transfer_s(self._kernel.settings.link_mbps),
             )
         elif route.shards:
             task = gathering.ScatterGather(self, request_context)
@@ -399,11 +430,15 @@
             "route": route.name,
             "version": matcher.table.version,
             "end_ms": round((request_context.end_s - started_s) * 1000),
-            "waited_ms": round(request_context.waited_s * 1000),
+            "answer_by_ms": round(
+                (request_context.answer_by_s - started_s) * 1000, 1
+            ),
             "late_ms": round(request_context.latency.hedge_delay_s * 1000, 1),
             **task.describe(),
         }
-        return answer, fields
+        if route.shards and answer.status == 200:
+            stats.answer_size.record(answer)
+        return _Result(answer, fields, task.finished_s)
 
     def _build_request_context(
         self,
@@ -414,6 +449,8 @@
     ) -> running.RequestContext:
         deadline_s = self._deadline_s(exchange, route)
         stats = self.stats_of(route)
+        settings = self._kernel.settings
+        path = exchange.caller_path(settings.caller_round_trip_s)
         query = exchange.scope["query_string"]
         target = exchange.scope["raw_path"]
         allowed_s = min(deadline_s, route.timeout_s)
@@ -434,7 +471,14 @@
             ),
             latency=stats.latency,
             started_s=started_s,
-            waited_s=stats.waited_s(deadline_s),
+            answer_by_s=timing.answer_by(
+                route.objective_s,
+                started_s,
+                stats.waited_s(deadline_s, path.setup_s),
+                path.round_trip_s,
+                stats.answer_size.transfer_s(settings.link_mbps),
+                stats.latency.median_s,
+            ),
             end_s=started_s + allowed_s - margin_s,
         )
 
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -19,6 +19,7 @@
 import httptools
 
 from mallowloft.kernel import logs
+from mallowloft.kernel import tcp
 
 _log = logs.get_logger("http1")
 
@@ -207,6 +208,10 @@
         self._in_body = False
         self._transport.write(exchange.wire)
 
+    def round_trip_s(self) -> float | None:
+        """Returns the round-trip time to the server, None if unknown."""
+        return tcp.round_trip_s(self._transport)
+
     def close(self, reason: str) -> None:
         """Closes the connection at once.
 
@@ -419,6 +424,12 @@
         """Returns the event loop's clock in seconds."""
         return self._loop.time()
 
+    def round_trip_s(self) -> float | None:
+        """Returns the round-trip time to the server, None if unknown."""
+        for connection in self._open:
+            return connection.round_trip_s()
+        return None
+
     def submit(self, exchange: Exchange) -> None:
         """Sends a request on an idle connection or queues it."""
         connection = self._pop_idle()
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -17,6 +17,7 @@
 from mallowloft.routes import running
 from mallowloft.routes import selection
 from mallowloft.routes import single
+from mallowloft.routes import timing
 from mallowloft.upstream import http1
 
 NAMES = model.HeaderNames()
@@ -24,6 +25,7 @@
 # One-way network delays within and between failure domains.
 _LOCAL_DELAY_S = 0.0002
 _REMOTE_DELAY_S = 0.0014
+_CALLER_ROUND_TRIP_S = 0.002
 
 
 def route(**fields: object) -> model.Route:
@@ -201,6 +203,7 @@
         self.sender = attempts_lib.Sender(
             NAMES, metrics_lib.Metrics(), self.directory.reach
         )
+        self.response_delays = timing.ResponseDelays()
         self._limit = limits.ExtraAttemptLimit.for_instance(0.2, 54, 10.0, 7)
         self._extra_by_service: dict[str, limits.ExtraAttemptBucket] = {}
         self._latency_by_route: dict[str, limits.RouteLatency] = {}
@@ -250,6 +253,13 @@
             attempts_lib.OutgoingRequest(request, 0, NAMES),
             latency,
             now_s,
-            0.0,
+            timing.answer_by(
+                route.objective_s,
+                now_s,
+                0.0,
+                _CALLER_ROUND_TRIP_S,
+                0.0,
+                latency.median_s,
+            ),
             now_s + route.timeout_s,
         )
--- a/tests/test_routes_delegation.py
+++ b/tests/test_routes_delegation.py
@@ -59,7 +59,7 @@
         exchange.interim_received = True
         request_context = dataclasses.replace(
             self._hub.create_request_context(self._route),
-            waited_s=call.waited_s,
+            answer_by_s=asyncio.get_running_loop().time() + call.answer_in_s,
         )
         task = gathering.ScatterGather(
             self._hub, request_context, call.repeated
@@ -75,6 +75,10 @@
             _HOP_DELAY_S, exchange.set_outcome, response
         )
 
+    def round_trip_s(self) -> float:
+        """Returns the round-trip time to the hub."""
+        return 2 * _HOP_DELAY_S
+
     def close(self, reason: str = "") -> None:
         """Does nothing."""
 
--- a/tests/test_routes_policy.py
+++ b/tests/test_routes_policy.py
@@ -5,10 +5,11 @@
 import pytest
 
 from mallowloft.routes import fleet as fleet_lib
-from mallowloft.routes import gathering
 from mallowloft.routes import health as health_lib
 from mallowloft.routes import limits
 from mallowloft.routes import merge
+from mallowloft.routes import model
+from mallowloft.routes import timing
 from tests.support import replicas as replicas_lib
 
 
@@ -217,26 +218,82 @@
         assert not health.suspected_by_others(10.2)
 
 
-class TestPartialAnswerTime:
-    """Partial answers are sent shortly before the caller's objective."""
+class TestAnswerTime:
+    """Answers leave early enough to reach the caller within the objective."""
 
-    _ROUTE = replicas_lib.route()
+    _OBJECTIVE_S = 0.074
+    _FAR_S = 0.0064
+    _NEAR_S = 0.0008
 
-    def test_before_the_objective(self):
-        answer_s = gathering.partial_answer_time(self._ROUTE, 10.0, 0.0, 10.4)
-        assert 10.07 < answer_s < 10.092
+    def _answer_in(
+        self,
+        waited_s: float = 0.0,
+        round_trip_s: float = 0.0,
+        transfer_s: float = 0.0,
+    ) -> float:
+        answer_s = timing.answer_by(
+            self._OBJECTIVE_S, 10.0, waited_s, round_trip_s, transfer_s, 0.02
+        )
+        return answer_s - 10.0
+
+    def test_distant_caller_with_a_new_connection(self):
+        # Connecting takes a round trip, and so do request and answer together.
+        path = timing.CallerPath(self._FAR_S, reused=False)
+        answer_s = self._answer_in(path.setup_s, path.round_trip_s)
+        arrival_s = 1.5 * self._FAR_S + answer_s + 0.5 * self._FAR_S
+        assert self._OBJECTIVE_S - 0.004 < arrival_s < self._OBJECTIVE_S
+
+    def test_near_caller_gets_more_time_for_parts(self):
+        near = self._answer_in(0.0, self._NEAR_S)
+        far = self._answer_in(0.0, self._FAR_S)
+        assert abs((near - far) - (self._FAR_S - self._NEAR_S)) < 1e-9
+
+    def test_reused_connection_needs_no_setup(self):
+        assert timing.CallerPath(self._FAR_S, reused=True).setup_s == 0.0
+
+    def test_transfer_over_a_small_link_is_deducted(self):
+        shards = tuple(f"s{number}" for number in range(135))
+        route = replicas_lib.route(shards=shards, top_records=5)
+        transfer_s = timing.AnswerSize(route).transfer_s(7.0)
+        assert 0.004 < transfer_s < 0.006
+        saved_s = self._answer_in() - self._answer_in(transfer_s=transfer_s)
+        assert abs(saved_s - transfer_s) < 1e-9
+
+    def test_size_follows_the_answers(self):
+        size = timing.AnswerSize(replicas_lib.route(shards=("s1", "s2")))
+        for _ in range(30):
+            size.record(model.Answer(200, ((b"a", b"b" * 999),), b"c" * 800))
+        assert abs(size.bytes - 2000) < 20
 
     def test_earlier_for_a_caller_that_has_waited(self):
-        first = gathering.partial_answer_time(self._ROUTE, 10.0, 0.0, 10.4)
-        again = gathering.partial_answer_time(self._ROUTE, 10.0, 0.03, 10.37)
-        assert abs((first - again) - 0.03) < 1e-9
+        saved_s = self._answer_in() - self._answer_in(waited_s=0.03)
+        assert abs(saved_s - 0.03) < 1e-9
 
-    def test_whole_objective_if_already_missed(self):
-        answer_s = gathering.partial_answer_time(self._ROUTE, 10.0, 0.2, 10.2)
-        assert answer_s > 10.05
+    def test_whole_objective_if_it_cannot_be_met(self):
+        # Half a part's time would remain, so no part would arrive.
+        assert self._answer_in(waited_s=0.063) == self._answer_in()
 
-    def test_never_after_the_deadline(self):
-        assert (
-            gathering.partial_answer_time(self._ROUTE, 10.0, 0.0, 10.03)
-            == 10.03
-        )
+    def test_congested_connection_does_not_use_up_the_objective(self):
+        assert self._answer_in(round_trip_s=0.5) > 0.7 * self._OBJECTIVE_S
+
+
+class TestResponseDelays:
+    """Reserved times follow the measured delays."""
+
+    def test_assumed_until_measured(self):
+        delays = timing.ResponseDelays()
+        assert 0 < delays.merge_s(0.1) < 0.005
+        assert 0 < delays.write_s(0.1) < 0.005
+
+    def test_rise_with_slow_merges(self):
+        delays = timing.ResponseDelays()
+        for _ in range(100):
+            delays.record_merge(0.006)
+        assert 0.005 < delays.merge_s(0.1) < 0.007
+        assert delays.write_s(0.1) < 0.002
+
+    def test_are_bounded_by_a_share_of_the_objective(self):
+        delays = timing.ResponseDelays()
+        for _ in range(500):
+            delays.record_write(0.5)
+        assert delays.write_s(0.044) <= 0.1 * 0.044 + 1e-9
