--- a/src/mallowloft/kernel/registry.py
+++ b/src/mallowloft/kernel/registry.py
@@ -63,6 +63,7 @@
     "mallowloft.routes.fleet",
     "mallowloft.routes.service",
     "mallowloft.routes.hub_server",
+    "mallowloft.routes.collector",
 )
 
 
--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -71,6 +71,11 @@
         " for the others and gather answers for instances with slow links",
         20,
     )
+    collect_above: NonNegativeNumber = _setting(
+        "number of shards of a request in another failure domain above which"
+        " their parts are collected by an instance there",
+        2,
+    )
     caller_round_trip_s: NonNegativeNumber = _setting(
         "round-trip time to callers whose connections have measured none,"
         " seconds",
--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -76,13 +76,30 @@
 class OutgoingRequest:
     """A request in the form in which it is sent to replicas.
 
-    The parts that are the same for all attempts are encoded once.
+    What is the same for all attempts is encoded once.
+
+    Attributes:
+        request: The request.
+        rank: Priority of the request's route.
+        is_part: Whether the request goes to the shards of a route.
+        has_reply_body: Whether replies may have a body.
     """
 
-    __slots__ = ("_head", "_tail", "has_reply_body", "rank", "request")
+    __slots__ = (
+        "_head",
+        "_tail",
+        "has_reply_body",
+        "is_part",
+        "rank",
+        "request",
+    )
 
     def __init__(
-        self, request: model.Request, rank: int, names: model.HeaderNames
+        self,
+        request: model.Request,
+        rank: int,
+        names: model.HeaderNames,
+        is_part: bool = False,
     ) -> None:
         lines = [request.method + b" " + request.target + b" HTTP/1.1\r\n"]
         lines += [
@@ -93,6 +110,7 @@
         lines.append(names.deadline + b": ")
         self.request = request
         self.rank = rank
+        self.is_part = is_part
         self.has_reply_body = request.method != b"HEAD"
         self._head = b"".join(lines)
         self._tail = b"\r\n\r\n" + request.body
@@ -161,11 +179,16 @@
         if self.exchange.done:
             return
         if not self.exchange.sent:
-            self._abandon()
+            self._cancel()
             return
-        asyncio.get_running_loop().call_later(_ABANDON_DELAY_S, self._abandon)
+        asyncio.get_running_loop().call_later(_ABANDON_DELAY_S, self._cancel)
+
+    def abandon(self) -> None:
+        """Stops waiting and cancels the request at once."""
+        self.pending = False
+        self._cancel()
 
-    def _abandon(self) -> None:
+    def _cancel(self) -> None:
         if self.exchange.done:
             return
         sent = self.exchange.sent
@@ -219,7 +242,10 @@
             exchange: http1.Exchange,
             result: http1.Response | http1.FailureReason,
         ) -> None:
-            outcome = self._record_result(attempt, exchange, result, latency)
+            del exchange
+            outcome = self._outcome_of(result)
+            ended_s = asyncio.get_running_loop().time()
+            self.record(attempt, outcome, ended_s - attempt.started_s, latency)
             if attempt.pending:
                 attempt.pending = False
                 on_end(attempt, outcome)
@@ -234,47 +260,67 @@
             outgoing.request.id,
             outgoing.rank,
             outgoing.has_reply_body,
+            purpose="part" if outgoing.is_part else "request",
         )
         entry.health.record_start(attempt, now_s, latency.median_s)
         entry.pool.submit(attempt.exchange)
         return attempt
 
-    def _record_result(
+    def record(
         self,
         attempt: Attempt,
-        exchange: http1.Exchange,
-        result: http1.Response | http1.FailureReason,
+        outcome: Outcome,
+        duration_s: float,
         latency: limits.RouteLatency,
-    ) -> Outcome:
-        """Updates health, latency and metrics; returns the outcome."""
+    ) -> None:
+        """Updates health, latency and metrics with the outcome of an attempt.
+
+        Args:
+            attempt: The attempt.
+            outcome: Its outcome.
+            duration_s: Time from its start to the reply.
+            latency: Latency statistics of the request's route.
+        """
         now_s = asyncio.get_running_loop().time()
         health = attempt.entry.health
         domain = attempt.entry.replica.failure_domain
-        if isinstance(result, http1.FailureReason):
+        if isinstance(outcome, model.Failure):
             health.record_failure(attempt, now_s)
-            self._reach.failed(domain, now_s)
-            failure = model.Failure(result.value)
-            self._increment_by_outcome[failure]()
-            return failure
+            # A malformed reply shows that the failure domain is reachable.
+            if outcome is model.Failure.MALFORMED:
+                self._reach.succeeded(domain)
+            else:
+                self._reach.failed(domain, now_s)
+            self._increment_by_outcome[outcome]()
+            return
         self._reach.succeeded(domain)
-        reply = self._parse_reply(result)
-        health.waiting = reply.waiting
-        if reply.status == _STATUS_MISDIRECTED:
+        health.waiting = outcome.waiting
+        if outcome.status == _STATUS_MISDIRECTED:
             self._mark_misdirected(attempt.entry)
-        if reply.not_run:
+        if outcome.not_run:
             health.record_failure(attempt, now_s)
             self._increment_by_outcome[_NOT_RUN]()
-            return reply
-        if reply.status < 300 and self._is_invalid_success(result, reply):
-            health.record_failure(attempt, now_s)
-            self._increment_by_outcome[model.Failure.MALFORMED]()
-            return model.Failure.MALFORMED
-        if reply.status >= 500:
+            return
+        if outcome.status >= 500:
             health.record_failure(attempt, now_s)
         else:
-            self._record_duration(attempt, now_s, latency)
-        outcome = _OK if reply.success else _REPLICA_FAILED
-        self._increment_by_outcome[outcome]()
+            self._record_duration(attempt, now_s, duration_s, latency)
+        label = _OK if outcome.success else _REPLICA_FAILED
+        self._increment_by_outcome[label]()
+
+    def _outcome_of(
+        self, result: http1.Response | http1.FailureReason
+    ) -> Outcome:
+        """Returns the outcome that a response or its absence means."""
+        if isinstance(result, http1.FailureReason):
+            return model.Failure(result.value)
+        reply = self._parse_reply(result)
+        if (
+            not reply.not_run
+            and reply.status < 300
+            and self._is_invalid_success(result, reply)
+        ):
+            return model.Failure.MALFORMED
         return reply
 
     def _mark_misdirected(self, entry: directory_lib.ReplicaEntry) -> None:
@@ -293,14 +339,18 @@
         )
 
     def _record_duration(
-        self, attempt: Attempt, now_s: float, latency: limits.RouteLatency
+        self,
+        attempt: Attempt,
+        now_s: float,
+        duration_s: float,
+        latency: limits.RouteLatency,
     ) -> None:
         health = attempt.entry.health
         # Samples of slow replicas would raise the hedge delay until no attempt
         # counts as late.
         if health.slowness(now_s) < limits.MAX_SAMPLED_SLOWNESS:
-            latency.record(now_s - attempt.started_s)
-        health.record_reply(attempt, now_s)
+            latency.record(duration_s)
+        health.record_reply(attempt, now_s, duration_s)
 
     def _parse_reply(self, response: http1.Response) -> model.Reply:
         not_run = response.header(self._names.not_run) is not None
--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -10,8 +10,6 @@
 
 import asyncio
 import dataclasses
-import functools
-import hashlib
 
 import msgspec
 
@@ -87,12 +85,6 @@
 _gathered_decoder = msgspec.msgpack.Decoder(Gathered)
 
 
-@functools.lru_cache(maxsize=64)
-def digest(route: model.Route) -> str:
-    """Returns a digest that is equal on instances with the same route."""
-    return hashlib.blake2s(repr(route).encode(), digest_size=8).hexdigest()
-
-
 def encode_answer(answer: model.Answer, isolated: bool) -> bytes:
     """Returns an answer encoded for the instance that passed the request."""
     gathered = Gathered(
@@ -250,6 +242,7 @@
             self._encode_request(entry, now_s),
             lambda _, outcome: self._on_end(attempt, outcome),
             rank=self._route.rank,
+            purpose="delegated",
         )
         entry.health.record_start(attempt, now_s, self._latency.median_s)
         self._in_flight.append(attempt)
@@ -271,7 +264,7 @@
         )
         call = Call(
             self._route.name,
-            digest(self._route),
+            model.digest(self._route),
             request.id,
             request.method,
             request.target,
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -13,6 +13,7 @@
 from mallowloft.routes import health as health_lib
 from mallowloft.routes import model
 from mallowloft.upstream import http1
+from mallowloft.upstream import traffic as traffic_lib
 
 if TYPE_CHECKING:
     from mallowloft.routes import reach as reach_lib
@@ -78,11 +79,13 @@
         on_event: Callable[[str], None],
         reach: "reach_lib.DomainReachability",
         open_pool: Callable[..., http1.Pool] = http1.Pool,
+        traffic: traffic_lib.Traffic | None = None,
     ) -> None:
         self._instance = instance
         self._failure_domain = failure_domain
         self._on_event = on_event
         self._open_pool = open_pool
+        self._traffic = traffic
         self.reach = reach
         self._entries_by_id: dict[str, ReplicaEntry] = {}
         self._entries_by_service: dict[str, list[ReplicaEntry]] = {}
@@ -101,6 +104,10 @@
         """Returns the replicas of a service, including draining ones."""
         return self._entries_by_service.get(service, [])
 
+    def entry(self, replica_id: str) -> ReplicaEntry | None:
+        """Returns a listed replica, None if it is not listed."""
+        return self._entries_by_id.get(replica_id)
+
     def used_entries(self) -> list[ReplicaEntry]:
         """Returns the replicas of all services that the routes use."""
         return [
@@ -118,6 +125,7 @@
         if existing is not None:
             self.remove(replica.id, "started_again")
         now_s = asyncio.get_running_loop().time()
+        remote = replica.failure_domain != self._failure_domain
         entry = ReplicaEntry(
             replica,
             self._open_pool(
@@ -127,9 +135,10 @@
                 functools.partial(
                     self._on_connection_event, replica.failure_domain
                 ),
+                self._traffic.meter(remote) if self._traffic else None,
             ),
             health_lib.ReplicaHealth(now_s + replica.cold_s),
-            replica.failure_domain != self._failure_domain,
+            remote,
         )
         self._entries_by_id[replica.id] = entry
         self._entries_by_service.setdefault(replica.service, []).append(entry)
--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -19,9 +19,11 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
 from typing import Any
 
 import msgspec
+import xxhash
 
 from mallowloft.callers import server as server_lib
 from mallowloft.kernel import lifecycle
@@ -30,6 +32,7 @@
 from mallowloft.routes import exchange as exchange_lib
 from mallowloft.routes import hubs as hubs_lib
 from mallowloft.upstream import http1
+from mallowloft.upstream import traffic as traffic_lib
 
 _log = logs.get_logger("fleet")
 
@@ -69,7 +72,7 @@
 Application = Callable[..., Awaitable[None]]
 
 
-class Report(msgspec.Struct, frozen=True):
+class Report(msgspec.Struct, frozen=True, array_like=True):
     """An instance's report about itself and the replicas it suspects.
 
     Attributes:
@@ -77,6 +80,7 @@
         address: Host and port for other instances; empty if it cannot be a hub.
         link_mbps: Bandwidth of the instance's network link, 0 if unknown.
         wants_hubs: Whether a seed in any failure domain should name the hubs.
+        known_hubs: Digest of the hubs that the instance knows.
     """
 
     instance: str
@@ -85,28 +89,49 @@
     failure_domain: str = ""
     link_mbps: float = 0.0
     wants_hubs: bool = False
+    known_hubs: str = ""
 
 
-class Summary(msgspec.Struct, frozen=True):
+class Summary(msgspec.Struct, frozen=True, array_like=True):
     """A seed's summary of the reports of all instances.
 
     Attributes:
         instances: Number of instances, at least the default while the seed
             warms up.
         suspects: Ids of replicas that several instances suspect.
-        hubs: The hubs; None if the seed does not name them.
+        failure_domain: Failure domain of the seed.
+        hub_digest: Digest of the hubs; empty if the seed does not name them.
+        hubs: The hubs; None if the instance knows them or the seed does not
+            name them.
         small_links: Number of instances whose links are small compared with
             the largest.
     """
 
     instances: int
     suspects: tuple[str, ...] = ()
+    failure_domain: str = ""
+    hub_digest: str = ""
     hubs: tuple[hubs_lib.Hub, ...] | None = None
     small_links: int = 0
 
 
-_report_decoder = msgspec.json.Decoder(Report)
-_summary_decoder = msgspec.json.Decoder(Summary)
+_report_decoder = msgspec.msgpack.Decoder(Report)
+_summary_decoder = msgspec.msgpack.Decoder(Summary)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Choice:
+    """Hubs that a seed chose.
+
+    Attributes:
+        members: The instances among which they were chosen.
+        digest: Digest of the hubs and the number of small links.
+    """
+
+    members: tuple[hubs_lib.Hub, ...]
+    hubs: tuple[hubs_lib.Hub, ...]
+    small_links: int
+    digest: str
 
 
 class InstanceRegistry:
@@ -123,6 +148,7 @@
         self._hubs_above = hubs_above
         self._reports_by_instance: dict[str, tuple[float, Report]] = {}
         self._received_counts: list[tuple[float, int]] = []
+        self._choice: _Choice | None = None
         self._first_report_s: float | None = None
 
     def record_report(self, report: Report, now_s: float) -> Summary:
@@ -151,12 +177,27 @@
         )
         count = len(self._reports_by_instance)
         same_domain = report.failure_domain == self._failure_domain
-        suspects = tuple(sorted(suspects))
-        if warming_up:
-            return Summary(max(count, _DEFAULT_INSTANCES), suspects)
-        if not same_domain and not report.wants_hubs:
-            return Summary(count, suspects)
+        summary = Summary(
+            max(count, _DEFAULT_INSTANCES) if warming_up else count,
+            tuple(sorted(suspects)),
+            self._failure_domain,
+        )
+        if warming_up or not (same_domain or report.wants_hubs):
+            return summary
+        choice = self._choose_hubs(now_s)
+        is_known = report.known_hubs == choice.digest
+        return msgspec.structs.replace(
+            summary,
+            hub_digest=choice.digest,
+            hubs=None if is_known else choice.hubs,
+            small_links=choice.small_links,
+        )
+
+    def _choose_hubs(self, now_s: float) -> _Choice:
+        """Returns the hubs, chosen again if the instances have changed."""
         members = self._members(now_s)
+        if self._choice is not None and self._choice.members == members:
+            return self._choice
         largest_mbps = max(
             (member.link_mbps for member in members), default=0.0
         )
@@ -164,15 +205,15 @@
             hubs_lib.has_small_link(member.link_mbps, largest_mbps)
             for member in members
         )
-        return Summary(
-            count,
-            suspects,
-            hubs_lib.choose_hubs(members, self._hubs_above),
-            small_links,
+        hubs = hubs_lib.choose_hubs(members, self._hubs_above)
+        encoded = msgspec.msgpack.encode((hubs, small_links))
+        self._choice = _Choice(
+            members, hubs, small_links, xxhash.xxh3_64_hexdigest(encoded)
         )
+        return self._choice
 
-    def _members(self, now_s: float) -> list[hubs_lib.Hub]:
-        return [
+    def _members(self, now_s: float) -> tuple[hubs_lib.Hub, ...]:
+        return tuple(
             hubs_lib.Hub(
                 known.instance,
                 known.address,
@@ -180,8 +221,9 @@
                 known.link_mbps,
             )
             for reported_s, known in self._reports_by_instance.values()
-            if known.address and reported_s > now_s - _HUB_TIMEOUT_S
-        ]
+            if reported_s > now_s - _HUB_TIMEOUT_S
+            and hubs_lib.split_address(known.address) is not None
+        )
 
     def record_count(self, instances: int, now_s: float) -> None:
         """Records the number of instances that a seed returned."""
@@ -237,9 +279,14 @@
         self._pools_by_seed: dict[str, http1.Pool] = {}
         self._listeners: list[Callable[[int], None]] = []
         self._apps_by_path: dict[str, Application] = {_PATH: self._serve_report}
+        self.traffic = traffic_lib.Traffic(kernel.metrics)
         self.hubs = hubs_lib.Hubs(
-            settings.instance_id, settings.failure_domain, settings.link_mbps
+            settings.instance_id,
+            settings.failure_domain,
+            settings.link_mbps,
+            self.traffic,
         )
+        self._hub_digest = ""
         self._hub_listeners: list[Callable[[], None]] = []
         self._hubs_received_s = -_HUB_LIST_MAX_AGE_S
         # Both are set by the plug-in `routes`.
@@ -300,11 +347,12 @@
         return True
 
     def dump(self) -> dict[str, Any]:
-        """Returns the number of instances, the seeds and the hubs."""
+        """Returns the instance count, seeds, hubs and bytes on links."""
         return {
             "instances": self.instances,
             "seeds": self._kernel.settings.seeds,
             "hubs": self.hubs.dump(),
+            "link_bytes": self.traffic.dump(),
         }
 
     async def _report_periodically(self) -> None:
@@ -336,7 +384,10 @@
         pool = self._pools_by_seed.get(seed)
         if pool is None:
             host, _, port = seed.rpartition(":")
-            pool = http1.Pool(host.strip("[]"), int(port), 1)
+            # The failure domain of a seed is unknown until it has answered.
+            pool = http1.Pool(
+                host.strip("[]"), int(port), 1, meter=self.traffic.meter(True)
+            )
             self._pools_by_seed[seed] = pool
         settings = self._kernel.settings
         now_s = asyncio.get_running_loop().time()
@@ -348,6 +399,7 @@
             settings.failure_domain,
             settings.link_mbps,
             now_s - self._hubs_received_s > _HUB_LIST_MAX_AGE_S,
+            self._hub_digest,
         )
         response = await http1.send_request(
             pool,
@@ -355,7 +407,8 @@
             _PATH,
             seed,
             _CALL_TIMEOUT_S,
-            msgspec.json.encode(report),
+            msgspec.msgpack.encode(report),
+            purpose="report",
         )
         if isinstance(response, http1.FailureReason) or response.status != 200:
             # The seed may have been removed for good; other seeds answer.
@@ -366,6 +419,8 @@
         except msgspec.MsgspecError as error:
             _log.warning("fleet_report_failed", seed=seed, reason=str(error))
             return
+        remote = summary.failure_domain != settings.failure_domain
+        pool.set_meter(self.traffic.meter(remote))
         self._apply_summary(summary)
 
     def _apply_summary(self, summary: Summary) -> None:
@@ -373,8 +428,10 @@
         now_s = asyncio.get_running_loop().time()
         self._instance_registry.record_count(summary.instances, now_s)
         self.mark_suspects(summary.suspects)
-        if summary.hubs is not None:
+        if summary.hub_digest:
             self._hubs_received_s = now_s
+        if summary.hubs is not None:
+            self._hub_digest = summary.hub_digest
             self._apply_hubs(summary.hubs, summary.small_links)
         if self.instances == before:
             return
@@ -389,7 +446,9 @@
             return
         _log.info(
             "hubs_changed",
-            hubs=",".join(hub.instance for hub in hubs),
+            hubs=",".join(
+                f"{hub.instance}:{'+'.join(hub.roles)}" for hub in hubs
+            ),
             small_links=small_links,
         )
         for listener in self._hub_listeners:
@@ -408,7 +467,7 @@
         try:
             report = _report_decoder.decode(body)
         except msgspec.MsgspecError as error:
-            return 400, msgspec.json.encode({"error": str(error)})
+            return 400, str(error).encode()
         now_s = asyncio.get_running_loop().time()
         summary = self._instance_registry.record_report(report, now_s)
-        return 200, msgspec.json.encode(summary)
+        return 200, msgspec.msgpack.encode(summary)
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -1,9 +1,11 @@
 """Scatter-gather of one request over all shards of a route."""
 
+from collections.abc import Sequence
 import dataclasses
 import math
 
 from mallowloft.routes import attempts as attempts_lib
+from mallowloft.routes import batching
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import merge
 from mallowloft.routes import model
@@ -17,9 +19,15 @@
 _CONGESTION_MIN_LATE_SHARDS = 3
 _CONGESTION_LATE_SHARE = 0.15
 _CONGESTION_DELAY_FACTOR = 2.0
+# The delay before a hedge is at most this share of the time until a partial
+# answer is due, so that the hedge has as much time as the first attempt.
+_MAX_HEDGE_DELAY_SHARE = 0.5
 _CONTENT_TYPE = (b"content-type", b"application/octet-stream")
 
 
+_Attempt = attempts_lib.Attempt | batching.Attempt
+
+
 @dataclasses.dataclass(slots=True)
 class _ShardState:
     """Attempts for one shard whose part has not arrived.
@@ -37,9 +45,7 @@
     tried: list[directory_lib.ReplicaEntry] = dataclasses.field(
         default_factory=list
     )
-    in_flight: list[attempts_lib.Attempt] = dataclasses.field(
-        default_factory=list
-    )
+    in_flight: list[_Attempt] = dataclasses.field(default_factory=list)
     hedge_due_s: float = math.inf
     failure: str = ""
 
@@ -72,6 +78,9 @@
             1, request_context.route.max_attempts - previous_attempts
         )
         self._parts: dict[str, model.Reply] = {}
+        # Parts that collectors merged; a shard is in one group or in `_parts`.
+        self._groups: list[batching.Group] = []
+        self._batches: list[batching.Batch] = []
         self._pending_shards: dict[str, _ShardState] = {}
         objective_s = request_context.route.objective_s
         # Loop time from which a partial answer is sent.
@@ -82,7 +91,11 @@
             - context.response_delays.write_s(objective_s),
         )
         self._timer_due_s = math.inf
-        self._hedge_delay_s = request_context.latency.hedge_delay_s
+        self._hedge_delay_s = min(
+            request_context.latency.hedge_delay_s,
+            _MAX_HEDGE_DELAY_SHARE
+            * (self._partial_answer_s - request_context.started_s),
+        )
         # More late shards than this at once indicate a local delay.
         self._congestion_threshold = max(
             _CONGESTION_MIN_LATE_SHARDS,
@@ -116,28 +129,142 @@
             if not self._repeated:
                 self._context.extra_attempts(service).refill(now_s)
             self._pending_shards[service] = _ShardState(service)
-        for shard in list(self._pending_shards.values()):
+        choices = [
+            choice
+            for shard in self._pending_shards.values()
+            if (choice := self._choose_first(shard, now_s)) is not None
+        ]
+        plan = batching.plan(
+            choices, self._context.collect_above, self._choose_collectors
+        )
+        for collector, members in plan.batches:
+            self._send_batch(collector, members, now_s)
+        for choice in plan.direct:
             if self.done.done():
                 return
-            self._send_first(shard, now_s)
+            self._send(
+                self._pending_shards[choice.service], choice.entry, now_s
+            )
         if not self.done.done():
             self._finish_if_decided(now_s)
             self._schedule_timer(now_s)
 
-    def _send_first(self, shard: _ShardState, now_s: float) -> None:
+    def _choose_first(
+        self, shard: _ShardState, now_s: float
+    ) -> batching.Choice | None:
+        """Returns the replica for a first attempt, None to send none."""
         entry = self._context.selector.choose(
             self._context.directory.entries(shard.service), now_s
         )
         if entry is None:
             shard.failure = "no_replica"
-            return
+            return None
         if self._repeated:
             if not self._context.extra_attempts(shard.service).take_retry():
                 self.denied += 1
                 shard.failure = "denied"
-                return
+                return None
             self.retries += 1
-        self._send(shard, entry, now_s)
+        return batching.Choice(shard.service, entry)
+
+    def _choose_collectors(
+        self, failure_domain: str, count: int
+    ) -> Sequence[directory_lib.ReplicaEntry]:
+        """Returns collectors if batches leave enough of the objective."""
+        if not self._context.batch_overheads.acceptable(
+            failure_domain, self._route.objective_s
+        ):
+            return ()
+        return self._context.choose_collectors(failure_domain, count)
+
+    def _send_batch(
+        self,
+        collector: directory_lib.ReplicaEntry,
+        choices: Sequence[batching.Choice],
+        now_s: float,
+    ) -> None:
+        context = self._context
+        latency = self._request_context.latency
+        batch = batching.Batch(
+            collector,
+            choices,
+            self._route.objective_s,
+            self,
+            lambda attempt, outcome, duration_s: context.sender.record(
+                attempt, outcome, duration_s, latency
+            ),
+            context.directory.reach,
+            context.batch_overheads,
+        )
+        self._batches.append(batch)
+        hedge_due_s = (
+            now_s
+            + self._hedge_delay_s
+            + context.batch_overheads.overhead_s(
+                collector.replica.failure_domain
+            )
+        )
+        for attempt in batch.attempts:
+            shard = self._pending_shards[attempt.service]
+            shard.tried.append(attempt.entry)
+            shard.in_flight.append(attempt)
+            shard.hedge_due_s = hedge_due_s
+        self._in_flight_count += len(batch.attempts)
+        self.sent += len(batch.attempts)
+        batch.send(
+            self._request_context.outgoing.request,
+            self._route,
+            self._request_context.end_s - now_s,
+            self._hedge_delay_s,
+            latency.median_s,
+        )
+
+    def on_group(self, group: batching.Group) -> None:
+        """Takes parts that a collector merged.
+
+        If a hedge was faster for one of the shards, its part is discarded,
+        because the merged records cannot be separated.
+        """
+        if self.done.done():
+            return
+        for service in group.services:
+            shard = self._pending_shards.pop(service, None)
+            if shard is None:
+                self._parts.pop(service, None)
+            else:
+                self._release_attempts(shard)
+        self._groups.append(group)
+        self._finish_if_decided(self._loop.time())
+
+    def on_attempt_failed(
+        self, attempt: batching.Attempt, outcome: attempts_lib.Outcome
+    ) -> None:
+        """Retries an attempt that failed at a collector."""
+        shard = self._pending_shards.get(attempt.service)
+        if shard is not None:
+            self._on_end(shard, attempt, outcome)
+
+    def on_batch_failed(
+        self, attempts: Sequence[batching.Attempt], may_have_run: bool
+    ) -> None:
+        """Sends the attempts that a failed collector owes to replicas."""
+        outcome = model.Failure.UNSENT
+        if may_have_run:
+            outcome = model.Failure.BROKEN
+        for attempt in attempts:
+            shard = self._pending_shards.get(attempt.service)
+            if shard is None:
+                continue
+            if not may_have_run:
+                shard.tried.remove(attempt.entry)
+            self._on_end(shard, attempt, outcome)
+
+    def _release_attempts(self, shard: _ShardState) -> None:
+        """Stops waiting for the attempts of a shard whose part has arrived."""
+        in_flight, shard.in_flight = shard.in_flight, []
+        self._in_flight_count -= len(in_flight)
+        for attempt in in_flight:
+            attempt.release()
 
     def _send(
         self,
@@ -162,7 +289,7 @@
     def _on_end(
         self,
         shard: _ShardState,
-        attempt: attempts_lib.Attempt,
+        attempt: _Attempt,
         outcome: attempts_lib.Outcome,
     ) -> None:
         if attempt in shard.in_flight:
@@ -173,10 +300,7 @@
         if isinstance(outcome, model.Reply) and outcome.success:
             self._parts[shard.service] = outcome
             del self._pending_shards[shard.service]
-            self._in_flight_count -= len(shard.in_flight)
-            for other in shard.in_flight:
-                other.release()
-            shard.in_flight.clear()
+            self._release_attempts(shard)
         else:
             self._on_failure(shard, outcome)
         self._finish_if_decided(self._loop.time())
@@ -211,13 +335,16 @@
     def _on_timer(self) -> None:
         self._timer = None
         now_s = self._loop.time()
+        for batch in self._batches:
+            if batch.awaits_ack and now_s >= batch.ack_due_s:
+                self._replace_batch(batch, now_s)
         late = [
             shard
             for shard in self._pending_shards.values()
             if shard.hedge_due_s <= now_s and shard.in_flight
         ]
         if (
-            len(late) > self._congestion_threshold
+            self._count_causes(late) > self._congestion_threshold
             and now_s < self._congestion_end_s
         ):
             # The delay is on this instance's link or processor, and hedges
@@ -235,18 +362,64 @@
                 self._loop.time() - self._partial_answer_s
             )
 
+    def _count_causes(self, late: Sequence[_ShardState]) -> int:
+        """Returns how many replicas and collectors make shards late."""
+        collectors = {
+            attempt.batch.collector
+            for shard in late
+            for attempt in shard.in_flight
+            if isinstance(attempt, batching.Attempt)
+            and not attempt.batch.replied
+        }
+        direct = sum(
+            not any(
+                isinstance(attempt, batching.Attempt)
+                and not attempt.batch.replied
+                for attempt in shard.in_flight
+            )
+            for shard in late
+        )
+        return direct + len(collectors)
+
+    def _replace_batch(self, batch: batching.Batch, now_s: float) -> None:
+        """Hedges all attempts of a batch that its collector has not read.
+
+        Parts that the collector still returns count.
+        """
+        batch.mark_unresponsive(now_s)
+        for attempt in batch.attempts:
+            shard = self._pending_shards.get(attempt.service)
+            if shard is not None and attempt.pending:
+                self._send_hedge(shard, now_s, urgent=True)
+
     def _hedge(self, shard: _ShardState, now_s: float) -> None:
         for attempt in shard.in_flight:
             attempt.mark_late(now_s)
+        self._send_hedge(shard, now_s)
+
+    def _send_hedge(
+        self, shard: _ShardState, now_s: float, urgent: bool = False
+    ) -> None:
+        """Sends a hedge if there are a healthy replica and a token.
+
+        Args:
+            shard: The shard whose attempts are late.
+            now_s: Current loop time.
+            urgent: Whether no reply is expected, so that the hedge may use
+                tokens that are reserved for retries.
+        """
         shard.hedge_due_s = now_s + self._hedge_delay_s / 2
         entry = self._choose_next(shard, now_s, healthy_only=True)
         if entry is None:
             if len(shard.tried) >= self._max_attempts:
                 shard.hedge_due_s = math.inf
             return
-        if running.take_hedge(
-            self._context.extra_attempts(shard.service), shard.in_flight, now_s
-        ):
+        extra = self._context.extra_attempts(shard.service)
+        if urgent:
+            allowed = extra.take_retry()
+        else:
+            allowed = running.take_hedge(extra, shard.in_flight, now_s)
+        if allowed:
             self.hedges += 1
             self._send(shard, entry, now_s)
         else:
@@ -261,6 +434,9 @@
             ),
             default=math.inf,
         )
+        for batch in self._batches:
+            if batch.awaits_ack:
+                due_s = min(due_s, batch.ack_due_s)
         if now_s < self._partial_answer_s:
             due_s = min(due_s, self._partial_answer_s)
         due_s = min(due_s, self._request_context.end_s)
@@ -277,7 +453,7 @@
             return
         # Without an attempt in flight no further part can arrive.
         none_in_flight = not self._in_flight_count
-        sufficient = len(self._parts) >= self._route.needed_shards
+        sufficient = self._covered >= self._route.needed_shards
         timed_out = now_s >= self._request_context.end_s
         if sufficient and (
             none_in_flight or now_s >= self._partial_answer_s or timed_out
@@ -286,20 +462,26 @@
         elif none_in_flight or timed_out:
             self._finish(self._failure_answer(timed_out))
 
+    @property
+    def _covered(self) -> int:
+        """Number of shards whose parts have arrived."""
+        return len(self._parts) + sum(
+            len(group.services) for group in self._groups
+        )
+
     def _merged_answer(self) -> model.Answer:
         names = self._context.names
-        signatures = b", ".join(
-            reply.signature for reply in self._parts.values()
-        )
-        body = merge.greatest(
-            (reply.body for reply in self._parts.values()),
-            self._route.top_records,
-        )
+        signatures = [reply.signature for reply in self._parts.values()]
+        bodies = [reply.body for reply in self._parts.values()]
+        for group in self._groups:
+            signatures += group.signatures
+            bodies.append(group.records)
+        body = merge.greatest(bodies, self._route.top_records)
         missing = len(self._pending_shards)
         return model.Answer(
             200,
             (
-                (names.signatures, signatures),
+                (names.signatures, b", ".join(signatures)),
                 (names.missing, b"%d" % missing),
                 _CONTENT_TYPE,
             ),
@@ -314,7 +496,7 @@
             return model.failure(504, "parts_late")
         return model.failure(502, "parts_failed")
 
-    def _attempts(self) -> list[attempts_lib.Attempt]:
+    def _attempts(self) -> list[_Attempt]:
         return [
             attempt
             for shard in self._pending_shards.values()
@@ -325,7 +507,7 @@
         """Returns the log fields that explain the answer."""
         pending_shards = list(self._pending_shards.values())
         return {
-            "parts": len(self._parts),
+            "parts": self._covered,
             "shards": len(self._route.shards),
             "needed": self._route.needed_shards,
             "coverable": self._coverable_shards,
@@ -334,6 +516,7 @@
             "hedges": self.hedges,
             "retries": self.retries,
             "denied": self.denied,
+            "batches": ",".join(batch.describe() for batch in self._batches),
             "lacking": ",".join(
                 f"{shard.service}:{shard.failure or 'late'}"
                 f"@{'+'.join(item.replica.id for item in shard.tried)}"
--- a/src/mallowloft/routes/health.py
+++ b/src/mallowloft/routes/health.py
@@ -6,6 +6,7 @@
 estimate has decayed.
 """
 
+import dataclasses
 import math
 
 # Weights of a new sample in the moving average of the slowness. They are large
@@ -44,6 +45,19 @@
 _MAX_EJECTION_S = 2.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pending:
+    """An attempt without an outcome.
+
+    Attributes:
+        stalls_s: Loop time from which it shows that the replica is stalled.
+    """
+
+    started_s: float
+    median_s: float
+    stalls_s: float
+
+
 class ReplicaHealth:
     """Health of one replica, estimated from this instance's attempts."""
 
@@ -65,8 +79,7 @@
         self._ejected_until_s = -math.inf
         self._cold_until_s = cold_until_s
         self._suspected_until_s = -math.inf
-        # Start time and median duration by attempt.
-        self._pending: dict[object, tuple[float, float]] = {}
+        self._pending: dict[object, _Pending] = {}
         self.waiting = 0
 
     @property
@@ -75,32 +88,55 @@
         return len(self._pending)
 
     def record_start(
-        self, attempt: object, now_s: float, median_s: float
+        self,
+        attempt: object,
+        now_s: float,
+        median_s: float,
+        reply_delay_s: float = 0.0,
     ) -> None:
-        """Records that an attempt was started."""
-        self._pending[attempt] = (now_s, median_s)
+        """Records that an attempt was started.
+
+        Args:
+            attempt: Identifies the attempt.
+            now_s: Current loop time.
+            median_s: Median duration of such attempts.
+            reply_delay_s: How much later than from the replica itself a reply
+                may arrive.
+        """
+        stall_s = max(_STALL_MIN_S, _STALL_FACTOR * median_s) + reply_delay_s
+        self._pending[attempt] = _Pending(now_s, median_s, now_s + stall_s)
 
     def discard(self, attempt: object) -> None:
         """Removes an attempt whose outcome says nothing about the replica."""
         self._pending.pop(attempt, None)
 
-    def record_reply(self, attempt: object, now_s: float) -> None:
-        """Updates the slowness with the duration and ends an ejection."""
+    def record_reply(
+        self, attempt: object, now_s: float, duration_s: float | None = None
+    ) -> None:
+        """Updates the slowness with the duration and ends an ejection.
+
+        Args:
+            attempt: The attempt that was replied to.
+            now_s: Current loop time.
+            duration_s: Time from the start to the reply; by default it ends
+                now.
+        """
         self._failures = 0
         self._ejected_until_s = -math.inf
         pending = self._pending.pop(attempt, None)
         if pending is None:
             return
-        started_s, median_s = pending
-        self._add_sample((now_s - started_s) / median_s, now_s)
+        if duration_s is None:
+            duration_s = now_s - pending.started_s
+        self._add_sample(duration_s / pending.median_s, now_s)
 
     def record_late(self, attempt: object, now_s: float) -> None:
         """Raises the slowness because the reply to an attempt is overdue."""
         pending = self._pending.get(attempt)
         if pending is None:
             return
-        started_s, median_s = pending
-        ratio = min((now_s - started_s) / median_s, self._max_sample(now_s))
+        ratio = (now_s - pending.started_s) / pending.median_s
+        ratio = min(ratio, self._max_sample(now_s))
         self._slowness = max(self.slowness(now_s), ratio)
         self._updated_s = now_s
 
@@ -148,11 +184,9 @@
 
     def stalled(self, now_s: float) -> bool:
         """Whether an attempt in flight shows that the replica is stalled."""
-        for started_s, median_s in self._pending.values():
-            limit_s = max(_STALL_MIN_S, _STALL_FACTOR * median_s)
-            if now_s - started_s > limit_s:
-                return True
-        return False
+        return any(
+            now_s > pending.stalls_s for pending in self._pending.values()
+        )
 
     def should_report_suspect(self, now_s: float) -> bool:
         """Whether to report the replica to other instances as a suspect."""
--- a/src/mallowloft/routes/hub_server.py
+++ b/src/mallowloft/routes/hub_server.py
@@ -39,7 +39,12 @@
     if hub is None:
         return False
     response = await http1.send_request(
-        hub.pool, b"GET", _STATE_PATH, hub.pool.address, _STATE_TIMEOUT_S
+        hub.pool,
+        b"GET",
+        _STATE_PATH,
+        hub.pool.address,
+        _STATE_TIMEOUT_S,
+        purpose="state",
     )
     if isinstance(response, http1.FailureReason) or response.body != _ISOLATED:
         hubs.isolated_hub = None
@@ -139,7 +144,7 @@
         return running.RequestContext(
             route=route,
             outgoing=attempts_lib.OutgoingRequest(
-                request, route.rank, self._routes.names
+                request, route.rank, self._routes.names, is_part=True
             ),
             latency=self._routes.stats_of(route).latency,
             started_s=started_s,
@@ -156,6 +161,6 @@
             return "starting"
         for route in table.routes:
             if route.name == call.route:
-                matches = delegation.digest(route) == call.digest
+                matches = model.digest(route) == call.digest
                 return route if matches else "route_differs"
         return "route_differs"
--- a/src/mallowloft/routes/hubs.py
+++ b/src/mallowloft/routes/hubs.py
@@ -1,37 +1,49 @@
 """Hubs: a few instances that do some work for the other instances of a fleet.
 
-Hubs are used in fleets with more than `hubs_above` instances. They read the
-source of routes for the other instances of their failure domain and gather
-answers for instances with small network links. They are chosen by the size of
+A hub has one or several roles. Readers read the source of routes for the other
+instances of their failure domain. Gatherers gather answers for instances with
+small network links. Collectors send attempts to the replicas of their failure
+domain for gathering instances in other ones. Only collectors are used in fleets
+of up to `hubs_above` instances. The holders of a role are chosen by the size of
 their links, then by rendezvous hashing.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
+import math
 
 import msgspec
 
+from mallowloft.kernel import registry
 from mallowloft.membership import rendezvous
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import health as health_lib
 from mallowloft.routes import model
 from mallowloft.upstream import http1
+from mallowloft.upstream import traffic as traffic_lib
 
+READER = "reader"
+GATHERER = "gatherer"
+COLLECTOR = "collector"
 # Share of the replicas' connections and of the extra attempts that is reserved
 # for instances with small links, which need it while no hub answers.
 _SMALL_LINKS_SHARE = 0.2
 # Low estimate of the size of a part with its headers; parts alone have 100 to
 # 1,000 bytes.
 _ASSUMED_PART_BYTES = 500
-# Hubs gather the answers of a route if transferring the parts of one answer
-# would occupy this instance's link for more than this share of the objective. A
-# shorter transfer does not justify the additional hop.
+# Gatherers gather the answers of a route if transferring the parts of one
+# answer would occupy this instance's link for more than this share of the
+# objective. A shorter transfer does not justify the additional hop.
 _MIN_TRANSFER_SHARE = 0.1
 _CONNECTIONS_PER_HUB = 8
 _SERVICE = "hubs"
-# Two hubs tolerate the loss of one. If more instances have large links, up to
-# four share the work.
+# Two holders of a role tolerate the loss of one.
 _MIN_HUBS_PER_DOMAIN = 2
-_MAX_HUBS_PER_DOMAIN = 4
+# Instances for which one gatherer gathers. At 200 instances it occupies a tenth
+# of a large link and a twentieth of a core.
+_INSTANCES_PER_GATHERER = 12
+_MAX_COLLECTORS_PER_DOMAIN = 4
 # Links with at least this share of the largest link's bandwidth are large.
 _MIN_LARGE_LINK_RATIO = 0.5
 
@@ -43,12 +55,67 @@
         address: Host and port for other instances.
         link_mbps: Bandwidth of its network link, 0 if unknown; an unknown link
             counts as small if the link of another instance is known.
+        roles: Names of the roles that it holds.
     """
 
     instance: str
     address: str
     failure_domain: str
     link_mbps: float
+    roles: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Candidates:
+    """The instances of one failure domain among which holders are chosen.
+
+    Attributes:
+        instances: Number of instances in the failure domain.
+        large_links: How many of them have large links.
+        fleet_instances: Number of instances in all failure domains.
+        hubs_above: Largest fleet without readers and gatherers.
+    """
+
+    instances: int
+    large_links: int
+    fleet_instances: int
+    hubs_above: float
+
+    @property
+    def is_large_fleet(self) -> bool:
+        """Whether the fleet has readers and gatherers."""
+        return self.fleet_instances > self.hubs_above
+
+
+# Functions that return the number of holders of a role in a failure domain.
+roles: registry.Registry[Callable[[Candidates], int]] = registry.Registry(
+    "role"
+)
+
+
+@roles.register(READER)
+def _count_readers(candidates: Candidates) -> int:
+    """Returns the number of readers: calls of the source are expensive."""
+    return _MIN_HUBS_PER_DOMAIN if candidates.is_large_fleet else 0
+
+
+@roles.register(GATHERER)
+def _count_gatherers(candidates: Candidates) -> int:
+    """Returns the number of gatherers, which grows with the failure domain.
+
+    More gatherers than large links would not gather faster.
+    """
+    if not candidates.is_large_fleet:
+        return 0
+    needed = math.ceil(candidates.instances / _INSTANCES_PER_GATHERER)
+    return max(_MIN_HUBS_PER_DOMAIN, min(needed, candidates.large_links))
+
+
+@roles.register(COLLECTOR)
+def _count_collectors(candidates: Candidates) -> int:
+    """Returns the number of collectors, which all gathering instances use."""
+    needed = math.ceil(candidates.instances / _INSTANCES_PER_GATHERER)
+    return min(candidates.large_links, max(_MAX_COLLECTORS_PER_DOMAIN, needed))
 
 
 def has_small_link(link_mbps: float, largest_mbps: float) -> bool:
@@ -57,41 +124,82 @@
 
 
 def choose_hubs(members: Iterable[Hub], hubs_above: float) -> tuple[Hub, ...]:
-    """Returns the hubs of all failure domains.
+    """Returns the hubs of all failure domains with their roles.
 
     Args:
         members: Instances of the fleet.
-        hubs_above: Largest number of instances for which there are no hubs.
+        hubs_above: Largest number of instances for which there are no readers
+            and gatherers.
     """
     members = tuple(members)
-    if len(members) <= hubs_above:
-        return ()
-    largest_mbps = max(member.link_mbps for member in members)
+    largest_mbps = max((member.link_mbps for member in members), default=0.0)
     members_by_domain: dict[str, list[Hub]] = {}
     for member in members:
         members_by_domain.setdefault(member.failure_domain, []).append(member)
-
-    def sort_key(member: Hub) -> tuple[bool, int]:
-        is_small = has_small_link(member.link_mbps, largest_mbps)
-        return is_small, -rendezvous.weight(member.instance, "hub")
-
+    if len(members_by_domain) < 2 and len(members) <= hubs_above:
+        return ()
     hubs: list[Hub] = []
-    for _, candidates in sorted(members_by_domain.items()):
-        candidates.sort(key=sort_key)
-        large_links = sum(not sort_key(member)[0] for member in candidates)
-        hubs += candidates[
-            : max(_MIN_HUBS_PER_DOMAIN, min(_MAX_HUBS_PER_DOMAIN, large_links))
-        ]
+    for _, domain_members in sorted(members_by_domain.items()):
+        small_links = sum(
+            has_small_link(member.link_mbps, largest_mbps)
+            for member in domain_members
+        )
+        candidates = Candidates(
+            len(domain_members),
+            len(domain_members) - small_links,
+            len(members),
+            hubs_above,
+        )
+        hubs += _choose_holders(domain_members, candidates, largest_mbps)
     return tuple(hubs)
 
 
-def _create_entry(hub: Hub, remote: bool) -> directory_lib.ReplicaEntry:
-    host, _, port = hub.address.rpartition(":")
+def _choose_holders(
+    members: list[Hub], candidates: Candidates, largest_mbps: float
+) -> list[Hub]:
+    """Returns the members of one failure domain that hold a role."""
+    roles_by_instance: dict[str, list[str]] = {}
+    for role, count in roles.by_name.items():
+        ranked = sorted(
+            members,
+            key=lambda member: (
+                has_small_link(member.link_mbps, largest_mbps),
+                -rendezvous.weight(member.instance, role),
+            ),
+        )
+        for member in ranked[: count(candidates)]:
+            roles_by_instance.setdefault(member.instance, []).append(role)
+    return [
+        msgspec.structs.replace(
+            member, roles=tuple(roles_by_instance[member.instance])
+        )
+        for member in sorted(members, key=lambda member: member.instance)
+        if member.instance in roles_by_instance
+    ]
+
+
+def split_address(address: str) -> tuple[str, int] | None:
+    """Returns host and port of an address, None if it is malformed."""
+    host, _, port = address.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit():
+        return None
+    if not 0 < int(port) < 65536:
+        return None
+    return host.strip("[]"), int(port)
+
+
+def _create_entry(
+    hub: Hub,
+    address: tuple[str, int],
+    remote: bool,
+    meter: traffic_lib.LinkMeter | None,
+) -> directory_lib.ReplicaEntry:
+    host, port = address
     replica = model.Replica(
         id=hub.instance,
         service=_SERVICE,
-        host=host.strip("[]"),
-        port=int(port),
+        host=host,
+        port=port,
         failure_domain=hub.failure_domain,
         # With slots equal to the connections, the load cost of a hub stays low,
         # because the number of requests in flight says little about the
@@ -100,13 +208,13 @@
     )
     entry = directory_lib.ReplicaEntry(
         replica,
-        http1.Pool(replica.host, replica.port, _CONNECTIONS_PER_HUB),
+        http1.Pool(
+            replica.host, replica.port, _CONNECTIONS_PER_HUB, meter=meter
+        ),
         health_lib.ReplicaHealth(),
         remote,
     )
     entry.in_subset = not remote
-    if entry.in_subset:
-        entry.pool.keep_open()
     return entry
 
 
@@ -114,15 +222,20 @@
     """The hubs as used by this instance, with connections to them."""
 
     def __init__(
-        self, instance: str, failure_domain: str, link_mbps: float
+        self,
+        instance: str,
+        failure_domain: str,
+        link_mbps: float,
+        traffic: traffic_lib.Traffic | None = None,
     ) -> None:
+        self._traffic = traffic
         self._instance = instance
         self._failure_domain = failure_domain
         self._link_mbps = link_mbps
         self._hubs_by_id: dict[str, Hub] = {}
         self._entries_by_id: dict[str, directory_lib.ReplicaEntry] = {}
-        # Hubs that gather answers for this instance; empty unless its own
-        # link is small compared with the largest of the hubs.
+        # Gatherers for this instance; empty unless its own link is small
+        # compared with the largest of the hubs.
         self.gathering_hubs: list[directory_lib.ReplicaEntry] = []
         # Whether this instance, or a hub of its failure domain, reaches no
         # other failure domain but needs them to cover the shards, so that
@@ -131,21 +244,48 @@
         # A hub of this failure domain that reported that it is isolated.
         self.isolated_hub: directory_lib.ReplicaEntry | None = None
         self._small_links = 0
+        self._collectors_by_domain: dict[
+            str, list[directory_lib.ReplicaEntry]
+        ] = {}
+
+    def __len__(self) -> int:
+        return len(self._hubs_by_id)
 
     @property
-    def same_domain(self) -> list[directory_lib.ReplicaEntry]:
-        """Other hubs of this failure domain."""
-        return [
-            entry for entry in self._entries_by_id.values() if not entry.remote
-        ]
+    def readers(self) -> list[directory_lib.ReplicaEntry]:
+        """Other instances that read the source for this failure domain."""
+        return self._entries_with_role(READER, self._failure_domain)
 
     @property
-    def is_hub(self) -> bool:
-        """Whether this instance is a hub."""
-        return self._instance in self._hubs_by_id
+    def reader_count(self) -> int:
+        """Number of readers of all failure domains."""
+        return sum(READER in hub.roles for hub in self._hubs_by_id.values())
 
-    def __len__(self) -> int:
-        return len(self._hubs_by_id)
+    @property
+    def is_reader(self) -> bool:
+        """Whether this instance reads the source for others."""
+        return self.holds(READER)
+
+    def holds(self, role: str) -> bool:
+        """Whether this instance holds a role."""
+        hub = self._hubs_by_id.get(self._instance)
+        return hub is not None and role in hub.roles
+
+    def collectors(
+        self, failure_domain: str
+    ) -> list[directory_lib.ReplicaEntry]:
+        """Returns the collectors of a failure domain, except this instance."""
+        return self._collectors_by_domain.get(failure_domain, [])
+
+    def _entries_with_role(
+        self, role: str, failure_domain: str
+    ) -> list[directory_lib.ReplicaEntry]:
+        return [
+            entry
+            for instance, entry in self._entries_by_id.items()
+            if role in self._hubs_by_id[instance].roles
+            and entry.replica.failure_domain == failure_domain
+        ]
 
     def record_isolated(self, hub: directory_lib.ReplicaEntry) -> None:
         """Records that a hub reported that it is isolated."""
@@ -185,13 +325,24 @@
         self._hubs_by_id = hubs_by_id
         for instance, entry in list(self._entries_by_id.items()):
             hub = self._hubs_by_id.get(instance)
-            if hub is None or hub.address != entry.pool.address:
+            # A hub that keeps its id may have moved to another failure domain.
+            if (
+                hub is None
+                or hub.address != entry.pool.address
+                or hub.failure_domain != entry.replica.failure_domain
+            ):
                 del self._entries_by_id[instance]
                 entry.pool.close()
         for instance, hub in self._hubs_by_id.items():
             if instance not in (self._instance, *self._entries_by_id):
+                address = split_address(hub.address)
+                if address is None:
+                    continue
                 remote = hub.failure_domain != self._failure_domain
-                self._entries_by_id[instance] = _create_entry(hub, remote)
+                meter = self._traffic.meter(remote) if self._traffic else None
+                self._entries_by_id[instance] = _create_entry(
+                    hub, address, remote, meter
+                )
         largest_mbps = max(
             (hub.link_mbps for hub in self._hubs_by_id.values()), default=0.0
         )
@@ -200,15 +351,38 @@
             self.gathering_hubs = [
                 entry
                 for instance, entry in self._entries_by_id.items()
-                if not has_small_link(
+                if GATHERER in self._hubs_by_id[instance].roles
+                and not has_small_link(
                     self._hubs_by_id[instance].link_mbps, largest_mbps
                 )
             ]
+        self._collectors_by_domain = {
+            domain: self._entries_with_role(COLLECTOR, domain)
+            for domain in {hub.failure_domain for hub in hubs_by_id.values()}
+        }
+        self._keep_connections_open()
         return True
 
-    def dump(self) -> list[str]:
-        """Returns the instance ids of the hubs."""
-        return list(self._hubs_by_id)
+    def _keep_connections_open(self) -> None:
+        """Keeps connections open to the hubs that this instance uses often.
+
+        An instance that passes its requests on to gatherers needs collectors
+        only while no gatherer answers.
+        """
+        for instance, entry in self._entries_by_id.items():
+            held = self._hubs_by_id[instance].roles
+            if entry.remote:
+                used = COLLECTOR in held and not self.gathering_hubs
+            else:
+                used = READER in held or GATHERER in held
+            if used:
+                entry.pool.keep_open()
+            else:
+                entry.pool.stop_keeping_open()
+
+    def dump(self) -> dict[str, tuple[str, ...]]:
+        """Returns the roles of the hubs by instance id."""
+        return {hub.instance: hub.roles for hub in self._hubs_by_id.values()}
 
     def shard_limit_divisor(self, instances: int) -> float:
         """Returns the divisor for this instance's part of the shards' limits.
--- a/src/mallowloft/routes/model.py
+++ b/src/mallowloft/routes/model.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import enum
+import functools
+import hashlib
 import math
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -102,6 +104,12 @@
         return max(1, math.ceil(self.min_coverage * len(self.shards) - 1e-9))
 
 
+@functools.lru_cache(maxsize=64)
+def digest(route: Route) -> str:
+    """Returns a digest that is equal on instances with the same route."""
+    return hashlib.blake2s(repr(route).encode(), digest_size=8).hexdigest()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
     """Limits on callers' requests and idle connections."""
--- a/src/mallowloft/routes/relaying.py
+++ b/src/mallowloft/routes/relaying.py
@@ -205,12 +205,12 @@
 
     def _choose_hub(self) -> directory_lib.ReplicaEntry | None:
         """Returns the hub to call, or None to call the source itself."""
-        if self._hubs.is_hub:
+        if self._hubs.is_reader:
             return None
         now_s = asyncio.get_running_loop().time()
         usable = [
             entry
-            for entry in self._hubs.same_domain
+            for entry in self._hubs.readers
             if self._avoided_until_by_hub.get(entry.replica.id, 0.0) <= now_s
         ]
         for entry in usable:
@@ -233,6 +233,7 @@
             f"{PATH}?{urllib.parse.urlencode(query)}",
             hub.pool.address,
             wait_s + _RESPONSE_MARGIN_S,
+            purpose="changes",
         )
         if isinstance(response, http1.FailureReason):
             return self._avoid_hub(hub, response.value)
--- a/src/mallowloft/routes/running.py
+++ b/src/mallowloft/routes/running.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from mallowloft.routes import attempts as attempts_lib
+from mallowloft.routes import batching
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import limits
 from mallowloft.routes import model
@@ -26,6 +27,15 @@
     selector: selection.Selector
     sender: attempts_lib.Sender
     response_delays: timing.ResponseDelays
+    batch_overheads: batching.Overheads
+    # Largest number of shards of another failure domain whose replicas are
+    # called directly.
+    collect_above: float
+
+    def choose_collectors(
+        self, failure_domain: str, count: int
+    ) -> list[directory_lib.ReplicaEntry]:
+        """Returns up to `count` healthy collectors of a failure domain."""
 
     def extra_attempts(self, service: str) -> limits.ExtraAttemptBucket:
         """Returns the token bucket for extra attempts at a service."""
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -9,6 +9,7 @@
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
 from mallowloft.routes import attempts as attempts_lib
+from mallowloft.routes import batching
 from mallowloft.routes import delegation
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import exchange as exchange_lib
@@ -122,6 +123,7 @@
             kernel.settings.failure_domain,
             self._count_connection_event,
             reach.DomainReachability(),
+            traffic=kernel.plugin("fleet").traffic,
         )
         self.selector = selection.Selector(kernel.rng)
         self.sender = attempts_lib.Sender(
@@ -131,6 +133,8 @@
             (self.names.deadline, self.names.expected_replica)
         )
         self.response_delays = timing.ResponseDelays()
+        self.batch_overheads = batching.Overheads()
+        self.collect_above = kernel.settings.collect_above
         self._matcher: table_lib.RouteMatcher | None = None
         self._reach_task: asyncio.Task | None = None
         self._extra_by_service: dict[str, limits.ExtraAttemptBucket] = {}
@@ -214,6 +218,7 @@
             },
             "requests_open": self._open_requests,
             "response_delays": self.response_delays.dump(),
+            "batch_overhead_ms": self.batch_overheads.dump(),
         }
 
     def apply(self, table: model.Table, source: str) -> bool:
@@ -263,6 +268,26 @@
             self._extra_by_service[service] = extra
         return extra
 
+    def choose_collectors(
+        self, failure_domain: str, count: int
+    ) -> list[directory_lib.ReplicaEntry]:
+        """Returns up to `count` healthy collectors of a failure domain."""
+        if failure_domain in self.directory.reach.unreachable_domains():
+            return []
+        now_s = asyncio.get_running_loop().time()
+        chosen: list[directory_lib.ReplicaEntry] = []
+        for _ in range(count):
+            entry = self.selector.choose(
+                self.hubs.collectors(failure_domain),
+                now_s,
+                chosen,
+                healthy_only=True,
+            )
+            if entry is None:
+                break
+            chosen.append(entry)
+        return chosen
+
     def _extra_limit_of(self, service: str) -> limits.ExtraAttemptLimit:
         if service in self._shard_services:
             return self._shard_extra_limit
@@ -467,7 +492,7 @@
         return running.RequestContext(
             route=route,
             outgoing=attempts_lib.OutgoingRequest(
-                request, route.rank, self.names
+                request, route.rank, self.names, bool(route.shards)
             ),
             latency=stats.latency,
             started_s=started_s,
--- a/src/mallowloft/routes/timing.py
+++ b/src/mallowloft/routes/timing.py
@@ -20,8 +20,8 @@
 # A longer round trip is attributed to congestion of the caller's connection,
 # which must not use up the objective.
 _MAX_ROUND_TRIP_SHARE = 0.2
-# A link that needs longer for an answer cannot meet the objective, and giving up
-# parts for it would be in vain.
+# A link that needs longer for an answer cannot meet the objective, so parts are
+# not given up for it.
 _MAX_TRANSFER_SHARE = 0.2
 # Quantile of the measured delays that the answers allow for.
 _DELAY_QUANTILE = 0.9
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -20,6 +20,7 @@
 
 from mallowloft.kernel import logs
 from mallowloft.kernel import tcp
+from mallowloft.upstream import traffic
 
 _log = logs.get_logger("http1")
 
@@ -105,6 +106,9 @@
         rank: Priority among requests that wait for a connection; the lowest
             rank is sent first.
         has_body: Whether the response can have a body; False for HEAD.
+        purpose: What the exchange is for, a label of the byte counts.
+        on_data: Gets the body of a response with status 200 as it arrives; the
+            outcome then has no body. If it is None, the outcome has the body.
         interim_received: Whether an interim (1xx) response has arrived.
         connection: Connection to which the request was written, if any.
     """
@@ -116,6 +120,8 @@
         "has_body",
         "id",
         "id_name",
+        "on_data",
+        "purpose",
         "rank",
         "wire",
     )
@@ -128,12 +134,16 @@
         id_value: bytes = b"",
         rank: int = 0,
         has_body: bool = True,
+        purpose: str = "other",
+        on_data: Callable[[bytes], None] | None = None,
     ) -> None:
         self.wire = wire
         self.id_name = id_name
         self.id = id_value
         self.rank = rank
         self.has_body = has_body
+        self.purpose = purpose
+        self.on_data = on_data
         self.interim_received = False
         self.connection: Connection | None = None
         self._on_end: Callable | None = on_end
@@ -179,6 +189,9 @@
         self._body_size = 0
         self._has_declared_length = False
         self._in_body = False
+        # Received data of a body that is passed on as it arrives.
+        self._streams_body = False
+        self._streamed: list[bytes] = []
         self._response: Response | None = None
         self._has_surplus_data = False
         self._reusable = True
@@ -206,6 +219,9 @@
         self._parser = httptools.HttpResponseParser(self)
         self._response = None
         self._in_body = False
+        self._pool.count_bytes(
+            exchange.purpose, traffic.SENT, len(exchange.wire)
+        )
         self._transport.write(exchange.wire)
 
     def round_trip_s(self) -> float | None:
@@ -232,6 +248,9 @@
             # is not HTTP.
             self.close("surplus_bytes")
             return
+        self._pool.count_bytes(
+            self._exchange.purpose, traffic.RECEIVED, len(data)
+        )
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -239,7 +258,9 @@
                 self._fail_malformed()
                 return
             self._has_surplus_data = True
-        self._deliver_response()
+        self._deliver_streamed()
+        if not self.closed:
+            self._deliver_response()
 
     def eof_received(self) -> bool:
         """Completes a response that is delimited by the end of the stream."""
@@ -268,6 +289,7 @@
         self._body_size = 0
         self._has_declared_length = False
         self._in_body = False
+        self._streams_body = False
         if self._response is not None:
             self._has_surplus_data = True
 
@@ -285,6 +307,10 @@
         complete here, and its connection is not reused.
         """
         self._in_body = True
+        self._streams_body = (
+            self._exchange.on_data is not None
+            and self._parser.get_status_code() == 200
+        )
         if not self._exchange.has_body:
             self._reusable = False
             self._has_declared_length = True
@@ -297,6 +323,9 @@
         MALFORMED. If the read that exceeds the limit also completes the
         response, the response is delivered with the truncated body instead.
         """
+        if self._streams_body:
+            self._streamed.append(body)
+            return
         self._body_size += len(body)
         if self._body_size <= _MAX_RESPONSE_BYTES:
             self._body.append(body)
@@ -325,6 +354,19 @@
             self._reusable = False
         self._response = response
 
+    def _deliver_streamed(self) -> None:
+        """Passes on the body received so far.
+
+        This is not done within the parser's callbacks, because the receiver may
+        close the connection.
+        """
+        if not self._streamed:
+            return
+        data = b"".join(self._streamed)
+        self._streamed.clear()
+        if not self._exchange.done:
+            self._exchange.on_data(data)
+
     def _deliver_response(self) -> None:
         response = self._response
         if response is None:
@@ -386,10 +428,12 @@
         port: int,
         max_connections: int,
         on_event: Callable[[str], Any] = lambda event: None,
+        meter: traffic.LinkMeter | None = None,
     ) -> None:
         self.address = f"{host}:{port}"
         self.max_connections = max(1, max_connections)
         self.on_event = on_event
+        self._meter = meter
         self._host = host
         self._port = port
         self._loop = asyncio.get_running_loop()
@@ -424,6 +468,15 @@
         """Returns the event loop's clock in seconds."""
         return self._loop.time()
 
+    def set_meter(self, meter: traffic.LinkMeter) -> None:
+        """Sets the meter for bytes that are sent or received from now on."""
+        self._meter = meter
+
+    def count_bytes(self, purpose: str, direction: str, size: int) -> None:
+        """Counts bytes that a connection sent or received."""
+        if self._meter is not None:
+            self._meter.count(purpose, direction, size)
+
     def round_trip_s(self) -> float | None:
         """Returns the round-trip time to the server, None if unknown."""
         for connection in self._open:
@@ -639,6 +692,7 @@
     host: str,
     timeout_s: float,
     body: bytes = b"",
+    purpose: str = "other",
 ) -> Response | FailureReason:
     """Serializes and sends a request; waits for the response.
 
@@ -649,6 +703,7 @@
         host: Value of the Host header.
         timeout_s: Time in seconds after which the request is cancelled.
         body: Body of the request.
+        purpose: What the request is for, a label of the byte counts.
 
     Returns:
         The response, or why there is none. A timeout is reported as
@@ -669,7 +724,7 @@
         if not outcome_future.done():
             outcome_future.set_result(outcome)
 
-    exchange = Exchange(wire, on_end)
+    exchange = Exchange(wire, on_end, purpose=purpose)
     pool.submit(exchange)
     try:
         async with asyncio.timeout(timeout_s):
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -9,6 +9,7 @@
 
 from mallowloft.kernel import metrics as metrics_lib
 from mallowloft.routes import attempts as attempts_lib
+from mallowloft.routes import batching
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import gathering
 from mallowloft.routes import limits
@@ -53,6 +54,7 @@
         slowdown: Factor for service times by current time.
         unresponsive: Whether requests and replies are lost, by current time.
         status: Status of replies by current time.
+        body: Body of replies.
         arrivals: Number of requests received.
     """
 
@@ -67,6 +69,7 @@
     slowdown: Callable[[float], float] = lambda now_s: 1.0
     unresponsive: Callable[[float], bool] = lambda now_s: False
     status: Callable[[float], int] = lambda now_s: 200
+    body: bytes = b"\0" * 16
     running_requests: int = 0
     arrivals: int = 0
 
@@ -109,7 +112,7 @@
             response = http1.Response(
                 self.status(now_s),
                 ((NAMES.signature, self.id.encode()),),
-                b"\0" * 16,
+                self.body,
             )
             exchange.connection.deliver(exchange, response, delay_s)
         self._start()
@@ -178,6 +181,7 @@
         rng: random.Random,
         link: Link | None = None,
     ) -> None:
+        self.domain = domain
         self._link = link or Link()
         by_id = {replica.id: replica for replica in replicas}
         ids = iter(by_id)
@@ -204,6 +208,11 @@
             NAMES, metrics_lib.Metrics(), self.directory.reach
         )
         self.response_delays = timing.ResponseDelays()
+        self.batch_overheads = batching.Overheads()
+        self.collect_above = 2.0
+        self.collectors_by_domain: dict[
+            str, list[directory_lib.ReplicaEntry]
+        ] = {}
         self._limit = limits.ExtraAttemptLimit.for_instance(0.2, 54, 10.0, 7)
         self._extra_by_service: dict[str, limits.ExtraAttemptBucket] = {}
         self._latency_by_route: dict[str, limits.RouteLatency] = {}
@@ -212,6 +221,17 @@
     def _open_pool(self, replica: Replica, domain: str) -> Pool:
         return Pool(replica, replica.domain == domain, self._link)
 
+    def choose_collectors(
+        self, failure_domain: str, count: int
+    ) -> list[directory_lib.ReplicaEntry]:
+        """Returns the first healthy collectors of a failure domain."""
+        now_s = asyncio.get_running_loop().time()
+        return [
+            entry
+            for entry in self.collectors_by_domain.get(failure_domain, [])
+            if not entry.health.ejected(now_s)
+        ][:count]
+
     def extra_attempts(self, service: str) -> limits.ExtraAttemptBucket:
         """Returns the token bucket for extra attempts at a service."""
         extra = self._extra_by_service.get(service)
@@ -221,6 +241,12 @@
             self._extra_by_service[service] = extra
         return extra
 
+    def latency_of(self, route: model.Route) -> limits.RouteLatency:
+        """Returns the latency statistics of a route."""
+        return self._latency_by_route.setdefault(
+            route.name, limits.RouteLatency(route.objective_s)
+        )
+
     async def serve(self, route: model.Route) -> model.Answer:
         """Serves one request of a caller."""
         request_context = self.create_request_context(route)
@@ -238,9 +264,7 @@
     ) -> running.RequestContext:
         """Returns the context of a request that arrives now."""
         now_s = asyncio.get_running_loop().time()
-        latency = self._latency_by_route.setdefault(
-            route.name, limits.RouteLatency(route.objective_s)
-        )
+        latency = self.latency_of(route)
         request = model.Request(
             b"%d" % next(self._request_numbers),
             b"GET" if route.idempotent else b"POST",
--- a/tests/test_routes_delegation.py
+++ b/tests/test_routes_delegation.py
@@ -82,7 +82,7 @@
     def close(self, reason: str = "") -> None:
         """Does nothing."""
 
-    keep_open = abort = close
+    keep_open = stop_keeping_open = abort = close
 
 
 def _sample_work_s(rng: random.Random) -> float:
@@ -169,7 +169,7 @@
         }
         ids = iter(list(pools) * 6)
         monkeypatch.setattr(
-            hubs_lib.http1, "Pool", lambda *args: pools[next(ids)]
+            hubs_lib.http1, "Pool", lambda *args, **_: pools[next(ids)]
         )
         entries = []
         for number in range(6):
@@ -177,7 +177,13 @@
             hubs = hubs_lib.Hubs(f"small-{number}", domain, _SMALL_MBPS)
             hubs.update(
                 [
-                    hubs_lib.Hub(name, "hub:1", name[4:], _LARGE_MBPS)
+                    hubs_lib.Hub(
+                        name,
+                        "hub:1",
+                        name[4:],
+                        _LARGE_MBPS,
+                        (hubs_lib.GATHERER,),
+                    )
                     for name in pools
                 ],
                 6,
@@ -230,8 +236,8 @@
         route = replicas_lib.route(shards=("s1", "s2"))
         same = replicas_lib.route(shards=("s1", "s2"))
         other = replicas_lib.route(shards=("s1", "s3"))
-        assert delegation.digest(route) == delegation.digest(same)
-        assert delegation.digest(route) != delegation.digest(other)
+        assert model.digest(route) == model.digest(same)
+        assert model.digest(route) != model.digest(other)
 
     def test_malformed_calls_are_refused(self):
         with pytest.raises(msgspec.MsgspecError):
--- a/tests/test_routes_hubs.py
+++ b/tests/test_routes_hubs.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from mallowloft.routes import fleet as fleet_lib
 from mallowloft.routes import hubs as hubs_lib
 from tests.support import replicas as replicas_lib
@@ -32,27 +34,57 @@
     ]
 
 
+def _holders(hubs, role: str) -> list[hubs_lib.Hub]:
+    return [hub for hub in hubs if role in hub.roles]
+
+
 class TestChooseHubs:
-    """Hubs are a few instances of each domain, preferably with large links."""
+    """Roles are held by a few instances, preferably with large links."""
 
-    def test_small_fleets_have_no_hubs(self):
-        assert hubs_lib.choose_hubs(_members(2, 1), _HUBS_ABOVE) == ()
+    def test_small_fleets_have_neither_readers_nor_gatherers(self):
+        hubs = hubs_lib.choose_hubs(_members(2, 1), _HUBS_ABOVE)
+        assert _holders(hubs, hubs_lib.READER) == []
+        assert _holders(hubs, hubs_lib.GATHERER) == []
 
-    def test_large_links_are_preferred(self):
+    def test_small_fleets_have_collectors_in_each_failure_domain(self):
+        hubs = hubs_lib.choose_hubs(_members(0, 2), _HUBS_ABOVE)
+        collectors = _holders(hubs, hubs_lib.COLLECTOR)
+        domains = [hub.failure_domain for hub in collectors]
+        assert domains == ["d1", "d1", "d2", "d2", "d3", "d3"]
+
+    def test_small_fleets_in_one_failure_domain_have_no_hubs(self):
+        assert hubs_lib.choose_hubs(_members(0, 7, ("d1",)), _HUBS_ABOVE) == ()
+
+    @pytest.mark.parametrize(
+        "role", [hubs_lib.READER, hubs_lib.GATHERER, hubs_lib.COLLECTOR]
+    )
+    def test_large_links_are_preferred(self, role):
         hubs = hubs_lib.choose_hubs(_members(18, 2), _HUBS_ABOVE)
-        assert len(hubs) == 6
-        assert {hub.link_mbps for hub in hubs} == {_LARGE_MBPS}
+        holders = _holders(hubs, role)
+        assert len(holders) == 6
+        assert {hub.link_mbps for hub in holders} == {_LARGE_MBPS}
 
     def test_a_failure_domain_without_large_links_has_hubs_too(self):
         members = _members(18, 2, ("d1",)) + _members(18, 0, ("d2",))
-        domains = [
-            hub.failure_domain
-            for hub in hubs_lib.choose_hubs(members, _HUBS_ABOVE)
-        ]
-        assert domains == ["d1", "d1", "d2", "d2"]
-
-    def test_number_of_hubs_per_domain_is_limited(self):
-        assert len(hubs_lib.choose_hubs(_members(0, 20), _HUBS_ABOVE)) == 12
+        hubs = hubs_lib.choose_hubs(members, _HUBS_ABOVE)
+        for role in (hubs_lib.READER, hubs_lib.GATHERER):
+            domains = [hub.failure_domain for hub in _holders(hubs, role)]
+            assert domains == ["d1", "d1", "d2", "d2"]
+
+    def test_readers_do_not_grow_with_the_fleet(self):
+        for size in (20, 60, 300):
+            hubs = hubs_lib.choose_hubs(_members(0, size), _HUBS_ABOVE)
+            assert len(_holders(hubs, hubs_lib.READER)) == 6
+
+    def test_gatherers_and_collectors_grow_with_the_failure_domain(self):
+        counts = []
+        for size in (20, 60, 215):
+            hubs = hubs_lib.choose_hubs(
+                _members(size - 18, 18, ("d1", "d2")), _HUBS_ABOVE
+            )
+            counts.append(len(_holders(hubs, hubs_lib.GATHERER)) // 2)
+            assert len(_holders(hubs, hubs_lib.COLLECTOR)) // 2 >= counts[-1]
+        assert counts == [2, 5, 18]
 
     def test_choice_is_independent_of_order(self):
         members = _members(18, 6)
@@ -60,6 +92,15 @@
             members, _HUBS_ABOVE
         ) == hubs_lib.choose_hubs(members[::-1], _HUBS_ABOVE)
 
+    @pytest.mark.parametrize(
+        "address", ["", "x", "127.0.0.1", "127.0.0.1:", ":1", "h:0", "h:70000"]
+    )
+    def test_malformed_addresses_are_recognized(self, address):
+        assert hubs_lib.split_address(address) is None
+
+    def test_address_is_split(self):
+        assert hubs_lib.split_address("[::1]:80") == ("::1", 80)
+
 
 def _hubs(instance: str, mbps: float, members) -> hubs_lib.Hubs:
     hubs = hubs_lib.Hubs(instance, "d1", mbps)
@@ -92,9 +133,9 @@
             small = _hubs("small-d1-0", _SMALL_MBPS, members)
             large = _hubs("large-d1-0", _LARGE_MBPS, members)
             assert small.should_gather(self._route())
-            assert not small.is_hub
+            assert not small.is_reader
             assert not large.should_gather(self._route())
-            assert large.is_hub
+            assert large.is_reader
             # A small link transfers two parts in time.
             assert not small.should_gather(self._route(2))
             small.close()
