Let instances that start together wait for readers and open connections slowly

Seeds took 1.2 s to name hubs, instances 0.5 s between reports.

Change: before its first listing an instance waits for a reader on the first start of the fleet, and 60 ms for the seeds after other starts. Connections ahead of requests are opened at a limited rate in random order, slowly until the hubs are known. Seeds count instances once no new one has reported for 0.4 s; instances report to all seeds at once until hubs are named. Until the count is known a usual fleet is assumed for 2 s, then a large one.

--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -81,6 +81,11 @@
         " seconds",
         0.002,
     )
+    first_start: bool = _setting(
+        "whether the whole fleet starts for the first time, so that an instance"
+        " may wait until the seeds name the readers of the source",
+        False,
+    )
     watch_s: Seconds = _setting(
         "how long a call to the source of routes waits for changes, seconds",
         2.0,
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -6,12 +6,14 @@
 from collections.abc import Iterable
 import dataclasses
 import functools
+import random
 from typing import TYPE_CHECKING
 
 from mallowloft.kernel import logs
 from mallowloft.membership import rendezvous
 from mallowloft.routes import health as health_lib
 from mallowloft.routes import model
+from mallowloft.routes import warming
 from mallowloft.upstream import http1
 from mallowloft.upstream import traffic as traffic_lib
 
@@ -70,6 +72,9 @@
     """The listed replicas.
 
     The source of the list calls `put` and `remove`.
+
+    Attributes:
+        warmer: Opens connections ahead of requests.
     """
 
     def __init__(
@@ -85,6 +90,7 @@
         self._failure_domain = failure_domain
         self._on_event = on_event
         self._open_pool = open_pool
+        self.warmer = warming.Warmer(random.Random(instance))
         self._traffic = traffic
         self.reach = reach
         self._entries_by_id: dict[str, ReplicaEntry] = {}
@@ -162,6 +168,7 @@
         entries.remove(entry)
         if not entries:
             del self._entries_by_service[entry.replica.service]
+        self.warmer.stop_keeping_open(entry.pool)
         entry.pool.close()
         self._choose_subset(entry.replica.service)
         _log.info(
@@ -244,6 +251,7 @@
 
     def close(self) -> None:
         """Closes all connections."""
+        self.warmer.close()
         for entry in self._entries_by_id.values():
             entry.pool.abort()
 
@@ -299,7 +307,7 @@
         if replica.cold_s:
             entry.health.set_cold(now_s + replica.cold_s)
         if replica.draining:
-            entry.pool.stop_keeping_open()
+            self.warmer.stop_keeping_open(entry.pool)
         self._choose_subset(replica.service)
 
     def _choose_subset(self, service: str) -> None:
@@ -321,9 +329,9 @@
                 and service in self._used_services
                 and service not in self._on_demand_services
             ):
-                entry.pool.keep_open()
+                self.warmer.keep_open(entry.pool)
             else:
-                entry.pool.stop_keeping_open()
+                self.warmer.stop_keeping_open(entry.pool)
 
     def _subset_order(self, entry: ReplicaEntry) -> tuple[bool, int]:
         weight = rendezvous.weight(self._instance, entry.replica.id)
--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -37,9 +37,18 @@
 _log = logs.get_logger("fleet")
 
 _PATH = "/v1/fleet"
-# Assumed while the number of instances is unknown; usual fleets have 7 or 8.
-_DEFAULT_INSTANCES = 8
-_STARTUP_REPORT_INTERVAL_S = 0.5
+# Assumed shortly after the start, while the number of instances is unknown;
+# usual fleets have 7 or 8. A request sends at most one extra attempt to a
+# shard. So even if hundreds of instances start together, the extra attempts of
+# this time are at most a fifth of the requests of a window of 10 s, which the
+# usual limit allows.
+_ASSUMED_INSTANCES = 8
+_MAX_ASSUMED_S = 2.0
+# Assumed after that time if no seed has answered, so that hundreds of instances
+# stay within the limits of the whole fleet.
+_MAX_ASSUMED_INSTANCES = 200
+_STARTUP_REPORT_INTERVAL_S = 0.25
+_STARTUP_CALL_TIMEOUT_S = 0.2
 _REPORT_INTERVAL_S = 2.0
 # In large fleets instances report less often, so that each seed answers at most
 # this many reports per second.
@@ -57,10 +66,12 @@
 # therefore report more often until they know them, but at most for this long
 # after their start.
 _STARTUP_S = 3.0
-# A seed does not know all instances until this long after its first report.
-# After a restart of the whole fleet, instances start within a second of each
-# other.
-_SEED_WARM_UP_S = 1.2
+# A seed that has started does not know all instances until no new one has
+# reported for this long, or until the longer time has passed. After a restart
+# of the whole fleet all report at once; after a restart of the seed alone, each
+# reports at its next interval.
+_SEED_SETTLE_S = 0.4
+_MAX_SEED_WARM_UP_S = 20.0
 # Instances without a report for this long are not named as hubs.
 _HUB_TIMEOUT_S = 2.5 * _REPORT_INTERVAL_S
 # Seeds name the hubs to instances of their own failure domain. An instance that
@@ -96,8 +107,7 @@
     """A seed's summary of the reports of all instances.
 
     Attributes:
-        instances: Number of instances, at least the default while the seed
-            warms up.
+        instances: Number of instances, 0 while the seed does not know it.
         suspects: Ids of replicas that several instances suspect.
         failure_domain: Failure domain of the seed.
         hub_digest: Digest of the hubs; empty if the seed does not name them.
@@ -142,20 +152,31 @@
     """
 
     def __init__(
-        self, failure_domain: str = "", hubs_above: float = 20
+        self,
+        failure_domain: str = "",
+        hubs_above: float = 20,
+        started_s: float = 0.0,
     ) -> None:
+        self._started_s = started_s
         self._failure_domain = failure_domain
         self._hubs_above = hubs_above
         self._reports_by_instance: dict[str, tuple[float, Report]] = {}
         self._received_counts: list[tuple[float, int]] = []
         self._choice: _Choice | None = None
         self._first_report_s: float | None = None
+        self._last_new_s = 0.0
+        self._settled = False
 
     def record_report(self, report: Report, now_s: float) -> Summary:
         """Records a report and returns a summary of all recent reports."""
         if self._first_report_s is None:
             self._first_report_s = now_s
-        warming_up = now_s - self._first_report_s < _SEED_WARM_UP_S
+        if report.instance not in self._reports_by_instance:
+            self._last_new_s = now_s
+        self._settled = self._settled or (
+            now_s - self._last_new_s >= _SEED_SETTLE_S
+            or now_s - self._first_report_s >= _MAX_SEED_WARM_UP_S
+        )
         self._reports_by_instance[report.instance] = (now_s, report)
         self._reports_by_instance = {
             instance: (reported_s, known)
@@ -178,11 +199,11 @@
         count = len(self._reports_by_instance)
         same_domain = report.failure_domain == self._failure_domain
         summary = Summary(
-            max(count, _DEFAULT_INSTANCES) if warming_up else count,
+            count if self._settled else 0,
             tuple(sorted(suspects)),
             self._failure_domain,
         )
-        if warming_up or not (same_domain or report.wants_hubs):
+        if not self._settled or not (same_domain or report.wants_hubs):
             return summary
         choice = self._choose_hubs(now_s)
         is_known = report.known_hubs == choice.digest
@@ -236,12 +257,13 @@
         ]
         self._received_counts.append((now_s, instances))
 
-    @property
-    def instances(self) -> int:
-        """Number of instances; a default before the first answer."""
-        if not self._received_counts:
-            return _DEFAULT_INSTANCES
-        return max(count for _, count in self._received_counts)
+    def instances(self, now_s: float) -> int:
+        """Returns the number of instances, an assumed one if it is unknown."""
+        if self._received_counts:
+            return max(count for _, count in self._received_counts)
+        if now_s - self._started_s < _MAX_ASSUMED_S:
+            return _ASSUMED_INSTANCES
+        return _MAX_ASSUMED_INSTANCES
 
 
 def _ignore_suspects(suspects: Iterable[str]) -> None:
@@ -274,7 +296,9 @@
         self._kernel = kernel
         settings = kernel.settings
         self._instance_registry = InstanceRegistry(
-            settings.failure_domain, settings.hubs_above
+            settings.failure_domain,
+            settings.hubs_above,
+            asyncio.get_running_loop().time(),
         )
         self._pools_by_seed: dict[str, http1.Pool] = {}
         self._listeners: list[Callable[[int], None]] = []
@@ -287,6 +311,7 @@
             self.traffic,
         )
         self._hub_digest = ""
+        self.seeds_answered = False
         self._hub_listeners: list[Callable[[], None]] = []
         self._hubs_received_s = -_HUB_LIST_MAX_AGE_S
         # Both are set by the plug-in `routes`.
@@ -308,7 +333,8 @@
     @property
     def instances(self) -> int:
         """Number of instances of the fleet."""
-        return self._instance_registry.instances
+        now_s = asyncio.get_running_loop().time()
+        return self._instance_registry.instances(now_s)
 
     def subscribe(self, listener: Callable[[int], None]) -> None:
         """Adds a listener that is called when the instance count changes."""
@@ -355,23 +381,43 @@
             "link_bytes": self.traffic.dump(),
         }
 
+    @property
+    def hubs_known(self) -> bool:
+        """Whether a seed has named the hubs, which may be none."""
+        return bool(self._hub_digest)
+
     async def _report_periodically(self) -> None:
-        loop = asyncio.get_running_loop()
-        startup_end_s = loop.time() + _STARTUP_S
-        delay_s = _STARTUP_REPORT_INTERVAL_S
+        await self._report_at_start()
+        # Limits change if no seed has answered until now.
+        self._notify_listeners()
         while True:
             seeds = self._list_seeds()
+            delay_s = max(
+                _REPORT_INTERVAL_S, self.instances / _MAX_REPORTS_PER_S
+            )
             for seed in seeds:
                 jitter = self._kernel.rng.uniform(0.8, 1.2)
                 await asyncio.sleep(delay_s * jitter / len(seeds))
-                await self._send_report(seed)
+                await self._send_report(seed, _CALL_TIMEOUT_S)
             if not seeds:
-                await asyncio.sleep(_REPORT_INTERVAL_S)
-            starting = loop.time() < startup_end_s and not self.hubs
-            interval_s = (
-                _STARTUP_REPORT_INTERVAL_S if starting else _REPORT_INTERVAL_S
+                await asyncio.sleep(delay_s)
+
+    async def _report_at_start(self) -> None:
+        """Reports to all seeds at once until one of them names the hubs."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + _STARTUP_S
+        while True:
+            await asyncio.gather(
+                *(
+                    self._send_report(seed, _STARTUP_CALL_TIMEOUT_S)
+                    for seed in self._list_seeds()
+                )
             )
-            delay_s = max(interval_s, self.instances / _MAX_REPORTS_PER_S)
+            self.seeds_answered = True
+            if self.hubs_known or loop.time() >= end_s:
+                return
+            jitter = self._kernel.rng.uniform(0.8, 1.2)
+            await asyncio.sleep(_STARTUP_REPORT_INTERVAL_S * jitter)
 
     def _list_seeds(self) -> list[str]:
         return [
@@ -380,7 +426,7 @@
             if item.strip()
         ]
 
-    async def _send_report(self, seed: str) -> None:
+    async def _send_report(self, seed: str, timeout_s: float) -> None:
         pool = self._pools_by_seed.get(seed)
         if pool is None:
             host, _, port = seed.rpartition(":")
@@ -406,7 +452,7 @@
             b"POST",
             _PATH,
             seed,
-            _CALL_TIMEOUT_S,
+            timeout_s,
             msgspec.msgpack.encode(report),
             purpose="report",
         )
@@ -426,23 +472,27 @@
     def _apply_summary(self, summary: Summary) -> None:
         before = self.instances
         now_s = asyncio.get_running_loop().time()
-        self._instance_registry.record_count(summary.instances, now_s)
+        if summary.instances:
+            self._instance_registry.record_count(summary.instances, now_s)
         self.mark_suspects(summary.suspects)
         if summary.hub_digest:
             self._hubs_received_s = now_s
         if summary.hubs is not None:
-            self._hub_digest = summary.hub_digest
-            self._apply_hubs(summary.hubs, summary.small_links)
+            self._apply_hubs(summary)
         if self.instances == before:
             return
         _log.info("fleet_changed", instances=self.instances, before=before)
+        self._notify_listeners()
+
+    def _notify_listeners(self) -> None:
         for listener in self._listeners:
             listener(self.instances)
 
-    def _apply_hubs(
-        self, hubs: tuple[hubs_lib.Hub, ...], small_links: int
-    ) -> None:
-        if not self.hubs.update(hubs, small_links):
+    def _apply_hubs(self, summary: Summary) -> None:
+        first = not self._hub_digest
+        self._hub_digest = summary.hub_digest
+        hubs, small_links = summary.hubs, summary.small_links
+        if not self.hubs.update(hubs, small_links) and not first:
             return
         _log.info(
             "hubs_changed",
--- a/src/mallowloft/routes/relaying.py
+++ b/src/mallowloft/routes/relaying.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+from typing import Protocol
 import urllib.parse
 
 import msgspec
@@ -34,6 +35,14 @@
 _CHECK_INTERVAL_S = 0.3
 # After a failure a hub is not called for this long.
 _AVOID_HUB_S = 2.0
+# The same before the first listing, when the hub may be starting too.
+_AVOID_HUB_AT_START_S = 0.3
+# When the whole fleet starts for the first time, no requests arrive yet, and an
+# instance waits this long for a reader. After other starts it waits only for
+# the first answers of the seeds, and at most for the shorter time.
+_MAX_FIRST_START_DELAY_S = 4.0
+_MAX_RESTART_DELAY_S = 0.06
+_STARTUP_POLL_S = 0.02
 _STATUS_CURRENT = 200
 _STATUS_HISTORY_LOST = 410
 _STATUS_NOT_CURRENT = 503
@@ -128,6 +137,45 @@
         return _STATUS_CURRENT, msgspec.msgpack.encode(changes)
 
 
+class Fleet(Protocol):
+    """What an instance knows about the fleet.
+
+    Attributes:
+        hubs: The hubs.
+        seeds_answered: Whether a seed has answered or none can be reached.
+        hubs_known: Whether a seed has named the hubs, which may be none.
+    """
+
+    hubs: hubs_lib.Hubs
+    seeds_answered: bool
+    hubs_known: bool
+
+
+def may_call_source(
+    since_start_s: float, first_start: bool, fleet: Fleet
+) -> bool:
+    """Whether an instance without a listing may call the source itself.
+
+    The load it answers: hundreds of instances that start at once, each of which
+    would read the whole listing, and instances that restart one after the
+    other in a fleet with readers.
+
+    Args:
+        since_start_s: Time since the instance started.
+        first_start: Whether the whole fleet starts for the first time.
+        fleet: What the instance knows about the fleet.
+    """
+    hubs = fleet.hubs
+    if hubs.is_reader or (fleet.hubs_known and not hubs.readers):
+        return True
+    if first_start:
+        return since_start_s >= _MAX_FIRST_START_DELAY_S
+    # Seeds that have started recently name no hubs: the whole fleet restarts.
+    return since_start_s >= _MAX_RESTART_DELAY_S or (
+        fleet.seeds_answered and not fleet.hubs_known
+    )
+
+
 class HubClient:
     """Client of the source that calls a hub instead if there is one.
 
@@ -137,9 +185,22 @@
         source_calls: Number of calls of the source; a listing counts as one.
     """
 
-    def __init__(self, source: following.Client, hubs: hubs_lib.Hubs) -> None:
+    def __init__(
+        self, source: following.Client, fleet: Fleet, first_start: bool = False
+    ) -> None:
+        """Creates a client.
+
+        Args:
+            source: Client of the source.
+            fleet: What the instance knows about the fleet.
+            first_start: Whether the whole fleet starts for the first time.
+        """
         self._source = source
-        self._hubs = hubs
+        self._fleet = fleet
+        self._hubs = fleet.hubs
+        self._first_start = first_start
+        self._started_s = asyncio.get_running_loop().time()
+        self._has_listing = False
         # The hub that answered last, the number of removals that it had
         # applied, and whether it delayed further ones.
         self._last_hub = ""
@@ -151,15 +212,28 @@
 
     async def read(self) -> result.Result[following.Batch, following.CallError]:
         """Returns all items."""
-        hub = self._choose_hub()
-        if hub is not None:
-            call_result = await self._call_hub(hub, -1, 0.0)
-            if call_result.is_ok():
-                return call_result
+        while True:
+            hub = self._choose_hub()
+            if hub is not None:
+                call_result = await self._call_hub(hub, -1, 0.0)
+                if call_result.is_ok():
+                    self._has_listing = True
+                    return call_result
+            if self._has_listing or self._may_call_source():
+                break
+            await asyncio.sleep(_STARTUP_POLL_S)
         self._last_hub = ""
         self._hub_delays_removals = False
         self.source_calls += 1
-        return await self._source.read()
+        listing = await self._source.read()
+        self._has_listing = self._has_listing or listing.is_ok()
+        return listing
+
+    def _may_call_source(self) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        return may_call_source(
+            now_s - self._started_s, self._first_start, self._fleet
+        )
 
     async def watch(
         self, after: int, wait_s: float
@@ -199,7 +273,8 @@
     ) -> result.Result[following.Batch, following.CallError]:
         """Avoids the hub for a while and returns the error of the call."""
         now_s = asyncio.get_running_loop().time()
-        self._avoided_until_by_hub[hub.replica.id] = now_s + _AVOID_HUB_S
+        avoid_s = _AVOID_HUB_S if self._has_listing else _AVOID_HUB_AT_START_S
+        self._avoided_until_by_hub[hub.replica.id] = now_s + avoid_s
         _log.info("hub_avoided", hub=hub.replica.id, reason=reason)
         return result.Err(following.CallError.UNREACHABLE)
 
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -315,6 +315,7 @@
         )
 
     def _on_hubs_changed(self) -> None:
+        self.directory.warmer.set_hubs_known()
         self._update_directory()
         self._update_limits(self._kernel.plugin("fleet").instances)
 
