--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -71,6 +71,21 @@
         " for the others and gather answers for instances with slow links",
         20,
     )
+    collect_above: NonNegativeNumber = _setting(
+        "number of shards of a request in another failure domain above which"
+        " their parts are collected by an instance there",
+        2,
+    )
+    caller_round_trip_s: NonNegativeNumber = _setting(
+        "round-trip time to callers whose connections have measured none,"
+        " seconds",
+        0.002,
+    )
+    first_start: bool = _setting(
+        "whether the whole fleet starts for the first time, so that an instance"
+        " may wait until the seeds name the readers of the source",
+        False,
+    )
     watch_s: Seconds = _setting(
         "how long a call to the source of routes waits for changes, seconds",
         2.0,
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -6,13 +6,16 @@
 from collections.abc import Iterable
 import dataclasses
 import functools
+import random
 from typing import TYPE_CHECKING
 
 from mallowloft.kernel import logs
 from mallowloft.membership import rendezvous
 from mallowloft.routes import health as health_lib
 from mallowloft.routes import model
+from mallowloft.routes import warming
 from mallowloft.upstream import http1
+from mallowloft.upstream import traffic as traffic_lib
 
 if TYPE_CHECKING:
     from mallowloft.routes import reach as reach_lib
@@ -69,6 +72,9 @@
     """The listed replicas.
 
     The source of the list calls `put` and `remove`.
+
+    Attributes:
+        warmer: Opens connections ahead of requests.
     """
 
     def __init__(
@@ -78,11 +84,14 @@
         on_event: Callable[[str], None],
         reach: "reach_lib.DomainReachability",
         open_pool: Callable[..., http1.Pool] = http1.Pool,
+        traffic: traffic_lib.Traffic | None = None,
     ) -> None:
         self._instance = instance
         self._failure_domain = failure_domain
         self._on_event = on_event
         self._open_pool = open_pool
+        self.warmer = warming.Warmer(random.Random(instance))
+        self._traffic = traffic
         self.reach = reach
         self._entries_by_id: dict[str, ReplicaEntry] = {}
         self._entries_by_service: dict[str, list[ReplicaEntry]] = {}
@@ -101,6 +110,10 @@
         """Returns the replicas of a service, including draining ones."""
         return self._entries_by_service.get(service, [])
 
+    def entry(self, replica_id: str) -> ReplicaEntry | None:
+        """Returns a listed replica, None if it is not listed."""
+        return self._entries_by_id.get(replica_id)
+
     def used_entries(self) -> list[ReplicaEntry]:
         """Returns the replicas of all services that the routes use."""
         return [
@@ -118,6 +131,7 @@
         if existing is not None:
             self.remove(replica.id, "started_again")
         now_s = asyncio.get_running_loop().time()
+        remote = replica.failure_domain != self._failure_domain
         entry = ReplicaEntry(
             replica,
             self._open_pool(
@@ -127,9 +141,10 @@
                 functools.partial(
                     self._on_connection_event, replica.failure_domain
                 ),
+                self._traffic.meter(remote) if self._traffic else None,
             ),
             health_lib.ReplicaHealth(now_s + replica.cold_s),
-            replica.failure_domain != self._failure_domain,
+            remote,
         )
         self._entries_by_id[replica.id] = entry
         self._entries_by_service.setdefault(replica.service, []).append(entry)
@@ -153,6 +168,7 @@
         entries.remove(entry)
         if not entries:
             del self._entries_by_service[entry.replica.service]
+        self.warmer.stop_keeping_open(entry.pool)
         entry.pool.close()
         self._choose_subset(entry.replica.service)
         _log.info(
@@ -235,6 +251,7 @@
 
     def close(self) -> None:
         """Closes all connections."""
+        self.warmer.close()
         for entry in self._entries_by_id.values():
             entry.pool.abort()
 
@@ -290,7 +307,7 @@
         if replica.cold_s:
             entry.health.set_cold(now_s + replica.cold_s)
         if replica.draining:
-            entry.pool.stop_keeping_open()
+            self.warmer.stop_keeping_open(entry.pool)
         self._choose_subset(replica.service)
 
     def _choose_subset(self, service: str) -> None:
@@ -312,9 +329,9 @@
                 and service in self._used_services
                 and service not in self._on_demand_services
             ):
-                entry.pool.keep_open()
+                self.warmer.keep_open(entry.pool)
             else:
-                entry.pool.stop_keeping_open()
+                self.warmer.stop_keeping_open(entry.pool)
 
     def _subset_order(self, entry: ReplicaEntry) -> tuple[bool, int]:
         weight = rendezvous.weight(self._instance, entry.replica.id)
--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -19,9 +19,11 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
 from typing import Any
 
 import msgspec
+import xxhash
 
 from mallowloft.callers import server as server_lib
 from mallowloft.kernel import lifecycle
@@ -30,13 +32,23 @@
 from mallowloft.routes import exchange as exchange_lib
 from mallowloft.routes import hubs as hubs_lib
 from mallowloft.upstream import http1
+from mallowloft.upstream import traffic as traffic_lib
 
 _log = logs.get_logger("fleet")
 
 _PATH = "/v1/fleet"
-# Assumed while the number of instances is unknown; usual fleets have 7 or 8.
-_DEFAULT_INSTANCES = 8
-_STARTUP_REPORT_INTERVAL_S = 0.5
+# Assumed shortly after the start, while the number of instances is unknown;
+# usual fleets have 7 or 8. A request sends at most one extra attempt to a
+# shard. So even if hundreds of instances start together, the extra attempts of
+# this time are at most a fifth of the requests of a window of 10 s, which the
+# usual limit allows.
+_ASSUMED_INSTANCES = 8
+_MAX_ASSUMED_S = 2.0
+# Assumed after that time if no seed has answered, so that hundreds of instances
+# stay within the limits of the whole fleet.
+_MAX_ASSUMED_INSTANCES = 200
+_STARTUP_REPORT_INTERVAL_S = 0.25
+_STARTUP_CALL_TIMEOUT_S = 0.2
 _REPORT_INTERVAL_S = 2.0
 # In large fleets instances report less often, so that each seed answers at most
 # this many reports per second.
@@ -54,10 +66,12 @@
 # therefore report more often until they know them, but at most for this long
 # after their start.
 _STARTUP_S = 3.0
-# A seed does not know all instances until this long after its first report.
-# After a restart of the whole fleet, instances start within a second of each
-# other.
-_SEED_WARM_UP_S = 1.2
+# A seed that has started does not know all instances until no new one has
+# reported for this long, or until the longer time has passed. After a restart
+# of the whole fleet all report at once; after a restart of the seed alone, each
+# reports at its next interval.
+_SEED_SETTLE_S = 0.4
+_MAX_SEED_WARM_UP_S = 20.0
 # Instances without a report for this long are not named as hubs.
 _HUB_TIMEOUT_S = 2.5 * _REPORT_INTERVAL_S
 # Seeds name the hubs to instances of their own failure domain. An instance that
@@ -69,7 +83,7 @@
 Application = Callable[..., Awaitable[None]]
 
 
-class Report(msgspec.Struct, frozen=True):
+class Report(msgspec.Struct, frozen=True, array_like=True):
     """An instance's report about itself and the replicas it suspects.
 
     Attributes:
@@ -77,6 +91,7 @@
         address: Host and port for other instances; empty if it cannot be a hub.
         link_mbps: Bandwidth of the instance's network link, 0 if unknown.
         wants_hubs: Whether a seed in any failure domain should name the hubs.
+        known_hubs: Digest of the hubs that the instance knows.
     """
 
     instance: str
@@ -85,28 +100,48 @@
     failure_domain: str = ""
     link_mbps: float = 0.0
     wants_hubs: bool = False
+    known_hubs: str = ""
 
 
-class Summary(msgspec.Struct, frozen=True):
+class Summary(msgspec.Struct, frozen=True, array_like=True):
     """A seed's summary of the reports of all instances.
 
     Attributes:
-        instances: Number of instances, at least the default while the seed
-            warms up.
+        instances: Number of instances, 0 while the seed does not know it.
         suspects: Ids of replicas that several instances suspect.
-        hubs: The hubs; None if the seed does not name them.
+        failure_domain: Failure domain of the seed.
+        hub_digest: Digest of the hubs; empty if the seed does not name them.
+        hubs: The hubs; None if the instance knows them or the seed does not
+            name them.
         small_links: Number of instances whose links are small compared with
             the largest.
     """
 
     instances: int
     suspects: tuple[str, ...] = ()
+    failure_domain: str = ""
+    hub_digest: str = ""
     hubs: tuple[hubs_lib.Hub, ...] | None = None
     small_links: int = 0
 
 
-_report_decoder = msgspec.json.Decoder(Report)
-_summary_decoder = msgspec.json.Decoder(Summary)
+_report_decoder = msgspec.msgpack.Decoder(Report)
+_summary_decoder = msgspec.msgpack.Decoder(Summary)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Choice:
+    """Hubs that a seed chose.
+
+    Attributes:
+        members: The instances among which they were chosen.
+        digest: Digest of the hubs and the number of small links.
+    """
+
+    members: tuple[hubs_lib.Hub, ...]
+    hubs: tuple[hubs_lib.Hub, ...]
+    small_links: int
+    digest: str
 
 
 class InstanceRegistry:
@@ -117,19 +152,31 @@
     """
 
     def __init__(
-        self, failure_domain: str = "", hubs_above: float = 20
+        self,
+        failure_domain: str = "",
+        hubs_above: float = 20,
+        started_s: float = 0.0,
     ) -> None:
+        self._started_s = started_s
         self._failure_domain = failure_domain
         self._hubs_above = hubs_above
         self._reports_by_instance: dict[str, tuple[float, Report]] = {}
         self._received_counts: list[tuple[float, int]] = []
+        self._choice: _Choice | None = None
         self._first_report_s: float | None = None
+        self._last_new_s = 0.0
+        self._settled = False
 
     def record_report(self, report: Report, now_s: float) -> Summary:
         """Records a report and returns a summary of all recent reports."""
         if self._first_report_s is None:
             self._first_report_s = now_s
-        warming_up = now_s - self._first_report_s < _SEED_WARM_UP_S
+        if report.instance not in self._reports_by_instance:
+            self._last_new_s = now_s
+        self._settled = self._settled or (
+            now_s - self._last_new_s >= _SEED_SETTLE_S
+            or now_s - self._first_report_s >= _MAX_SEED_WARM_UP_S
+        )
         self._reports_by_instance[report.instance] = (now_s, report)
         self._reports_by_instance = {
             instance: (reported_s, known)
@@ -151,12 +198,27 @@
         )
         count = len(self._reports_by_instance)
         same_domain = report.failure_domain == self._failure_domain
-        suspects = tuple(sorted(suspects))
-        if warming_up:
-            return Summary(max(count, _DEFAULT_INSTANCES), suspects)
-        if not same_domain and not report.wants_hubs:
-            return Summary(count, suspects)
+        summary = Summary(
+            count if self._settled else 0,
+            tuple(sorted(suspects)),
+            self._failure_domain,
+        )
+        if not self._settled or not (same_domain or report.wants_hubs):
+            return summary
+        choice = self._choose_hubs(now_s)
+        is_known = report.known_hubs == choice.digest
+        return msgspec.structs.replace(
+            summary,
+            hub_digest=choice.digest,
+            hubs=None if is_known else choice.hubs,
+            small_links=choice.small_links,
+        )
+
+    def _choose_hubs(self, now_s: float) -> _Choice:
+        """Returns the hubs, chosen again if the instances have changed."""
         members = self._members(now_s)
+        if self._choice is not None and self._choice.members == members:
+            return self._choice
         largest_mbps = max(
             (member.link_mbps for member in members), default=0.0
         )
@@ -164,15 +226,15 @@
             hubs_lib.has_small_link(member.link_mbps, largest_mbps)
             for member in members
         )
-        return Summary(
-            count,
-            suspects,
-            hubs_lib.choose_hubs(members, self._hubs_above),
-            small_links,
+        hubs = hubs_lib.choose_hubs(members, self._hubs_above)
+        encoded = msgspec.msgpack.encode((hubs, small_links))
+        self._choice = _Choice(
+            members, hubs, small_links, xxhash.xxh3_64_hexdigest(encoded)
         )
+        return self._choice
 
-    def _members(self, now_s: float) -> list[hubs_lib.Hub]:
-        return [
+    def _members(self, now_s: float) -> tuple[hubs_lib.Hub, ...]:
+        return tuple(
             hubs_lib.Hub(
                 known.instance,
                 known.address,
@@ -180,8 +242,9 @@
                 known.link_mbps,
             )
             for reported_s, known in self._reports_by_instance.values()
-            if known.address and reported_s > now_s - _HUB_TIMEOUT_S
-        ]
+            if reported_s > now_s - _HUB_TIMEOUT_S
+            and hubs_lib.split_address(known.address) is not None
+        )
 
     def record_count(self, instances: int, now_s: float) -> None:
         """Records the number of instances that a seed returned."""
@@ -194,12 +257,13 @@
         ]
         self._received_counts.append((now_s, instances))
 
-    @property
-    def instances(self) -> int:
-        """Number of instances; a default before the first answer."""
-        if not self._received_counts:
-            return _DEFAULT_INSTANCES
-        return max(count for _, count in self._received_counts)
+    def instances(self, now_s: float) -> int:
+        """Returns the number of instances, an assumed one if it is unknown."""
+        if self._received_counts:
+            return max(count for _, count in self._received_counts)
+        if now_s - self._started_s < _MAX_ASSUMED_S:
+            return _ASSUMED_INSTANCES
+        return _MAX_ASSUMED_INSTANCES
 
 
 def _ignore_suspects(suspects: Iterable[str]) -> None:
@@ -232,14 +296,22 @@
         self._kernel = kernel
         settings = kernel.settings
         self._instance_registry = InstanceRegistry(
-            settings.failure_domain, settings.hubs_above
+            settings.failure_domain,
+            settings.hubs_above,
+            asyncio.get_running_loop().time(),
         )
         self._pools_by_seed: dict[str, http1.Pool] = {}
         self._listeners: list[Callable[[int], None]] = []
         self._apps_by_path: dict[str, Application] = {_PATH: self._serve_report}
+        self.traffic = traffic_lib.Traffic(kernel.metrics)
         self.hubs = hubs_lib.Hubs(
-            settings.instance_id, settings.failure_domain, settings.link_mbps
+            settings.instance_id,
+            settings.failure_domain,
+            settings.link_mbps,
+            self.traffic,
         )
+        self._hub_digest = ""
+        self.seeds_answered = False
         self._hub_listeners: list[Callable[[], None]] = []
         self._hubs_received_s = -_HUB_LIST_MAX_AGE_S
         # Both are set by the plug-in `routes`.
@@ -261,7 +333,8 @@
     @property
     def instances(self) -> int:
         """Number of instances of the fleet."""
-        return self._instance_registry.instances
+        now_s = asyncio.get_running_loop().time()
+        return self._instance_registry.instances(now_s)
 
     def subscribe(self, listener: Callable[[int], None]) -> None:
         """Adds a listener that is called when the instance count changes."""
@@ -300,30 +373,51 @@
         return True
 
     def dump(self) -> dict[str, Any]:
-        """Returns the number of instances, the seeds and the hubs."""
+        """Returns the instance count, seeds, hubs and bytes on links."""
         return {
             "instances": self.instances,
             "seeds": self._kernel.settings.seeds,
             "hubs": self.hubs.dump(),
+            "link_bytes": self.traffic.dump(),
         }
 
+    @property
+    def hubs_known(self) -> bool:
+        """Whether a seed has named the hubs, which may be none."""
+        return bool(self._hub_digest)
+
     async def _report_periodically(self) -> None:
-        loop = asyncio.get_running_loop()
-        startup_end_s = loop.time() + _STARTUP_S
-        delay_s = _STARTUP_REPORT_INTERVAL_S
+        await self._report_at_start()
+        # Limits change if no seed has answered until now.
+        self._notify_listeners()
         while True:
             seeds = self._list_seeds()
+            delay_s = max(
+                _REPORT_INTERVAL_S, self.instances / _MAX_REPORTS_PER_S
+            )
             for seed in seeds:
                 jitter = self._kernel.rng.uniform(0.8, 1.2)
                 await asyncio.sleep(delay_s * jitter / len(seeds))
-                await self._send_report(seed)
+                await self._send_report(seed, _CALL_TIMEOUT_S)
             if not seeds:
-                await asyncio.sleep(_REPORT_INTERVAL_S)
-            starting = loop.time() < startup_end_s and not self.hubs
-            interval_s = (
-                _STARTUP_REPORT_INTERVAL_S if starting else _REPORT_INTERVAL_S
+                await asyncio.sleep(delay_s)
+
+    async def _report_at_start(self) -> None:
+        """Reports to all seeds at once until one of them names the hubs."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + _STARTUP_S
+        while True:
+            await asyncio.gather(
+                *(
+                    self._send_report(seed, _STARTUP_CALL_TIMEOUT_S)
+                    for seed in self._list_seeds()
+                )
             )
-            delay_s = max(interval_s, self.instances / _MAX_REPORTS_PER_S)
+            self.seeds_answered = True
+            if self.hubs_known or loop.time() >= end_s:
+                return
+            jitter = self._kernel.rng.uniform(0.8, 1.2)
+            await asyncio.sleep(_STARTUP_REPORT_INTERVAL_S * jitter)
 
     def _list_seeds(self) -> list[str]:
         return [
@@ -332,11 +426,14 @@
             if item.strip()
         ]
 
-    async def _send_report(self, seed: str) -> None:
+    async def _send_report(self, seed: str, timeout_s: float) -> None:
         pool = self._pools_by_seed.get(seed)
         if pool is None:
             host, _, port = seed.rpartition(":")
-            pool = http1.Pool(host.strip("[]"), int(port), 1)
+            # The failure domain of a seed is unknown until it has answered.
+            pool = http1.Pool(
+                host.strip("[]"), int(port), 1, meter=self.traffic.meter(True)
+            )
             self._pools_by_seed[seed] = pool
         settings = self._kernel.settings
         now_s = asyncio.get_running_loop().time()
@@ -348,14 +445,16 @@
             settings.failure_domain,
             settings.link_mbps,
             now_s - self._hubs_received_s > _HUB_LIST_MAX_AGE_S,
+            self._hub_digest,
         )
         response = await http1.send_request(
             pool,
             b"POST",
             _PATH,
             seed,
-            _CALL_TIMEOUT_S,
-            msgspec.json.encode(report),
+            timeout_s,
+            msgspec.msgpack.encode(report),
+            purpose="report",
         )
         if isinstance(response, http1.FailureReason) or response.status != 200:
             # The seed may have been removed for good; other seeds answer.
@@ -366,30 +465,40 @@
         except msgspec.MsgspecError as error:
             _log.warning("fleet_report_failed", seed=seed, reason=str(error))
             return
+        remote = summary.failure_domain != settings.failure_domain
+        pool.set_meter(self.traffic.meter(remote))
         self._apply_summary(summary)
 
     def _apply_summary(self, summary: Summary) -> None:
         before = self.instances
         now_s = asyncio.get_running_loop().time()
-        self._instance_registry.record_count(summary.instances, now_s)
+        if summary.instances:
+            self._instance_registry.record_count(summary.instances, now_s)
         self.mark_suspects(summary.suspects)
-        if summary.hubs is not None:
+        if summary.hub_digest:
             self._hubs_received_s = now_s
-            self._apply_hubs(summary.hubs, summary.small_links)
+        if summary.hubs is not None:
+            self._apply_hubs(summary)
         if self.instances == before:
             return
         _log.info("fleet_changed", instances=self.instances, before=before)
+        self._notify_listeners()
+
+    def _notify_listeners(self) -> None:
         for listener in self._listeners:
             listener(self.instances)
 
-    def _apply_hubs(
-        self, hubs: tuple[hubs_lib.Hub, ...], small_links: int
-    ) -> None:
-        if not self.hubs.update(hubs, small_links):
+    def _apply_hubs(self, summary: Summary) -> None:
+        first = not self._hub_digest
+        self._hub_digest = summary.hub_digest
+        hubs, small_links = summary.hubs, summary.small_links
+        if not self.hubs.update(hubs, small_links) and not first:
             return
         _log.info(
             "hubs_changed",
-            hubs=",".join(hub.instance for hub in hubs),
+            hubs=",".join(
+                f"{hub.instance}:{'+'.join(hub.roles)}" for hub in hubs
+            ),
             small_links=small_links,
         )
         for listener in self._hub_listeners:
@@ -408,7 +517,7 @@
         try:
             report = _report_decoder.decode(body)
         except msgspec.MsgspecError as error:
-            return 400, msgspec.json.encode({"error": str(error)})
+            return 400, str(error).encode()
         now_s = asyncio.get_running_loop().time()
         summary = self._instance_registry.record_report(report, now_s)
-        return 200, msgspec.json.encode(summary)
+        return 200, msgspec.msgpack.encode(summary)
--- a/tests/test_routes_delegation.py
+++ b/tests/test_routes_delegation.py
@@ -59,7 +59,7 @@
         exchange.interim_received = True
         request_context = dataclasses.replace(
             self._hub.create_request_context(self._route),
-            waited_s=call.waited_s,
+            answer_by_s=asyncio.get_running_loop().time() + call.answer_in_s,
         )
         task = gathering.ScatterGather(
             self._hub, request_context, call.repeated
@@ -75,10 +75,14 @@
             _HOP_DELAY_S, exchange.set_outcome, response
         )
 
+    def round_trip_s(self) -> float:
+        """Returns the round-trip time to the hub."""
+        return 2 * _HOP_DELAY_S
+
     def close(self, reason: str = "") -> None:
         """Does nothing."""
 
-    keep_open = abort = close
+    keep_open = stop_keeping_open = abort = close
 
 
 def _sample_work_s(rng: random.Random) -> float:
@@ -165,7 +169,7 @@
         }
         ids = iter(list(pools) * 6)
         monkeypatch.setattr(
-            hubs_lib.http1, "Pool", lambda *args: pools[next(ids)]
+            hubs_lib.http1, "Pool", lambda *args, **_: pools[next(ids)]
         )
         entries = []
         for number in range(6):
@@ -173,7 +177,13 @@
             hubs = hubs_lib.Hubs(f"small-{number}", domain, _SMALL_MBPS)
             hubs.update(
                 [
-                    hubs_lib.Hub(name, "hub:1", name[4:], _LARGE_MBPS)
+                    hubs_lib.Hub(
+                        name,
+                        "hub:1",
+                        name[4:],
+                        _LARGE_MBPS,
+                        (hubs_lib.GATHERER,),
+                    )
                     for name in pools
                 ],
                 6,
@@ -226,8 +236,8 @@
         route = replicas_lib.route(shards=("s1", "s2"))
         same = replicas_lib.route(shards=("s1", "s2"))
         other = replicas_lib.route(shards=("s1", "s3"))
-        assert delegation.digest(route) == delegation.digest(same)
-        assert delegation.digest(route) != delegation.digest(other)
+        assert model.digest(route) == model.digest(same)
+        assert model.digest(route) != model.digest(other)
 
     def test_malformed_calls_are_refused(self):
         with pytest.raises(msgspec.MsgspecError):
