Keep attempts within the route's limit when hubs acknowledge late

A hub whose acknowledgement was late had read the request, the next hub read it too, and each sent attempts; the first one could also send a hedge before it noticed that the sender had closed the connection.

Change: a request that is passed on carries how many attempts others may have sent. Hubs that were not acknowledged count one each; none is asked beyond the limit of the route. A hub sends hedges and retries only after the time limit for the acknowledgement and while the sender's connection is open. A hub that ends a request after acknowledging it counts with all attempts. Batches that are not acknowledged are cancelled at once with their request.

--- a/src/mallowloft/routes/batching.py
+++ b/src/mallowloft/routes/batching.py
@@ -489,7 +489,8 @@
             return
         if any(attempt.pending for attempt in self._owed.values()):
             return
-        if not self.sent:
+        if not self.sent or self.awaits_ack:
+            # The collector does not start a batch whose connection is closed.
             self._abandon()
             return
         self._abandon_timer = self._loop.call_later(
--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -49,8 +49,8 @@
         left_s: Time within which the hub must answer.
         answer_in_s: Time within which the hub must write the answer to meet the
             objective; the transfer to the hub is already deducted.
-        repeated: Whether another hub may already have sent the request to the
-            replicas.
+        previous_attempts: How many attempts for each shard other instances
+            may have sent already.
     """
 
     route: str
@@ -62,7 +62,7 @@
     body: bytes
     left_s: float
     answer_in_s: float
-    repeated: bool
+    previous_attempts: int
 
 
 class Gathered(msgspec.Struct, frozen=True, array_like=True):
@@ -85,6 +85,11 @@
 _gathered_decoder = msgspec.msgpack.Decoder(Gathered)
 
 
+def ack_timeout_s(route: model.Route) -> float:
+    """Returns the time within which a hub must acknowledge a request."""
+    return min(_ACK_TIMEOUT_S, _ACK_TIMEOUT_OBJECTIVE_SHARE * route.objective_s)
+
+
 def encode_answer(answer: model.Answer, isolated: bool) -> bytes:
     """Returns an answer encoded for the instance that passed the request."""
     gathered = Gathered(
@@ -144,14 +149,12 @@
         self._hubs = hubs
         self._latency = latency
         self._transfer_s = transfer_s
-        self._ack_timeout_s = min(
-            _ACK_TIMEOUT_S,
-            _ACK_TIMEOUT_OBJECTIVE_SHARE * request_context.route.objective_s,
-        )
+        self._ack_timeout_s = ack_timeout_s(request_context.route)
         self._tried: list[directory_lib.ReplicaEntry] = []
         self._in_flight: list[_Attempt] = []
         self._outcomes: list[str] = []
-        self._may_have_run = False
+        # Hubs that may have sent first attempts to the replicas.
+        self._previous_attempts = 0
         self._local_gathering: gathering.ScatterGather | None = None
 
     def start(self) -> None:
@@ -181,6 +184,9 @@
         if self._local_gathering is not None:
             return
         now_s = self._loop.time()
+        if self._previous_attempts >= self._route.max_attempts:
+            self._finish(model.failure(502, "hubs_failed"))
+            return
         entry = None
         if (
             len(self._tried) < _MAX_HUB_ATTEMPTS
@@ -220,7 +226,7 @@
 
     def _gather_locally(self) -> None:
         task = gathering.ScatterGather(
-            self._context, self._request_context, self._may_have_run
+            self._context, self._request_context, self._previous_attempts
         )
         self._local_gathering = task
         task.done.add_done_callback(self._on_gathered)
@@ -272,7 +278,7 @@
             request.body,
             max(0.0, left_s),
             max(0.0, answer_in_s),
-            self._may_have_run,
+            self._previous_attempts,
         )
         body = msgspec.msgpack.encode(call)
         return (
@@ -307,7 +313,13 @@
         self._record_reachability(entry, isinstance(outcome, http1.Response))
         if isinstance(outcome, http1.FailureReason):
             entry.health.record_failure(attempt, now_s)
-            self._may_have_run |= outcome is not http1.FailureReason.UNSENT
+            if outcome is not http1.FailureReason.UNSENT:
+                # A hub that has acknowledged may also have sent hedges.
+                self._previous_attempts += (
+                    self._route.max_attempts
+                    if attempt.exchange.interim_received
+                    else 1
+                )
             self._record_outcome(attempt, outcome.value)
             return None
         if outcome.status != 200:
@@ -319,7 +331,7 @@
             gathered = _gathered_decoder.decode(outcome.body)
         except msgspec.MsgspecError as error:
             entry.health.record_failure(attempt, now_s)
-            self._may_have_run = True
+            self._previous_attempts += self._route.max_attempts
             self._record_outcome(attempt, f"malformed ({error})")
             return None
         entry.health.record_reply(attempt, now_s)
@@ -377,14 +389,15 @@
     def _fail_unacknowledged(self, attempt: _Attempt, now_s: float) -> None:
         """Cancels an attempt that the hub has not acknowledged in time.
 
-        If the hub reads the request later, it finds the connection closed. An
-        acknowledged attempt is never cancelled here: the hub may have used all
-        attempts that the route allows, so the replicas could not be asked
-        again.
+        If the hub reads the request later, it finds the connection closed; if
+        it has read it, it sends only first attempts until the time limit for
+        the acknowledgement has passed (`ack_timeout_s`). An acknowledged
+        attempt is never cancelled here: the hub may have used all attempts
+        that the route allows, so the replicas could not be asked again.
         """
         self._record_outcome(attempt, "not_acknowledged")
         self._in_flight.remove(attempt)
-        self._may_have_run |= attempt.exchange.sent
+        self._previous_attempts += attempt.exchange.sent
         attempt.fail(now_s)
         self._record_reachability(attempt.entry, False)
         if not self._in_flight:
--- a/src/mallowloft/routes/exchange.py
+++ b/src/mallowloft/routes/exchange.py
@@ -53,6 +53,14 @@
             connection.reused,
         )
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is not known to be closed."""
+        connection = self.scope.get("extensions", {}).get(
+            server_lib.CONNECTION_EXTENSION
+        )
+        return connection is None or not connection.transport.is_closing()
+
     async def read_body(self, limit: int) -> bytes | None:
         """Returns the body, None if it exceeds the limit in bytes.
 
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 import dataclasses
 import math
+from typing import Protocol
 
 from mallowloft.routes import attempts as attempts_lib
 from mallowloft.routes import batching
@@ -50,6 +51,20 @@
     failure: str = ""
 
 
+class ExtraGuard(Protocol):
+    """Decides whether a request that was passed on still may be extended.
+
+    Its sender cancels it and asks another instance if it is not acknowledged
+    in time. Until then this instance sends only the first attempt for a shard,
+    so that the attempts of all instances stay within the limit of the route.
+    """
+
+    allowed_from_s: float
+
+    def allows_extra(self) -> bool:
+        """Whether hedges and retries may be sent now."""
+
+
 class ScatterGather(running.RequestTask):
     """Queries one replica of each shard and merges the parts.
 
@@ -60,20 +75,23 @@
         self,
         context: running.Context,
         request_context: running.RequestContext,
-        repeated: bool = False,
+        previous_attempts: int = 0,
+        extra_guard: ExtraGuard | None = None,
     ) -> None:
         """Creates a scatter-gather request that has not been started.
 
         Args:
             context: Parts of the service that all running requests share.
             request_context: The request.
-            repeated: Whether another instance may have queried the replicas
-                already, so that first attempts also take a token for an
-                extra attempt.
+            previous_attempts: How many attempts for each shard other instances
+                may have sent already. If there are any, first attempts also
+                take a token for an extra attempt.
+            extra_guard: Decides when hedges and retries may be sent; by
+                default always.
         """
         super().__init__(context, request_context)
-        self._repeated = repeated
-        previous_attempts = 1 if repeated else 0
+        self._repeated = previous_attempts > 0
+        self._extra_guard = extra_guard
         self._max_attempts = max(
             1, request_context.route.max_attempts - previous_attempts
         )
@@ -197,7 +215,7 @@
             context.batch_overheads,
         )
         self._batches.append(batch)
-        hedge_due_s = (
+        hedge_due_s = self._earliest_hedge_s(
             now_s
             + self._hedge_delay_s
             + context.batch_overheads.overhead_s(
@@ -219,6 +237,12 @@
             latency.median_s,
         )
 
+    def _earliest_hedge_s(self, due_s: float) -> float:
+        """Returns the time of a hedge, which the guard may postpone."""
+        if self._extra_guard is None:
+            return due_s
+        return max(due_s, self._extra_guard.allowed_from_s)
+
     def on_group(self, group: batching.Group) -> None:
         """Takes parts that a collector merged.
 
@@ -273,7 +297,7 @@
         now_s: float,
     ) -> None:
         shard.tried.append(entry)
-        shard.hedge_due_s = now_s + self._hedge_delay_s
+        shard.hedge_due_s = self._earliest_hedge_s(now_s + self._hedge_delay_s)
         self.sent += 1
         attempt = self._context.sender.start(
             entry,
@@ -327,6 +351,10 @@
     ) -> directory_lib.ReplicaEntry | None:
         if len(shard.tried) >= self._max_attempts:
             return None
+        if self._extra_guard is not None and (
+            not self._extra_guard.allows_extra()
+        ):
+            return None
         entries = self._context.directory.entries(shard.service)
         return self._context.selector.choose(
             entries, now_s, shard.tried, healthy_only
--- a/src/mallowloft/routes/hub_server.py
+++ b/src/mallowloft/routes/hub_server.py
@@ -25,6 +25,9 @@
 # Timeout of the call that reads a hub's state. A round trip within a failure
 # domain takes less than a tenth of this time.
 _STATE_TIMEOUT_S = 0.2
+# Time within which this instance detects that a sender has closed its
+# connection after the time limit for the acknowledgement.
+_CLOSE_DELAY_S = 0.003
 # Maximum size of a call. Assumes that the limit on callers' bodies stays below
 # it, so that there is room for the other fields of the call.
 _MAX_CALL_BYTES = 16 << 20
@@ -51,6 +54,26 @@
     return hubs.isolated_hub is not None
 
 
+class _SenderGuard:
+    """Allows extra attempts while the sender of a request waits for it.
+
+    Attributes:
+        allowed_from_s: Loop time until which the sender may still cancel the
+            request because it has no acknowledgement.
+    """
+
+    def __init__(
+        self, exchange: exchange_lib.ServerExchange, allowed_from_s: float
+    ) -> None:
+        self._exchange = exchange
+        self.allowed_from_s = allowed_from_s
+
+    def allows_extra(self) -> bool:
+        """Whether the time has passed and the connection is still open."""
+        now_s = asyncio.get_running_loop().time()
+        return now_s >= self.allowed_from_s and self._exchange.is_open
+
+
 @registry.plugins.register("hub_server")
 class HubServer:
     """Gathers answers for other instances with the plug-in `routes`."""
@@ -119,7 +142,11 @@
         task = gathering.ScatterGather(
             routes,
             self._create_request_context(call, route, started_s),
-            call.repeated,
+            call.previous_attempts,
+            _SenderGuard(
+                exchange,
+                started_s + delegation.ack_timeout_s(route) + _CLOSE_DELAY_S,
+            ),
         )
         fields = {"route": route.name, "version": routes.version}
         try:
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -22,6 +22,8 @@
 from mallowloft.upstream import http1
 
 NAMES = model.HeaderNames()
+# Numbers of the requests of all simulated instances.
+_request_numbers = itertools.count()
 DOMAINS = ("d1", "d2", "d3")
 # One-way network delays within and between failure domains.
 _LOCAL_DELAY_S = 0.0002
@@ -75,11 +77,13 @@
 
     def __post_init__(self) -> None:
         self._queue: list[tuple[http1.Exchange, float]] = []
+        self.request_ids: list[bytes] = []
         self._phase_s = self.rng.random() * min(self.pause_every_s, 60.0)
 
     def receive(self, exchange: http1.Exchange, delay_s: float) -> None:
         """Receives a request from the network."""
         self.arrivals += 1
+        self.request_ids.append(exchange.id)
         if self.unresponsive(asyncio.get_running_loop().time()):
             return
         self._queue.append((exchange, delay_s))
@@ -216,7 +220,6 @@
         self._limit = limits.ExtraAttemptLimit.for_instance(0.2, 54, 10.0, 7)
         self._extra_by_service: dict[str, limits.ExtraAttemptBucket] = {}
         self._latency_by_route: dict[str, limits.RouteLatency] = {}
-        self._request_numbers = itertools.count()
 
     def _open_pool(self, replica: Replica, domain: str) -> Pool:
         return Pool(replica, replica.domain == domain, self._link)
@@ -260,13 +263,18 @@
         return await task.done
 
     def create_request_context(
-        self, route: model.Route
+        self, route: model.Route, request_id: bytes = b""
     ) -> running.RequestContext:
-        """Returns the context of a request that arrives now."""
+        """Returns the context of a request that arrives now.
+
+        Args:
+            route: Its route.
+            request_id: Its id; a new one if it is not given.
+        """
         now_s = asyncio.get_running_loop().time()
         latency = self.latency_of(route)
         request = model.Request(
-            b"%d" % next(self._request_numbers),
+            request_id or b"%d" % next(_request_numbers),
             b"GET" if route.idempotent else b"POST",
             b"/",
             (),
--- a/tests/test_routes_delegation.py
+++ b/tests/test_routes_delegation.py
@@ -1,7 +1,9 @@
 """Answers to callers of instances with small links, with and without hubs."""
 
 import asyncio
+import collections
 import dataclasses
+import math
 import random
 
 import msgspec
@@ -30,8 +32,37 @@
 _WARM_UP_S = 1.0
 
 
+class _HubCall:
+    """One call of a simulated hub; the connection of its exchange."""
+
+    def __init__(self) -> None:
+        self.task: gathering.ScatterGather | None = None
+        self.is_open = True
+        self.allowed_from_s = math.inf
+
+    def allows_extra(self) -> bool:
+        """Whether the hub may send hedges and retries."""
+        now_s = asyncio.get_running_loop().time()
+        return self.is_open and now_s >= self.allowed_from_s
+
+    def close(self, reason: str) -> None:
+        """Closes the connection; the hub cancels its work a hop later."""
+        del reason
+        asyncio.get_running_loop().call_later(_HOP_DELAY_S, self._on_closed)
+
+    def _on_closed(self) -> None:
+        self.is_open = False
+        if self.task is not None:
+            self.task.cancel()
+
+
 class _HubPool:
-    """A connection pool whose hub is simulated."""
+    """A connection pool whose hub is simulated.
+
+    Attributes:
+        frozen: Whether the hub neither reads nor answers.
+        ack_delay_s: Additional delay of acknowledgements.
+    """
 
     max_connections = 8
     open_count = 1
@@ -40,12 +71,13 @@
     def __init__(self, hub: replicas_lib.Instance, route: model.Route) -> None:
         self.address = "hub:1"
         self.frozen = False
+        self.ack_delay_s = 0.0
         self._hub = hub
         self._route = route
 
     def submit(self, exchange: http1.Exchange) -> None:
         """Passes a request on to the hub."""
-        exchange.connection = self
+        exchange.connection = _HubCall()
         body = exchange.wire.partition(b"\r\n\r\n")[2]
         call = delegation.call_decoder.decode(body)
         loop = asyncio.get_running_loop()
@@ -56,24 +88,31 @@
     async def _serve(self, exchange, call: delegation.Call) -> None:
         if self.frozen or exchange.done:
             return
-        exchange.interim_received = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            self.ack_delay_s, setattr, exchange, "interim_received", True
+        )
+        hub_call = exchange.connection
+        hub_call.allowed_from_s = (
+            loop.time() + delegation.ack_timeout_s(self._route) + 0.003
+        )
         request_context = dataclasses.replace(
-            self._hub.create_request_context(self._route),
+            self._hub.create_request_context(self._route, call.id),
             answer_by_s=asyncio.get_running_loop().time() + call.answer_in_s,
         )
         task = gathering.ScatterGather(
-            self._hub, request_context, call.repeated
+            self._hub, request_context, call.previous_attempts, hub_call
         )
+        hub_call.task = task
         task.start()
-        answer = await task.done
-        if self.frozen:
+        await asyncio.wait([task.done])
+        if self.frozen or task.done.cancelled():
             return
+        answer = task.done.result()
         response = http1.Response(
             200, (), delegation.encode_answer(answer, False)
         )
-        asyncio.get_running_loop().call_later(
-            _HOP_DELAY_S, exchange.set_outcome, response
-        )
+        loop.call_later(_HOP_DELAY_S, exchange.set_outcome, response)
 
     def round_trip_s(self) -> float:
         """Returns the round-trip time to the hub."""
@@ -115,11 +154,13 @@
         failed: Number of failed queries.
         extra_share: Attempts beyond the first of each part, as a share of the
             first attempts.
+        most_attempts: Largest number of attempts for one shard of a query.
     """
 
     scores: list[float]
     failed: int = 0
     extra_share: float = 0.0
+    most_attempts: int = 0
 
     @property
     def mean_score(self) -> float:
@@ -127,7 +168,9 @@
         return sum(self.scores) / len(self.scores)
 
 
-def _simulate(monkeypatch, with_hubs: bool, freeze_s=(0.0, 0.0)) -> _Outcome:
+def _simulate(
+    monkeypatch, with_hubs: bool, freeze_s=(0.0, 0.0), ack_delay_s: float = 0.0
+) -> _Outcome:
     """Simulates six instances with small links and a hub in each domain."""
     rng = random.Random(7)
     replicas = _replicas(rng)
@@ -167,6 +210,8 @@
             f"hub-{domain}": _HubPool(instance(domain, _LARGE_MBPS), route)
             for domain in replicas_lib.DOMAINS
         }
+        for pool in pools.values():
+            pool.ack_delay_s = ack_delay_s
         ids = iter(list(pools) * 6)
         monkeypatch.setattr(
             hubs_lib.http1, "Pool", lambda *args, **_: pools[next(ids)]
@@ -203,6 +248,12 @@
         first_attempts = len(queries) * _SHARDS
         arrivals = sum(replica.arrivals for replica in replicas)
         outcome.extra_share = arrivals / first_attempts - 1
+        attempts = collections.Counter(
+            (exchange_id, replica.service)
+            for replica in replicas
+            for exchange_id in replica.request_ids
+        )
+        outcome.most_attempts = max(attempts.values())
 
     virtual.run(main())
     return outcome
@@ -228,6 +279,17 @@
         assert outcome.mean_score >= 0.95
         assert outcome.extra_share <= 0.2
 
+    @pytest.mark.parametrize("ack_delay_s", [0.0, 0.015, 0.021, 0.1])
+    def test_late_acknowledgements_do_not_exceed_the_attempts_of_the_route(
+        self, monkeypatch, ack_delay_s
+    ):
+        # Guards against hubs that run a request although its sender has asked
+        # the next one, because their acknowledgement was late.
+        outcome = _simulate(
+            monkeypatch, with_hubs=True, ack_delay_s=ack_delay_s
+        )
+        assert outcome.most_attempts <= replicas_lib.route().max_attempts
+
 
 class TestCall:
     """Calls between instances: digest of the route, malformed calls."""
