--- a/src/mallowloft/routes/batching.py
+++ b/src/mallowloft/routes/batching.py
@@ -26,6 +26,7 @@
 from mallowloft.kernel import quantile
 from mallowloft.routes import attempts as attempts_lib
 from mallowloft.routes import directory as directory_lib
+from mallowloft.routes import message_types
 from mallowloft.routes import model
 from mallowloft.routes import reach as reach_lib
 from mallowloft.upstream import http1
@@ -71,16 +72,16 @@
         replicas: The shards' positions in the route and the replicas' ids.
     """
 
-    route: str
-    digest: str
+    route: message_types.Name
+    digest: message_types.Name
     id: bytes
     method: bytes
     target: bytes
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
-    left_s: float
-    first_reply_s: float
-    replicas: tuple[tuple[int, str], ...]
+    left_s: message_types.Seconds
+    first_reply_s: message_types.Seconds
+    replicas: tuple[tuple[message_types.Count, message_types.Name], ...]
 
 
 class FailedAttempt(msgspec.Struct, frozen=True, array_like=True):
@@ -93,9 +94,9 @@
         not_run: Whether the replica states that it did not run the request.
     """
 
-    position: int
+    position: message_types.Count
     failure: str
-    status: int = 0
+    status: message_types.Count = 0
     not_run: bool = False
 
 
@@ -111,10 +112,10 @@
         failed: The attempts that gave none.
     """
 
-    positions: tuple[int, ...]
+    positions: tuple[message_types.Count, ...]
     signatures: tuple[bytes, ...]
-    durations_us: tuple[int, ...]
-    waiting: tuple[int, ...]
+    durations_us: tuple[message_types.Count, ...]
+    waiting: tuple[message_types.Count, ...]
     records: bytes
     failed: tuple[FailedAttempt, ...]
 
--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -18,6 +18,7 @@
 from mallowloft.routes import gathering
 from mallowloft.routes import hubs as hubs_lib
 from mallowloft.routes import limits
+from mallowloft.routes import message_types
 from mallowloft.routes import model
 from mallowloft.routes import reach
 from mallowloft.routes import running
@@ -53,16 +54,16 @@
             may have sent already.
     """
 
-    route: str
-    digest: str
+    route: message_types.Name
+    digest: message_types.Name
     id: bytes
     method: bytes
     target: bytes
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
-    left_s: float
-    answer_in_s: float
-    previous_attempts: int
+    left_s: message_types.Seconds
+    answer_in_s: message_types.Seconds
+    previous_attempts: message_types.Attempts
 
 
 class Gathered(msgspec.Struct, frozen=True, array_like=True):
--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -31,6 +31,7 @@
 from mallowloft.kernel import registry
 from mallowloft.routes import exchange as exchange_lib
 from mallowloft.routes import hubs as hubs_lib
+from mallowloft.routes import message_types
 from mallowloft.upstream import http1
 from mallowloft.upstream import traffic as traffic_lib
 
@@ -57,6 +58,8 @@
 # Instances are counted for this long after their last report, because one that
 # is cut off for seconds still uses its part of the limits.
 _RETENTION_S = 30.0
+# Reports of further instances are not stored.
+_MAX_INSTANCES = 20_000
 # A replica is suspect if at least this many instances report it; a single
 # reporter may have a faulty link of its own.
 _MIN_REPORTERS = 2
@@ -94,13 +97,13 @@
         known_hubs: Digest of the hubs that the instance knows.
     """
 
-    instance: str
-    suspects: tuple[str, ...] = ()
-    address: str = ""
-    failure_domain: str = ""
-    link_mbps: float = 0.0
+    instance: message_types.Name
+    suspects: message_types.Names = ()
+    address: message_types.Name = ""
+    failure_domain: message_types.Name = ""
+    link_mbps: message_types.Mbps = 0.0
     wants_hubs: bool = False
-    known_hubs: str = ""
+    known_hubs: message_types.Name = ""
 
 
 class Summary(msgspec.Struct, frozen=True, array_like=True):
@@ -117,12 +120,12 @@
             the largest.
     """
 
-    instances: int
-    suspects: tuple[str, ...] = ()
-    failure_domain: str = ""
-    hub_digest: str = ""
+    instances: message_types.Count
+    suspects: message_types.Names = ()
+    failure_domain: message_types.Name = ""
+    hub_digest: message_types.Name = ""
     hubs: tuple[hubs_lib.Hub, ...] | None = None
-    small_links: int = 0
+    small_links: message_types.Count = 0
 
 
 _report_decoder = msgspec.msgpack.Decoder(Report)
@@ -172,6 +175,8 @@
         if self._first_report_s is None:
             self._first_report_s = now_s
         if report.instance not in self._reports_by_instance:
+            if len(self._reports_by_instance) >= _MAX_INSTANCES:
+                return Summary(len(self._reports_by_instance))
             self._last_new_s = now_s
         self._settled = self._settled or (
             now_s - self._last_new_s >= _SEED_SETTLE_S
--- a/src/mallowloft/routes/health.py
+++ b/src/mallowloft/routes/health.py
@@ -32,7 +32,7 @@
 # Replicas with a higher estimate are reported to other instances as suspects.
 _SUSPECT_SLOWNESS = 2.5
 # A replica stays suspected for this long after a report of other instances,
-# unless this instance recently recorded a reply or a late attempt.
+# unless this instance recently recorded a reply.
 _SUSPECTED_S = 3.0
 _RECENT_SAMPLE_S = 1.0
 # Costs for replica selection, as multiples of the median duration.
@@ -66,6 +66,7 @@
         "_ejected_until_s",
         "_failures",
         "_pending",
+        "_replied_s",
         "_updated_s",
         "_slowness",
         "_suspected_until_s",
@@ -75,6 +76,7 @@
     def __init__(self, cold_until_s: float = -math.inf) -> None:
         self._slowness = 1.0
         self._updated_s = 0.0
+        self._replied_s = -math.inf
         self._failures = 0
         self._ejected_until_s = -math.inf
         self._cold_until_s = cold_until_s
@@ -123,6 +125,7 @@
         """
         self._failures = 0
         self._ejected_until_s = -math.inf
+        self._replied_s = now_s
         pending = self._pending.pop(attempt, None)
         if pending is None:
             return
@@ -204,12 +207,11 @@
     def suspected_by_others(self, now_s: float) -> bool:
         """Whether other instances suspect the replica.
 
-        A reply or a late attempt that this instance recorded recently
-        overrides their report.
+        A reply that this instance recorded recently overrides their report.
         """
         if now_s >= self._suspected_until_s:
             return False
-        return now_s - self._updated_s > _RECENT_SAMPLE_S
+        return now_s - self._replied_s > _RECENT_SAMPLE_S
 
     def cold(self, now_s: float) -> bool:
         """Whether the replica is still slow because it started recently."""
--- a/src/mallowloft/routes/hubs.py
+++ b/src/mallowloft/routes/hubs.py
@@ -19,6 +19,7 @@
 from mallowloft.membership import rendezvous
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import health as health_lib
+from mallowloft.routes import message_types
 from mallowloft.routes import model
 from mallowloft.upstream import http1
 from mallowloft.upstream import traffic as traffic_lib
@@ -58,11 +59,11 @@
         roles: Names of the roles that it holds.
     """
 
-    instance: str
-    address: str
-    failure_domain: str
-    link_mbps: float
-    roles: tuple[str, ...] = ()
+    instance: message_types.Name
+    address: message_types.Name
+    failure_domain: message_types.Name
+    link_mbps: message_types.Mbps
+    roles: message_types.Names = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/mallowloft/routes/relaying.py
+++ b/src/mallowloft/routes/relaying.py
@@ -85,11 +85,15 @@
     async def serve(self, scope, receive, send) -> None:
         """Serves a call of `HubClient` as an ASGI application."""
         exchange = exchange_lib.ServerExchange(scope, receive, send)
-        await exchange.read_body(0)
+        try:
+            await exchange.read_body(0)
+        except exchange_lib.CallerLeftError:
+            _log.debug("call_abandoned")
+            return
         try:
             query = _parse_query(scope)
             after, removals = query["after"], query["removals"]
-            wait_s = query["wait_ms"] / 1000
+            wait_s = min(max(0, query["wait_ms"]) / 1000, _MAX_WAIT_S)
         except (KeyError, ValueError) as error:
             _log.warning("call_malformed", reason=str(error))
             await exchange_lib.respond(send, 400, b"malformed")
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -130,6 +130,11 @@
 
     def _replica_answer(self, reply: model.Reply) -> model.Answer:
         headers = attempts_lib.end_to_end_headers(reply.headers, frozenset())
+        if not self._request_context.outgoing.has_reply_body:
+            # The length of the body that a GET request would get.
+            headers += tuple(
+                item for item in reply.headers if item[0] == b"content-length"
+            )
         return model.Answer(reply.status, headers, reply.body)
 
     def _schedule_timer(self) -> None:
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -41,11 +41,12 @@
 _REOPEN_BACKOFF_S = 0.1
 _REOPEN_BACKOFF_MAX_S = 0.5
 # A replica that is at its connection limit closes a new connection at once. A
-# connection that either side closes within this time, and without a response,
+# connection that the server closes within this time, and without a response,
 # counts as such a case. The backoff then doubles in the same way, up to a
 # longer maximum.
 _EARLY_CLOSE_S = 0.3
 _EARLY_CLOSE_BACKOFF_MAX_S = 4.0
+_FAILING_EXPIRY_S = 2.0
 _MAX_RESPONSE_BYTES = 64 << 20
 
 # Events that a pool passes to its `on_event` callback. Their values are metric
@@ -65,6 +66,8 @@
     UNSENT = "unsent"
     BROKEN = "broken"
     MALFORMED = "malformed"
+    # Only results of `send_request`.
+    TIMED_OUT = "timed_out"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -198,6 +201,7 @@
         self._idle_timeout_s = _DEFAULT_IDLE_TIMEOUT_S
         self.opened_s = pool.now()
         self.response_received = False
+        self.closed_by_server = False
         self.idle_deadline_s = 0.0
         self.closed = False
 
@@ -275,6 +279,7 @@
         if self.closed:
             return
         self.closed = True
+        self.closed_by_server = True
         self._fail_exchange(
             FailureReason.BROKEN, type(error).__name__ if error else "eof"
         )
@@ -320,8 +325,7 @@
         """Stores a part of the response body, up to the size limit.
 
         The rest of a larger body is discarded, and the exchange fails as
-        MALFORMED. If the read that exceeds the limit also completes the
-        response, the response is delivered with the truncated body instead.
+        MALFORMED.
         """
         if self._streams_body:
             self._streamed.append(body)
@@ -368,10 +372,11 @@
             self._exchange.on_data(data)
 
     def _deliver_response(self) -> None:
+        if self._body_size > _MAX_RESPONSE_BYTES:
+            self._fail_malformed()
+            return
         response = self._response
         if response is None:
-            if self._body_size > _MAX_RESPONSE_BYTES:
-                self._fail_malformed()
             return
         self.response_received = True
         self._update_idle_timeout(response)
@@ -444,6 +449,7 @@
         self._arrival_numbers = itertools.count()
         self._connect_failures = 0
         self._early_closes = 0
+        self._failed_s = 0.0
         self._keeps_one_open = False
         self._reopen_timer: asyncio.TimerHandle | None = None
         self._closing = False
@@ -458,10 +464,14 @@
         """Whether no connection is open after failed attempts or early closes.
 
         Failed connection attempts count only in a pool that is set to keep a
-        connection open; early closes always count.
+        connection open. A pool that is not, and makes no further attempt, is
+        `failing` only for a while, because it would not detect a recovery.
         """
+        if self._open or not self._connect_failures + self._early_closes:
+            return False
         return (
-            self._connect_failures + self._early_closes > 0 and not self._open
+            self._keeps_one_open
+            or self.now() - self._failed_s < _FAILING_EXPIRY_S
         )
 
     def now(self) -> float:
@@ -524,10 +534,10 @@
         self._closing = True
         if self._reopen_timer is not None:
             self._reopen_timer.cancel()
-        for connection in self._idle:
+        idle, self._idle = self._idle, []
+        for connection in idle:
             self._open.discard(connection)
             connection.close("pool_closed")
-        self._idle.clear()
         if not self._open:
             self._fail_waiting()
 
@@ -567,8 +577,12 @@
     def _count_early_close(self, connection: Connection) -> None:
         if connection.response_received:
             self._early_closes = 0
-        elif self.now() - connection.opened_s < _EARLY_CLOSE_S:
+        elif (
+            connection.closed_by_server
+            and self.now() - connection.opened_s < _EARLY_CLOSE_S
+        ):
             self._early_closes += 1
+            self._failed_s = self.now()
             self.on_event(CLOSED_EARLY)
 
     def _send_or_requeue(
@@ -644,6 +658,7 @@
 
     def _on_connect_failed(self, reason: str) -> None:
         self._connect_failures += 1
+        self._failed_s = self.now()
         self.on_event(CONNECT_FAILED)
         _log.debug("connect_failed", address=self.address, reason=reason)
         if not self._open and not self._connecting:
@@ -706,8 +721,7 @@
         purpose: What the request is for, a label of the byte counts.
 
     Returns:
-        The response, or why there is none. A timeout is reported as
-        `FailureReason.BROKEN`.
+        The response, or why there is none.
     """
     outcome_future = asyncio.get_running_loop().create_future()
     wire = b"%s %s HTTP/1.1\r\nhost: %s\r\ncontent-length: %d\r\n\r\n%s" % (
@@ -730,6 +744,6 @@
         async with asyncio.timeout(timeout_s):
             return await outcome_future
     except TimeoutError:
-        return FailureReason.BROKEN
+        return FailureReason.TIMED_OUT
     finally:
         exchange.cancel()
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -225,6 +225,26 @@
         _run_with_server(reset, test)
 
 
+class TestLimit:
+    """A body over the limit fails, however it arrives."""
+
+    @pytest.mark.parametrize("size", [50, 150_000])
+    def test_body_over_the_limit_is_malformed(self, monkeypatch, size):
+        # Guards against a truncated body if one read exceeds the limit and
+        # completes the response.
+        monkeypatch.setattr(http1, "_MAX_RESPONSE_BYTES", size - 10)
+
+        async def serve(server, reader, writer):
+            request = await server.read_request_id(reader)
+            writer.write(_response(b"x" * size, request))
+            await reader.read()
+
+        async def test(server, client):
+            assert await client.get(b"a") == http1.FailureReason.MALFORMED
+
+        _run_with_server(serve, test)
+
+
 class TestPool:
     """Connections are limited, and no byte of a waiting request is sent."""
 
@@ -364,3 +384,123 @@
             assert client.pool.open_count == 0
 
         _run_with_server(serve, test)
+
+    def test_pool_close_closes_all_idle_connections(self):
+        # Guards against a loop over the list of idle connections that closing
+        # them changes, which skipped every second one.
+        async def serve(server, reader, writer):
+            request = await server.read_request_id(reader)
+            await asyncio.sleep(0.05)
+            writer.write(_response(request, request))
+            await reader.read()
+
+        async def test(server, client):
+            futures = [client.send(b"%d" % number)[1] for number in range(4)]
+            await asyncio.gather(*futures)
+            assert client.pool.open_count == 4
+            client.pool.close()
+            assert client.pool.open_count == 0
+            assert client.pool._idle == []
+
+        _run_with_server(serve, test, max_connections=4)
+
+    def test_own_closes_do_not_count_as_crowded(self):
+        async def serve(server, reader, writer):
+            await reader.read()
+
+        async def test(server, client):
+            client.pool.keep_open()
+            while not client.pool.open_count:
+                await asyncio.sleep(0.005)
+            client.pool.close_idle()
+            assert http1.CLOSED_EARLY not in client.events
+            assert not client.pool.failing
+
+        _run_with_server(serve, test)
+
+    def test_unused_pool_recovers_from_early_closes(self, monkeypatch):
+        # Guards against a replica that no request is sent to for good because
+        # it once had too many connections.
+        monkeypatch.setattr(http1, "_FAILING_EXPIRY_S", 0.2)
+
+        async def serve(server, reader, writer):
+            writer.transport.abort()
+
+        async def test(server, client):
+            client.pool.keep_open()
+            while not client.pool.failing:
+                await asyncio.sleep(0.005)
+            client.pool.stop_keeping_open()
+            await asyncio.sleep(0.5)
+            assert not client.pool.failing
+
+        _run_with_server(serve, test)
+
+
+class TestStreaming:
+    """Bodies are passed on as they arrive."""
+
+    def test_data_arrives_before_the_end(self):
+        async def serve(server, reader, writer):
+            await server.read_request_id(reader)
+            writer.write(
+                b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+                b"3\r\nabc\r\n"
+            )
+            await asyncio.sleep(0.05)
+            writer.write(b"2\r\nde\r\n0\r\n\r\n")
+            await reader.read()
+
+        async def test(server, client):
+            received = []
+            outcome = asyncio.get_running_loop().create_future()
+            exchange = http1.Exchange(
+                b"GET / HTTP/1.1\r\nx-request-id: a\r\n\r\n",
+                lambda _, response: outcome.set_result(response),
+                on_data=received.append,
+            )
+            client.pool.submit(exchange)
+            while not received:
+                await asyncio.sleep(0.005)
+            assert not outcome.done()
+            assert (await outcome).body == b""
+            assert received == [b"abc", b"de"]
+
+        _run_with_server(serve, test)
+
+    def test_receiver_may_cancel_the_exchange(self):
+        async def serve(server, reader, writer):
+            request = await server.read_request_id(reader)
+            writer.write(_response(request, request))
+            await reader.read()
+
+        async def test(server, client):
+            outcomes = []
+            exchange = http1.Exchange(
+                b"GET / HTTP/1.1\r\nx-request-id: a\r\n\r\n",
+                lambda _, response: outcomes.append(response),
+                on_data=lambda data: exchange.cancel(),
+            )
+            client.pool.submit(exchange)
+            while not exchange.done:
+                await asyncio.sleep(0.005)
+            assert outcomes == []
+            assert client.pool.open_count == 0
+
+        _run_with_server(serve, test)
+
+
+class TestSendRequest:
+    """A single request with a time limit."""
+
+    def test_time_limit_is_reported_as_such(self):
+        async def serve(server, reader, writer):
+            await reader.read()
+
+        async def test(server, client):
+            outcome = await http1.send_request(
+                client.pool, b"GET", "/", "h", 0.05
+            )
+            assert outcome is http1.FailureReason.TIMED_OUT
+
+        _run_with_server(serve, test)
--- a/tests/test_routes_batching.py
+++ b/tests/test_routes_batching.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 
 import hypothesis
@@ -154,6 +155,14 @@
         except msgspec.MsgspecError:
             pass
 
+    @pytest.mark.parametrize("left_s", [-1.0, 1e9, math.inf, math.nan])
+    def test_times_out_of_bounds_are_refused(self, left_s):
+        call = batching.Call(
+            "r", "d", b"", b"", b"", (), b"", left_s, 0.1, ((0, "i"),)
+        )
+        with pytest.raises(msgspec.MsgspecError):
+            batching.call_decoder.decode(msgspec.msgpack.encode(call))
+
     def test_length_beyond_the_limit_is_refused(self):
         with pytest.raises(msgspec.MsgspecError):
             list(batching.ReplyReader().feed(b"\xff\xff\xff\xff"))
--- a/tests/test_routes_policy.py
+++ b/tests/test_routes_policy.py
@@ -242,6 +242,15 @@
         health.record_reply(attempt, 10.11)
         assert not health.suspected_by_others(10.2)
 
+    def test_late_attempt_does_not_override_report(self):
+        # An attempt that is late agrees with the report.
+        health = health_lib.ReplicaHealth()
+        health.mark_suspected(10.0)
+        attempt = object()
+        health.record_start(attempt, 10.1, 0.01)
+        health.record_late(attempt, 10.15)
+        assert health.suspected_by_others(10.2)
+
 
 class TestAnswerTime:
     """Answers leave early enough to reach the caller within the objective."""
