Acknowledge requests of other instances before working on them

Cause: hubs acknowledged when their application began to read the body, some event loop iterations after the request had arrived, each of which may process a hundred replies; and sending the first attempts of 135 shards kept the loop busy for 10 ms. So senders took busy hubs for faulty ones.

Change: the server protocol acknowledges as soon as it has read the header, and first attempts are sent in groups of 24 with other events in between.

--- a/src/mallowloft/callers/server.py
+++ b/src/mallowloft/callers/server.py
@@ -27,6 +27,7 @@
 _CLOSE_TIMEOUT_S = 1.0
 
 
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Key of a request's `Connection` in the `extensions` of the ASGI scope.
 CONNECTION_EXTENSION = "mallowloft.connection"
 
@@ -64,6 +65,19 @@
         }
         self._has_carried_request = True
 
+    def on_headers_complete(self) -> None:
+        """Acknowledges a request that expects it as soon as it is read.
+
+        uvicorn does so when the application starts to read the body, which on
+        a busy event loop is some iterations later. Other instances take a late
+        acknowledgement for a fault of this one.
+        """
+        super().on_headers_complete()
+        cycle = self.cycle
+        if cycle is not None and cycle.waiting_for_100_continue:
+            cycle.waiting_for_100_continue = False
+            self.transport.write(_CONTINUE)
+
 
 class _UvicornServer(uvicorn.Server):
     """A uvicorn server that handles no signals and wakes once a second."""
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -23,6 +23,8 @@
 # The delay before a hedge is at most this share of the time until a partial
 # answer is due, so that the hedge has as much time as the first attempt.
 _MAX_HEDGE_DELAY_SHARE = 0.5
+# Sending one attempt takes some 30 us of processor time.
+_SENDS_PER_ITERATION = 24
 _CONTENT_TYPE = (b"content-type", b"application/octet-stream")
 
 
@@ -99,6 +101,8 @@
         # Parts that collectors merged; a shard is in one group or in `_parts`.
         self._groups: list[batching.Group] = []
         self._batches: list[batching.Batch] = []
+        # First attempts that are still to be sent.
+        self._unsent: list[batching.Choice] = []
         self._pending_shards: dict[str, _ShardState] = {}
         objective_s = request_context.route.objective_s
         # Loop time from which a partial answer is sent.
@@ -157,14 +161,30 @@
         )
         for collector, members in plan.batches:
             self._send_batch(collector, members, now_s)
-        for choice in plan.direct:
+        self._unsent = list(plan.direct[::-1])
+        self._send_unsent()
+
+    def _send_unsent(self) -> None:
+        """Sends first attempts, some in each iteration of the event loop.
+
+        So acknowledgements and replies of other requests are not delayed by
+        the time that it takes to send all.
+        """
+        now_s = self._loop.time()
+        for _ in range(min(_SENDS_PER_ITERATION, len(self._unsent))):
             if self.done.done():
                 return
+            choice = self._unsent.pop()
             self._send(
                 self._pending_shards[choice.service], choice.entry, now_s
             )
-        if not self.done.done():
+        if self.done.done():
+            return
+        if self._unsent:
+            self._loop.call_soon(self._send_unsent)
+        else:
             self._finish_if_decided(now_s)
+        if self._timer is None and not self.done.done():
             self._schedule_timer(now_s)
 
     def _choose_first(
@@ -480,7 +500,7 @@
         if self.done.done():
             return
         # Without an attempt in flight no further part can arrive.
-        none_in_flight = not self._in_flight_count
+        none_in_flight = not self._in_flight_count and not self._unsent
         sufficient = self._covered >= self._route.needed_shards
         timed_out = now_s >= self._request_context.end_s
         if sufficient and (
