Replace refused batches before extra attempts are allowed; let readers follow

Change: attempts after one that certainly did not run are always allowed; retries within the guarded time are postponed, not dropped. A reader whose calls the source refuses follows another reader for a second at a time, which serves it only while the source itself answers that one.

--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -101,6 +101,8 @@
         # Parts that collectors merged; a shard is in one group or in `_parts`.
         self._groups: list[batching.Group] = []
         self._batches: list[batching.Batch] = []
+        # Retries that wait until the request may be extended.
+        self._postponed_count = 0
         # First attempts that are still to be sent.
         self._unsent: list[batching.Choice] = []
         self._pending_shards: dict[str, _ShardState] = {}
@@ -356,24 +358,56 @@
         if shard.in_flight:
             return
         now_s = self._loop.time()
-        entry = self._choose_next(shard, now_s, healthy_only=False)
+        unsent = outcome is model.Failure.UNSENT
+        guard = self._extra_guard
+        if not unsent and guard is not None and now_s < guard.allowed_from_s:
+            self._postpone_retry(shard, outcome, guard.allowed_from_s)
+            return
+        entry = self._choose_next(
+            shard, now_s, healthy_only=False, extra=not unsent
+        )
         if entry is None:
             return
-        unsent = outcome is model.Failure.UNSENT
         if unsent or self._context.extra_attempts(shard.service).take_retry():
             self.retries += 1
             self._send(shard, entry, now_s)
         else:
             self.denied += 1
 
+    def _postpone_retry(
+        self, shard: _ShardState, outcome: attempts_lib.Outcome, due_s: float
+    ) -> None:
+        """Retries a shard once its request may be extended."""
+        self._postponed_count += 1
+
+        def retry() -> None:
+            self._postponed_count -= 1
+            if self.done.done() or shard.service not in self._pending_shards:
+                return
+            self._on_failure(shard, outcome)
+            self._finish_if_decided(self._loop.time())
+
+        self._loop.call_at(due_s, retry)
+
     def _choose_next(
-        self, shard: _ShardState, now_s: float, healthy_only: bool
+        self,
+        shard: _ShardState,
+        now_s: float,
+        healthy_only: bool,
+        extra: bool = True,
     ) -> directory_lib.ReplicaEntry | None:
+        """Returns the replica for a further attempt, None to send none.
+
+        Args:
+            shard: The shard.
+            now_s: Current loop time.
+            healthy_only: Whether only healthy replicas are considered.
+            extra: Whether an earlier attempt may have reached a replica.
+        """
         if len(shard.tried) >= self._max_attempts:
             return None
-        if self._extra_guard is not None and (
-            not self._extra_guard.allows_extra()
-        ):
+        guard = self._extra_guard
+        if extra and guard is not None and not guard.allows_extra():
             return None
         entries = self._context.directory.entries(shard.service)
         return self._context.selector.choose(
@@ -500,7 +534,9 @@
         if self.done.done():
             return
         # Without an attempt in flight no further part can arrive.
-        none_in_flight = not self._in_flight_count and not self._unsent
+        none_in_flight = not (
+            self._in_flight_count or self._unsent or self._postponed_count
+        )
         sufficient = self._covered >= self._route.needed_shards
         timed_out = now_s >= self._request_context.end_s
         if sufficient and (
--- a/src/mallowloft/routes/relaying.py
+++ b/src/mallowloft/routes/relaying.py
@@ -47,6 +47,10 @@
 _STATUS_HISTORY_LOST = 410
 _STATUS_NOT_CURRENT = 503
 _ISOLATED = b"isolated"
+_SOURCE_LOST = b"source_lost"
+# A reader whose calls of the source fail follows another reader for this long
+# before it calls the source again.
+_FOLLOW_READER_S = 1.0
 
 
 class Changes(msgspec.Struct, frozen=True, array_like=True):
@@ -77,10 +81,14 @@
     """Serves this instance's copy of the source to other instances."""
 
     def __init__(
-        self, follower: following.Follower, hubs: hubs_lib.Hubs
+        self,
+        follower: following.Follower,
+        hubs: hubs_lib.Hubs,
+        client: "HubClient",
     ) -> None:
         self._follower = follower
         self._hubs = hubs
+        self._client = client
 
     async def serve(self, scope, receive, send) -> None:
         """Serves a call of `HubClient` as an ASGI application."""
@@ -94,10 +102,16 @@
             query = _parse_query(scope)
             after, removals = query["after"], query["removals"]
             wait_s = min(max(0, query["wait_ms"]) / 1000, _MAX_WAIT_S)
+            from_reader = bool(query.get("reader", 0))
         except (KeyError, ValueError) as error:
             _log.warning("call_malformed", reason=str(error))
             await exchange_lib.respond(send, 400, b"malformed")
             return
+        if from_reader and not self._client.source_answers:
+            # Two readers that follow each other would never detect that
+            # neither gets changes.
+            await exchange_lib.respond(send, _STATUS_NOT_CURRENT, _SOURCE_LOST)
+            return
         status, body = await self._answer(after, removals, wait_s)
         await exchange_lib.respond(send, status, body)
 
@@ -121,7 +135,7 @@
         if self._hubs.instance_isolated:
             return _STATUS_NOT_CURRENT, _ISOLATED
         if not follower.current or not follower.revision:
-            return _STATUS_NOT_CURRENT, b"source_lost"
+            return _STATUS_NOT_CURRENT, _SOURCE_LOST
         removed: list[following.Removal] | None = []
         if after >= 0:
             removed = mirror.removals_after(after, removals)
@@ -205,6 +219,9 @@
         self._first_start = first_start
         self._started_s = asyncio.get_running_loop().time()
         self._has_listing = False
+        # Whether the last call of the source itself succeeded.
+        self.source_answers = False
+        self._follow_reader_until_s = 0.0
         # The hub that answered last, the number of removals that it had
         # applied, and whether it delayed further ones.
         self._last_hub = ""
@@ -231,8 +248,19 @@
         self.source_calls += 1
         listing = await self._source.read()
         self._has_listing = self._has_listing or listing.is_ok()
+        self._record_source_result(listing)
         return listing
 
+    def _record_source_result(
+        self, call_result: result.Result[following.Batch, following.CallError]
+    ) -> None:
+        self.source_answers = call_result.is_ok() or (
+            call_result.unwrap_err() is following.CallError.HISTORY_LOST
+        )
+        if not self.source_answers:
+            now_s = asyncio.get_running_loop().time()
+            self._follow_reader_until_s = now_s + _FOLLOW_READER_S
+
     def _may_call_source(self) -> bool:
         now_s = asyncio.get_running_loop().time()
         return may_call_source(
@@ -258,7 +286,9 @@
             return self._request_listing()
         self._last_hub = ""
         self.source_calls += 1
-        return await self._source.watch(after, wait_s)
+        call_result = await self._source.watch(after, wait_s)
+        self._record_source_result(call_result)
+        return call_result
 
     def _request_listing(
         self,
@@ -283,10 +313,14 @@
         return result.Err(following.CallError.UNREACHABLE)
 
     def _choose_hub(self) -> directory_lib.ReplicaEntry | None:
-        """Returns the hub to call, or None to call the source itself."""
-        if self._hubs.is_reader:
-            return None
+        """Returns the hub to call, or None to call the source itself.
+
+        A reader whose source has just failed follows another reader: a source
+        may refuse the calls of some instances and serve others.
+        """
         now_s = asyncio.get_running_loop().time()
+        if self._hubs.is_reader and now_s >= self._follow_reader_until_s:
+            return None
         usable = [
             entry
             for entry in self._hubs.readers
@@ -305,6 +339,7 @@
             "after": after,
             "removals": self._known_removals if is_last_hub else -1,
             "wait_ms": int(wait_s * 1000),
+            "reader": int(self._hubs.is_reader),
         }
         response = await http1.send_request(
             hub.pool,
--- a/tests/test_routes_batching.py
+++ b/tests/test_routes_batching.py
@@ -12,6 +12,7 @@
 
 from mallowloft.routes import batching
 from mallowloft.routes import directory as directory_lib
+from mallowloft.routes import gathering
 from mallowloft.routes import health as health_lib
 from mallowloft.routes import merge
 from mallowloft.routes import model
@@ -225,6 +226,15 @@
     return answer.body == b"".join(records[::-1][:_TOP_RECORDS])
 
 
+def _route() -> model.Route:
+    return replicas_lib.route(
+        objective_s=_OBJECTIVE_S,
+        shards=tuple(f"s{shard}" for shard in range(_SHARDS)),
+        top_records=_TOP_RECORDS,
+        min_coverage=0.75,
+    )
+
+
 def _run_load(
     with_collectors: bool = True,
     inject_fault=lambda pools: None,
@@ -233,12 +243,7 @@
     """Simulates load on six instances in three failure domains."""
     rng = random.Random(5)
     replicas = _replicas(rng)
-    route = replicas_lib.route(
-        objective_s=_OBJECTIVE_S,
-        shards=tuple(f"s{shard}" for shard in range(_SHARDS)),
-        top_records=_TOP_RECORDS,
-        min_coverage=0.75,
-    )
+    route = _route()
     result = _Result()
 
     async def query(instance: replicas_lib.Instance) -> None:
@@ -348,6 +353,42 @@
         assert result.credit >= 0.95
         assert result.extra_share <= _EXTRA_SHARE
 
+    def test_refused_batches_are_sent_directly_before_extras_are_allowed(self):
+        # Guards against hubs that return too few parts because a collector has
+        # another version of the route: attempts that replace refused ones are
+        # not extra.
+        class _NoExtras:
+            allowed_from_s = math.inf
+
+            def allows_extra(self) -> bool:
+                return False
+
+        route = _route()
+
+        async def main() -> model.Answer:
+            rng = random.Random(5)
+            replicas = _replicas(rng)
+            instances = [
+                replicas_lib.Instance(domain, replicas, rng)
+                for domain in replicas_lib.DOMAINS
+            ]
+            table = model.Table(2, (replicas_lib.route(),), {})
+            pools = [collectors_lib.Pool(item, table) for item in instances]
+            collectors_lib.connect(instances, pools)
+            task = gathering.ScatterGather(
+                instances[0],
+                instances[0].create_request_context(route),
+                extra_guard=_NoExtras(),
+            )
+            task.start()
+            answer = await task.done
+            assert sum(pool.calls for pool in pools) == 2
+            return answer
+
+        answer = virtual.run(main())
+        assert answer.status == 200
+        assert answer.missing <= 3
+
     def test_no_attempt_stays_open_after_callers_have_left(self):
         result = _run_load(left_early=True)
         assert result.batches > 300
