Pass the relay a predicate instead of its client

The relay needs only to know whether its instance gets changes from the source itself; its tests then need no client. A test covers calls of other readers.

--- a/src/mallowloft/routes/relaying.py
+++ b/src/mallowloft/routes/relaying.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 from typing import Protocol
 import urllib.parse
@@ -84,11 +85,19 @@
         self,
         follower: following.Follower,
         hubs: hubs_lib.Hubs,
-        client: "HubClient",
+        source_answers: Callable[[], bool] = lambda: True,
     ) -> None:
+        """Creates a relay.
+
+        Args:
+            follower: Holds this instance's copy.
+            hubs: The hubs.
+            source_answers: Returns whether this instance gets changes from the
+                source itself, not from another instance.
+        """
         self._follower = follower
         self._hubs = hubs
-        self._client = client
+        self._source_answers = source_answers
 
     async def serve(self, scope, receive, send) -> None:
         """Serves a call of `HubClient` as an ASGI application."""
@@ -107,7 +116,7 @@
             _log.warning("call_malformed", reason=str(error))
             await exchange_lib.respond(send, 400, b"malformed")
             return
-        if from_reader and not self._client.source_answers:
+        if from_reader and not self._source_answers():
             # Two readers that follow each other would never detect that
             # neither gets changes.
             await exchange_lib.respond(send, _STATUS_NOT_CURRENT, _SOURCE_LOST)
--- a/tests/test_routes_relaying.py
+++ b/tests/test_routes_relaying.py
@@ -40,7 +40,9 @@
         return result.Err(following.CallError.HISTORY_LOST)
 
 
-async def _ask(relay: relaying.Relay, after: int) -> tuple[int, bytes]:
+async def _ask(
+    relay: relaying.Relay, after: int, reader: int = 0
+) -> tuple[int, bytes]:
     """Returns the status and body of the answer to a call."""
     messages = []
 
@@ -50,7 +52,7 @@
     async def send(message):
         messages.append(message)
 
-    query = f"after={after}&removals=-1&wait_ms=0"
+    query = f"after={after}&removals=-1&wait_ms=0&reader={reader}"
     scope = {"headers": [], "query_string": query.encode()}
     await relay.serve(scope, receive, send)
     return messages[0]["status"], messages[1]["body"]
@@ -93,6 +95,22 @@
         ((status, _),) = self._answers_at(9.0)
         assert status == 503
 
+    def test_refuses_readers_if_its_changes_come_from_a_reader(self):
+        # Guards against two readers that follow each other for good.
+        async def main() -> list[int]:
+            follower = following.Follower(
+                _Source(), _Listener(), random.Random(1), 2.0
+            )
+            hubs = hubs_lib.Hubs("i1", "d1", 0.0)
+            relay = relaying.Relay(follower, hubs, lambda: False)
+            task = asyncio.create_task(follower.run())
+            await asyncio.sleep(0.2)
+            answers = [await _ask(relay, -1, reader) for reader in (0, 1)]
+            task.cancel()
+            return [status for status, _ in answers]
+
+        assert virtual.run(main()) == [200, 503]
+
     def test_malformed_calls_are_refused(self):
         async def main():
             follower = following.Follower(
