--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 import dataclasses
 import math
+from typing import Protocol
 
 from mallowloft.routes import attempts as attempts_lib
 from mallowloft.routes import batching
@@ -22,6 +23,8 @@
 # The delay before a hedge is at most this share of the time until a partial
 # answer is due, so that the hedge has as much time as the first attempt.
 _MAX_HEDGE_DELAY_SHARE = 0.5
+# Sending one attempt takes some 30 us of processor time.
+_SENDS_PER_ITERATION = 24
 _CONTENT_TYPE = (b"content-type", b"application/octet-stream")
 
 
@@ -50,6 +53,20 @@
     failure: str = ""
 
 
+class ExtraGuard(Protocol):
+    """Decides whether a request that was passed on still may be extended.
+
+    Its sender cancels it and asks another instance if it is not acknowledged
+    in time. Until then this instance sends only the first attempt for a shard,
+    so that the attempts of all instances stay within the limit of the route.
+    """
+
+    allowed_from_s: float
+
+    def allows_extra(self) -> bool:
+        """Whether hedges and retries may be sent now."""
+
+
 class ScatterGather(running.RequestTask):
     """Queries one replica of each shard and merges the parts.
 
@@ -60,20 +77,23 @@
         self,
         context: running.Context,
         request_context: running.RequestContext,
-        repeated: bool = False,
+        previous_attempts: int = 0,
+        extra_guard: ExtraGuard | None = None,
     ) -> None:
         """Creates a scatter-gather request that has not been started.
 
         Args:
             context: Parts of the service that all running requests share.
             request_context: The request.
-            repeated: Whether another instance may have queried the replicas
-                already, so that first attempts also take a token for an
-                extra attempt.
+            previous_attempts: How many attempts for each shard other instances
+                may have sent already. If there are any, first attempts also
+                take a token for an extra attempt.
+            extra_guard: Decides when hedges and retries may be sent; by
+                default always.
         """
         super().__init__(context, request_context)
-        self._repeated = repeated
-        previous_attempts = 1 if repeated else 0
+        self._repeated = previous_attempts > 0
+        self._extra_guard = extra_guard
         self._max_attempts = max(
             1, request_context.route.max_attempts - previous_attempts
         )
@@ -81,6 +101,10 @@
         # Parts that collectors merged; a shard is in one group or in `_parts`.
         self._groups: list[batching.Group] = []
         self._batches: list[batching.Batch] = []
+        # Retries that wait until the request may be extended.
+        self._postponed_count = 0
+        # First attempts that are still to be sent.
+        self._unsent: list[batching.Choice] = []
         self._pending_shards: dict[str, _ShardState] = {}
         objective_s = request_context.route.objective_s
         # Loop time from which a partial answer is sent.
@@ -139,14 +163,30 @@
         )
         for collector, members in plan.batches:
             self._send_batch(collector, members, now_s)
-        for choice in plan.direct:
+        self._unsent = list(plan.direct[::-1])
+        self._send_unsent()
+
+    def _send_unsent(self) -> None:
+        """Sends first attempts, some in each iteration of the event loop.
+
+        So acknowledgements and replies of other requests are not delayed by
+        the time that it takes to send all.
+        """
+        now_s = self._loop.time()
+        for _ in range(min(_SENDS_PER_ITERATION, len(self._unsent))):
             if self.done.done():
                 return
+            choice = self._unsent.pop()
             self._send(
                 self._pending_shards[choice.service], choice.entry, now_s
             )
-        if not self.done.done():
+        if self.done.done():
+            return
+        if self._unsent:
+            self._loop.call_soon(self._send_unsent)
+        else:
             self._finish_if_decided(now_s)
+        if self._timer is None and not self.done.done():
             self._schedule_timer(now_s)
 
     def _choose_first(
@@ -197,7 +237,7 @@
             context.batch_overheads,
         )
         self._batches.append(batch)
-        hedge_due_s = (
+        hedge_due_s = self._earliest_hedge_s(
             now_s
             + self._hedge_delay_s
             + context.batch_overheads.overhead_s(
@@ -219,6 +259,12 @@
             latency.median_s,
         )
 
+    def _earliest_hedge_s(self, due_s: float) -> float:
+        """Returns the time of a hedge, which the guard may postpone."""
+        if self._extra_guard is None:
+            return due_s
+        return max(due_s, self._extra_guard.allowed_from_s)
+
     def on_group(self, group: batching.Group) -> None:
         """Takes parts that a collector merged.
 
@@ -273,7 +319,7 @@
         now_s: float,
     ) -> None:
         shard.tried.append(entry)
-        shard.hedge_due_s = now_s + self._hedge_delay_s
+        shard.hedge_due_s = self._earliest_hedge_s(now_s + self._hedge_delay_s)
         self.sent += 1
         attempt = self._context.sender.start(
             entry,
@@ -312,21 +358,57 @@
         if shard.in_flight:
             return
         now_s = self._loop.time()
-        entry = self._choose_next(shard, now_s, healthy_only=False)
+        unsent = outcome is model.Failure.UNSENT
+        guard = self._extra_guard
+        if not unsent and guard is not None and now_s < guard.allowed_from_s:
+            self._postpone_retry(shard, outcome, guard.allowed_from_s)
+            return
+        entry = self._choose_next(
+            shard, now_s, healthy_only=False, extra=not unsent
+        )
         if entry is None:
             return
-        unsent = outcome is model.Failure.UNSENT
         if unsent or self._context.extra_attempts(shard.service).take_retry():
             self.retries += 1
             self._send(shard, entry, now_s)
         else:
             self.denied += 1
 
+    def _postpone_retry(
+        self, shard: _ShardState, outcome: attempts_lib.Outcome, due_s: float
+    ) -> None:
+        """Retries a shard once its request may be extended."""
+        self._postponed_count += 1
+
+        def retry() -> None:
+            self._postponed_count -= 1
+            if self.done.done() or shard.service not in self._pending_shards:
+                return
+            self._on_failure(shard, outcome)
+            self._finish_if_decided(self._loop.time())
+
+        self._loop.call_at(due_s, retry)
+
     def _choose_next(
-        self, shard: _ShardState, now_s: float, healthy_only: bool
+        self,
+        shard: _ShardState,
+        now_s: float,
+        healthy_only: bool,
+        extra: bool = True,
     ) -> directory_lib.ReplicaEntry | None:
+        """Returns the replica for a further attempt, None to send none.
+
+        Args:
+            shard: The shard.
+            now_s: Current loop time.
+            healthy_only: Whether only healthy replicas are considered.
+            extra: Whether an earlier attempt may have reached a replica.
+        """
         if len(shard.tried) >= self._max_attempts:
             return None
+        guard = self._extra_guard
+        if extra and guard is not None and not guard.allows_extra():
+            return None
         entries = self._context.directory.entries(shard.service)
         return self._context.selector.choose(
             entries, now_s, shard.tried, healthy_only
@@ -452,7 +534,9 @@
         if self.done.done():
             return
         # Without an attempt in flight no further part can arrive.
-        none_in_flight = not self._in_flight_count
+        none_in_flight = not (
+            self._in_flight_count or self._unsent or self._postponed_count
+        )
         sufficient = self._covered >= self._route.needed_shards
         timed_out = now_s >= self._request_context.end_s
         if sufficient and (
