--- a/src/mallowloft/explain.py
+++ b/src/mallowloft/explain.py
@@ -17,13 +17,17 @@
         "process_was_paused",
         "reach_changed",
         "replica_draining",
+        "replica_leaving",
         "replica_listed",
         "replica_misdirected",
+        "replica_paused",
         "replica_removed",
+        "replica_superseded",
         "routes_changed",
         "settings_reloaded",
         "source_lost",
         "source_regained",
+        "source_went_back",
     )
 )
 # Events of a replica are included only if its id occurs in the `replicas` or
--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -103,6 +103,11 @@
     extra_window_s: Seconds = _setting(
         "window in which extra attempts are counted, seconds", 10.0
     )
+    leaving_grace_s: NonNegativeNumber = _setting(
+        "how long a replica that states that it leaves may still get requests"
+        " that no other replica can serve, seconds",
+        1.0,
+    )
     peer_port: Port = _setting("port for other instances (ZeroMQ)", 8082)
     platform_url: str = _setting("base URL of the platform's services", "")
     peers: str = _setting(
--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 
 from mallowloft.kernel import logs
 from mallowloft.kernel import metrics as metrics_lib
@@ -9,6 +10,7 @@
 from mallowloft.routes import limits
 from mallowloft.routes import model
 from mallowloft.routes import reach as reach_lib
+from mallowloft.routes import replica_signals
 from mallowloft.upstream import http1
 
 _log = logs.get_logger("attempts")
@@ -21,6 +23,9 @@
 # Misdirected Request: the expected replica is gone and another one now has its
 # address.
 _STATUS_MISDIRECTED = 421
+_STATUS_UNAVAILABLE = 503
+# Malformed pauses are logged at most once in this time.
+_LOG_INTERVAL_S = 10.0
 
 Outcome = model.Reply | model.Failure
 
@@ -208,14 +213,27 @@
         self,
         names: model.HeaderNames,
         metrics: metrics_lib.Metrics,
-        reach: reach_lib.DomainReachability,
+        directory: directory_lib.Directory,
+        rng: random.Random,
     ) -> None:
+        """Prepares to send requests.
+
+        Args:
+            names: Names of the headers.
+            metrics: Metrics of the instance.
+            directory: The replicas; is told which of them leave.
+            rng: Draws when this instance returns to a replica after a pause.
+        """
         self._names = names
+        self._metrics = metrics
         self._increment_by_outcome = {
             outcome: metrics.counter("route_attempts", outcome=outcome).inc
             for outcome in _OUTCOMES
         }
-        self._reach = reach
+        self._directory = directory
+        self._reach = directory.reach
+        self._rng = rng
+        self._malformed_logged_s = -_LOG_INTERVAL_S
 
     def start(
         self,
@@ -284,6 +302,13 @@
         now_s = asyncio.get_running_loop().time()
         health = attempt.entry.health
         domain = attempt.entry.replica.failure_domain
+        if (
+            outcome is model.Failure.UNSENT
+            and attempt.entry.signals.pause_left_s(now_s)
+        ):
+            health.discard(attempt)
+            self._increment_by_outcome[outcome]()
+            return
         if isinstance(outcome, model.Failure):
             health.record_failure(attempt, now_s)
             # A malformed reply shows that the failure domain is reachable.
@@ -295,12 +320,20 @@
             return
         self._reach.succeeded(domain)
         health.waiting = outcome.waiting
+        self.record_signals(attempt.entry, outcome.leaving, outcome.pause_s)
         if outcome.status == _STATUS_MISDIRECTED:
             self._mark_misdirected(attempt.entry)
-        if outcome.not_run:
-            health.record_failure(attempt, now_s)
-            self._increment_by_outcome[_NOT_RUN]()
+        if outcome.not_run or outcome.pause_s is not None:
+            if outcome.pause_s is None:
+                health.record_failure(attempt, now_s)
+            else:
+                # A replica that asks for a pause has no fault.
+                health.discard(attempt)
+            self._increment_by_outcome[
+                _NOT_RUN if outcome.not_run else _REPLICA_FAILED
+            ]()
             return
+        attempt.entry.signals.record_reply()
         if outcome.status >= 500:
             health.record_failure(attempt, now_s)
         else:
@@ -308,6 +341,36 @@
         label = _OK if outcome.success else _REPLICA_FAILED
         self._increment_by_outcome[label]()
 
+    def record_signals(
+        self,
+        entry: directory_lib.ReplicaEntry,
+        leaving: bool,
+        pause_s: float | None,
+    ) -> None:
+        """Records what a replica asked of this instance.
+
+        Args:
+            entry: The replica.
+            leaving: Whether it states that it is about to end.
+            pause_s: For how long it wants no request; None if it states none.
+        """
+        if leaving and not entry.signals.leaving:
+            self._directory.mark_leaving([entry.replica.id])
+        if pause_s is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        if not entry.signals.pause_left_s(now_s):
+            _log.info(
+                "replica_paused",
+                replica=entry.replica.id,
+                service=entry.replica.service,
+                pause_s=round(pause_s, 3),
+            )
+        self._metrics.count("replica_pauses")
+        entry.signals.record_pause(pause_s, now_s, self._rng)
+        if entry.signals.pause_left_s(now_s):
+            entry.pool.reject_waiting()
+
     def _outcome_of(
         self, result: http1.Response | http1.FailureReason
     ) -> Outcome:
@@ -354,6 +417,9 @@
 
     def _parse_reply(self, response: http1.Response) -> model.Reply:
         not_run = response.header(self._names.not_run) is not None
+        pause_s = None
+        if response.status == _STATUS_UNAVAILABLE:
+            pause_s = self._parse_pause_s(response)
         return model.Reply(
             status=response.status,
             headers=response.headers,
@@ -361,8 +427,26 @@
             signature=response.header(self._names.signature) or b"",
             not_run=not_run or response.status == _STATUS_MISDIRECTED,
             waiting=_parse_waiting(response.header(self._names.load)),
+            leaving=response.header(self._names.leaving) is not None,
+            pause_s=pause_s,
         )
 
+    def _parse_pause_s(self, response: http1.Response) -> float | None:
+        """Returns the pause that a refusal asks for, None if there is none."""
+        value = response.header(self._names.retry_after)
+        if value is None:
+            return None
+        pause_s = replica_signals.parse_pause_s(value)
+        if pause_s is None:
+            self._metrics.count("replica_pauses_malformed")
+            now_s = asyncio.get_running_loop().time()
+            if now_s - self._malformed_logged_s >= _LOG_INTERVAL_S:
+                self._malformed_logged_s = now_s
+                _log.warning(
+                    "replica_pause_malformed", value=value.decode("latin1")
+                )
+        return pause_s
+
     def _is_invalid_success(
         self, response: http1.Response, reply: model.Reply
     ) -> bool:
--- a/src/mallowloft/routes/batching.py
+++ b/src/mallowloft/routes/batching.py
@@ -92,12 +92,15 @@
         failure: Value of `model.Failure`; empty if the replica replied.
         status: Status of the reply.
         not_run: Whether the replica states that it did not run the request.
+        pause_s: For how long the replica wants no requests; None if it states
+            no time.
     """
 
     position: message_types.Count
     failure: str
     status: message_types.Count = 0
     not_run: bool = False
+    pause_s: message_types.Seconds | None = None
 
 
 class Reply(msgspec.Struct, frozen=True, array_like=True):
@@ -110,6 +113,8 @@
         waiting: Numbers of requests that wait at their replicas.
         records: The greatest records of these parts.
         failed: The attempts that gave none.
+        leaving: Positions of the attempts whose replicas state that they are
+            about to end.
     """
 
     positions: tuple[message_types.Count, ...]
@@ -118,8 +123,11 @@
     waiting: tuple[message_types.Count, ...]
     records: bytes
     failed: tuple[FailedAttempt, ...]
+    leaving: tuple[message_types.Count, ...] = ()
 
 
+RecordSignals = Callable[[directory_lib.ReplicaEntry, bool, float | None], None]
+
 call_decoder = msgspec.msgpack.Decoder(Call)
 _reply_decoder = msgspec.msgpack.Decoder(Reply)
 
@@ -353,6 +361,7 @@
         record: Callable[[Attempt, attempts_lib.Outcome, float], None],
         reach: reach_lib.DomainReachability,
         overheads: Overheads,
+        record_signals: RecordSignals,
     ) -> None:
         """Creates a batch that has not been sent.
 
@@ -365,6 +374,8 @@
                 duration in seconds.
             reach: Reachability of the failure domains.
             overheads: Gets the overhead of the batch.
+            record_signals: Records what a replica asked for: whether it leaves,
+                and a pause in seconds if it wants one.
         """
         self._loop = asyncio.get_running_loop()
         self.collector = collector
@@ -379,6 +390,7 @@
         self._record = record
         self._reach = reach
         self._overheads = overheads
+        self._record_signals = record_signals
         self._reader = ReplyReader()
         self._owed = dict(enumerate(self.attempts))
         self._first_reply_s = math.inf
@@ -509,7 +521,7 @@
         try:
             for reply in self._reader.feed(data):
                 self._on_reply(reply, now_s)
-        except (msgspec.MsgspecError, KeyError, ValueError) as error:
+        except (msgspec.MsgspecError, LookupError, ValueError) as error:
             self._exchange.cancel()
             self._fail(f"malformed ({error})", may_have_run=True)
 
@@ -524,6 +536,13 @@
             if ended == len(self._owed):
                 waited_s = min(waited_s, max(durations_s, default=0.0))
             self._on_first_reply(waited_s, now_s)
+        for position in reply.leaving:
+            self._record_signals(self.attempts[position].entry, True, None)
+        for item in reply.failed:
+            if item.pause_s is not None:
+                self._record_signals(
+                    self.attempts[item.position].entry, False, item.pause_s
+                )
         served = [self._owed.pop(position) for position in reply.positions]
         for attempt, signature, duration_s, waiting in zip(
             served, reply.signatures, durations_s, reply.waiting, strict=True
@@ -615,4 +634,10 @@
 def _outcome_of(failed: FailedAttempt) -> attempts_lib.Outcome:
     if failed.failure:
         return model.Failure(failed.failure)
-    return model.Reply(failed.status, (), b"", not_run=failed.not_run)
+    return model.Reply(
+        failed.status,
+        (),
+        b"",
+        not_run=failed.not_run,
+        pause_s=failed.pause_s,
+    )
--- a/src/mallowloft/routes/collector.py
+++ b/src/mallowloft/routes/collector.py
@@ -12,6 +12,7 @@
 from mallowloft.routes import batching
 from mallowloft.routes import exchange as exchange_lib
 from mallowloft.routes import merge
+from mallowloft.routes import message_types
 from mallowloft.routes import model
 
 _log = logs.get_logger("collector")
@@ -39,6 +40,8 @@
         self._loop = asyncio.get_running_loop()
         self._started_s = self._loop.time()
         self._attempts_by_position: dict[int, attempts_lib.Attempt] = {}
+        # Attempts that were not sent because their replicas want a pause.
+        self._pause_left_by_position: dict[int, float] = {}
         self._ended: list[tuple[int, attempts_lib.Outcome, float]] = []
         self._timers: list[asyncio.TimerHandle] = []
         self.changed = asyncio.Event()
@@ -80,6 +83,11 @@
             ):
                 self._end(position, model.Failure.UNSENT)
                 continue
+            pause_left_s = entry.signals.pause_left_s(self._started_s)
+            if pause_left_s:
+                self._pause_left_by_position[position] = pause_left_s
+                self._end(position, model.Failure.UNSENT)
+                continue
             attempt = self._routes.sender.start(
                 entry,
                 outgoing,
@@ -102,7 +110,9 @@
             if isinstance(item[1], model.Reply) and item[1].success
         ]
         failed = tuple(
-            _failed_attempt(position, outcome)
+            _failed_attempt(
+                position, outcome, self._pause_left_by_position.get(position)
+            )
             for position, outcome, _ in ended
             if not isinstance(outcome, model.Reply) or not outcome.success
         )
@@ -118,6 +128,11 @@
                 self._route.top_records,
             ),
             failed,
+            tuple(
+                position
+                for position, outcome, _ in ended
+                if isinstance(outcome, model.Reply) and outcome.leaving
+            ),
         )
 
     def abandon(self) -> None:
@@ -147,11 +162,28 @@
 
 
 def _failed_attempt(
-    position: int, outcome: attempts_lib.Outcome
+    position: int,
+    outcome: attempts_lib.Outcome,
+    pause_left_s: float | None,
 ) -> batching.FailedAttempt:
     if isinstance(outcome, model.Failure):
-        return batching.FailedAttempt(position, outcome.value)
-    return batching.FailedAttempt(position, "", outcome.status, outcome.not_run)
+        return batching.FailedAttempt(
+            position, outcome.value, pause_s=_bounded(pause_left_s)
+        )
+    return batching.FailedAttempt(
+        position,
+        "",
+        outcome.status,
+        outcome.not_run,
+        _bounded(outcome.pause_s),
+    )
+
+
+def _bounded(pause_s: float | None) -> float | None:
+    """Returns a pause that a message may contain."""
+    if pause_s is None:
+        return None
+    return min(pause_s, message_types.MAX_SECONDS)
 
 
 @registry.plugins.register("collector")
--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 import dataclasses
 
 import msgspec
@@ -72,6 +73,7 @@
     Attributes:
         isolated: Whether the hub reaches no other failure domain but needs
             them to cover the shards.
+        leaving: Ids of replicas that state that they are about to end.
     """
 
     status: int
@@ -80,6 +82,7 @@
     reason: str
     missing: int
     isolated: bool
+    leaving: message_types.Names = ()
 
 
 call_decoder = msgspec.msgpack.Decoder(Call)
@@ -91,8 +94,16 @@
     return min(_ACK_TIMEOUT_S, _ACK_TIMEOUT_OBJECTIVE_SHARE * route.objective_s)
 
 
-def encode_answer(answer: model.Answer, isolated: bool) -> bytes:
-    """Returns an answer encoded for the instance that passed the request."""
+def encode_answer(
+    answer: model.Answer, isolated: bool, leaving: Iterable[str] = ()
+) -> bytes:
+    """Returns an answer encoded for the instance that passed the request.
+
+    Args:
+        answer: The answer.
+        isolated: Whether this hub is isolated.
+        leaving: Ids of replicas that state that they are about to end.
+    """
     gathered = Gathered(
         answer.status,
         answer.headers,
@@ -100,6 +111,7 @@
         answer.reason,
         answer.missing,
         isolated,
+        tuple(leaving),
     )
     return msgspec.msgpack.encode(gathered)
 
@@ -337,6 +349,7 @@
             return None
         entry.health.record_reply(attempt, now_s)
         self._latency.record(now_s - attempt.started_s)
+        self._context.directory.mark_leaving(gathered.leaving)
         if gathered.isolated:
             self._hubs.record_isolated(entry)
         self._record_outcome(attempt, gathered.reason or "answered")
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -1,11 +1,13 @@
 """Directory of the listed replicas by service."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
 import functools
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -13,6 +15,7 @@
 from mallowloft.membership import rendezvous
 from mallowloft.routes import health as health_lib
 from mallowloft.routes import model
+from mallowloft.routes import replica_signals
 from mallowloft.routes import warming
 from mallowloft.upstream import http1
 from mallowloft.upstream import traffic as traffic_lib
@@ -31,6 +34,8 @@
 # Limit on the suspects reported to other instances. If there are more, the
 # others see the same fault themselves.
 _MAX_SUSPECTS = 200
+# Removed replicas whose signals are kept, in case they are listed again.
+_MAX_STORED_SIGNALS = 1_000
 
 
 class ReplicaEntry:
@@ -41,12 +46,22 @@
         pool: Connections to the replica.
         health: Health as seen by this instance.
         draining: Whether the replica accepts no new requests.
+        signals: What the replica has asked of this instance.
         in_subset: Whether the replica is in this instance's subset; connections
             to it are kept open unless the service is on demand or unused.
         remote: Whether the replica is in another failure domain.
     """
 
-    __slots__ = ("draining", "health", "in_subset", "pool", "remote", "replica")
+    __slots__ = (
+        "_leaving_grace_s",
+        "draining",
+        "health",
+        "in_subset",
+        "pool",
+        "remote",
+        "replica",
+        "signals",
+    )
 
     def __init__(
         self,
@@ -54,18 +69,49 @@
         pool: http1.Pool,
         health: health_lib.ReplicaHealth,
         remote: bool,
+        signals: replica_signals.ReplicaSignals | None = None,
+        leaving_grace_s: float = 0.0,
     ) -> None:
         self.replica = replica
         self.pool = pool
         self.health = health
         self.draining = replica.draining
+        self.signals = signals or replica_signals.ReplicaSignals()
         self.in_subset = True
         self.remote = remote
+        self._leaving_grace_s = leaving_grace_s
 
     @property
-    def usable(self) -> bool:
-        """Whether the replica is expected to accept new requests."""
-        return not self.draining and not self.pool.failing
+    def stays(self) -> bool:
+        """Whether the replica is not known to be about to end."""
+        return not self.draining and not self.signals.leaving
+
+    def admits(self, now_s: float) -> bool:
+        """Whether the replica may get a request while others can serve it."""
+        return self.stays and self.signals.admits(now_s, self.health.in_flight)
+
+    def admits_if_alone(self, now_s: float) -> bool:
+        """Whether the replica may get a request that no other can serve.
+
+        A replica that leaves still serves for a while. One that returns from a
+        pause is then asked although it has not replied yet.
+        """
+        return (
+            not self.draining
+            and self.signals.left_for_s(now_s) < self._leaving_grace_s
+            and not self.signals.pause_left_s(now_s)
+        )
+
+    def usable_in_s(self, now_s: float) -> float:
+        """Returns the time until the replica accepts requests again.
+
+        It is infinite if the replica is not expected to do so, and 0 if it
+        accepts them now.
+        """
+        leaves = self.signals.left_for_s(now_s) >= self._leaving_grace_s
+        if self.draining or leaves or self.pool.failing:
+            return math.inf
+        return self.signals.pause_left_s(now_s)
 
 
 class Directory:
@@ -75,6 +121,7 @@
 
     Attributes:
         warmer: Opens connections ahead of requests.
+        leaving_ids: Ids of listed replicas that state that they leave.
     """
 
     def __init__(
@@ -85,6 +132,7 @@
         reach: "reach_lib.DomainReachability",
         open_pool: Callable[..., http1.Pool] = http1.Pool,
         traffic: traffic_lib.Traffic | None = None,
+        leaving_grace_s: float = 0.0,
     ) -> None:
         self._instance = instance
         self._failure_domain = failure_domain
@@ -92,6 +140,14 @@
         self._open_pool = open_pool
         self.warmer = warming.Warmer(random.Random(instance))
         self._traffic = traffic
+        self._leaving_grace_s = leaving_grace_s
+        self.leaving_ids: set[str] = set()
+        self._id_by_address: dict[tuple[str, int], str] = {}
+        # Signals of removed replicas by the identity of their start. A source
+        # that was restored may list such replicas again.
+        self._signals_by_key: collections.OrderedDict[
+            tuple, replica_signals.ReplicaSignals
+        ] = collections.OrderedDict()
         self.reach = reach
         self._entries_by_id: dict[str, ReplicaEntry] = {}
         self._entries_by_service: dict[str, list[ReplicaEntry]] = {}
@@ -145,8 +201,13 @@
             ),
             health_lib.ReplicaHealth(now_s + replica.cold_s),
             remote,
+            self._signals_by_key.pop(replica.key, None),
+            self._leaving_grace_s,
         )
+        if entry.signals.leaving:
+            self.leaving_ids.add(replica.id)
         self._entries_by_id[replica.id] = entry
+        self._resolve_address(entry)
         self._entries_by_service.setdefault(replica.service, []).append(entry)
         self._choose_subset(replica.service)
         _log.info(
@@ -164,6 +225,12 @@
         if entry is None:
             return
         entry.draining = True
+        self.leaving_ids.discard(replica_id)
+        if self._id_by_address.get(entry.replica.address) == replica_id:
+            del self._id_by_address[entry.replica.address]
+        self._signals_by_key[entry.replica.key] = entry.signals
+        if len(self._signals_by_key) > _MAX_STORED_SIGNALS:
+            self._signals_by_key.popitem(last=False)
         entries = self._entries_by_service[entry.replica.service]
         entries.remove(entry)
         if not entries:
@@ -178,6 +245,21 @@
             reason=reason,
         )
 
+    def mark_leaving(self, replica_ids: Iterable[str]) -> None:
+        """Marks replicas that state in their replies that they leave."""
+        now_s = asyncio.get_running_loop().time()
+        for replica_id in replica_ids:
+            entry = self._entries_by_id.get(replica_id)
+            if entry is None or not entry.signals.record_leaving(now_s):
+                continue
+            self.leaving_ids.add(replica_id)
+            self._choose_subset(entry.replica.service)
+            _log.info(
+                "replica_leaving",
+                replica=replica_id,
+                service=entry.replica.service,
+            )
+
     def set_services(
         self,
         services: Iterable[str],
@@ -274,6 +356,8 @@
         now_s = asyncio.get_running_loop().time()
         return {
             **dataclasses.asdict(entry.replica),
+            "leaving": entry.signals.leaving,
+            "pause_left_s": round(entry.signals.pause_left_s(now_s), 3),
             "slowness": round(entry.health.slowness(now_s), 2),
             "ejected": entry.health.ejected(now_s),
             "in_flight": entry.health.in_flight,
@@ -292,6 +376,30 @@
         )
         return max(1, min(_MAX_CONNECTIONS_PER_REPLICA, int(limit / divisor)))
 
+    def _resolve_address(self, entry: ReplicaEntry) -> None:
+        """Drains the earlier one of two replicas at one address.
+
+        A restored source may list a replica whose address another one has got
+        since.
+        """
+        other = self._entries_by_id.get(
+            self._id_by_address.get(entry.replica.address, "")
+        )
+        newest = entry
+        starts = {entry.replica.started, other.replica.started if other else 0}
+        if other is not None and 0 not in starts and len(starts) > 1:
+            oldest, newest = sorted(
+                (entry, other), key=lambda item: item.replica.started
+            )
+            oldest.draining = True
+            _log.info(
+                "replica_superseded",
+                replica=oldest.replica.id,
+                address=oldest.pool.address,
+                by=newest.replica.id,
+            )
+        self._id_by_address[entry.replica.address] = newest.replica.id
+
     def _update(self, entry: ReplicaEntry, replica: model.Replica) -> None:
         if replica == entry.replica:
             return
@@ -317,9 +425,7 @@
         rendezvous hashing: it spreads instances evenly over the replicas, and
         a change of the list changes the subsets of few instances.
         """
-        entries = [
-            entry for entry in self.entries(service) if not entry.draining
-        ]
+        entries = [entry for entry in self.entries(service) if entry.stays]
         if len(entries) > _SUBSET_SIZE:
             entries.sort(key=self._subset_order)
         for position, entry in enumerate(entries):
@@ -332,6 +438,9 @@
                 self.warmer.keep_open(entry.pool)
             else:
                 self.warmer.stop_keeping_open(entry.pool)
+        for entry in self.entries(service):
+            if not entry.stays:
+                self.warmer.stop_keeping_open(entry.pool)
 
     def _subset_order(self, entry: ReplicaEntry) -> tuple[bool, int]:
         weight = rendezvous.weight(self._instance, entry.replica.id)
--- a/src/mallowloft/routes/following.py
+++ b/src/mallowloft/routes/following.py
@@ -6,8 +6,6 @@
 """
 
 import asyncio
-import collections
-import dataclasses
 import enum
 import random
 from typing import Protocol
@@ -15,6 +13,7 @@
 import result
 
 from mallowloft.kernel import logs
+from mallowloft.routes import mirror as mirror_lib
 
 _log = logs.get_logger("following")
 
@@ -30,10 +29,6 @@
 LONG_ANSWER_MIN_ITEMS = 20
 _INITIAL_BACKOFF_S = 0.05
 _MAX_BACKOFF_S = 0.8
-# Removals are delayed for this long after an outage: entries that expired
-# during an outage of the source are written again within 2 s of its recovery if
-# their replicas are alive; the rest is margin.
-_REMOVAL_HOLD_S = 2.3
 # A source that failed calls had an outage if it was silent for longer than the
 # wait of a call plus this time; otherwise it was only slow.
 _MIN_OUTAGE_S = 1.0
@@ -42,10 +37,8 @@
 _MAX_HUB_WAIT_S = 1.2
 # An answer may arrive this long after the wait of its call.
 _RESPONSE_MARGIN_S = 0.5
-# Wait of a call if a removal is already due.
+# Wait of a call if a delayed change is already due.
 _MIN_WAIT_S = 0.05
-# Number of removals that are kept for other instances to ask for.
-_MAX_STORED_REMOVALS = 2_000
 
 
 class CallError(enum.StrEnum):
@@ -55,186 +48,24 @@
     REFUSED = "refused"
     UNREACHABLE = "unreachable"
     MALFORMED = "malformed"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Item:
-    """The last write of a key.
-
-    Attributes:
-        value: None if the key was removed (in batches only).
-    """
-
-    key: str
-    revision: int
-    value: bytes | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Batch:
-    """Items and the source's revision at which they were read."""
-
-    items: tuple[Item, ...]
-    revision: int
+    # The answer is from before the source was restored.
+    OUTDATED = "outdated"
 
 
 class Client(Protocol):
     """Client of the source."""
 
-    async def read(self) -> result.Result[Batch, CallError]:
+    async def read(self) -> result.Result[mirror_lib.Batch, CallError]:
         """Returns all items, and a revision up to which they are complete."""
 
     async def watch(
-        self, after: int, wait_s: float
-    ) -> result.Result[Batch, CallError]:
-        """Waits for changes after a revision and returns them."""
-
-
-class Listener(Protocol):
-    """Receiver of changes to the local copy."""
-
-    def changed(self, key: str, value: bytes) -> None:
-        """Called after a key got a new value."""
-
-    def removed(self, key: str) -> None:
-        """Called after a key was removed."""
+        self, after: tuple[int, int], wait_s: float
+    ) -> result.Result[mirror_lib.Batch, CallError]:
+        """Waits for changes after an era and revision and returns them.
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Removal:
-    """A removal that was applied; numbers are consecutive."""
-
-    number: int
-    key: str
-    revision: int
-
-
-class Mirror:
-    """The local copy of the source's items; does no I/O.
-
-    Removals are delayed after an outage of the source, because entries of live
-    replicas that expired during the outage are soon written again.
-    """
-
-    def __init__(self, listener: Listener) -> None:
-        self._listener = listener
-        self._items_by_key: dict[str, Item] = {}
-        # Time at which each removal is due, and its revision.
-        self._pending_removals_by_key: dict[str, tuple[float, int]] = {}
-        self._hold_removals_until_s = 0.0
-        self._removals: collections.deque[Removal] = collections.deque(
-            maxlen=_MAX_STORED_REMOVALS
-        )
-        self.removal_count = 0
-        # Removals up to this revision are unknown; 0 before the first listing.
-        self._first_listing_revision = 0
-
-    @property
-    def next_removal_s(self) -> float | None:
-        """Time at which the next delayed removal is due; None if none is."""
-        return min(
-            (at_s for at_s, _ in self._pending_removals_by_key.values()),
-            default=None,
-        )
-
-    def items_after(self, revision: int) -> list[Item]:
-        """Returns the items that were written after a revision."""
-        return [
-            item
-            for item in self._items_by_key.values()
-            if item.revision > revision
-        ]
-
-    def removals_after(
-        self, revision: int, number: int
-    ) -> list[Removal] | None:
-        """Returns later removals, or None if some of them are unknown.
-
-        Args:
-            revision: Revision up to which the requesting instance knows the
-                source.
-            number: Number of the last removal that the requesting instance got
-                from this mirror; -1 if it got none.
+        Fails with `CallError.HISTORY_LOST` if the source has been restored, or
+        no longer has the changes.
         """
-        if revision < self._first_listing_revision:
-            return None
-        if number < 0:
-            oldest = self._removals[0] if self._removals else None
-            discarded_any = oldest is not None and oldest.number > 1
-            if discarded_any and revision < oldest.revision:
-                return None
-            return [item for item in self._removals if item.revision > revision]
-        found = [item for item in self._removals if item.number > number]
-        complete = len(found) == self.removal_count - number
-        return found if complete else None
-
-    def hold_removals(self, now_s: float) -> None:
-        """Delays removals for a while after an outage of the source."""
-        self._hold_removals_until_s = now_s + _REMOVAL_HOLD_S
-
-    def replace(self, batch: Batch, now_s: float) -> None:
-        """Replaces the items by a complete listing."""
-        self._first_listing_revision = (
-            self._first_listing_revision or batch.revision
-        )
-        listed = {item.key for item in batch.items}
-        for item in batch.items:
-            self._apply_value(item)
-        for key in set(self._items_by_key) - listed:
-            self._remove(key, batch.revision, now_s)
-
-    def update(self, batch: Batch, now_s: float) -> None:
-        """Applies changes in order."""
-        for item in batch.items:
-            if item.value is not None:
-                self._apply_value(item)
-            elif item.revision > self._revision_of(item.key):
-                self._remove(item.key, item.revision, now_s)
-
-    def apply_due_removals(self, now_s: float) -> None:
-        """Applies the delayed removals that are due."""
-        due = [
-            (key, revision)
-            for key, (at_s, revision) in self._pending_removals_by_key.items()
-            if at_s <= now_s
-        ]
-        for key, revision in due:
-            self._apply_removal(key, revision)
-
-    def _revision_of(self, key: str) -> int:
-        item = self._items_by_key.get(key)
-        return item.revision if item is not None else 0
-
-    def _apply_value(self, item: Item) -> None:
-        known = self._revision_of(item.key)
-        if item.revision <= known:
-            # The item is unchanged or older than the known one. For example, a
-            # listing may contain changes that are newer than its revision,
-            # which states only up to where it is complete; a later call then
-            # returns them again.
-            if item.revision == known:
-                self._pending_removals_by_key.pop(item.key, None)
-            return
-        self._pending_removals_by_key.pop(item.key, None)
-        self._items_by_key[item.key] = item
-        self._listener.changed(item.key, item.value)
-
-    def _remove(self, key: str, revision: int, now_s: float) -> None:
-        if key not in self._items_by_key:
-            return
-        if now_s < self._hold_removals_until_s:
-            held = (self._hold_removals_until_s, revision)
-            self._pending_removals_by_key.setdefault(key, held)
-        else:
-            self._apply_removal(key, revision)
-
-    def _apply_removal(self, key: str, revision: int) -> None:
-        self._pending_removals_by_key.pop(key, None)
-        if self._items_by_key.pop(key, None) is None:
-            return
-        self.removal_count += 1
-        self._removals.append(Removal(self.removal_count, key, revision))
-        self._listener.removed(key)
 
 
 class Follower:
@@ -243,7 +74,7 @@
     def __init__(
         self,
         client: Client,
-        listener: Listener,
+        listener: mirror_lib.Listener,
         rng: random.Random,
         watch_s: float,
     ) -> None:
@@ -261,18 +92,31 @@
         self._pause_s = _MIN_PAUSE_S
         self._client = client
         self._rng = rng
-        self.mirror = Mirror(listener)
+        self.mirror = mirror_lib.Mirror(listener)
         # Set, and replaced by a new event, after each successful call.
         self.updated = asyncio.Event()
-        self._revision: int | None = None
+        # Era and revision up to which changes are known.
+        self._position: tuple[int, int] | None = None
         self._consecutive_failures = 0
         self._last_success_s: float | None = None
         self.calls = 0
+        # Revision up to which changes were known before the last listing.
+        self._last_revision = 0
+        # Number of times that the source was found restored from a copy.
+        self.restores = 0
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and revision up to which changes are known.
+
+        The revision is 0 without a listing.
+        """
+        return self._position or (self.mirror.era, 0)
 
     @property
     def revision(self) -> int:
         """Revision up to which changes are known; 0 without a listing."""
-        return self._revision or 0
+        return self.position[1]
 
     @property
     def current(self) -> bool:
@@ -330,30 +174,50 @@
         """
         self.calls += 1
         wait_s = self._wait_s
-        next_removal_s = self.mirror.next_removal_s
-        if next_removal_s is not None:
-            until_removal_s = next_removal_s - asyncio.get_running_loop().time()
-            wait_s = min(wait_s, max(_MIN_WAIT_S, until_removal_s))
-        needs_listing = self._revision is None
+        next_due_s = self.mirror.next_due_s
+        if next_due_s is not None:
+            until_due_s = next_due_s - asyncio.get_running_loop().time()
+            wait_s = min(wait_s, max(_MIN_WAIT_S, until_due_s))
+        needs_listing = self._position is None
         if needs_listing:
             call_result = await self._client.read()
         else:
-            call_result = await self._client.watch(self._revision, wait_s)
+            call_result = await self._client.watch(self._position, wait_s)
         now_s = asyncio.get_running_loop().time()
         if call_result.is_err():
             return call_result
-        self._record_success(now_s, wait_s)
         batch = call_result.unwrap()
+        if batch.era < self.mirror.era:
+            return result.Err(CallError.OUTDATED)
+        if not needs_listing and batch.era > self.mirror.era:
+            # Changes since a revision of another era are not complete.
+            return result.Err(CallError.HISTORY_LOST)
+        self._record_success(now_s, wait_s)
         if needs_listing:
-            self.mirror.replace(batch, now_s)
+            self._apply_listing(batch, now_s)
         else:
             self.mirror.update(batch, now_s)
-        self.mirror.apply_due_removals(now_s)
-        self._revision = batch.revision
+        self.mirror.apply_due(now_s)
+        self._position = batch.position
         updated, self.updated = self.updated, asyncio.Event()
         updated.set()
         return result.Ok(0 if needs_listing else len(batch.items))
 
+    def _apply_listing(self, batch: mirror_lib.Batch, now_s: float) -> None:
+        mirror = self.mirror
+        before = (mirror.era, self._last_revision, mirror.kept_items)
+        if mirror.replace(batch, now_s):
+            self.restores += 1
+            _log.warning(
+                "source_went_back",
+                era=batch.era,
+                previous_era=before[0],
+                revision=batch.revision,
+                previous_revision=before[1],
+                kept=mirror.kept_items - before[2],
+                unlisted=mirror.pending_removals,
+            )
+
     def _record_success(self, now_s: float, wait_s: float) -> None:
         reached_before = self._last_success_s is not None
         self._last_success_s, previous_s = now_s, self._last_success_s
@@ -372,14 +236,16 @@
 
     async def _handle_failure(self, error: CallError) -> None:
         if error is CallError.HISTORY_LOST:
-            _log.info("history_lost", revision=self._revision)
-            self._revision = None
+            era, revision = self.position
+            _log.info("history_lost", era=era, revision=revision)
+            self._last_revision = revision or self._last_revision
+            self._position = None
             return
         if not self._consecutive_failures:
             _log.warning(
                 "source_lost",
                 reason=error.value,
-                revision=self._revision or 0,
+                revision=self.revision,
                 silent_s=round(self.silent_s(), 2),
             )
         delay_s = min(
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -141,12 +141,16 @@
         now_s = self._loop.time()
         directory = self._context.directory
         self._unreachable_domains = directory.reach.unreachable_domains()
-        self._coverable_shards = reach.count_coverable(
-            self._route, directory, self._unreachable_domains
+        coverable_in_s = reach.coverable_in_s(
+            self._route, directory, self._unreachable_domains, now_s
         )
+        self._coverable_shards = coverable_in_s.count(0.0)
         if self._coverable_shards < self._route.needed_shards:
             self._finish(
-                model.refusal("not_coverable", running.NO_REPLICA_RETRY_AFTER_S)
+                running.refuse_unusable(
+                    coverable_in_s[self._route.needed_shards - 1],
+                    "not_coverable",
+                )
             )
             return
         for service in self._route.shards:
@@ -235,6 +239,7 @@
             ),
             context.directory.reach,
             context.batch_overheads,
+            context.sender.record_signals,
         )
         self._batches.append(batch)
         hedge_due_s = self._earliest_hedge_s(
@@ -287,8 +292,15 @@
     ) -> None:
         """Retries an attempt that failed at a collector."""
         shard = self._pending_shards.get(attempt.service)
-        if shard is not None:
-            self._on_end(shard, attempt, outcome)
+        if shard is None:
+            return
+        if (
+            outcome is model.Failure.UNSENT
+            and attempt.entry.signals.pause_left_s(self._loop.time())
+        ):
+            # The collector knew that the replica wants no requests now.
+            shard.tried.remove(attempt.entry)
+        self._on_end(shard, attempt, outcome)
 
     def on_batch_failed(
         self, attempts: Sequence[batching.Attempt], may_have_run: bool
--- a/src/mallowloft/routes/hub_server.py
+++ b/src/mallowloft/routes/hub_server.py
@@ -157,7 +157,11 @@
         await exchange_lib.respond(
             exchange.send,
             200,
-            delegation.encode_answer(answer, self._hubs.instance_isolated),
+            delegation.encode_answer(
+                answer,
+                self._hubs.instance_isolated,
+                routes.directory.leaving_ids,
+            ),
         )
         fields.update(task.describe())
         routes.record_end(call.id, started_s, answer, fields, True)
--- a/src/mallowloft/routes/model.py
+++ b/src/mallowloft/routes/model.py
@@ -22,6 +22,9 @@
         not_run: Present if a replica did not run the request.
         signatures: Signatures of the parts in a gathered answer.
         missing: Number of shards missing from a gathered answer.
+        leaving: Present in all replies of a replica that is about to end.
+        retry_after: Time for which a replica that refused a request wants no
+            other.
     """
 
     request_id: bytes = b"x-request-id"
@@ -32,6 +35,8 @@
     not_run: bytes = b"x-not-run"
     signatures: bytes = b"x-part-signatures"
     missing: bytes = b"x-missing-parts"
+    leaving: bytes = b"x-leaving"
+    retry_after: bytes = b"retry-after"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,6 +60,11 @@
     cold_s: float = 0.0
     started: int = 0
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port."""
+        return (self.host, self.port)
+
     @property
     def key(self) -> tuple[str, str, int, str, int]:
         """Identity of one start of a replica at one address."""
@@ -156,6 +166,9 @@
     Attributes:
         not_run: Whether the replica states that it did not run the request.
         waiting: Number of requests waiting at the replica.
+        leaving: Whether the replica states that it is about to end.
+        pause_s: For how long the replica wants no further request after a
+            refusal; None if it does not state a time.
     """
 
     status: int
@@ -164,6 +177,8 @@
     signature: bytes = b""
     not_run: bool = False
     waiting: int = 0
+    leaving: bool = False
+    pause_s: float | None = None
 
     @property
     def success(self) -> bool:
--- a/src/mallowloft/routes/reach.py
+++ b/src/mallowloft/routes/reach.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
+import math
 
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import model
@@ -58,22 +59,32 @@
         )
 
 
-def count_coverable(
+def coverable_in_s(
     route: model.Route,
     directory: directory_lib.Directory,
     unreachable: Collection[str],
-) -> int:
-    """Returns the number of shards with a reachable, usable replica.
+    now_s: float,
+) -> list[float]:
+    """Returns when the shards have a reachable replica that accepts requests.
 
     Args:
         route: The route.
         directory: The known replicas.
         unreachable: Unreachable failure domains.
+        now_s: Current loop time.
+
+    Returns:
+        Seconds from now in ascending order; 0 for a shard that has one now, and
+        infinity for one that is not expected to have one.
     """
-    return sum(
-        any(
-            entry.usable and entry.replica.failure_domain not in unreachable
-            for entry in directory.entries(shard)
+    return sorted(
+        min(
+            (
+                entry.usable_in_s(now_s)
+                for entry in directory.entries(shard)
+                if entry.replica.failure_domain not in unreachable
+            ),
+            default=math.inf,
         )
         for shard in route.shards
     )
@@ -93,7 +104,7 @@
         for domain in {
             entry.replica.failure_domain
             for entry in directory.entries(shard)
-            if not entry.draining
+            if entry.stays
         }
     )
 
@@ -103,6 +114,7 @@
     directory: directory_lib.Directory,
     failure_domain: str,
     unreachable: Collection[str],
+    now_s: float,
 ) -> bool:
     """Whether the failure domain is isolated.
 
@@ -117,7 +129,11 @@
     if not others or not others <= set(unreachable):
         return False
     return any(
-        count_coverable(route, directory, unreachable) < route.needed_shards
+        math.isinf(
+            coverable_in_s(route, directory, unreachable, now_s)[
+                route.needed_shards - 1
+            ]
+        )
         for route in routes
         if route.shards
     )
--- a/src/mallowloft/routes/relaying.py
+++ b/src/mallowloft/routes/relaying.py
@@ -21,6 +21,7 @@
 from mallowloft.routes import exchange as exchange_lib
 from mallowloft.routes import following
 from mallowloft.routes import hubs as hubs_lib
+from mallowloft.routes import mirror as mirror_lib
 from mallowloft.upstream import http1
 
 _log = logs.get_logger("relaying")
@@ -49,6 +50,8 @@
 _STATUS_NOT_CURRENT = 503
 _ISOLATED = b"isolated"
 _SOURCE_LOST = b"source_lost"
+# The calling instance knows of a later restore of the source.
+_BEHIND = b"behind"
 # A reader whose calls of the source fail follows another reader for this long
 # before it calls the source again.
 _FOLLOW_READER_S = 1.0
@@ -62,12 +65,19 @@
         removals: Number of removals that the hub has applied.
         items: Keys with revision and value; the value is None for removed keys.
         held: Whether the hub delays removals.
+        era: The source's era of the revision.
+        restored_until: Revision of the era up to which the source may have been
+            restored.
+        earlier_eras: Eras of the items that are from earlier ones, by key.
     """
 
     revision: int
     removals: int
     items: tuple[tuple[str, int, bytes | None], ...]
     held: bool
+    era: int = 0
+    restored_until: int = 0
+    earlier_eras: dict[str, int] = {}
 
 
 _decoder = msgspec.msgpack.Decoder(Changes)
@@ -109,7 +119,8 @@
             return
         try:
             query = _parse_query(scope)
-            after, removals = query["after"], query["removals"]
+            after = (query.get("era", 0), query["after"])
+            removals = query["removals"]
             wait_s = min(max(0, query["wait_ms"]) / 1000, _MAX_WAIT_S)
             from_reader = bool(query.get("reader", 0))
         except (KeyError, ValueError) as error:
@@ -125,8 +136,17 @@
         await exchange_lib.respond(send, status, body)
 
     async def _answer(
-        self, after: int, removals: int, wait_s: float
+        self, after: tuple[int, int], removals: int, wait_s: float
     ) -> tuple[int, bytes]:
+        """Returns status and body, as soon as there are changes.
+
+        Args:
+            after: Era and revision up to which the caller knows the source; the
+                revision is negative if it has no listing.
+            removals: Number of the last removal that the caller got from here;
+                -1 if it got none.
+            wait_s: Longest wait for changes.
+        """
         follower = self._follower
         mirror = follower.mirror
         loop = asyncio.get_running_loop()
@@ -134,7 +154,7 @@
         while (
             follower.current
             and not self._hubs.instance_isolated
-            and follower.revision <= after
+            and follower.position <= after
             and mirror.removal_count <= removals
             and loop.time() < end_s
         ):
@@ -145,21 +165,29 @@
             return _STATUS_NOT_CURRENT, _ISOLATED
         if not follower.current or not follower.revision:
             return _STATUS_NOT_CURRENT, _SOURCE_LOST
-        removed: list[following.Removal] | None = []
-        if after >= 0:
-            removed = mirror.removals_after(after, removals)
+        era, revision = after
+        if era > mirror.era:
+            return _STATUS_NOT_CURRENT, _BEHIND
+        removed: list[mirror_lib.Removal] | None = []
+        if revision >= 0:
+            removed = (
+                mirror.removals_after(revision, removals)
+                if era == mirror.era
+                else None
+            )
         if removed is None:
             return _STATUS_HISTORY_LOST, b"history_lost"
-        items = [
-            (item.key, item.revision, item.value)
-            for item in mirror.items_after(after)
-        ]
+        written = mirror.items_after(after if revision >= 0 else (0, -1))
+        items = [(item.key, item.revision, item.value) for item in written]
         items += [(item.key, item.revision, None) for item in removed]
         changes = Changes(
             follower.revision,
             mirror.removal_count,
             tuple(items),
-            mirror.next_removal_s is not None,
+            mirror.next_due_s is not None,
+            mirror.era,
+            mirror.restored_until,
+            {item.key: item.era for item in written if item.era != mirror.era},
         )
         return _STATUS_CURRENT, msgspec.msgpack.encode(changes)
 
@@ -231,6 +259,8 @@
         # Whether the last call of the source itself succeeded.
         self.source_answers = False
         self._follow_reader_until_s = 0.0
+        # Latest era of a listing.
+        self._era = 0
         # The hub that answered last, the number of removals that it had
         # applied, and whether it delayed further ones.
         self._last_hub = ""
@@ -240,12 +270,14 @@
         self.hub_calls = 0
         self.source_calls = 0
 
-    async def read(self) -> result.Result[following.Batch, following.CallError]:
+    async def read(
+        self,
+    ) -> result.Result[mirror_lib.Batch, following.CallError]:
         """Returns all items."""
         while True:
             hub = self._choose_hub()
             if hub is not None:
-                call_result = await self._call_hub(hub, -1, 0.0)
+                call_result = await self._call_hub(hub, (self._era, -1), 0.0)
                 if call_result.is_ok():
                     self._has_listing = True
                     return call_result
@@ -261,8 +293,11 @@
         return listing
 
     def _record_source_result(
-        self, call_result: result.Result[following.Batch, following.CallError]
+        self,
+        call_result: result.Result[mirror_lib.Batch, following.CallError],
     ) -> None:
+        if call_result.is_ok():
+            self._era = max(self._era, call_result.unwrap().era)
         self.source_answers = call_result.is_ok() or (
             call_result.unwrap_err() is following.CallError.HISTORY_LOST
         )
@@ -277,9 +312,9 @@
         )
 
     async def watch(
-        self, after: int, wait_s: float
-    ) -> result.Result[following.Batch, following.CallError]:
-        """Waits for changes after a revision and returns them."""
+        self, after: tuple[int, int], wait_s: float
+    ) -> result.Result[mirror_lib.Batch, following.CallError]:
+        """Waits for changes after an era and revision and returns them."""
         hub = self._choose_hub()
         if hub is not None:
             if hub.replica.id != self._last_hub and self._hub_delays_removals:
@@ -301,7 +336,7 @@
 
     def _request_listing(
         self,
-    ) -> result.Result[following.Batch, following.CallError]:
+    ) -> result.Result[mirror_lib.Batch, following.CallError]:
         """Returns the error that makes the follower read a full listing.
 
         The last hub delayed removals. Other hubs and the source may not report
@@ -313,7 +348,7 @@
 
     def _avoid_hub(
         self, hub: directory_lib.ReplicaEntry, reason: str
-    ) -> result.Result[following.Batch, following.CallError]:
+    ) -> result.Result[mirror_lib.Batch, following.CallError]:
         """Avoids the hub for a while and returns the error of the call."""
         now_s = asyncio.get_running_loop().time()
         avoid_s = _AVOID_HUB_S if self._has_listing else _AVOID_HUB_AT_START_S
@@ -341,11 +376,16 @@
         return self._hubs.preferred(usable)
 
     async def _call_hub(
-        self, hub: directory_lib.ReplicaEntry, after: int, wait_s: float
-    ) -> result.Result[following.Batch, following.CallError]:
+        self,
+        hub: directory_lib.ReplicaEntry,
+        after: tuple[int, int],
+        wait_s: float,
+    ) -> result.Result[mirror_lib.Batch, following.CallError]:
         is_last_hub = hub.replica.id == self._last_hub
+        era, revision = after
         query = {
-            "after": after,
+            "era": era,
+            "after": revision,
             "removals": self._known_removals if is_last_hub else -1,
             "wait_ms": int(wait_s * 1000),
             "reader": int(self._hubs.is_reader),
@@ -371,10 +411,36 @@
         except msgspec.MsgspecError as error:
             return self._avoid_hub(hub, str(error))
         if not is_last_hub:
-            _log.info("hub_followed", hub=hub.replica.id, revision=after)
+            _log.info(
+                "hub_followed",
+                hub=hub.replica.id,
+                era=changes.era,
+                revision=revision,
+            )
         self._last_hub = hub.replica.id
         self._known_removals = changes.removals
         self._hub_delays_removals = changes.held
+        self._era = max(self._era, changes.era)
         self.hub_calls += 1
-        items = tuple(following.Item(*item) for item in changes.items)
-        return result.Ok(following.Batch(items, max(after, changes.revision)))
+        return result.Ok(_to_batch(changes, revision))
+
+
+def _to_batch(changes: Changes, known_revision: int) -> mirror_lib.Batch:
+    """Returns the changes as a batch.
+
+    Args:
+        changes: Changes of a hub.
+        known_revision: Revision after which the hub returned them.
+    """
+    items = tuple(
+        mirror_lib.Item(
+            key, revision, value, changes.earlier_eras.get(key, changes.era)
+        )
+        for key, revision, value in changes.items
+    )
+    return mirror_lib.Batch(
+        items,
+        max(known_revision, changes.revision),
+        changes.era,
+        changes.restored_until,
+    )
--- /dev/null
+++ b/src/mallowloft/routes/replica_signals.py
@@ -0,0 +1,101 @@
+"""What a replica has asked of this instance in its replies.
+
+A replica that is about to end says so, and gets no further attempts while
+another replica can serve them. A replica that refuses requests may ask for a
+pause, in which it gets none at all.
+
+The load that the pauses answer: a replica with a long queue refuses requests of
+many instances at about the same time. If all of them came back at the end of
+the pause, its queue would be full again at once. So each instance adds a random
+time to its pause, and then sends one request and awaits its reply before it
+sends others.
+"""
+
+import math
+import random
+import re
+
+# An instance comes back up to this share of the pause later, at most the longer
+# time below. Objectives of requests are tenths of seconds.
+_MAX_RETURN_DELAY_SHARE = 0.25
+_MAX_RETURN_DELAY_S = 0.5
+# Bound of a value with very many digits: 30 years.
+_MAX_PAUSE_S = 1e9
+_DECIMAL = re.compile(rb"[0-9]+(\.[0-9]+)?|\.[0-9]+")
+
+
+def parse_pause_s(value: bytes) -> float | None:
+    """Returns a Retry-After value in seconds, None if it is malformed.
+
+    Dates are malformed, too: clocks of instances and replicas may differ.
+    """
+    if _DECIMAL.fullmatch(value.strip()) is None:
+        return None
+    return min(float(value), _MAX_PAUSE_S)
+
+
+class ReplicaSignals:
+    """Leaving and pauses of one start of a replica.
+
+    The caller passes the current loop time in seconds.
+    """
+
+    __slots__ = ("_is_returning", "_leaving_since_s", "_paused_until_s")
+
+    def __init__(self) -> None:
+        self._leaving_since_s = math.inf
+        self._paused_until_s = -math.inf
+        # Whether the replica has replied nothing useful since its pause.
+        self._is_returning = False
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the replica has said that it is about to end."""
+        return self._leaving_since_s < math.inf
+
+    def record_leaving(self, now_s: float) -> bool:
+        """Records that a reply says that the replica is about to end.
+
+        Returns:
+            Whether it is the first such reply.
+        """
+        is_first = not self.leaving
+        self._leaving_since_s = min(self._leaving_since_s, now_s)
+        return is_first
+
+    def left_for_s(self, now_s: float) -> float:
+        """Returns the time since the first such reply; negative if none."""
+        return now_s - self._leaving_since_s
+
+    def record_pause(
+        self, pause_s: float, now_s: float, rng: random.Random
+    ) -> None:
+        """Records that the replica wants no request for a time.
+
+        A shorter pause does not end a longer one.
+        """
+        max_delay_s = min(
+            _MAX_RETURN_DELAY_SHARE * pause_s, _MAX_RETURN_DELAY_S
+        )
+        until_s = now_s + pause_s + rng.uniform(0.0, max_delay_s)
+        self._paused_until_s = max(self._paused_until_s, until_s)
+        self._is_returning = True
+
+    def record_reply(self) -> None:
+        """Records that the replica has run a request."""
+        self._is_returning = False
+
+    def pause_left_s(self, now_s: float) -> float:
+        """Returns for how long the replica wants no requests; 0 if it does."""
+        return max(0.0, self._paused_until_s - now_s)
+
+    def admits(self, now_s: float, in_flight: int) -> bool:
+        """Whether a request may be sent, whether or not the replica leaves.
+
+        Args:
+            now_s: Current loop time.
+            in_flight: Requests that the replica has not replied to.
+        """
+        if now_s < self._paused_until_s:
+            return False
+        return not self._is_returning or in_flight == 0
--- a/src/mallowloft/routes/running.py
+++ b/src/mallowloft/routes/running.py
@@ -4,6 +4,7 @@
 import asyncio
 from collections.abc import Iterable
 import dataclasses
+import math
 from typing import Protocol
 
 from mallowloft.routes import attempts as attempts_lib
@@ -17,6 +18,9 @@
 # Retry-after of requests without a usable replica. A new replica is listed
 # within one to two seconds of its start.
 NO_REPLICA_RETRY_AFTER_S = 0.5
+# Shortest retry-after: replicas that were all tried may accept a further
+# attempt after about the duration of one request.
+MIN_RETRY_AFTER_S = 0.02
 
 
 class Context(Protocol):
@@ -120,6 +124,23 @@
             attempt.release()
 
 
+def refuse_unusable(
+    usable_in_s: float, reason: str = "no_replica"
+) -> model.Answer:
+    """Returns the refusal of a request that no replica accepts now.
+
+    Args:
+        usable_in_s: Time until enough replicas accept requests again; infinite
+            if that is unknown.
+        reason: Reason unless the replicas only want a pause.
+    """
+    if math.isinf(usable_in_s):
+        return model.refusal(reason, NO_REPLICA_RETRY_AFTER_S)
+    if not usable_in_s:
+        return model.refusal(reason, MIN_RETRY_AFTER_S)
+    return model.refusal("replicas_paused", usable_in_s)
+
+
 def outcome_label(outcome: attempts_lib.Outcome) -> str:
     """Returns a label for the outcome of an attempt."""
     if isinstance(outcome, model.Failure):
--- a/src/mallowloft/routes/selection.py
+++ b/src/mallowloft/routes/selection.py
@@ -18,6 +18,8 @@
 _OUTSIDE_SUBSET_COST = 2.0
 _LOAD_COST = 0.5
 _CONNECT_FAILURE_COST = 60.0
+# Above all other costs: the replica is chosen only if there is no other.
+_IF_ALONE_COST = 1000.0
 # Random cost, so that instances do not all pick the same one of several equal
 # replicas.
 _MAX_JITTER = 0.05
@@ -48,9 +50,14 @@
         best = None
         best_cost = math.inf
         for entry in entries:
-            if entry in tried or entry.draining:
+            if entry in tried:
                 continue
-            cost = self._cost(entry, now_s, healthy_only)
+            cost = 0.0
+            if not entry.admits(now_s):
+                if healthy_only or not entry.admits_if_alone(now_s):
+                    continue
+                cost = _IF_ALONE_COST
+            cost += self._cost(entry, now_s, healthy_only)
             if cost < best_cost:
                 best, best_cost = entry, cost
         return best
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -124,10 +124,14 @@
             self._count_connection_event,
             reach.DomainReachability(),
             traffic=kernel.plugin("fleet").traffic,
+            leaving_grace_s=kernel.settings.leaving_grace_s,
         )
         self.selector = selection.Selector(kernel.rng)
         self.sender = attempts_lib.Sender(
-            self.names, kernel.metrics, self.directory.reach
+            self.names,
+            kernel.metrics,
+            self.directory,
+            kernel.rng,
         )
         self._dropped_headers = frozenset(
             (self.names.deadline, self.names.expected_replica)
@@ -221,13 +225,23 @@
             "batch_overhead_ms": self.batch_overheads.dump(),
         }
 
-    def apply(self, table: model.Table, source: str) -> bool:
+    def apply(
+        self, table: model.Table, source: str, replaces_any: bool = False
+    ) -> bool:
         """Applies one version of the route table.
 
+        Args:
+            table: The route table.
+            source: Where it is from, for the log.
+            replaces_any: Whether it replaces any other version. By default it
+                is ignored unless it is newer.
+
         Returns:
-            Whether the version is newer than the current one.
+            Whether it replaced the current one.
         """
-        if self._matcher is not None and table.version <= self.version:
+        if table == self.table:
+            return False
+        if table.version <= self.version and not replaces_any:
             return False
         previous = self._matcher
         services = _services_of(table)
@@ -360,6 +374,7 @@
                     self.directory,
                     self._kernel.settings.failure_domain,
                     unreachable,
+                    asyncio.get_running_loop().time(),
                 )
             )
             if unreachable != before or isolated != self.hubs.instance_isolated:
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -1,14 +1,12 @@
 """Forwarding of one request to a single replica of a service."""
 
+import math
+
 from mallowloft.routes import attempts as attempts_lib
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import model
 from mallowloft.routes import running
 
-# Minimum retry-after: a replica that refused a request has a free slot after
-# about the duration of one request.
-_MIN_RETRY_AFTER_S = 0.02
-
 
 class Forwarding(running.RequestTask):
     """Forwards a request to one replica, with retries and hedges where safe.
@@ -35,9 +33,7 @@
         self._context.extra_attempts(self._service).refill(self._loop.time())
         entry = self._choose_next(healthy_only=False)
         if entry is None:
-            self._finish(
-                model.refusal("no_replica", running.NO_REPLICA_RETRY_AFTER_S)
-            )
+            self._finish(running.refuse_unusable(self._usable_in_s()))
             return
         self._send(entry)
         if not self.done.done():
@@ -67,6 +63,17 @@
             healthy_only,
         )
 
+    def _usable_in_s(self) -> float:
+        """Returns the time until a replica of the service accepts requests."""
+        now_s = self._loop.time()
+        return min(
+            (
+                entry.usable_in_s(now_s)
+                for entry in self._context.directory.entries(self._service)
+            ),
+            default=math.inf,
+        )
+
     def _send(self, entry: directory_lib.ReplicaEntry) -> None:
         self._tried.append(entry)
         attempt = self._context.sender.start(
@@ -125,7 +132,12 @@
             return self._replica_answer(outcome)
         if self._may_have_run:
             return model.failure(502, "replica_failed")
-        wait_s = max(_MIN_RETRY_AFTER_S, self._request_context.latency.median_s)
+        wait_s = max(
+            running.MIN_RETRY_AFTER_S, self._request_context.latency.median_s
+        )
+        usable_in_s = self._usable_in_s()
+        if not math.isinf(usable_in_s):
+            wait_s = max(wait_s, usable_in_s)
         return model.refusal(running.outcome_label(outcome), wait_s)
 
     def _replica_answer(self, reply: model.Reply) -> model.Answer:
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -524,6 +524,10 @@
         """Reverts `keep_open`: connections are opened only for requests."""
         self._keeps_one_open = False
 
+    def reject_waiting(self) -> None:
+        """Ends the requests that wait for a connection as UNSENT."""
+        self._fail_waiting()
+
     def close(self) -> None:
         """Starts to close the pool.
 
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -57,6 +57,7 @@
         unresponsive: Whether requests and replies are lost, by current time.
         status: Status of replies by current time.
         body: Body of replies.
+        headers: Headers of replies besides the signature, by current time.
         arrivals: Number of requests received.
     """
 
@@ -72,6 +73,7 @@
     unresponsive: Callable[[float], bool] = lambda now_s: False
     status: Callable[[float], int] = lambda now_s: 200
     body: bytes = b"\0" * 16
+    headers: Callable[[float], model.Headers] = lambda now_s: ()
     running_requests: int = 0
     arrivals: int = 0
 
@@ -115,7 +117,10 @@
         if not self.unresponsive(now_s):
             response = http1.Response(
                 self.status(now_s),
-                ((NAMES.signature, self.id.encode()),),
+                (
+                    (NAMES.signature, self.id.encode()),
+                    *self.headers(now_s),
+                ),
                 self.body,
             )
             exchange.connection.deliver(exchange, response, delay_s)
@@ -170,7 +175,7 @@
     def close(self, reason: str = "") -> None:
         """Does nothing."""
 
-    keep_open = stop_keeping_open = close_idle = abort = close
+    keep_open = stop_keeping_open = close_idle = abort = reject_waiting = close
 
 
 class Instance:
@@ -209,7 +214,7 @@
             )
         self.selector = selection.Selector(rng)
         self.sender = attempts_lib.Sender(
-            NAMES, metrics_lib.Metrics(), self.directory.reach
+            NAMES, metrics_lib.Metrics(), self.directory, rng
         )
         self.response_delays = timing.ResponseDelays()
         self.batch_overheads = batching.Overheads()
--- a/tests/test_routes_reach.py
+++ b/tests/test_routes_reach.py
@@ -70,7 +70,7 @@
             ]
             instance = replicas_lib.Instance("d1", replicas, rng)
             instance.directory.set_services(route.shards, {})
-            return reach.isolated([route], instance.directory, "d1", lost)
+            return reach.isolated([route], instance.directory, "d1", lost, 0.0)
 
         return virtual.run(main())
 
--- a/tests/test_routes_relaying.py
+++ b/tests/test_routes_relaying.py
@@ -8,6 +8,7 @@
 
 from mallowloft.routes import following
 from mallowloft.routes import hubs as hubs_lib
+from mallowloft.routes import mirror as mirror_lib
 from mallowloft.routes import relaying
 from tests.support import virtual
 
@@ -15,12 +16,16 @@
 class _Listener:
     """Ignores all changes."""
 
-    def changed(self, key: str, value: bytes) -> None:
+    def changed(self, key: str, value: bytes, replaces_any: bool) -> None:
         """Does nothing."""
 
     def removed(self, key: str) -> None:
         """Does nothing."""
 
+    def order_of(self, key: str, value: bytes) -> tuple[int, ...]:
+        """Returns no order."""
+        return ()
+
 
 class _Source:
     """A source that loses its history after the only listing it answers."""
@@ -32,10 +37,10 @@
         self._reads += 1
         if self._reads > 1:
             await asyncio.sleep(60.0)
-        item = following.Item("a", 7, b"x")
-        return result.Ok(following.Batch((item,), 7))
+        item = mirror_lib.Item("a", 7, b"x")
+        return result.Ok(mirror_lib.Batch((item,), 7))
 
-    async def watch(self, after: int, wait_s: float):
+    async def watch(self, after: tuple[int, int], wait_s: float):
         await asyncio.sleep(0.5)
         return result.Err(following.CallError.HISTORY_LOST)
 
