--- a/src/mallowloft/callers/operators.py
+++ b/src/mallowloft/callers/operators.py
@@ -1,19 +1,33 @@
 """Plug-in with the HTTP interface for operators."""
 
+import asyncio
+from collections.abc import Callable
+import dataclasses
 from typing import Any
 
 import msgspec
-from starlette import applications
-from starlette import exceptions
-from starlette import requests as http_requests
-from starlette import responses
-from starlette import routing
 
 from mallowloft.callers import server as server_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import process
 from mallowloft.kernel import registry
 
+_METHODS = ("GET", "HEAD")
+_TEXT = "text/plain; charset=utf-8"
+_JSON = "application/json"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Response:
+    status: int
+    content_type: str
+    body: bytes
+
+
+def _error(status: int, code: str, message: str) -> _Response:
+    body = msgspec.json.encode({"error": code, "message": message})
+    return _Response(status, _JSON, body)
+
 
 @registry.plugins.register("operators")
 class OperatorsService:
@@ -24,26 +38,18 @@
     def __init__(self, kernel: lifecycle.Kernel) -> None:
         self._kernel = kernel
         settings = kernel.settings
-        ready_paths = {"/readyz", settings.ready_path}
-        self.app = applications.Starlette(
-            routes=[
-                routing.Route("/livez", self._handle_livez),
-                *(
-                    routing.Route(path, self._handle_readyz)
-                    for path in ready_paths
-                ),
-                routing.Route("/metrics", self._handle_metrics),
-                routing.Route("/v1/state", self._handle_state),
-            ],
-            exception_handlers={
-                exceptions.HTTPException: self._handle_http_error
-            },
-        )
+        self._handlers_by_path: dict[str, Callable[[], _Response]] = {
+            "/livez": self._get_livez,
+            "/readyz": self._get_readyz,
+            settings.ready_path: self._get_readyz,
+            "/metrics": self._get_metrics,
+            "/v1/state": self._get_state,
+        }
         ports = {settings.operator_port}
         if settings.metrics_port:
             ports.add(settings.metrics_port)
         self._servers = [
-            server_lib.Server(self.app, settings.host, port, {})
+            server_lib.Server(self.serve, settings.host, port, {})
             for port in sorted(ports)
         ]
 
@@ -70,43 +76,47 @@
         """Returns whether the servers accept connections."""
         return {"listening": self.ready()}
 
-    async def _handle_livez(self, request: http_requests.Request):
-        del request
-        return responses.PlainTextResponse("live\n")
-
-    async def _handle_readyz(self, request: http_requests.Request):
-        del request
-        if self._kernel.ready():
-            return responses.PlainTextResponse("ready\n")
-        return responses.PlainTextResponse("not ready\n", 503)
-
-    async def _handle_metrics(self, request: http_requests.Request):
-        del request
-        return responses.Response(
-            self._kernel.metrics.render(), media_type="text/plain"
+    async def serve(self, scope, receive, send) -> None:
+        """Serves a request as an ASGI application."""
+        del receive
+        method, path = scope["method"], scope["path"]
+        handler = self._handlers_by_path.get(path)
+        headers = []
+        if handler is None:
+            response = _error(404, "not_found", f"{method} {path}: Not Found")
+        elif method not in _METHODS:
+            message = f"{method} {path}: Method Not Allowed"
+            response = _error(405, "bad_method", message)
+            headers.append((b"allow", ", ".join(_METHODS).encode()))
+        else:
+            if path == "/metrics":
+                # The first rendering loads a library, which takes a while.
+                await asyncio.to_thread(self._kernel.metrics.load_renderer)
+            response = handler()
+        headers += [
+            (b"content-type", response.content_type.encode()),
+            (b"content-length", b"%d" % len(response.body)),
+        ]
+        await send(
+            {
+                "type": "http.response.start",
+                "status": response.status,
+                "headers": headers,
+            }
         )
+        body = b"" if method == "HEAD" else response.body
+        await send({"type": "http.response.body", "body": body})
 
-    async def _handle_state(self, request: http_requests.Request):
-        del request
-        return responses.Response(
-            process.encode_state(self._kernel), media_type="application/json"
-        )
+    def _get_livez(self) -> _Response:
+        return _Response(200, _TEXT, b"live\n")
+
+    def _get_readyz(self) -> _Response:
+        if self._kernel.ready():
+            return _Response(200, _TEXT, b"ready\n")
+        return _Response(503, _TEXT, b"not ready\n")
 
-    async def _handle_http_error(
-        self, request: http_requests.Request, error: exceptions.HTTPException
-    ) -> responses.Response:
-        """Responds to any HTTP error of the router.
+    def _get_metrics(self) -> _Response:
+        return _Response(200, _TEXT, self._kernel.metrics.render())
 
-        Every status other than 404 is reported as an unsupported method.
-        """
-        code = "not_found" if error.status_code == 404 else "bad_method"
-        body = {
-            "error": code,
-            "message": f"{request.method} {request.url.path}: {error.detail}",
-        }
-        return responses.Response(
-            msgspec.json.encode(body),
-            error.status_code,
-            error.headers,
-            "application/json",
-        )
+    def _get_state(self) -> _Response:
+        return _Response(200, _JSON, process.encode_state(self._kernel))
--- a/src/mallowloft/callers/server.py
+++ b/src/mallowloft/callers/server.py
@@ -161,7 +161,9 @@
         self._listener = listener
         self._task = asyncio.create_task(self._server.serve([listener]))
         while not self._server.started and not self._task.done():
-            await asyncio.sleep(_POLL_INTERVAL_S)
+            # Each start of an instance waits for this, so it polls without
+            # delay; a few iterations of the event loop suffice.
+            await asyncio.sleep(0)
 
     async def stop(
         self, grace_s: float, idle_wait_s: float = _DEFAULT_IDLE_WAIT_S
--- a/src/mallowloft/kernel/metrics.py
+++ b/src/mallowloft/kernel/metrics.py
@@ -1,10 +1,15 @@
-"""Counters, gauges and latency histograms of one instance."""
+"""Counters, gauges and latency histograms of one instance.
+
+The library that renders them is loaded when they are rendered first: loading it
+would prolong each start of an instance, which may be waited for by callers.
+"""
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import importlib
+from typing import Any
 
 from hdrh import histogram
-import prometheus_client
-from prometheus_client import core
 
 _MIN_LATENCY_US = 1
 _MAX_LATENCY_US = 60_000_000
@@ -37,6 +42,22 @@
         return self._histogram.get_value_at_percentile(percentile) / 1000
 
 
+class Counter:
+    """A number that only grows."""
+
+    __slots__ = ("value",)
+
+    def __init__(self) -> None:
+        self.value = 0.0
+
+    def inc(self, amount: float = 1) -> None:
+        """Adds to the number."""
+        self.value += amount
+
+
+_Labels = tuple[tuple[str, str], ...]
+
+
 class Metrics:
     """All metrics of one instance.
 
@@ -45,16 +66,11 @@
     """
 
     def __init__(self) -> None:
-        self._registry = prometheus_client.CollectorRegistry()
-        self._counters_by_name: dict[str, prometheus_client.Counter] = {}
+        self._counters: dict[str, dict[_Labels, Counter]] = {}
         self._gauges_by_name: dict[str, Callable[[], float]] = {}
-        self._latencies: dict[
-            str, dict[tuple[tuple[str, str], ...], LatencyHistogram]
-        ]
-        self._latencies = {}
-        self._registry.register(self)
-        # Exports CPU time, memory and file descriptors of the process.
-        prometheus_client.ProcessCollector(registry=self._registry)
+        self._latencies: dict[str, dict[_Labels, LatencyHistogram]] = {}
+        # The registry of the library that renders the metrics.
+        self._registry: Any = None
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Adds to a counter.
@@ -67,25 +83,26 @@
         """
         self.counter(name, **labels).inc(amount)
 
-    def counter(self, name: str, **labels: str) -> prometheus_client.Counter:
-        """Returns a counter, so that frequent callers need not look it up."""
-        counter = self._counters_by_name.get(name)
+    def counter(self, name: str, **labels: str) -> Counter:
+        """Returns a counter, so that frequent callers need not look it up.
+
+        Raises:
+            ValueError: The name was used with other label names.
+        """
+        by_labels = self._counters.setdefault(name, {})
+        key = tuple(sorted(labels.items()))
+        counter = by_labels.get(key)
         if counter is None:
-            counter = prometheus_client.Counter(
-                f"mallowloft_{name}",
-                name.replace("_", " "),
-                tuple(sorted(labels)),
-                registry=self._registry,
-            )
-            self._counters_by_name[name] = counter
-        return counter.labels(**labels) if labels else counter
+            if by_labels and _names(key) != _names(next(iter(by_labels))):
+                raise ValueError(f"{name}: labels {_names(key)}")
+            counter = by_labels[key] = Counter()
+        return counter
 
     def counter_value(self, name: str, **labels: str) -> float:
         """Returns the value of a counter, 0 if it was never incremented."""
-        value = self._registry.get_sample_value(
-            f"mallowloft_{name}_total", labels
-        )
-        return value or 0.0
+        key = tuple(sorted(labels.items()))
+        counter = self._counters.get(name, {}).get(key)
+        return counter.value if counter is not None else 0.0
 
     def gauge(self, name: str, read: Callable[[], float]) -> None:
         """Registers a gauge; `read` is called whenever metrics are rendered."""
@@ -103,26 +120,53 @@
             by_labels[key] = LatencyHistogram()
         return by_labels[key]
 
-    def collect(self):
-        """Yields gauges, latency percentiles and numbers of latencies."""
+    def load_renderer(self) -> None:
+        """Loads the library that renders the metrics; may block for a while."""
+        if self._registry is not None:
+            return
+        library = importlib.import_module("prometheus_client")
+        registry = library.CollectorRegistry()
+        registry.register(self)
+        # Exports CPU time, memory and file descriptors of the process.
+        library.ProcessCollector(registry=registry)
+        self._registry = registry
+
+    def render(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        self.load_renderer()
+        library = importlib.import_module("prometheus_client")
+        return library.generate_latest(self._registry)
+
+    def collect(self) -> Iterator[Any]:
+        """Yields the metrics as families of the library that renders them."""
+        families = importlib.import_module("prometheus_client.core")
+        for name, by_labels in self._counters.items():
+            family = families.CounterMetricFamily(
+                f"mallowloft_{name}",
+                name.replace("_", " "),
+                labels=_names(next(iter(by_labels))),
+            )
+            for labels, counter in by_labels.items():
+                family.add_metric(_values(labels), counter.value)
+            yield family
         for name, read in self._gauges_by_name.items():
-            yield core.GaugeMetricFamily(
+            yield families.GaugeMetricFamily(
                 f"mallowloft_{name}", name.replace("_", " "), value=read()
             )
         for name, by_labels in self._latencies.items():
-            label_names = [key for key, _ in next(iter(by_labels))]
-            family = core.GaugeMetricFamily(
+            label_names = _names(next(iter(by_labels)))
+            family = families.GaugeMetricFamily(
                 f"mallowloft_{name}_ms",
                 f"{name.replace('_', ' ')} in milliseconds",
                 labels=[*label_names, "percentile"],
             )
-            total = core.CounterMetricFamily(
+            total = families.CounterMetricFamily(
                 f"mallowloft_{name}_recorded",
                 f"number of values of {name.replace('_', ' ')}",
                 labels=label_names,
             )
             for labels, recorded in by_labels.items():
-                values = [value for _, value in labels]
+                values = _values(labels)
                 total.add_metric(values, recorded.count)
                 for percentile in _PERCENTILES:
                     family.add_metric(
@@ -132,6 +176,10 @@
             yield family
             yield total
 
-    def render(self) -> bytes:
-        """Returns all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest(self._registry)
+
+def _names(labels: _Labels) -> list[str]:
+    return [name for name, _ in labels]
+
+
+def _values(labels: _Labels) -> list[str]:
+    return [value for _, value in labels]
