Keep following the source after an unexpected error

An error in one answer would still have ended the task that follows the source, without a log line; it is logged and the call repeated now.

--- a/src/mallowloft/routes/following.py
+++ b/src/mallowloft/routes/following.py
@@ -159,7 +159,13 @@
     async def run(self) -> None:
         """Follows the source until cancelled."""
         while True:
-            call_result = await self._poll()
+            try:
+                call_result = await self._poll()
+            except Exception:  # noqa: BLE001
+                # Without the follower, the instance would use its last copy
+                # for good.
+                _log.exception("call_failed")
+                call_result = result.Err(CallError.MALFORMED)
             if call_result.is_ok():
                 self._consecutive_failures = 0
                 if call_result.unwrap() < LONG_ANSWER_MIN_ITEMS:
