--- a/src/mallowloft/cli.py
+++ b/src/mallowloft/cli.py
@@ -13,6 +13,7 @@
 import mallowloft
 from mallowloft import client as client_lib
 from mallowloft import explain
+from mallowloft import losses
 from mallowloft.kernel import findings as findings_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
@@ -233,16 +234,40 @@
     return _EXIT_OK
 
 
-@commands.register("explain")
-def _explain_command(arguments: argparse.Namespace) -> int:
+def _read_logs(paths: Sequence[str]) -> list[str] | None:
+    """Returns the lines of all files; prints an error and returns None."""
     texts: list[str] = []
-    for path in arguments.files:
+    for path in paths:
         try:
             with open(path, encoding="utf-8", errors="replace") as file:
                 texts += file
         except OSError as error:
             print(f"{path}: {error.strerror}", file=sys.stderr)
-            return _EXIT_USAGE
+            return None
+    return texts
+
+
+@commands.register("losses")
+def _losses_command(arguments: argparse.Namespace) -> int:
+    texts = _read_logs(arguments.files)
+    if texts is None:
+        return _EXIT_USAGE
+    if not arguments.window > 0:
+        print("--window: is not above 0", file=sys.stderr)
+        return _EXIT_USAGE
+    rows = losses.windows(texts, arguments.window)
+    if not rows:
+        print("no log line is of a routed request", file=sys.stderr)
+        return _EXIT_ERROR
+    print("\n".join(losses.table(rows)))
+    return _EXIT_OK
+
+
+@commands.register("explain")
+def _explain_command(arguments: argparse.Namespace) -> int:
+    texts = _read_logs(arguments.files)
+    if texts is None:
+        return _EXIT_USAGE
     lines = explain.relevant_lines(arguments.request, texts)
     if not lines:
         print(f"no log line has request={arguments.request}", file=sys.stderr)
@@ -374,6 +399,17 @@
     )
     explain_parser.add_argument("request", help="id of the request")
     explain_parser.add_argument("files", nargs="+", metavar="FILE")
+    losses_parser = subparsers.add_parser(
+        "losses",
+        help="print when and why routed requests lost answers or parts",
+        description="Prints a table of the routed requests in the logs of all"
+        " instances by time: late and failed answers and missing parts, with"
+        " the reasons. Exit status 1 if there are none.",
+    )
+    losses_parser.add_argument(
+        "--window", type=float, default=2.0, help="seconds of a line"
+    )
+    losses_parser.add_argument("files", nargs="+", metavar="FILE")
     subparsers.add_parser("version", help="print the version")
     return parser
 
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -1,5 +1,6 @@
 """Scatter-gather of one request over all shards of a route."""
 
+import collections
 from collections.abc import Sequence
 import dataclasses
 import math
@@ -599,6 +600,16 @@
             for attempt in shard.in_flight
         ]
 
+    def _count_reasons(self) -> collections.Counter[str]:
+        """Returns why parts are missing, with the numbers of shards.
+
+        `late_2` is a shard that two replicas were asked for.
+        """
+        return collections.Counter(
+            shard.failure or f"late_{len(shard.tried)}"
+            for shard in self._pending_shards.values()
+        )
+
     def describe(self) -> dict[str, object]:
         """Returns the log fields that explain the answer."""
         pending_shards = list(self._pending_shards.values())
@@ -612,6 +623,10 @@
             "hedges": self.hedges,
             "retries": self.retries,
             "denied": self.denied,
+            "reasons": ",".join(
+                f"{reason}:{count}"
+                for reason, count in self._count_reasons().items()
+            ),
             "batches": ",".join(batch.describe() for batch in self._batches),
             "lacking": ",".join(
                 f"{shard.service}:{shard.failure or 'late'}"
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -36,10 +36,8 @@
 _DEFAULT_IDLE_TIMEOUT_S = 60
 # Upper bound for the deadline header, above every deadline that callers use.
 _MAX_DEADLINE_MS = 600_000
-# One in this many answered requests is logged; failed ones always are.
-_LOG_ONE_IN_ANSWERED = 50
-# One in this many requests that were answered without all parts is logged.
-_LOG_ONE_IN_PARTIAL = 5
+# One in this many requests with an outcome is logged, all others always are.
+_LOG_ONE_IN = {"answered": 50, "answered_partly": 5}
 _STOP_POLL_S = 0.02
 # Shorter than the interval of 1 s at which the load balancer checks readiness.
 _REACH_CHECK_INTERVAL_S = 0.25
@@ -573,18 +571,15 @@
             metrics.count("route_requests", route=route, outcome=outcome)
             metrics.observe_ms("route_request", elapsed_ms, route=route)
         self._ended_count += 1
-        if outcome == "answered" and self._ended_count % _LOG_ONE_IN_ANSWERED:
-            return
-        if (
-            outcome == "answered_partly"
-            and self._ended_count % _LOG_ONE_IN_PARTIAL
-        ):
+        one_in = _LOG_ONE_IN.get(outcome, 1)
+        if self._ended_count % one_in:
             return
         _log.info(
             "hub_request_ended" if is_hub_request else "request_ended",
             request=request_id.decode("latin1"),
             outcome=outcome,
             status=status,
+            one_in=one_in,
             elapsed_ms=round(elapsed_ms, 1),
             missing=missing,
             **fields,
