Log and count replicas that state a rate limit

A replica in need states in its replies how many requests per second it accepts from all instances together.

The header is read (also by collectors, which pass it on) and shown in events, metrics and the state dump. Nothing acts on it yet.

The event replica_pause_malformed is now replica_header_malformed, which also covers limits.

--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -24,7 +24,7 @@
 # address.
 _STATUS_MISDIRECTED = 421
 _STATUS_UNAVAILABLE = 503
-# Malformed pauses are logged at most once in this time.
+# Malformed header values are logged at most once in this time.
 _LOG_INTERVAL_S = 10.0
 
 Outcome = model.Reply | model.Failure
@@ -281,6 +281,8 @@
             purpose="part" if outgoing.is_part else "request",
         )
         entry.health.record_start(attempt, now_s, latency.median_s)
+        if entry.signals.limit_per_s is not None:
+            self._metrics.count("replica_limit_attempts")
         entry.pool.submit(attempt.exchange)
         return attempt
 
@@ -320,9 +322,17 @@
             return
         self._reach.succeeded(domain)
         health.waiting = outcome.waiting
-        self.record_signals(attempt.entry, outcome.leaving, outcome.pause_s)
         if outcome.status == _STATUS_MISDIRECTED:
             self._mark_misdirected(attempt.entry)
+        else:
+            self.record_signals(
+                attempt.entry,
+                outcome.leaving,
+                outcome.pause_s,
+                outcome.limit_per_s,
+            )
+            if outcome.limit_per_s is None:
+                self._directory.end_limit(attempt.entry, attempt.started_s)
         if outcome.not_run or outcome.pause_s is not None:
             if outcome.pause_s is None:
                 health.record_failure(attempt, now_s)
@@ -346,6 +356,7 @@
         entry: directory_lib.ReplicaEntry,
         leaving: bool,
         pause_s: float | None,
+        limit_per_s: float | None = None,
     ) -> None:
         """Records what a replica asked of this instance.
 
@@ -353,9 +364,13 @@
             entry: The replica.
             leaving: Whether it states that it is about to end.
             pause_s: For how long it wants no request; None if it states none.
+            limit_per_s: Requests per second that it accepts from all instances
+                together; None if it states none.
         """
         if leaving and not entry.signals.leaving:
             self._directory.mark_leaving([entry.replica.id])
+        if limit_per_s is not None:
+            self._directory.record_limit(entry, limit_per_s)
         if pause_s is None:
             return
         now_s = asyncio.get_running_loop().time()
@@ -419,7 +434,9 @@
         not_run = response.header(self._names.not_run) is not None
         pause_s = None
         if response.status == _STATUS_UNAVAILABLE:
-            pause_s = self._parse_pause_s(response)
+            pause_s = self._parse_decimal(
+                response, self._names.retry_after, "replica_pauses_malformed"
+            )
         return model.Reply(
             status=response.status,
             headers=response.headers,
@@ -429,23 +446,36 @@
             waiting=_parse_waiting(response.header(self._names.load)),
             leaving=response.header(self._names.leaving) is not None,
             pause_s=pause_s,
+            limit_per_s=self._parse_decimal(
+                response, self._names.rate_limit, "replica_limits_malformed"
+            ),
         )
 
-    def _parse_pause_s(self, response: http1.Response) -> float | None:
-        """Returns the pause that a refusal asks for, None if there is none."""
-        value = response.header(self._names.retry_after)
+    def _parse_decimal(
+        self, response: http1.Response, name: bytes, malformed_metric: str
+    ) -> float | None:
+        """Returns the number in a header, None if there is none.
+
+        Args:
+            response: The response of a replica.
+            name: Name of the header.
+            malformed_metric: Metric that counts malformed values.
+        """
+        value = response.header(name)
         if value is None:
             return None
-        pause_s = replica_signals.parse_pause_s(value)
-        if pause_s is None:
-            self._metrics.count("replica_pauses_malformed")
+        number = replica_signals.parse_decimal(value)
+        if number is None:
+            self._metrics.count(malformed_metric)
             now_s = asyncio.get_running_loop().time()
             if now_s - self._malformed_logged_s >= _LOG_INTERVAL_S:
                 self._malformed_logged_s = now_s
                 _log.warning(
-                    "replica_pause_malformed", value=value.decode("latin1")
+                    "replica_header_malformed",
+                    header=name.decode("latin1"),
+                    value=value.decode("latin1"),
                 )
-        return pause_s
+        return number
 
     def _is_invalid_success(
         self, response: http1.Response, reply: model.Reply
--- a/src/mallowloft/routes/batching.py
+++ b/src/mallowloft/routes/batching.py
@@ -94,6 +94,7 @@
         not_run: Whether the replica states that it did not run the request.
         pause_s: For how long the replica wants no requests; None if it states
             no time.
+        limit_per_s: Rate limit that the replica states; None if it states none.
     """
 
     position: message_types.Count
@@ -101,6 +102,7 @@
     status: message_types.Count = 0
     not_run: bool = False
     pause_s: message_types.Seconds | None = None
+    limit_per_s: message_types.PerSecond | None = None
 
 
 class Reply(msgspec.Struct, frozen=True, array_like=True):
@@ -115,6 +117,8 @@
         failed: The attempts that gave none.
         leaving: Positions of the attempts whose replicas state that they are
             about to end.
+        limits: Positions of the attempts that gave a part and whose replicas
+            state a rate limit, with the limits.
     """
 
     positions: tuple[message_types.Count, ...]
@@ -124,9 +128,12 @@
     records: bytes
     failed: tuple[FailedAttempt, ...]
     leaving: tuple[message_types.Count, ...] = ()
+    limits: tuple[tuple[message_types.Count, message_types.PerSecond], ...] = ()
 
 
-RecordSignals = Callable[[directory_lib.ReplicaEntry, bool, float | None], None]
+RecordSignals = Callable[
+    [directory_lib.ReplicaEntry, bool, float | None, float | None], None
+]
 
 call_decoder = msgspec.msgpack.Decoder(Call)
 _reply_decoder = msgspec.msgpack.Decoder(Reply)
@@ -375,7 +382,7 @@
             reach: Reachability of the failure domains.
             overheads: Gets the overhead of the batch.
             record_signals: Records what a replica asked for: whether it leaves,
-                and a pause in seconds if it wants one.
+                a pause in seconds and a rate limit in requests per second.
         """
         self._loop = asyncio.get_running_loop()
         self.collector = collector
@@ -537,17 +544,34 @@
                 waited_s = min(waited_s, max(durations_s, default=0.0))
             self._on_first_reply(waited_s, now_s)
         for position in reply.leaving:
-            self._record_signals(self.attempts[position].entry, True, None)
+            self._record_signals(
+                self.attempts[position].entry, True, None, None
+            )
         for item in reply.failed:
-            if item.pause_s is not None:
-                self._record_signals(
-                    self.attempts[item.position].entry, False, item.pause_s
-                )
+            self._record_signals(
+                self.attempts[item.position].entry,
+                False,
+                item.pause_s,
+                item.limit_per_s,
+            )
+        limits_per_s = dict(reply.limits)
         served = [self._owed.pop(position) for position in reply.positions]
-        for attempt, signature, duration_s, waiting in zip(
-            served, reply.signatures, durations_s, reply.waiting, strict=True
+        for position, attempt, signature, duration_s, waiting in zip(
+            reply.positions,
+            served,
+            reply.signatures,
+            durations_s,
+            reply.waiting,
+            strict=True,
         ):
-            outcome = model.Reply(200, (), b"", signature, waiting=waiting)
+            outcome = model.Reply(
+                200,
+                (),
+                b"",
+                signature,
+                waiting=waiting,
+                limit_per_s=limits_per_s.get(position),
+            )
             self._record(attempt, outcome, duration_s + round_trip_s)
         failed = [
             (self._owed.pop(item.position), _outcome_of(item))
@@ -640,4 +664,5 @@
         b"",
         not_run=failed.not_run,
         pause_s=failed.pause_s,
+        limit_per_s=failed.limit_per_s,
     )
--- a/src/mallowloft/routes/collector.py
+++ b/src/mallowloft/routes/collector.py
@@ -133,6 +133,11 @@
                 for position, outcome, _ in ended
                 if isinstance(outcome, model.Reply) and outcome.leaving
             ),
+            tuple(
+                (position, outcome.limit_per_s)
+                for position, outcome, _ in parts
+                if outcome.limit_per_s is not None
+            ),
         )
 
     def abandon(self) -> None:
@@ -176,6 +181,7 @@
         outcome.status,
         outcome.not_run,
         _bounded(outcome.pause_s),
+        outcome.limit_per_s,
     )
 
 
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -260,6 +260,32 @@
                 service=entry.replica.service,
             )
 
+    def record_limit(self, entry: ReplicaEntry, per_s: float) -> None:
+        """Records the rate limit that a replica states in a reply."""
+        if entry.signals.limit_per_s is None:
+            _log.info(
+                "replica_limited",
+                replica=entry.replica.id,
+                service=entry.replica.service,
+                per_s=per_s,
+            )
+        now_s = asyncio.get_running_loop().time()
+        entry.signals.record_limit(per_s, now_s)
+
+    def end_limit(self, entry: ReplicaEntry, asked_s: float) -> None:
+        """Ends the rate limit of a replica whose reply states none.
+
+        Args:
+            entry: The replica.
+            asked_s: Loop time at which the request of the reply was sent.
+        """
+        if entry.signals.record_no_limit(asked_s):
+            _log.info(
+                "replica_limit_ended",
+                replica=entry.replica.id,
+                service=entry.replica.service,
+            )
+
     def set_services(
         self,
         services: Iterable[str],
@@ -358,6 +384,7 @@
             **dataclasses.asdict(entry.replica),
             "leaving": entry.signals.leaving,
             "pause_left_s": round(entry.signals.pause_left_s(now_s), 3),
+            "limit_per_s": entry.signals.limit_per_s,
             "slowness": round(entry.health.slowness(now_s), 2),
             "ejected": entry.health.ejected(now_s),
             "in_flight": entry.health.in_flight,
--- a/src/mallowloft/routes/message_types.py
+++ b/src/mallowloft/routes/message_types.py
@@ -15,6 +15,7 @@
 Name = Annotated[str, msgspec.Meta(max_length=_MAX_NAME_LENGTH)]
 Names = Annotated[tuple[Name, ...], msgspec.Meta(max_length=_MAX_ITEMS)]
 Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_SECONDS)]
+PerSecond = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 Mbps = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 31)]
 Attempts = Annotated[int, msgspec.Meta(ge=0, le=1000)]
--- a/src/mallowloft/routes/model.py
+++ b/src/mallowloft/routes/model.py
@@ -25,6 +25,8 @@
         leaving: Present in all replies of a replica that is about to end.
         retry_after: Time for which a replica that refused a request wants no
             other.
+        rate_limit: Requests per second that a replica accepts from all
+            instances together.
     """
 
     request_id: bytes = b"x-request-id"
@@ -37,6 +39,7 @@
     missing: bytes = b"x-missing-parts"
     leaving: bytes = b"x-leaving"
     retry_after: bytes = b"retry-after"
+    rate_limit: bytes = b"x-rate-limit"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -169,6 +172,8 @@
         leaving: Whether the replica states that it is about to end.
         pause_s: For how long the replica wants no further request after a
             refusal; None if it does not state a time.
+        limit_per_s: Requests per second that the replica accepts from all
+            instances together; None if it does not state a limit.
     """
 
     status: int
@@ -179,6 +184,7 @@
     waiting: int = 0
     leaving: bool = False
     pause_s: float | None = None
+    limit_per_s: float | None = None
 
     @property
     def success(self) -> bool:
--- a/src/mallowloft/routes/replica_signals.py
+++ b/src/mallowloft/routes/replica_signals.py
@@ -19,34 +19,49 @@
 # time below. Objectives of requests are tenths of seconds.
 _MAX_RETURN_DELAY_SHARE = 0.25
 _MAX_RETURN_DELAY_S = 0.5
-# Bound of a value with very many digits: 30 years.
-_MAX_PAUSE_S = 1e9
+# Bound of a value with very many digits, also in messages between instances.
+# As a pause it is 30 years.
+_MAX_VALUE = 1e9
 _DECIMAL = re.compile(rb"[0-9]+(\.[0-9]+)?|\.[0-9]+")
 
 
-def parse_pause_s(value: bytes) -> float | None:
-    """Returns a Retry-After value in seconds, None if it is malformed.
+def parse_decimal(value: bytes) -> float | None:
+    """Returns the value of a pause or a rate limit, None if it is malformed.
 
-    Dates are malformed, too: clocks of instances and replicas may differ.
+    Dates in Retry-After are malformed, too: clocks of instances and replicas
+    may differ.
     """
     if _DECIMAL.fullmatch(value.strip()) is None:
         return None
-    return min(float(value), _MAX_PAUSE_S)
+    return min(float(value), _MAX_VALUE)
 
 
 class ReplicaSignals:
-    """Leaving and pauses of one start of a replica.
+    """What one start of a replica has asked for.
 
     The caller passes the current loop time in seconds.
+
+    Attributes:
+        limit_per_s: Requests per second that the replica accepts from all
+            instances together; None if it states no limit.
     """
 
-    __slots__ = ("_is_returning", "_leaving_since_s", "_paused_until_s")
+    __slots__ = (
+        "_is_returning",
+        "_leaving_since_s",
+        "_limited_s",
+        "_paused_until_s",
+        "limit_per_s",
+    )
 
     def __init__(self) -> None:
         self._leaving_since_s = math.inf
         self._paused_until_s = -math.inf
         # Whether the replica has replied nothing useful since its pause.
         self._is_returning = False
+        # When the replica last stated its rate limit.
+        self._limited_s = -math.inf
+        self.limit_per_s: float | None = None
 
     @property
     def leaving(self) -> bool:
@@ -81,6 +96,28 @@
         self._paused_until_s = max(self._paused_until_s, until_s)
         self._is_returning = True
 
+    def record_limit(self, per_s: float, now_s: float) -> None:
+        """Records the rate limit that a reply states."""
+        self.limit_per_s = per_s
+        self._limited_s = now_s
+
+    def record_no_limit(self, asked_s: float) -> bool:
+        """Records a reply that states no rate limit.
+
+        A reply to a request that was sent before the limit was heard of may be
+        older than the limit.
+
+        Args:
+            asked_s: Loop time at which the request was sent.
+
+        Returns:
+            Whether the reply ends a limit.
+        """
+        if self.limit_per_s is None or asked_s < self._limited_s:
+            return False
+        self.limit_per_s = None
+        return True
+
     def record_reply(self) -> None:
         """Records that the replica has run a request."""
         self._is_returning = False
--- a/tests/test_routes_signals.py
+++ b/tests/test_routes_signals.py
@@ -35,7 +35,7 @@
         ],
     )
     def test_seconds_are_kept(self, value, pause_s):
-        assert replica_signals.parse_pause_s(value) == pause_s
+        assert replica_signals.parse_decimal(value) == pause_s
 
     @pytest.mark.parametrize(
         "value",
@@ -54,7 +54,7 @@
         ],
     )
     def test_other_values_are_malformed(self, value):
-        assert replica_signals.parse_pause_s(value) is None
+        assert replica_signals.parse_decimal(value) is None
 
 
 class TestPauses:
