Keep all instances together within the rate limit that a replica states

What was seen: a replica in need states how many requests per second it accepts from all instances together, and got far more. Callers noticed nothing, because the replica still answered.

Cause: the header was not known, so every path kept sending. Class: a limit that an upstream sets at run time and that binds all instances together.

Change: each instance uses an equal part of the rate, one permit in each interval. Permits lapse after 0.5 s, and instances draw when theirs are due, so that a fleet that was idle cannot send at once. All attempts take a permit; without one, another replica is chosen, or the request is refused at once with the time until a permit is due. Collectors apply their own part, pass limits on and refuse what exceeds them; attempts at limited replicas are sent directly. What instances heard last goes to the seeds and back, so that a restarted instance knows the limit and a rare sender its end.

--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -281,7 +281,8 @@
             purpose="part" if outgoing.is_part else "request",
         )
         entry.health.record_start(attempt, now_s, latency.median_s)
-        if entry.signals.limit_per_s is not None:
+        if entry.signals.limit is not None:
+            entry.signals.limit.take(now_s)
             self._metrics.count("replica_limit_attempts")
         entry.pool.submit(attempt.exchange)
         return attempt
@@ -304,9 +305,8 @@
         now_s = asyncio.get_running_loop().time()
         health = attempt.entry.health
         domain = attempt.entry.replica.failure_domain
-        if (
-            outcome is model.Failure.UNSENT
-            and attempt.entry.signals.pause_left_s(now_s)
+        if outcome is model.Failure.UNSENT and attempt.entry.signals.restricted(
+            now_s
         ):
             health.discard(attempt)
             self._increment_by_outcome[outcome]()
--- a/src/mallowloft/routes/batching.py
+++ b/src/mallowloft/routes/batching.py
@@ -217,6 +217,9 @@
 ) -> Plan:
     """Divides first attempts into direct ones and batches.
 
+    Attempts at replicas with a rate limit are direct, because the permit was
+    taken from this instance's part of the limit.
+
     Args:
         choices: The replicas chosen for the shards.
         collect_above: Largest number of shards of another failure domain for
@@ -224,12 +227,15 @@
         choose_collectors: Returns up to a number of collectors of a failure
             domain.
     """
+    direct: list[Choice] = []
     choices_by_domain: dict[str, list[Choice]] = {}
     for choice in choices:
+        if choice.entry.signals.limit is not None:
+            direct.append(choice)
+            continue
         domain = choice.entry.replica.failure_domain
         choices_by_domain.setdefault(domain, []).append(choice)
     largest_batch = max(_MIN_LARGEST_BATCH, math.ceil(math.sqrt(len(choices))))
-    direct: list[Choice] = []
     batches = []
     for domain, members in choices_by_domain.items():
         max_direct = (
--- a/src/mallowloft/routes/collector.py
+++ b/src/mallowloft/routes/collector.py
@@ -14,6 +14,7 @@
 from mallowloft.routes import merge
 from mallowloft.routes import message_types
 from mallowloft.routes import model
+from mallowloft.routes import replica_signals
 
 _log = logs.get_logger("collector")
 
@@ -40,8 +41,9 @@
         self._loop = asyncio.get_running_loop()
         self._started_s = self._loop.time()
         self._attempts_by_position: dict[int, attempts_lib.Attempt] = {}
-        # Attempts that were not sent because their replicas want a pause.
-        self._pause_left_by_position: dict[int, float] = {}
+        # Attempts that were not sent because their replicas want a pause or
+        # have a rate limit.
+        self._refused_by_position: dict[int, batching.FailedAttempt] = {}
         self._ended: list[tuple[int, attempts_lib.Outcome, float]] = []
         self._timers: list[asyncio.TimerHandle] = []
         self.changed = asyncio.Event()
@@ -83,9 +85,10 @@
             ):
                 self._end(position, model.Failure.UNSENT)
                 continue
-            pause_left_s = entry.signals.pause_left_s(self._started_s)
-            if pause_left_s:
-                self._pause_left_by_position[position] = pause_left_s
+            if entry.signals.wait_s(self._started_s):
+                self._refused_by_position[position] = _refused_attempt(
+                    position, entry.signals, self._started_s
+                )
                 self._end(position, model.Failure.UNSENT)
                 continue
             attempt = self._routes.sender.start(
@@ -110,9 +113,8 @@
             if isinstance(item[1], model.Reply) and item[1].success
         ]
         failed = tuple(
-            _failed_attempt(
-                position, outcome, self._pause_left_by_position.get(position)
-            )
+            self._refused_by_position.get(position)
+            or _failed_attempt(position, outcome)
             for position, outcome, _ in ended
             if not isinstance(outcome, model.Reply) or not outcome.success
         )
@@ -166,15 +168,23 @@
         self.changed.set()
 
 
+def _refused_attempt(
+    position: int, signals: replica_signals.ReplicaSignals, now_s: float
+) -> batching.FailedAttempt:
+    """Returns the outcome of an attempt that its replica would not accept."""
+    return batching.FailedAttempt(
+        position,
+        model.Failure.UNSENT.value,
+        pause_s=_bounded(signals.pause_left_s(now_s) or None),
+        limit_per_s=signals.limit.per_s if signals.limit else None,
+    )
+
+
 def _failed_attempt(
-    position: int,
-    outcome: attempts_lib.Outcome,
-    pause_left_s: float | None,
+    position: int, outcome: attempts_lib.Outcome
 ) -> batching.FailedAttempt:
     if isinstance(outcome, model.Failure):
-        return batching.FailedAttempt(
-            position, outcome.value, pause_s=_bounded(pause_left_s)
-        )
+        return batching.FailedAttempt(position, outcome.value)
     return batching.FailedAttempt(
         position,
         "",
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -14,7 +14,9 @@
 from mallowloft.kernel import logs
 from mallowloft.membership import rendezvous
 from mallowloft.routes import health as health_lib
+from mallowloft.routes import message_types
 from mallowloft.routes import model
+from mallowloft.routes import rate_limits
 from mallowloft.routes import replica_signals
 from mallowloft.routes import warming
 from mallowloft.upstream import http1
@@ -99,7 +101,7 @@
         return (
             not self.draining
             and self.signals.left_for_s(now_s) < self._leaving_grace_s
-            and not self.signals.pause_left_s(now_s)
+            and not self.signals.wait_s(now_s)
         )
 
     def usable_in_s(self, now_s: float) -> float:
@@ -111,7 +113,7 @@
         leaves = self.signals.left_for_s(now_s) >= self._leaving_grace_s
         if self.draining or leaves or self.pool.failing:
             return math.inf
-        return self.signals.pause_left_s(now_s)
+        return self.signals.wait_s(now_s)
 
 
 class Directory:
@@ -156,8 +158,9 @@
         # Services of shards, and services with connections on demand only.
         self._shard_services: frozenset[str] = frozenset()
         self._on_demand_services: frozenset[str] = frozenset()
-        self._connection_divisor = 1.0
-        self._shard_connection_divisor = 1.0
+        self._divisor = 1.0
+        self._shard_divisor = 1.0
+        self._permit_phase = random.Random(f"{instance} permits").random()
 
     def __len__(self) -> int:
         return len(self._entries_by_id)
@@ -262,29 +265,86 @@
 
     def record_limit(self, entry: ReplicaEntry, per_s: float) -> None:
         """Records the rate limit that a replica states in a reply."""
-        if entry.signals.limit_per_s is None:
-            _log.info(
-                "replica_limited",
-                replica=entry.replica.id,
-                service=entry.replica.service,
-                per_s=per_s,
-            )
         now_s = asyncio.get_running_loop().time()
-        entry.signals.record_limit(per_s, now_s)
+        self._set_limit(entry, per_s, now_s)
 
     def end_limit(self, entry: ReplicaEntry, asked_s: float) -> None:
         """Ends the rate limit of a replica whose reply states none.
 
+        A reply to a request that was sent before the limit was last stated may
+        be older than the limit.
+
         Args:
             entry: The replica.
             asked_s: Loop time at which the request of the reply was sent.
         """
-        if entry.signals.record_no_limit(asked_s):
-            _log.info(
-                "replica_limit_ended",
-                replica=entry.replica.id,
-                service=entry.replica.service,
-            )
+        limit = entry.signals.limit
+        if limit is not None and asked_s >= limit.stated_s:
+            self._remove_limit(entry, asyncio.get_running_loop().time())
+
+    def limit_statements(self) -> tuple[rate_limits.Statement, ...]:
+        """Returns what to report to other instances about rate limits."""
+        now_s = asyncio.get_running_loop().time()
+        statements = []
+        for replica_id, entry in self._entries_by_id.items():
+            limit = entry.signals.limit
+            per_s = limit.per_s if limit else None
+            heard_s = limit.stated_s if limit else entry.signals.limit_ended_s
+            if not math.isinf(heard_s):
+                age_s = min(message_types.MAX_SECONDS, now_s - heard_s)
+                statements.append(
+                    rate_limits.Statement(replica_id, per_s, age_s)
+                )
+        return rate_limits.newest(statements)
+
+    def apply_statements(
+        self, statements: Iterable[rate_limits.Statement]
+    ) -> None:
+        """Applies what other instances heard later than this one."""
+        now_s = asyncio.get_running_loop().time()
+        for item in statements:
+            entry = self._entries_by_id.get(item.replica)
+            if entry is None:
+                continue
+            heard_s = now_s - item.age_s
+            limit = entry.signals.limit
+            known_s = limit.stated_s if limit else entry.signals.limit_ended_s
+            if heard_s <= known_s:
+                continue
+            if item.per_s is not None:
+                self._set_limit(entry, item.per_s, heard_s)
+            elif limit is not None:
+                self._remove_limit(entry, heard_s)
+
+    def _set_limit(
+        self, entry: ReplicaEntry, per_s: float, stated_s: float
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        limit = entry.signals.limit
+        divisor = self._divisor_of(entry.replica.service)
+        if limit is not None:
+            limit.stated_s = stated_s
+            if limit.per_s != per_s:
+                limit.update(per_s, divisor, now_s)
+            return
+        limit = rate_limits.RateLimit(per_s, divisor, self._permit_phase, now_s)
+        limit.stated_s = stated_s
+        entry.signals.limit = limit
+        _log.info(
+            "replica_limited",
+            replica=entry.replica.id,
+            service=entry.replica.service,
+            per_s=per_s,
+        )
+
+    def _remove_limit(self, entry: ReplicaEntry, ended_s: float) -> None:
+        entry.signals.limit = None
+        entry.signals.limit_ended_s = ended_s
+        _log.info(
+            "replica_limit_ended",
+            replica=entry.replica.id,
+            service=entry.replica.service,
+        )
 
     def set_services(
         self,
@@ -305,9 +365,7 @@
         self._used_services = frozenset(services)
         self._shard_services = frozenset(shards)
         self._on_demand_services = frozenset(on_demand)
-        for entry in self._entries_by_id.values():
-            service = entry.replica.service
-            entry.pool.max_connections = self._max_connections_of(service)
+        self._update_limits()
         for service in self._used_services:
             self._choose_subset(service)
 
@@ -342,20 +400,18 @@
             if entry is not None:
                 entry.health.mark_suspected(now_s)
 
-    def divide_connections(self, divisor: float, shard_divisor: float) -> None:
-        """Divides the replicas' connections among the instances.
+    def divide_limits(self, divisor: float, shard_divisor: float) -> None:
+        """Divides the replicas' limits among the instances.
+
+        These are the limits on connections and on the rate of requests.
 
         Args:
-            divisor: Number by which the connections that a replica accepts
-                are divided.
+            divisor: Number by which the limits of a replica are divided.
             shard_divisor: The same for replicas of shards.
         """
-        self._connection_divisor = max(1.0, divisor)
-        self._shard_connection_divisor = max(1.0, shard_divisor)
-        for entry in self._entries_by_id.values():
-            entry.pool.max_connections = self._max_connections_of(
-                entry.replica.service
-            )
+        self._divisor = max(1.0, divisor)
+        self._shard_divisor = max(1.0, shard_divisor)
+        self._update_limits()
 
     def close(self) -> None:
         """Closes all connections."""
@@ -384,24 +440,35 @@
             **dataclasses.asdict(entry.replica),
             "leaving": entry.signals.leaving,
             "pause_left_s": round(entry.signals.pause_left_s(now_s), 3),
-            "limit_per_s": entry.signals.limit_per_s,
+            "limit_per_s": entry.signals.limit and entry.signals.limit.per_s,
             "slowness": round(entry.health.slowness(now_s), 2),
             "ejected": entry.health.ejected(now_s),
             "in_flight": entry.health.in_flight,
             "connections": entry.pool.open_count,
         }
 
+    def _update_limits(self) -> None:
+        """Updates this instance's part of all replicas' limits."""
+        now_s = asyncio.get_running_loop().time()
+        for entry in self._entries_by_id.values():
+            service = entry.replica.service
+            entry.pool.max_connections = self._max_connections_of(service)
+            limit = entry.signals.limit
+            if limit is not None:
+                limit.update(limit.per_s, self._divisor_of(service), now_s)
+
     def _max_connections_of(self, service: str) -> int:
         limit = self._max_connections_by_service.get(service)
         if limit is None:
             return _DEFAULT_MAX_CONNECTIONS
-        is_shard = service in self._shard_services
-        divisor = (
-            self._shard_connection_divisor
-            if is_shard
-            else self._connection_divisor
-        )
-        return max(1, min(_MAX_CONNECTIONS_PER_REPLICA, int(limit / divisor)))
+        share = int(limit / self._divisor_of(service))
+        return max(1, min(_MAX_CONNECTIONS_PER_REPLICA, share))
+
+    def _divisor_of(self, service: str) -> float:
+        """Returns the divisor of the limits of a service's replicas."""
+        if service in self._shard_services:
+            return self._shard_divisor
+        return self._divisor
 
     def _resolve_address(self, entry: ReplicaEntry) -> None:
         """Drains the earlier one of two replicas at one address.
--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -5,9 +5,9 @@
 instances, which is not published anywhere. An instance of a large fleet also
 sends too few requests to a replica to detect by itself that the replica is slow
 or failing. Every instance therefore reports to the seeds, which are a few
-configured instances. They answer with the number of reporting instances and the
-replicas that are slow or failing for several instances, so that no instance
-needs connections to all others.
+configured instances. They answer with the number of reporting instances, the
+replicas that are slow or failing for several instances, and the rate limits
+that replicas state, so that no instance needs connections to all others.
 
 In a large fleet the seeds also name hubs: a few instances of each failure
 domain, preferably with large network links. Hubs read the source of routes for
@@ -32,6 +32,7 @@
 from mallowloft.routes import exchange as exchange_lib
 from mallowloft.routes import hubs as hubs_lib
 from mallowloft.routes import message_types
+from mallowloft.routes import rate_limits
 from mallowloft.upstream import http1
 from mallowloft.upstream import traffic as traffic_lib
 
@@ -95,6 +96,7 @@
         link_mbps: Bandwidth of the instance's network link, 0 if unknown.
         wants_hubs: Whether a seed in any failure domain should name the hubs.
         known_hubs: Digest of the hubs that the instance knows.
+        limits: What the instance last heard of the replicas' rate limits.
     """
 
     instance: message_types.Name
@@ -104,6 +106,7 @@
     link_mbps: message_types.Mbps = 0.0
     wants_hubs: bool = False
     known_hubs: message_types.Name = ""
+    limits: tuple[rate_limits.Statement, ...] = ()
 
 
 class Summary(msgspec.Struct, frozen=True, array_like=True):
@@ -118,6 +121,7 @@
             name them.
         small_links: Number of instances whose links are small compared with
             the largest.
+        limits: The newest statements about the replicas' rate limits.
     """
 
     instances: message_types.Count
@@ -126,6 +130,7 @@
     hub_digest: message_types.Name = ""
     hubs: tuple[hubs_lib.Hub, ...] | None = None
     small_links: message_types.Count = 0
+    limits: tuple[rate_limits.Statement, ...] = ()
 
 
 _report_decoder = msgspec.msgpack.Decoder(Report)
@@ -164,6 +169,7 @@
         self._failure_domain = failure_domain
         self._hubs_above = hubs_above
         self._reports_by_instance: dict[str, tuple[float, Report]] = {}
+        self._limits = rate_limits.StatementRegistry()
         self._received_counts: list[tuple[float, int]] = []
         self._choice: _Choice | None = None
         self._first_report_s: float | None = None
@@ -182,6 +188,7 @@
             now_s - self._last_new_s >= _SEED_SETTLE_S
             or now_s - self._first_report_s >= _MAX_SEED_WARM_UP_S
         )
+        self._limits.record(report.limits, now_s)
         self._reports_by_instance[report.instance] = (now_s, report)
         self._reports_by_instance = {
             instance: (reported_s, known)
@@ -207,6 +214,7 @@
             count if self._settled else 0,
             tuple(sorted(suspects)),
             self._failure_domain,
+            limits=self._limits.list(now_s),
         )
         if not self._settled or not (same_domain or report.wants_hubs):
             return summary
@@ -271,8 +279,8 @@
         return _MAX_ASSUMED_INSTANCES
 
 
-def _ignore_suspects(suspects: Iterable[str]) -> None:
-    del suspects
+def _ignore(items: Iterable) -> None:
+    del items
 
 
 async def _read_body(receive) -> bytes:
@@ -319,9 +327,15 @@
         self.seeds_answered = False
         self._hub_listeners: list[Callable[[], None]] = []
         self._hubs_received_s = -_HUB_LIST_MAX_AGE_S
-        # Both are set by the plug-in `routes`.
+        # These are set by the plug-in `routes`.
         self.find_suspects: Callable[[], Iterable[str]] = tuple
-        self.mark_suspects: Callable[[Iterable[str]], None] = _ignore_suspects
+        self.mark_suspects: Callable[[Iterable[str]], None] = _ignore
+        self.find_limits: Callable[[], tuple[rate_limits.Statement, ...]] = (
+            tuple
+        )
+        self.apply_limits: Callable[[Iterable[rate_limits.Statement]], None] = (
+            _ignore
+        )
         self._task: asyncio.Task | None = None
         self._server: server_lib.Server | None = None
         self._address = ""
@@ -451,6 +465,7 @@
             settings.link_mbps,
             now_s - self._hubs_received_s > _HUB_LIST_MAX_AGE_S,
             self._hub_digest,
+            self.find_limits(),
         )
         response = await http1.send_request(
             pool,
@@ -480,6 +495,7 @@
         if summary.instances:
             self._instance_registry.record_count(summary.instances, now_s)
         self.mark_suspects(summary.suspects)
+        self.apply_limits(summary.limits)
         if summary.hub_digest:
             self._hubs_received_s = now_s
         if summary.hubs is not None:
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -295,11 +295,10 @@
         shard = self._pending_shards.get(attempt.service)
         if shard is None:
             return
-        if (
-            outcome is model.Failure.UNSENT
-            and attempt.entry.signals.pause_left_s(self._loop.time())
+        if outcome is model.Failure.UNSENT and attempt.entry.signals.restricted(
+            self._loop.time()
         ):
-            # The collector knew that the replica wants no requests now.
+            # The collector knew that the replica wants fewer requests.
             shard.tried.remove(attempt.entry)
         self._on_end(shard, attempt, outcome)
 
--- a/src/mallowloft/routes/replica_signals.py
+++ b/src/mallowloft/routes/replica_signals.py
@@ -2,7 +2,8 @@
 
 A replica that is about to end says so, and gets no further attempts while
 another replica can serve them. A replica that refuses requests may ask for a
-pause, in which it gets none at all.
+pause, in which it gets none at all. A replica in need states how many requests
+it accepts from all instances (`rate_limits`).
 
 The load that the pauses answer: a replica with a long queue refuses requests of
 many instances at about the same time. If all of them came back at the end of
@@ -15,6 +16,8 @@
 import random
 import re
 
+from mallowloft.routes import rate_limits
+
 # An instance comes back up to this share of the pause later, at most the longer
 # time below. Objectives of requests are tenths of seconds.
 _MAX_RETURN_DELAY_SHARE = 0.25
@@ -42,16 +45,16 @@
     The caller passes the current loop time in seconds.
 
     Attributes:
-        limit_per_s: Requests per second that the replica accepts from all
-            instances together; None if it states no limit.
+        limit: Rate of the requests that it accepts; None if it states none.
+        limit_ended_s: Loop time at which it last stated no limit any more.
     """
 
     __slots__ = (
         "_is_returning",
         "_leaving_since_s",
-        "_limited_s",
         "_paused_until_s",
-        "limit_per_s",
+        "limit",
+        "limit_ended_s",
     )
 
     def __init__(self) -> None:
@@ -59,9 +62,8 @@
         self._paused_until_s = -math.inf
         # Whether the replica has replied nothing useful since its pause.
         self._is_returning = False
-        # When the replica last stated its rate limit.
-        self._limited_s = -math.inf
-        self.limit_per_s: float | None = None
+        self.limit: rate_limits.RateLimit | None = None
+        self.limit_ended_s = -math.inf
 
     @property
     def leaving(self) -> bool:
@@ -96,28 +98,6 @@
         self._paused_until_s = max(self._paused_until_s, until_s)
         self._is_returning = True
 
-    def record_limit(self, per_s: float, now_s: float) -> None:
-        """Records the rate limit that a reply states."""
-        self.limit_per_s = per_s
-        self._limited_s = now_s
-
-    def record_no_limit(self, asked_s: float) -> bool:
-        """Records a reply that states no rate limit.
-
-        A reply to a request that was sent before the limit was heard of may be
-        older than the limit.
-
-        Args:
-            asked_s: Loop time at which the request was sent.
-
-        Returns:
-            Whether the reply ends a limit.
-        """
-        if self.limit_per_s is None or asked_s < self._limited_s:
-            return False
-        self.limit_per_s = None
-        return True
-
     def record_reply(self) -> None:
         """Records that the replica has run a request."""
         self._is_returning = False
@@ -126,6 +106,18 @@
         """Returns for how long the replica wants no requests; 0 if it does."""
         return max(0.0, self._paused_until_s - now_s)
 
+    def wait_s(self, now_s: float) -> float:
+        """Returns the time until the replica accepts a request; 0 if it does.
+
+        A request is accepted after a pause and within the rate limit.
+        """
+        limit_s = self.limit.wait_s(now_s) if self.limit else 0.0
+        return max(limit_s, self.pause_left_s(now_s))
+
+    def restricted(self, now_s: float) -> bool:
+        """Whether the replica has asked for fewer requests."""
+        return self.limit is not None or now_s < self._paused_until_s
+
     def admits(self, now_s: float, in_flight: int) -> bool:
         """Whether a request may be sent, whether or not the replica leaves.
 
@@ -133,6 +125,6 @@
             now_s: Current loop time.
             in_flight: Requests that the replica has not replied to.
         """
-        if now_s < self._paused_until_s:
+        if self.wait_s(now_s):
             return False
         return not self._is_returning or in_flight == 0
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -147,6 +147,8 @@
         fleet.subscribe_hubs(self._on_hubs_changed)
         fleet.find_suspects = self.directory.suspects
         fleet.mark_suspects = self.directory.mark_suspects
+        fleet.find_limits = self.directory.limit_statements
+        fleet.apply_limits = self.directory.apply_statements
         self._update_limits(fleet.instances)
         self._stats_by_route: dict[str, _RouteStats] = {}
         self._open_requests = 0
@@ -346,7 +348,7 @@
         )
         for service, extra in self._extra_by_service.items():
             extra.limit = self._extra_limit_of(service)
-        self.directory.divide_connections(instances, shard_divisor)
+        self.directory.divide_limits(instances, shard_divisor)
 
     async def _monitor_reach(self) -> None:
         """Checks periodically which failure domains are unreachable.
