Let collectors refuse attempts at replicas that they know to leave

What was seen: a replica that had said that it leaves got six requests from front-0 3.9 to 5.0 s after front-0 had passed that on; 3 s are allowed.

Cause: a collector checked pauses, rate limits and the source's draining state, but not whether the replica itself had said that it leaves. A sender that has just started does not know it yet, and asks the replica for up to half of the allowed time if its siblings accept nothing. The collector's own time for that was long over.

The collector now refuses what it would not send itself, and tells the sender which of the replicas leave.

--- a/src/mallowloft/routes/collector.py
+++ b/src/mallowloft/routes/collector.py
@@ -41,9 +41,10 @@
         self._loop = asyncio.get_running_loop()
         self._started_s = self._loop.time()
         self._attempts_by_position: dict[int, attempts_lib.Attempt] = {}
-        # Attempts that were not sent because their replicas want a pause or
-        # have a rate limit.
+        # Attempts that were not sent because of what their replicas asked for.
         self._refused_by_position: dict[int, batching.FailedAttempt] = {}
+        # Positions of the attempts whose replicas are about to end.
+        self._leaving: list[int] = []
         self._ended: list[tuple[int, attempts_lib.Outcome, float]] = []
         self._timers: list[asyncio.TimerHandle] = []
         self.changed = asyncio.Event()
@@ -85,7 +86,9 @@
             ):
                 self._end(position, model.Failure.UNSENT)
                 continue
-            if entry.signals.wait_s(self._started_s):
+            if not entry.admits_if_alone(self._started_s):
+                if entry.signals.leaving:
+                    self._leaving.append(position)
                 self._refused_by_position[position] = _refused_attempt(
                     position, entry.signals, self._started_s
                 )
@@ -106,6 +109,7 @@
     def take_reply(self) -> batching.Reply:
         """Returns the outcomes since the last call."""
         ended, self._ended = self._ended, []
+        leaving, self._leaving = self._leaving, []
         self.changed.clear()
         parts = [
             item
@@ -130,11 +134,7 @@
                 self._route.top_records,
             ),
             failed,
-            tuple(
-                position
-                for position, outcome, _ in ended
-                if isinstance(outcome, model.Reply) and outcome.leaving
-            ),
+            tuple(leaving),
             tuple(
                 (position, outcome.limit_per_s)
                 for position, outcome, _ in parts
@@ -163,6 +163,8 @@
 
     def _end(self, position: int, outcome: attempts_lib.Outcome) -> None:
         self._attempts_by_position.pop(position, None)
+        if isinstance(outcome, model.Reply) and outcome.leaving:
+            self._leaving.append(position)
         duration_s = self._loop.time() - self._started_s
         self._ended.append((position, outcome, duration_s))
         self.changed.set()
--- a/tests/test_routes_signals.py
+++ b/tests/test_routes_signals.py
@@ -390,6 +390,25 @@
         full = replicas_lib.Instance("d1", [], random.Random(1))._limit
         assert min(tokens) >= full.max_tokens / 2
 
+    def test_collector_does_not_ask_a_replica_that_left(self):
+        # The sender has just started and does not know that they leave.
+        replicas = self._replicas()
+
+        async def main(instances, route):
+            sender, collector, _ = instances
+            leaving = [f"s{number}-d2" for number in range(_SHARDS)]
+            collector.directory.mark_leaving(leaving)
+            await asyncio.sleep(1.0)
+            answer = await sender.serve(route)
+            assert (answer.status, answer.missing) == (200, 0)
+            return sender.directory.leaving_ids
+
+        known = self._run(replicas, main)
+        leaving = [item for item in replicas if item.domain == "d2"]
+        assert sum(item.arrivals for item in leaving) == 0
+        assert known
+        assert known <= {item.id for item in leaving}
+
     def test_pause_told_to_a_collector_ends_its_requests(self):
         replicas = self._replicas()
         paused = [item for item in replicas if item.domain == "d2"]
