--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -181,6 +181,13 @@
             for entry in self.entries(service)
         ]
 
+    def count_connected(self) -> int:
+        """Returns the number of replicas with an open connection."""
+        return sum(
+            bool(entry.pool.open_count)
+            for entry in self._entries_by_id.values()
+        )
+
     def put(self, replica: model.Replica) -> None:
         """Adds a replica or updates a listed one."""
         existing = self._entries_by_id.get(replica.id)
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -163,6 +163,7 @@
         metrics.gauge("route_requests_open", lambda: self._open_requests)
         metrics.gauge("route_table_version", lambda: self.version)
         metrics.gauge("replicas_listed", lambda: len(self.directory))
+        metrics.gauge("replicas_connected", self.directory.count_connected)
 
     @property
     def version(self) -> int:
@@ -383,6 +384,8 @@
                     "reach_changed",
                     lost=",".join(sorted(unreachable)),
                     isolated=isolated,
+                    connected=self.directory.count_connected(),
+                    replicas=len(self.directory),
                 )
 
     def _count_connection_event(self, event: str) -> None:
