Serve callers of instances that have lost their links to replicas

What callers saw: an instance that could not reach any replica refused (not_coverable, unsent) or timed out (parts_late, replica_late, hubs_late) until its links were back, although other instances that it reached could serve. In 12 s, 1 of 49 first attempts at such instances was served.

An instance had no other way than its own links, except that collectors send batches to other failure domains. Class: an instance takes its own fault for that of the replicas.

Change: links to replicas are tracked apart from what collectors reach. A forwarder that does not reach more refuses, and is not asked again for 1 s; after the last one the instance serves what it can itself. A request that may run once goes to one forwarder only. Single requests are tried directly after a new connection. Connections to unreachable failure domains are replaced only when there is a new one. An isolated instance stays ready while a forwarder reaches the replicas.

--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -168,7 +168,7 @@
         This counts as a failure of the replica's failure domain.
         """
         self.entry.health.record_late(self, now_s)
-        self._reach.failed(self.entry.replica.failure_domain, now_s)
+        self._reach.direct_failed(self.entry.replica.failure_domain, now_s)
 
     def release(self) -> None:
         """Stops waiting for the reply.
@@ -201,7 +201,7 @@
         now_s = asyncio.get_running_loop().time()
         if sent:
             self.entry.health.record_failure(self, now_s)
-            self._reach.failed(self.entry.replica.failure_domain, now_s)
+            self._reach.direct_failed(self.entry.replica.failure_domain, now_s)
         else:
             self.entry.health.discard(self)
 
@@ -315,12 +315,12 @@
             health.record_failure(attempt, now_s)
             # A malformed reply shows that the failure domain is reachable.
             if outcome is model.Failure.MALFORMED:
-                self._reach.succeeded(domain)
+                self._reach.direct_succeeded(domain)
             else:
                 self._reach.failed(domain, now_s)
             self._increment_by_outcome[outcome]()
             return
-        self._reach.succeeded(domain)
+        self._reach.direct_succeeded(domain)
         health.waiting = outcome.waiting
         if outcome.status == _STATUS_MISDIRECTED:
             self._mark_misdirected(attempt.entry)
--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -1,4 +1,4 @@
-"""Passes requests on to hubs, which gather the answers.
+"""Passes requests on to other instances, which serve them.
 
 A hub is an instance with a large network link that gathers answers for other
 instances. Hubs serve large fleets whose instances mostly have small links:
@@ -6,11 +6,16 @@
 replicas need to compute the parts, and each replica would have to accept a
 connection from every instance. The hub returns the merged answer, so that the
 parts pass only over the hub's own link.
+
+An instance that has lost its links to replicas passes all requests on to
+instances that have not.
 """
 
 import asyncio
 from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
+import math
 
 import msgspec
 
@@ -23,6 +28,7 @@
 from mallowloft.routes import model
 from mallowloft.routes import reach
 from mallowloft.routes import running
+from mallowloft.routes import single
 from mallowloft.upstream import http1
 
 _log = logs.get_logger("delegation")
@@ -40,6 +46,8 @@
 _MIN_RELATIVE_COVERAGE = 0.8
 # After this many hubs have failed, this instance gathers the answer itself.
 _MAX_HUB_ATTEMPTS = 2
+# The same for forwarders, many of which may have lost their links, too.
+_MAX_FORWARDER_ATTEMPTS = 5
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True):
@@ -53,6 +61,9 @@
             objective; the transfer to the hub is already deducted.
         previous_attempts: How many attempts for each shard other instances
             may have sent already.
+        service: Service that serves the request; empty if the route has shards.
+        unlinked: Number of services that the sender does not reach; None if
+            it passes the request on for another reason.
     """
 
     route: message_types.Name
@@ -65,10 +76,12 @@
     left_s: message_types.Seconds
     answer_in_s: message_types.Seconds
     previous_attempts: message_types.Attempts
+    service: message_types.Name = ""
+    unlinked: message_types.Count | None = None
 
 
 class Gathered(msgspec.Struct, frozen=True, array_like=True):
-    """A hub's answer, which is returned to the caller unchanged.
+    """Another instance's answer, which is returned to the caller unchanged.
 
     Attributes:
         isolated: Whether the hub reaches no other failure domain but needs
@@ -90,7 +103,13 @@
 
 
 def ack_timeout_s(route: model.Route) -> float:
-    """Returns the time within which a hub must acknowledge a request."""
+    """Returns the time within which a hub must acknowledge a request.
+
+    A request that may run only once is not sent to another hub if the first one
+    may have it, so its acknowledgement is awaited without a limit.
+    """
+    if not route.idempotent:
+        return math.inf
     return min(_ACK_TIMEOUT_S, _ACK_TIMEOUT_OBJECTIVE_SHARE * route.objective_s)
 
 
@@ -168,7 +187,11 @@
         self._outcomes: list[str] = []
         # Hubs that may have sent first attempts to the replicas.
         self._previous_attempts = 0
-        self._local_gathering: gathering.ScatterGather | None = None
+        self._local_task: running.RequestTask | None = None
+        self._max_hub_attempts = _MAX_HUB_ATTEMPTS
+        # Services of the request, for forwarders.
+        self._service = ""
+        self._unlinked: int | None = None
 
     def start(self) -> None:
         """Sends the request to a hub."""
@@ -179,14 +202,12 @@
     def cancel(self) -> None:
         """Stops the request and its local gathering if still running."""
         super().cancel()
-        if self._local_gathering is not None:
-            self._local_gathering.cancel()
+        if self._local_task is not None:
+            self._local_task.cancel()
 
     def describe(self) -> dict[str, object]:
         """Returns log fields that explain the answer."""
-        fields = (
-            self._local_gathering.describe() if self._local_gathering else {}
-        )
+        fields = self._local_task.describe() if self._local_task else {}
         return {"hubs": ",".join(self._outcomes), **fields}
 
     def _attempts(self) -> list[_Attempt]:
@@ -194,20 +215,21 @@
 
     def _try_next_hub(self) -> None:
         """Sends the request to another hub, or gathers locally."""
-        if self._local_gathering is not None:
+        if self._local_task is not None:
             return
         now_s = self._loop.time()
-        if self._previous_attempts >= self._route.max_attempts:
+        max_attempts = self._route.max_attempts if self._route.idempotent else 1
+        if self._previous_attempts >= max_attempts:
             self._finish(model.failure(502, "hubs_failed"))
             return
         entry = None
         if (
-            len(self._tried) < _MAX_HUB_ATTEMPTS
+            len(self._tried) < self._max_hub_attempts
             and now_s < self._request_context.end_s
         ):
             entry = self._choose_hub(now_s)
         if entry is None:
-            self._gather_locally()
+            self._serve_locally()
         else:
             self._send(entry, now_s)
 
@@ -237,22 +259,25 @@
             preferred, now_s, self._tried, healthy_only=True
         ) or choose(hubs, now_s, self._tried, healthy_only=True)
 
-    def _gather_locally(self) -> None:
-        task = gathering.ScatterGather(
+    def _serve_locally(self) -> None:
+        task = self._create_local_task()
+        self._local_task = task
+        task.done.add_done_callback(self._on_served)
+        task.start()
+
+    def _create_local_task(self) -> running.RequestTask:
+        return gathering.ScatterGather(
             self._context, self._request_context, self._previous_attempts
         )
-        self._local_gathering = task
-        task.done.add_done_callback(self._on_gathered)
-        task.start()
 
-    def _on_gathered(self, done: asyncio.Future) -> None:
+    def _on_served(self, done: asyncio.Future) -> None:
         if not done.cancelled() and not self.done.done():
             self._finish(done.result())
 
     def _finish(self, answer: model.Answer) -> None:
         super()._finish(answer)
-        if self._local_gathering is not None:
-            self._local_gathering.cancel()
+        if self._local_task is not None:
+            self._local_task.cancel()
 
     def _send(self, entry: directory_lib.ReplicaEntry, now_s: float) -> None:
         self._tried.append(entry)
@@ -292,6 +317,8 @@
             max(0.0, left_s),
             max(0.0, answer_in_s),
             self._previous_attempts,
+            self._service,
+            self._unlinked,
         )
         body = msgspec.msgpack.encode(call)
         return (
@@ -338,6 +365,7 @@
         if outcome.status != 200:
             # The body states the reason for the refusal.
             entry.health.discard(attempt)
+            self._on_refused(entry, now_s)
             self._record_outcome(attempt, outcome.body.decode("latin1"))
             return None
         try:
@@ -350,9 +378,9 @@
         entry.health.record_reply(attempt, now_s)
         self._latency.record(now_s - attempt.started_s)
         self._context.directory.mark_leaving(gathered.leaving)
-        if gathered.isolated:
-            self._hubs.record_isolated(entry)
         self._record_outcome(attempt, gathered.reason or "answered")
+        if gathered.isolated and self._on_isolated(entry, gathered.status):
+            return None
         return model.Answer(
             gathered.status,
             gathered.headers,
@@ -361,6 +389,22 @@
             gathered.missing,
         )
 
+    def _on_refused(
+        self, entry: directory_lib.ReplicaEntry, now_s: float
+    ) -> None:
+        """Called if an instance did not accept the request."""
+
+    def _on_isolated(
+        self, entry: directory_lib.ReplicaEntry, status: int
+    ) -> bool:
+        """Called with the status of a hub that does not reach enough replicas.
+
+        Returns:
+            Whether to ask another hub.
+        """
+        self._hubs.record_isolated(entry)
+        return status == 503
+
     def _record_reachability(
         self, entry: directory_lib.ReplicaEntry, responded: bool
     ) -> None:
@@ -416,3 +460,67 @@
         self._record_reachability(attempt.entry, False)
         if not self._in_flight:
             self._try_next_hub()
+
+
+class ForwardedRequest(DelegatedRequest):
+    """Passes a request on because this instance has lost links to replicas.
+
+    If no other instance reaches more replicas, this one serves the request as
+    far as it can.
+    """
+
+    def __init__(
+        self,
+        context: running.Context,
+        request_context: running.RequestContext,
+        hubs: hubs_lib.Hubs,
+        latency: limits.RouteLatency,
+        transfer_s: float,
+        services: Sequence[str],
+        unlinked: int,
+    ) -> None:
+        """Prepares to pass a request on.
+
+        Args:
+            context: State that running requests share.
+            request_context: The request.
+            hubs: The hubs.
+            latency: Durations of this route's requests at other instances.
+            transfer_s: Time that an answer occupies this instance's link.
+            services: The shards of the route, or the service that was chosen.
+            unlinked: Number of services that this instance does not reach.
+        """
+        super().__init__(context, request_context, hubs, latency, transfer_s)
+        self._service = "" if request_context.route.shards else services[0]
+        self._unlinked = unlinked
+        # If few services are out of reach, their replicas probably have failed,
+        # and other instances do not reach them either.
+        linked = len(services) - unlinked
+        if linked < request_context.route.needed_shards or linked <= unlinked:
+            self._max_hub_attempts = _MAX_FORWARDER_ATTEMPTS
+
+    def _choose_hub(self, now_s: float) -> directory_lib.ReplicaEntry | None:
+        return self._context.selector.choose(
+            self._hubs.forwarders(now_s), now_s, self._tried, healthy_only=True
+        )
+
+    def _create_local_task(self) -> running.RequestTask:
+        if not self._service:
+            return super()._create_local_task()
+        return single.Forwarding(
+            self._context,
+            self._request_context,
+            self._service,
+            self._previous_attempts,
+        )
+
+    def _on_refused(
+        self, entry: directory_lib.ReplicaEntry, now_s: float
+    ) -> None:
+        self._hubs.avoid_forwarder(entry, now_s)
+
+    def _on_isolated(
+        self, entry: directory_lib.ReplicaEntry, status: int
+    ) -> bool:
+        del entry, status
+        return False
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -376,15 +376,23 @@
         for service in self._used_services:
             self._choose_subset(service)
 
-    def reconnect(self, failure_domains: Collection[str]) -> None:
+    def reconnect(self, failure_domains: Collection[str] | None = None) -> None:
         """Replaces idle connections to unreachable failure domains.
 
         An open connection may never deliver data again, while a new one shows
-        when the failure domain is reachable again.
+        when the failure domain is reachable again. An open connection may also
+        be the only kind that still works, so it is kept until there is a new
+        one.
+
+        Args:
+            failure_domains: The failure domains; by default all.
         """
         for entry in self.used_entries():
-            if entry.replica.failure_domain in failure_domains:
-                entry.pool.close_idle()
+            if (
+                failure_domains is None
+                or entry.replica.failure_domain in failure_domains
+            ):
+                entry.pool.renew()
 
     def suspects(self) -> list[str]:
         """Returns the ids of replicas to report to other instances."""
@@ -435,11 +443,11 @@
 
     def _on_connection_event(self, failure_domain: str, event: str) -> None:
         self._on_event(event)
+        now_s = asyncio.get_running_loop().time()
         if event == http1.CONNECTED:
-            self.reach.succeeded(failure_domain)
+            self.reach.connected(failure_domain, now_s)
         elif event == http1.CONNECT_FAILED:
-            now_s = asyncio.get_running_loop().time()
-            self.reach.failed(failure_domain, now_s)
+            self.reach.direct_failed(failure_domain, now_s)
 
     def _describe(self, entry: ReplicaEntry) -> dict:
         now_s = asyncio.get_running_loop().time()
--- a/src/mallowloft/routes/hub_server.py
+++ b/src/mallowloft/routes/hub_server.py
@@ -1,6 +1,7 @@
-"""Plug-in with which a hub gathers answers for other instances."""
+"""Plug-in with which an instance serves requests for other instances."""
 
 import asyncio
+import random
 from typing import Any
 
 import msgspec
@@ -10,11 +11,13 @@
 from mallowloft.kernel import registry
 from mallowloft.routes import attempts as attempts_lib
 from mallowloft.routes import delegation
+from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import exchange as exchange_lib
 from mallowloft.routes import gathering
 from mallowloft.routes import hubs as hubs_lib
 from mallowloft.routes import model
 from mallowloft.routes import running
+from mallowloft.routes import single
 from mallowloft.upstream import http1
 
 _log = logs.get_logger("hub_server")
@@ -25,6 +28,7 @@
 # Timeout of the call that reads a hub's state. A round trip within a failure
 # domain takes less than a tenth of this time.
 _STATE_TIMEOUT_S = 0.2
+_ASKED_FORWARDERS = 4
 # Time within which this instance detects that a sender has closed its
 # connection after the time limit for the acknowledgement.
 _CLOSE_DELAY_S = 0.003
@@ -41,17 +45,49 @@
     hub = hubs.isolated_hub
     if hub is None:
         return False
+    if await _read_state(hub) != _ISOLATED:
+        hubs.isolated_hub = None
+    return hubs.isolated_hub is not None
+
+
+async def find_linked_forwarder(hubs: hubs_lib.Hubs) -> bool:
+    """Returns whether a forwarder reaches enough replicas.
+
+    Asks a few of the forwarders that have not refused a request recently.
+    """
+    now_s = asyncio.get_running_loop().time()
+    entries = hubs.forwarders(now_s)
+    states = await asyncio.gather(
+        *(
+            _read_state(entry)
+            for entry in random.sample(
+                entries, min(_ASKED_FORWARDERS, len(entries))
+            )
+        )
+    )
+    return _CONNECTED in states
+
+
+async def _read_state(entry: directory_lib.ReplicaEntry) -> bytes:
+    """Returns the state of another instance, empty if it does not answer."""
     response = await http1.send_request(
-        hub.pool,
+        entry.pool,
         b"GET",
         _STATE_PATH,
-        hub.pool.address,
+        entry.pool.address,
         _STATE_TIMEOUT_S,
         purpose="state",
     )
-    if isinstance(response, http1.FailureReason) or response.body != _ISOLATED:
-        hubs.isolated_hub = None
-    return hubs.isolated_hub is not None
+    if isinstance(response, http1.FailureReason):
+        return b""
+    return response.body
+
+
+def _serves(route: model.Route, service: str) -> bool:
+    """Whether a route sends requests to a service, empty for its shards."""
+    if not service:
+        return bool(route.shards)
+    return any(target.service == service for target in route.targets)
 
 
 class _SenderGuard:
@@ -105,7 +141,9 @@
 
     async def _serve_state(self, scope, receive, send) -> None:
         del scope, receive
-        body = _ISOLATED if self._hubs.instance_isolated else _CONNECTED
+        hubs = self._hubs
+        is_isolated = hubs.links_lost or hubs.instance_isolated
+        body = _ISOLATED if is_isolated else _CONNECTED
         await exchange_lib.respond(send, 200, body)
 
     async def _serve_call(self, scope, receive, send) -> None:
@@ -139,15 +177,10 @@
             await exchange_lib.respond(exchange.send, 409, route.encode())
             return
         routes = self._routes
-        task = gathering.ScatterGather(
-            routes,
-            self._create_request_context(call, route, started_s),
-            call.previous_attempts,
-            _SenderGuard(
-                exchange,
-                started_s + delegation.ack_timeout_s(route) + _CLOSE_DELAY_S,
-            ),
-        )
+        if not self._reaches_more(call, route):
+            await exchange_lib.respond(exchange.send, 409, b"links_lost")
+            return
+        task = self._create_task(exchange, call, route, started_s)
         fields = {"route": route.name, "version": routes.version}
         try:
             answer = await exchange_lib.run_until_answered(exchange, task)
@@ -159,13 +192,50 @@
             200,
             delegation.encode_answer(
                 answer,
-                self._hubs.instance_isolated,
+                self._hubs.links_lost,
                 routes.directory.leaving_ids,
             ),
         )
         fields.update(task.describe())
         routes.record_end(call.id, started_s, answer, fields, True)
 
+    def _reaches_more(self, call: delegation.Call, route: model.Route) -> bool:
+        """Whether this instance reaches more replicas than the sender does.
+
+        It must also reach enough of them for an answer.
+        """
+        if call.unlinked is None:
+            return True
+        services = (call.service,) if call.service else route.shards
+        unlinked = self._routes.count_unlinked(services)
+        needed = 1 if call.service else route.needed_shards
+        return unlinked < call.unlinked and len(services) - unlinked >= needed
+
+    def _create_task(
+        self,
+        exchange: exchange_lib.ServerExchange,
+        call: delegation.Call,
+        route: model.Route,
+        started_s: float,
+    ) -> running.RequestTask:
+        request_context = self._create_request_context(call, route, started_s)
+        if call.service:
+            return single.Forwarding(
+                self._routes,
+                request_context,
+                call.service,
+                call.previous_attempts,
+            )
+        return gathering.ScatterGather(
+            self._routes,
+            request_context,
+            call.previous_attempts,
+            _SenderGuard(
+                exchange,
+                started_s + delegation.ack_timeout_s(route) + _CLOSE_DELAY_S,
+            ),
+        )
+
     def _create_request_context(
         self, call: delegation.Call, route: model.Route, started_s: float
     ) -> running.RequestContext:
@@ -175,7 +245,10 @@
         return running.RequestContext(
             route=route,
             outgoing=attempts_lib.OutgoingRequest(
-                request, route.rank, self._routes.names, is_part=True
+                request,
+                route.rank,
+                self._routes.names,
+                is_part=not call.service,
             ),
             latency=self._routes.stats_of(route).latency,
             started_s=started_s,
@@ -192,6 +265,8 @@
             return "starting"
         for route in table.routes:
             if route.name == call.route:
-                matches = model.digest(route) == call.digest
+                matches = model.digest(route) == call.digest and (
+                    _serves(route, call.service)
+                )
                 return route if matches else "route_differs"
         return "route_differs"
--- a/src/mallowloft/routes/hubs.py
+++ b/src/mallowloft/routes/hubs.py
@@ -3,9 +3,10 @@
 A hub has one or several roles. Readers read the source of routes for the other
 instances of their failure domain. Gatherers gather answers for instances with
 small network links. Collectors send attempts to the replicas of their failure
-domain for gathering instances in other ones. Only collectors are used in fleets
-of up to `hubs_above` instances. The holders of a role are chosen by the size of
-their links, then by rendezvous hashing.
+domain for gathering instances in other ones. Forwarders serve requests of
+instances that have lost their links to replicas. Only collectors and forwarders
+are used in fleets of up to `hubs_above` instances. The holders of a role are
+chosen by the size of their links, then by rendezvous hashing.
 """
 
 from collections.abc import Callable
@@ -27,6 +28,7 @@
 READER = "reader"
 GATHERER = "gatherer"
 COLLECTOR = "collector"
+FORWARDER = "forwarder"
 # Share of the replicas' connections and of the extra attempts that is reserved
 # for instances with small links, which need it while no hub answers.
 _SMALL_LINKS_SHARE = 0.2
@@ -45,6 +47,11 @@
 # of a large link and a twentieth of a core.
 _INSTANCES_PER_GATHERER = 12
 _MAX_COLLECTORS_PER_DOMAIN = 4
+# Most forwarders of a failure domain may have lost their own links.
+_MIN_FORWARDERS_PER_DOMAIN = 4
+# A forwarder that reaches no more replicas than this instance is not asked
+# again for this long.
+_FORWARDER_AVOIDED_S = 1.0
 # Links with at least this share of the largest link's bandwidth are large.
 _MIN_LARGE_LINK_RATIO = 0.5
 
@@ -74,12 +81,14 @@
         instances: Number of instances in the failure domain.
         large_links: How many of them have large links.
         fleet_instances: Number of instances in all failure domains.
+        failure_domains: Number of failure domains.
         hubs_above: Largest fleet without readers and gatherers.
     """
 
     instances: int
     large_links: int
     fleet_instances: int
+    failure_domains: int
     hubs_above: float
 
     @property
@@ -115,10 +124,22 @@
 @roles.register(COLLECTOR)
 def _count_collectors(candidates: Candidates) -> int:
     """Returns the number of collectors, which all gathering instances use."""
+    if candidates.failure_domains < 2 and not candidates.is_large_fleet:
+        return 0
     needed = math.ceil(candidates.instances / _INSTANCES_PER_GATHERER)
     return min(candidates.large_links, max(_MAX_COLLECTORS_PER_DOMAIN, needed))
 
 
+@roles.register(FORWARDER)
+def _count_forwarders(candidates: Candidates) -> int:
+    """Returns the number of forwarders.
+
+    They get few requests unless many instances lose their links at once.
+    """
+    needed = math.ceil(candidates.instances / _INSTANCES_PER_GATHERER)
+    return max(_MIN_FORWARDERS_PER_DOMAIN, needed)
+
+
 def has_small_link(link_mbps: float, largest_mbps: float) -> bool:
     """Whether a link is small compared with the largest of the fleet."""
     return link_mbps < _MIN_LARGE_LINK_RATIO * largest_mbps
@@ -137,7 +158,7 @@
     members_by_domain: dict[str, list[Hub]] = {}
     for member in members:
         members_by_domain.setdefault(member.failure_domain, []).append(member)
-    if len(members_by_domain) < 2 and len(members) <= hubs_above:
+    if len(members) < 2:
         return ()
     hubs: list[Hub] = []
     for _, domain_members in sorted(members_by_domain.items()):
@@ -149,6 +170,7 @@
             len(domain_members),
             len(domain_members) - small_links,
             len(members),
+            len(members_by_domain),
             hubs_above,
         )
         hubs += _choose_holders(domain_members, candidates, largest_mbps)
@@ -242,6 +264,10 @@
         # other failure domain but needs them to cover the shards, so that
         # callers should use other instances.
         self.instance_isolated = False
+        # Whether this instance itself does not reach enough replicas, whether
+        # or not forwarders serve its requests.
+        self.links_lost = False
+        self._avoided_until_s: dict[str, float] = {}
         # A hub of this failure domain that reported that it is isolated.
         self.isolated_hub: directory_lib.ReplicaEntry | None = None
         self._small_links = 0
@@ -288,6 +314,21 @@
             and entry.replica.failure_domain == failure_domain
         ]
 
+    def forwarders(self, now_s: float) -> list[directory_lib.ReplicaEntry]:
+        """Returns the forwarders that may reach more replicas."""
+        return [
+            entry
+            for instance, entry in self._entries_by_id.items()
+            if FORWARDER in self._hubs_by_id[instance].roles
+            and self._avoided_until_s.get(instance, 0.0) <= now_s
+        ]
+
+    def avoid_forwarder(
+        self, entry: directory_lib.ReplicaEntry, now_s: float
+    ) -> None:
+        """Records that a forwarder does not reach more replicas."""
+        self._avoided_until_s[entry.replica.id] = now_s + _FORWARDER_AVOIDED_S
+
     def record_isolated(self, hub: directory_lib.ReplicaEntry) -> None:
         """Records that a hub reported that it is isolated."""
         if not hub.remote:
@@ -324,6 +365,11 @@
             return False
         self._small_links = small_links
         self._hubs_by_id = hubs_by_id
+        self._avoided_until_s = {
+            instance: until_s
+            for instance, until_s in self._avoided_until_s.items()
+            if instance in hubs_by_id
+        }
         for instance, entry in list(self._entries_by_id.items()):
             hub = self._hubs_by_id.get(instance)
             # A hub that keeps its id may have moved to another failure domain.
--- a/src/mallowloft/routes/reach.py
+++ b/src/mallowloft/routes/reach.py
@@ -1,9 +1,13 @@
-"""Detects unreachable failure domains and the isolation of this one.
+"""Detects unreachable failure domains, lost links and isolation.
 
-If a network partition cuts a failure domain off from all others while callers
-still reach it, its instances cannot cover the shards, but instances in other
-failure domains can. An isolated instance therefore reports that it is not
-ready, so that callers go to the others.
+An instance may lose its links to the replicas of one failure domain, or to all
+replicas, while callers and other instances still reach it. Instances that reach
+more replicas then serve its requests (`delegation.ForwardedRequest`).
+
+If a network partition cuts a failure domain off from all others, no instance in
+it can cover the shards, but instances in other failure domains can. Such an
+isolated instance reports that it is not ready, so that callers go to the
+others.
 """
 
 import collections
@@ -23,39 +27,108 @@
 _UNREACHABLE_MIN_SPAN_S = 0.3
 
 
+# While the links are lost, single requests are sent to replicas as trials. They
+# follow a new connection at intervals that double from the shortest to the
+# longest, since a connection may be established although no data passes.
+# Without a new connection the longest interval applies.
+_MIN_TRIAL_INTERVAL_S = 0.5
+_MAX_TRIAL_INTERVAL_S = 5.0
+
+
 @dataclasses.dataclass(slots=True)
 class _FailureStreak:
+    """Failures since the last success."""
+
     first_s: float
     last_s: float
     failures: int = 0
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the failures show that nothing is reached."""
+        return (
+            self.failures >= _UNREACHABLE_MIN_FAILURES
+            and self.last_s - self.first_s > _UNREACHABLE_MIN_SPAN_S
+        )
+
+    def record(self, now_s: float) -> None:
+        """Records a failure."""
+        self.last_s = now_s
+        self.failures += 1
+
 
 class DomainReachability:
-    """Tracks for each failure domain whether calls succeed."""
+    """Tracks whether calls of failure domains succeed.
+
+    Calls of collectors show whether a failure domain is reached. Direct calls
+    of replicas also show whether this instance has links to any replica.
+    """
 
     def __init__(self) -> None:
         self._streak_by_domain: dict[str, _FailureStreak] = {}
+        # Failures of direct calls since the last success in any domain.
+        self._direct_streak: _FailureStreak | None = None
+        self._trial_due_s = math.inf
+        self._trial_interval_s = _MIN_TRIAL_INTERVAL_S
+
+    @property
+    def links_lost(self) -> bool:
+        """Whether this instance has lost its links to all replicas."""
+        return self._direct_streak is not None and self._direct_streak.is_lost
 
     def succeeded(self, failure_domain: str) -> None:
-        """Records a reply or a new connection."""
+        """Records a reply of a collector or a replica."""
         self._streak_by_domain.pop(failure_domain, None)
 
     def failed(self, failure_domain: str, now_s: float) -> None:
-        """Records an attempt that failed or is late."""
-        streak = self._streak_by_domain.get(failure_domain)
-        if streak is None:
-            streak = _FailureStreak(now_s, now_s)
-            self._streak_by_domain[failure_domain] = streak
-        streak.last_s = now_s
-        streak.failures += 1
+        """Records a call of a collector or a replica that failed or is late."""
+        streak = self._streak_by_domain.setdefault(
+            failure_domain, _FailureStreak(now_s, now_s)
+        )
+        streak.record(now_s)
+
+    def direct_succeeded(self, failure_domain: str) -> None:
+        """Records a reply of a replica to this instance."""
+        self.succeeded(failure_domain)
+        self._direct_streak = None
+        self._trial_interval_s = _MIN_TRIAL_INTERVAL_S
+
+    def direct_failed(self, failure_domain: str, now_s: float) -> None:
+        """Records that a replica did not respond to this instance in time.
+
+        A connection that a replica closes is no such case.
+        """
+        self.failed(failure_domain, now_s)
+        if self._direct_streak is None:
+            self._direct_streak = _FailureStreak(now_s, now_s)
+        was_lost = self.links_lost
+        self._direct_streak.record(now_s)
+        if self.links_lost and not was_lost:
+            self._trial_due_s = now_s + _MAX_TRIAL_INTERVAL_S
+
+    def connected(self, failure_domain: str, now_s: float) -> None:
+        """Records a new connection to a replica."""
+        self.succeeded(failure_domain)
+        self._trial_due_s = min(
+            self._trial_due_s, now_s + self._trial_interval_s
+        )
+
+    def take_trial(self, now_s: float) -> bool:
+        """Whether a request may be sent although the links are lost."""
+        if now_s < self._trial_due_s:
+            return False
+        self._trial_due_s = now_s + _MAX_TRIAL_INTERVAL_S
+        self._trial_interval_s = min(
+            2 * self._trial_interval_s, _MAX_TRIAL_INTERVAL_S
+        )
+        return True
 
     def unreachable_domains(self) -> frozenset[str]:
         """Returns the failure domains that count as unreachable."""
         return frozenset(
             domain
             for domain, streak in self._streak_by_domain.items()
-            if streak.failures >= _UNREACHABLE_MIN_FAILURES
-            and streak.last_s - streak.first_s > _UNREACHABLE_MIN_SPAN_S
+            if streak.is_lost
         )
 
 
@@ -90,6 +163,35 @@
     )
 
 
+def count_unlinked(
+    services: Iterable[str], directory: directory_lib.Directory
+) -> int:
+    """Returns the number of services whose replicas are all out of reach.
+
+    This does not take into account whether the links to all replicas are lost.
+
+    Args:
+        services: Services, such as the shards of a route.
+        directory: The known replicas.
+    """
+    unreachable = directory.reach.unreachable_domains()
+    return sum(
+        _is_unlinked(directory.entries(service), unreachable)
+        for service in services
+    )
+
+
+def _is_unlinked(
+    entries: Iterable[directory_lib.ReplicaEntry], unreachable: Collection[str]
+) -> bool:
+    """Whether the links to all of the replicas that stay are lost."""
+    staying = [entry for entry in entries if entry.stays]
+    return bool(staying) and all(
+        entry.pool.failing or entry.replica.failure_domain in unreachable
+        for entry in staying
+    )
+
+
 def covered_by_domain(
     route: model.Route, directory: directory_lib.Directory
 ) -> collections.Counter[str]:
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -1,6 +1,8 @@
 """Plug-in that routes opaque requests to replicas."""
 
 import asyncio
+from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
 from typing import Any
 
@@ -283,6 +285,13 @@
             self._extra_by_service[service] = extra
         return extra
 
+    def count_unlinked(self, services: Iterable[str]) -> int:
+        """Returns the number of services that this instance does not reach."""
+        services = tuple(services)
+        if self.directory.reach.links_lost:
+            return len(services)
+        return reach.count_unlinked(services, self.directory)
+
     def choose_collectors(
         self, failure_domain: str, count: int
     ) -> list[directory_lib.ReplicaEntry]:
@@ -368,21 +377,32 @@
             if unreachable - before:
                 self.directory.reconnect(unreachable - before)
             table = self.table
-            isolated = await hub_server.check_isolated_hub(self.hubs) or (
-                table is not None
-                and reach.isolated(
-                    table.routes,
-                    self.directory,
-                    self._kernel.settings.failure_domain,
-                    unreachable,
-                    asyncio.get_running_loop().time(),
-                )
+            domain_isolated = table is not None and reach.isolated(
+                table.routes,
+                self.directory,
+                self._kernel.settings.failure_domain,
+                unreachable,
+                asyncio.get_running_loop().time(),
             )
-            if unreachable != before or isolated != self.hubs.instance_isolated:
+            links_lost = self.directory.reach.links_lost or domain_isolated
+            if links_lost and not self.hubs.links_lost:
+                self.directory.reconnect()
+            isolated = (
+                await hub_server.check_isolated_hub(self.hubs)
+                or domain_isolated
+            ) and not await hub_server.find_linked_forwarder(self.hubs)
+            state = (unreachable, links_lost, isolated)
+            if state != (
+                before,
+                self.hubs.links_lost,
+                self.hubs.instance_isolated,
+            ):
+                self.hubs.links_lost = links_lost
                 self.hubs.instance_isolated = isolated
                 _log.warning(
                     "reach_changed",
                     lost=",".join(sorted(unreachable)),
+                    links_lost=links_lost,
                     isolated=isolated,
                     connected=self.directory.count_connected(),
                     replicas=len(self.directory),
@@ -454,21 +474,7 @@
             refused = model.refusal("deadline_passed", _DEFAULT_RETRY_AFTER_S)
             return _Result(refused, {"route": route.name})
         stats = self.stats_of(route)
-        task: running.RequestTask
-        if route.shards and self.hubs.should_gather(route):
-            task = delegation.DelegatedRequest(
-                self,
-                request_context,
-                self.hubs,
-                stats.hub_latency,
-                stats.answer_size.transfer_s(self._kernel.settings.link_mbps),
-            )
-        elif route.shards:
-            task = gathering.ScatterGather(self, request_context)
-        else:
-            task = single.Forwarding(
-                self, request_context, matcher.choose_service(route)
-            )
+        task = self._create_task(request_context, matcher)
         answer = await exchange_lib.run_until_answered(exchange, task)
         fields = {
             "route": route.name,
@@ -484,6 +490,63 @@
             stats.answer_size.record(answer)
         return _Result(answer, fields, task.finished_s)
 
+    def _create_task(
+        self,
+        request_context: running.RequestContext,
+        matcher: table_lib.RouteMatcher,
+    ) -> running.RequestTask:
+        """Returns the task that serves a request.
+
+        It passes the request on if hubs gather the route's answers, or if this
+        instance has lost its links to all replicas of a service.
+        """
+        route = request_context.route
+        stats = self.stats_of(route)
+        transfer_s = stats.answer_size.transfer_s(
+            self._kernel.settings.link_mbps
+        )
+        if route.shards and self.hubs.should_gather(route):
+            return delegation.DelegatedRequest(
+                self, request_context, self.hubs, stats.hub_latency, transfer_s
+            )
+        services = route.shards or (matcher.choose_service(route),)
+        unlinked = self.count_unlinked(services)
+        if self._should_forward(route, services, unlinked):
+            return delegation.ForwardedRequest(
+                self,
+                request_context,
+                self.hubs,
+                stats.hub_latency,
+                transfer_s,
+                services,
+                unlinked,
+            )
+        if route.shards:
+            return gathering.ScatterGather(self, request_context)
+        return single.Forwarding(self, request_context, services[0])
+
+    def _should_forward(
+        self, route: model.Route, services: Sequence[str], unlinked: int
+    ) -> bool:
+        """Whether to pass a request on to an instance that reaches more.
+
+        Args:
+            route: The route.
+            services: The services that the request needs.
+            unlinked: Number of them that this instance does not reach.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if not unlinked or not self.hubs.forwarders(now_s):
+            return False
+        links = self.directory.reach
+        is_trial = (
+            links.links_lost
+            and route.idempotent
+            and not reach.count_unlinked(services, self.directory)
+            and links.take_trial(now_s)
+        )
+        return not is_trial
+
     def _build_request_context(
         self,
         exchange: exchange_lib.ServerExchange,
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -20,9 +20,24 @@
         context: running.Context,
         request_context: running.RequestContext,
         service: str,
+        previous_attempts: int = 0,
     ) -> None:
+        """Creates a request that has not been started.
+
+        Args:
+            context: Parts of the service that all running requests share.
+            request_context: The request.
+            service: The service that serves it.
+            previous_attempts: How many attempts other instances may have sent
+                already. If there are any, the first attempt also takes a token
+                for an extra attempt.
+        """
         super().__init__(context, request_context)
         self._service = service
+        self._repeated = previous_attempts > 0
+        self._max_attempts = max(
+            1, request_context.route.max_attempts - previous_attempts
+        )
         self._tried: list[directory_lib.ReplicaEntry] = []
         self._in_flight: list[attempts_lib.Attempt] = []
         self._may_have_run = False
@@ -30,11 +45,19 @@
 
     def start(self) -> None:
         """Sends the first attempt."""
-        self._context.extra_attempts(self._service).refill(self._loop.time())
+        extra = self._context.extra_attempts(self._service)
+        if not self._repeated:
+            extra.refill(self._loop.time())
         entry = self._choose_next(healthy_only=False)
         if entry is None:
             self._finish(running.refuse_unusable(self._usable_in_s()))
             return
+        if self._repeated:
+            if not extra.take_retry():
+                self.denied += 1
+                self._finish(model.failure(502, "denied"))
+                return
+            self.retries += 1
         self._send(entry)
         if not self.done.done():
             self._schedule_timer()
@@ -54,7 +77,7 @@
     def _choose_next(
         self, healthy_only: bool
     ) -> directory_lib.ReplicaEntry | None:
-        if len(self._tried) >= self._route.max_attempts:
+        if len(self._tried) >= self._max_attempts:
             return None
         return self._context.selector.choose(
             self._context.directory.entries(self._service),
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -451,6 +451,9 @@
         self._early_closes = 0
         self._failed_s = 0.0
         self._keeps_one_open = False
+        # Connections that were opened earlier are closed once there is a new
+        # one; None if none are to be replaced.
+        self._renewed_from_s: float | None = None
         self._reopen_timer: asyncio.TimerHandle | None = None
         self._closing = False
 
@@ -508,17 +511,19 @@
     def keep_open(self) -> None:
         """Keeps at least one connection open, even without requests."""
         self._keeps_one_open = True
-        self._connect_if_none_open()
+        self._connect_if_needed()
 
-    def close_idle(self) -> None:
-        """Closes all idle connections.
+    def renew(self) -> None:
+        """Replaces the idle connections as soon as a new one is established.
 
-        If this leaves no connection and `keep_open` is in effect, the pool
-        reconnects after a delay.
+        If the pool already has all the connections that it may have, one is
+        closed first. The pool tries to connect until it succeeds if `keep_open`
+        is in effect.
         """
-        idle, self._idle = self._idle, []
-        for connection in idle:
-            connection.close("renewed")
+        self._renewed_from_s = self.now()
+        if len(self._open) >= self.max_connections and self._idle:
+            self._idle.pop(0).close("renewed")
+        self._connect_if_needed()
 
     def stop_keeping_open(self) -> None:
         """Reverts `keep_open`: connections are opened only for requests."""
@@ -627,11 +632,29 @@
         for _ in range(min(capacity, waiting_count - len(self._connecting))):
             self._start_connecting()
 
-    def _connect_if_none_open(self) -> None:
-        """Opens a connection if none is open or being established."""
-        if not self._open and not self._connecting and not self._closing:
+    @property
+    def _needs_connection(self) -> bool:
+        """Whether none is open, or those that are open are to be replaced."""
+        return not self._open or self._renewed_from_s is not None
+
+    def _connect_if_needed(self) -> None:
+        """Opens a connection if one is needed and none is being established."""
+        if (
+            self._needs_connection
+            and not self._connecting
+            and not self._closing
+        ):
             self._start_connecting()
 
+    def _close_renewed(self) -> None:
+        """Closes the idle connections that a new one replaces."""
+        renewed_from_s, self._renewed_from_s = self._renewed_from_s, None
+        if renewed_from_s is None:
+            return
+        for connection in list(self._idle):
+            if connection.opened_s < renewed_from_s:
+                connection.close("renewed")
+
     def _start_connecting(self) -> None:
         task = self._loop.create_task(self._connect())
         self._connecting.add(task)
@@ -657,6 +680,7 @@
             self._connect_for_waiting()
             return
         self._open.add(connection)
+        self._close_renewed()
         connection.idle_deadline_s = self.now() + _DEFAULT_IDLE_TIMEOUT_S
         self.release(connection)
 
@@ -683,7 +707,7 @@
             self._connect_failures = 0
             return
         if (
-            self._open
+            not self._needs_connection
             or self._connecting
             or self._closing
             or self._reopen_timer
@@ -701,7 +725,7 @@
     def _reopen(self) -> None:
         self._reopen_timer = None
         if self._keeps_one_open:
-            self._connect_if_none_open()
+            self._connect_if_needed()
 
 
 async def send_request(
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -175,7 +175,7 @@
     def close(self, reason: str = "") -> None:
         """Does nothing."""
 
-    keep_open = stop_keeping_open = close_idle = abort = reject_waiting = close
+    keep_open = stop_keeping_open = renew = abort = reject_waiting = close
 
 
 class Instance:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -412,12 +412,38 @@
             client.pool.keep_open()
             while not client.pool.open_count:
                 await asyncio.sleep(0.005)
-            client.pool.close_idle()
+            client.pool.renew()
+            while client.events.count(http1.CONNECTED) < 2:
+                await asyncio.sleep(0.005)
             assert http1.CLOSED_EARLY not in client.events
             assert not client.pool.failing
 
         _run_with_server(serve, test)
 
+    def test_renewed_connections_stay_open_until_there_is_a_new_one(self):
+        # Guards against closing the only connections that still work.
+        async def serve(server, reader, writer):
+            await reader.read()
+
+        async def test(server, client):
+            pool = client.pool
+            pool.keep_open()
+            while not pool.open_count:
+                await asyncio.sleep(0.005)
+            (old,) = pool._open
+            port, pool._port = pool._port, 1
+            pool.renew()
+            while http1.CONNECT_FAILED not in client.events:
+                await asyncio.sleep(0.005)
+            assert pool._open == {old}
+            assert not pool.failing
+            pool._port = port
+            while old in pool._open:
+                await asyncio.sleep(0.005)
+            assert pool.open_count == 1
+
+        _run_with_server(serve, test, max_connections=2)
+
     def test_unused_pool_recovers_from_early_closes(self, monkeypatch):
         # Guards against a replica that no request is sent to for good because
         # it once had too many connections.
--- a/tests/test_routes_hubs.py
+++ b/tests/test_routes_hubs.py
@@ -56,8 +56,19 @@
         domains = [hub.failure_domain for hub in collectors]
         assert domains == ["d1", "d1", "d2", "d2", "d3", "d3"]
 
-    def test_small_fleets_in_one_failure_domain_have_no_hubs(self):
-        assert hubs_lib.choose_hubs(_members(0, 7, ("d1",)), _HUBS_ABOVE) == ()
+    def test_small_fleets_in_one_failure_domain_have_only_forwarders(self):
+        hubs = hubs_lib.choose_hubs(_members(0, 7, ("d1",)), _HUBS_ABOVE)
+        assert [hub.roles for hub in hubs] == [(hubs_lib.FORWARDER,)] * 4
+
+    def test_a_single_instance_has_no_hubs(self):
+        assert hubs_lib.choose_hubs(_members(0, 1, ("d1",)), _HUBS_ABOVE) == ()
+
+    def test_each_failure_domain_has_forwarders(self):
+        for members, count in ((_members(0, 2), 2), (_members(50, 10), 5)):
+            hubs = hubs_lib.choose_hubs(members, _HUBS_ABOVE)
+            forwarders = _holders(hubs, hubs_lib.FORWARDER)
+            domains = [hub.failure_domain for hub in forwarders]
+            assert domains == sorted(["d1", "d2", "d3"] * count)
 
     @pytest.mark.parametrize(
         "role", [hubs_lib.READER, hubs_lib.GATHERER, hubs_lib.COLLECTOR]
@@ -228,7 +239,9 @@
             _members(1, 0)[number] for number in range(3)
         )
         summary = registry.record_report(self._report(same_domain), 4.1)
-        assert len(summary.hubs) == 6
+        assert len(_holders(summary.hubs, hubs_lib.READER)) == 6
+        # Four forwarders in each failure domain, of which two are readers.
+        assert len(summary.hubs) == 12
         assert summary.small_links == 54
         assert summary.hub_digest
         assert (
@@ -240,7 +253,7 @@
                     self._report(other_domain, True), 4.1
                 ).hubs
             )
-            == 6
+            == 12
         )
 
     def test_instances_without_recent_reports_are_no_hubs(self):
--- a/tests/test_routes_reach.py
+++ b/tests/test_routes_reach.py
@@ -46,6 +46,52 @@
         assert not domains.unreachable_domains()
 
 
+class TestDirectLinks:
+    """Links are lost if no replica responds to this instance itself."""
+
+    def _lose(self, domains: reach.DomainReachability) -> None:
+        for number in range(10):
+            domains.direct_failed(f"d{number % 3}", 0.05 * number)
+
+    def test_lost_although_collectors_reach_the_replicas(self):
+        domains = reach.DomainReachability()
+        for number in range(10):
+            domains.direct_failed("d2", 0.05 * number)
+            domains.succeeded("d2")
+        assert domains.links_lost
+        assert not domains.unreachable_domains()
+
+    def test_not_lost_after_one_reply_from_any_domain(self):
+        domains = reach.DomainReachability()
+        self._lose(domains)
+        domains.direct_succeeded("d9")
+        assert not domains.links_lost
+
+    def test_closed_connections_are_no_evidence(self):
+        domains = reach.DomainReachability()
+        _fail(domains, "d2", 10)
+        assert not domains.links_lost
+
+    def test_new_connections_allow_single_trials_at_growing_intervals(self):
+        domains = reach.DomainReachability()
+        self._lose(domains)
+        taken_s = []
+        for step in range(2000):
+            now_s = 1.0 + step * 0.01
+            domains.connected("d1", now_s)
+            if domains.take_trial(now_s):
+                taken_s.append(now_s)
+        assert domains.links_lost
+        assert taken_s[0] < 1.6
+        assert 4 <= len(taken_s) <= 8
+
+    def test_links_that_never_connect_are_tried_rarely(self):
+        domains = reach.DomainReachability()
+        self._lose(domains)
+        taken = sum(domains.take_trial(step * 0.1) for step in range(200))
+        assert 3 <= taken <= 4
+
+
 class TestIsolated:
     """An instance is isolated only if other domains serve callers better."""
 
