End responses whose head or body does not end

A replica in trouble may send bytes without end, in a head or a body, until the caller closes.

Cause: headers, chunk extensions and trailers were kept or parsed without a bound until the deadline, and each connection could hold a body of 64 MiB; at 1 Gbit/s a few such replicas exceed an instance's 300 MB within seconds. Class: a bound for each connection, but none for the process.

Evidence: by reading, and by tests that failed before (an endless header, endless headers, chunk extensions, trailers: no outcome within 5 s; endless bodies with and without a length: no common limit).

Change: a response may have 64 KiB besides its body, and in chunks 8 bytes for each byte of it; the incomplete bodies of the process share 64 MiB, above which those over 1 MiB fail. Such an exchange is malformed, which is a fault of the replica, and its connection is closed.

--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -48,6 +48,14 @@
 _EARLY_CLOSE_BACKOFF_MAX_S = 4.0
 _FAILING_EXPIRY_S = 2.0
 _MAX_RESPONSE_BYTES = 64 << 20
+# Bytes of a response besides its body: heads, chunk sizes and trailers. More
+# are accepted with a longer body.
+_MAX_OVERHEAD_BYTES = 64 << 10
+_MAX_OVERHEAD_PER_BODY_BYTE = 8
+# Bodies that the process may hold until they are complete. Above it, responses
+# fail that hold more than the smaller size.
+_MAX_BUFFERED_BYTES = 64 << 20
+_SMALL_BODY_BYTES = 1 << 20
 
 # Events that a pool passes to its `on_event` callback. Their values are metric
 # labels and may differ from the names.
@@ -182,6 +190,9 @@
 class Connection(asyncio.Protocol):
     """One HTTP/1.1 connection without pipelining."""
 
+    # Size of the incomplete bodies of all connections of the process.
+    _buffered_bytes = 0
+
     def __init__(self, pool: "Pool") -> None:
         self._pool = pool
         self._transport: asyncio.Transport | None = None
@@ -190,6 +201,9 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._body_size = 0
+        # Bytes of the present message in its body, and besides it.
+        self._message_body_size = 0
+        self._overhead_size = 0
         self._has_declared_length = False
         self._in_body = False
         # Received data of a body that is passed on as it arrives.
@@ -223,6 +237,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._response = None
         self._in_body = False
+        self._message_body_size = self._overhead_size = 0
         self._pool.count_bytes(
             exchange.purpose, traffic.SENT, len(exchange.wire)
         )
@@ -255,6 +270,7 @@
         self._pool.count_bytes(
             self._exchange.purpose, traffic.RECEIVED, len(data)
         )
+        self._overhead_size += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -262,10 +278,32 @@
                 self._fail_malformed()
                 return
             self._has_surplus_data = True
+        if self._response is None and self._exceeds_limits():
+            self._fail_malformed()
+            return
         self._deliver_streamed()
         if not self.closed:
             self._deliver_response()
 
+    def _exceeds_limits(self) -> bool:
+        """Whether the present message is too large to be a response."""
+        max_overhead = (
+            _MAX_OVERHEAD_BYTES
+            + _MAX_OVERHEAD_PER_BODY_BYTE * self._message_body_size
+        )
+        if self._overhead_size > max_overhead:
+            return True
+        return (
+            Connection._buffered_bytes > _MAX_BUFFERED_BYTES
+            and self._body_size > _SMALL_BODY_BYTES
+        )
+
+    def _clear_body(self) -> None:
+        """Discards the body that is stored so far."""
+        Connection._buffered_bytes -= self._body_size
+        self._body = []
+        self._body_size = 0
+
     def eof_received(self) -> bool:
         """Completes a response that is delimited by the end of the stream."""
         if self._in_body and not self._has_declared_length:
@@ -290,8 +328,8 @@
         A response after a complete one is noted as surplus data.
         """
         self._headers = []
-        self._body = []
-        self._body_size = 0
+        self._clear_body()
+        self._message_body_size = 0
         self._has_declared_length = False
         self._in_body = False
         self._streams_body = False
@@ -327,10 +365,13 @@
         The rest of a larger body is discarded, and the exchange fails as
         MALFORMED.
         """
+        self._overhead_size -= len(body)
+        self._message_body_size += len(body)
         if self._streams_body:
             self._streamed.append(body)
             return
         self._body_size += len(body)
+        Connection._buffered_bytes += len(body)
         if self._body_size <= _MAX_RESPONSE_BYTES:
             self._body.append(body)
 
@@ -340,6 +381,7 @@
         Of an interim (1xx) response, only the arrival is noted.
         """
         self._in_body = False
+        self._overhead_size = 0
         if self._response is not None:
             return
         status = self._parser.get_status_code()
@@ -378,6 +420,7 @@
         response = self._response
         if response is None:
             return
+        self._clear_body()
         self.response_received = True
         self._update_idle_timeout(response)
         exchange, self._exchange = self._exchange, None
@@ -409,6 +452,7 @@
         self._fail_exchange(FailureReason.MALFORMED, "malformed")
 
     def _fail_exchange(self, failure: FailureReason, reason: str) -> None:
+        self._clear_body()
         exchange, self._exchange = self._exchange, None
         self._pool.release(self)
         if exchange is not None and not exchange.done:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -245,6 +245,77 @@
         _run_with_server(serve, test)
 
 
+class TestEndlessResponses:
+    """Bytes that never become a response end the exchange, not the memory."""
+
+    @pytest.mark.parametrize(
+        ("start", "repeated"),
+        [
+            (b"HTTP/1.1 200 OK\r\n", b"a: " + b"x" * 1000 + b"\r\n"),
+            (b"HTTP/1.1 200 OK\r\na: ", b"x" * 1000),
+            (
+                b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+                b"1;" + b"x" * 1000 + b"\r\ny\r\n",
+            ),
+            (
+                b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+                b"a: " + b"x" * 1000 + b"\r\n",
+            ),
+        ],
+        ids=["headers", "one header", "chunk extensions", "trailers"],
+    )
+    def test_head_without_end_is_malformed(self, start, repeated):
+        async def serve(server, reader, writer):
+            await server.read_request_id(reader)
+            writer.write(start)
+            while True:
+                writer.write(repeated * 100)
+                await writer.drain()
+
+        async def test(server, client):
+            assert await client.get(b"a") is http1.FailureReason.MALFORMED
+            assert client.pool.open_count == 0
+
+        _run_with_server(serve, test)
+
+    @pytest.mark.parametrize(
+        "head", [b"", b"content-length: 99999999999\r\n"], ids=["eof", "length"]
+    )
+    def test_bodies_without_end_share_a_limit(self, head, monkeypatch):
+        monkeypatch.setattr(http1, "_MAX_BUFFERED_BYTES", 4 << 20)
+
+        async def serve(server, reader, writer):
+            await server.read_request_id(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n")
+            while True:
+                writer.write(b"x" * 65536)
+                await writer.drain()
+
+        async def test(server, client):
+            futures = [client.send(b"%d" % number)[1] for number in range(4)]
+            async with asyncio.timeout(10):
+                outcomes = await asyncio.gather(*futures)
+            assert set(outcomes) == {http1.FailureReason.MALFORMED}
+            assert http1.Connection._buffered_bytes == 0
+
+        _run_with_server(serve, test, max_connections=4)
+
+    def test_small_chunks_are_no_overhead(self):
+        async def serve(server, reader, writer):
+            await server.read_request_id(reader)
+            writer.write(
+                b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+                + b"1\r\ny\r\n" * 100_000
+                + b"0\r\n\r\n"
+            )
+
+        async def test(server, client):
+            assert (await client.get(b"a")).body == b"y" * 100_000
+            assert http1.Connection._buffered_bytes == 0
+
+        _run_with_server(serve, test)
+
+
 class TestPool:
     """Connections are limited, and no byte of a waiting request is sent."""
 
