Report no suspects from instances without links to replicas

Two instances that cannot reach any replica report all replicas as failing, and the seeds then name them as suspects to the whole fleet, which raises their cost for instances that reach them.

The test failed before.

--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -395,7 +395,12 @@
                 entry.pool.renew()
 
     def suspects(self) -> list[str]:
-        """Returns the ids of replicas to report to other instances."""
+        """Returns the ids of replicas to report to other instances.
+
+        An instance without links to replicas knows nothing of their faults.
+        """
+        if self.reach.links_lost:
+            return []
         now_s = asyncio.get_running_loop().time()
         suspects = [
             entry.replica.id
--- a/tests/test_routes_reach.py
+++ b/tests/test_routes_reach.py
@@ -67,6 +67,25 @@
         domains.direct_succeeded("d9")
         assert not domains.links_lost
 
+    def test_instance_without_links_suspects_no_replica(self):
+        replica = replicas_lib.Replica(
+            "r", "s", "d1", random.Random(1), lambda rng: 0.01
+        )
+
+        async def main() -> None:
+            instance = replicas_lib.Instance("d1", [replica], random.Random(1))
+            directory = instance.directory
+            directory.set_services(["s"], {})
+            health = directory.entry("r").health
+            for attempt in range(3):
+                health.record_start(attempt, 0.0, 0.01)
+                health.record_failure(attempt, 0.0)
+            assert directory.suspects() == ["r"]
+            self._lose(directory.reach)
+            assert directory.suspects() == []
+
+        virtual.run(main())
+
     def test_closed_connections_are_no_evidence(self):
         domains = reach.DomainReachability()
         _fail(domains, "d2", 10)
