Ask forwarders with faults when there is no other

What callers saw: with its links lost, an instance refused requests (unsent) while forwarders were busy.

Cause: only forwarders without any known fault were chosen. One whose request in flight takes three times as long as usual counts as stalled, so a few slow requests at each forwarder left none, and the instance, which reaches no replica, served the request itself.

A forwarder with a fault is now asked after those without.

--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -500,8 +500,11 @@
             self._max_hub_attempts = _MAX_FORWARDER_ATTEMPTS
 
     def _choose_hub(self, now_s: float) -> directory_lib.ReplicaEntry | None:
-        return self._context.selector.choose(
-            self._hubs.forwarders(now_s), now_s, self._tried, healthy_only=True
+        choose = self._context.selector.choose
+        entries = self._hubs.forwarders(now_s)
+        # A forwarder with a fault is still better than no replica.
+        return choose(entries, now_s, self._tried, healthy_only=True) or choose(
+            entries, now_s, self._tried
         )
 
     def _create_local_task(self) -> running.RequestTask:
