Refuse requests of other instances while the own links are lost

What callers saw: two instances with small links and working links to replicas served 27 of 44 requests, because the hubs to which they passed requests had lost theirs and waited for replicas until the deadline; the four cut instances served 10 of 30.

Cause: only requests that were passed on because of lost links were refused by an instance without links. A hub took requests for gathering as usual. And an instance with a small link whose own links were lost tried hubs, not forwarders.

Evidence: soak (hubs, 8 s), cut of front-0, 3, 4 and 5, which were all the collectors and most gatherers. The test failed before (503 not_coverable; with the drill: 504).

A hub now refuses a request unless it reaches enough replicas for an answer, and the sender notes that it is isolated, asks another hub or gathers itself. An instance that has lost its links uses forwarders in any case.

--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -34,6 +34,8 @@
 _log = logs.get_logger("delegation")
 
 PATH = "/v1/gather"
+# Body of a refusal by an instance that does not reach enough replicas.
+LINKS_LOST = b"links_lost"
 # A hub sends an interim response (100 Continue) as soon as it starts to read
 # the request. A hub that takes longer than this time, or than this share of the
 # route's objective if that is shorter, is frozen, cut off or overloaded.
@@ -365,7 +367,7 @@
         if outcome.status != 200:
             # The body states the reason for the refusal.
             entry.health.discard(attempt)
-            self._on_refused(entry, now_s)
+            self._on_refused(entry, outcome.body, now_s)
             self._record_outcome(attempt, outcome.body.decode("latin1"))
             return None
         try:
@@ -378,9 +380,9 @@
         entry.health.record_reply(attempt, now_s)
         self._latency.record(now_s - attempt.started_s)
         self._context.directory.mark_leaving(gathered.leaving)
+        if gathered.isolated:
+            self._hubs.record_isolated(entry)
         self._record_outcome(attempt, gathered.reason or "answered")
-        if gathered.isolated and self._on_isolated(entry, gathered.status):
-            return None
         return model.Answer(
             gathered.status,
             gathered.headers,
@@ -390,20 +392,12 @@
         )
 
     def _on_refused(
-        self, entry: directory_lib.ReplicaEntry, now_s: float
+        self, entry: directory_lib.ReplicaEntry, reason: bytes, now_s: float
     ) -> None:
         """Called if an instance did not accept the request."""
-
-    def _on_isolated(
-        self, entry: directory_lib.ReplicaEntry, status: int
-    ) -> bool:
-        """Called with the status of a hub that does not reach enough replicas.
-
-        Returns:
-            Whether to ask another hub.
-        """
-        self._hubs.record_isolated(entry)
-        return status == 503
+        del now_s
+        if reason == LINKS_LOST:
+            self._hubs.record_isolated(entry)
 
     def _record_reachability(
         self, entry: directory_lib.ReplicaEntry, responded: bool
@@ -518,12 +512,7 @@
         )
 
     def _on_refused(
-        self, entry: directory_lib.ReplicaEntry, now_s: float
+        self, entry: directory_lib.ReplicaEntry, reason: bytes, now_s: float
     ) -> None:
+        del reason
         self._hubs.avoid_forwarder(entry, now_s)
-
-    def _on_isolated(
-        self, entry: directory_lib.ReplicaEntry, status: int
-    ) -> bool:
-        del entry, status
-        return False
--- a/src/mallowloft/routes/hub_server.py
+++ b/src/mallowloft/routes/hub_server.py
@@ -177,8 +177,10 @@
             await exchange_lib.respond(exchange.send, 409, route.encode())
             return
         routes = self._routes
-        if not self._reaches_more(call, route):
-            await exchange_lib.respond(exchange.send, 409, b"links_lost")
+        if not self._reaches_enough(call, route):
+            await exchange_lib.respond(
+                exchange.send, 409, delegation.LINKS_LOST
+            )
             return
         task = self._create_task(exchange, call, route, started_s)
         fields = {"route": route.name, "version": routes.version}
@@ -199,17 +201,19 @@
         fields.update(task.describe())
         routes.record_end(call.id, started_s, answer, fields, True)
 
-    def _reaches_more(self, call: delegation.Call, route: model.Route) -> bool:
-        """Whether this instance reaches more replicas than the sender does.
+    def _reaches_enough(
+        self, call: delegation.Call, route: model.Route
+    ) -> bool:
+        """Whether this instance reaches enough replicas for an answer.
 
-        It must also reach enough of them for an answer.
+        It must also reach more than a sender that has lost links does.
         """
-        if call.unlinked is None:
-            return True
         services = (call.service,) if call.service else route.shards
         unlinked = self._routes.count_unlinked(services)
+        if call.unlinked is not None and unlinked >= call.unlinked:
+            return False
         needed = 1 if call.service else route.needed_shards
-        return unlinked < call.unlinked and len(services) - unlinked >= needed
+        return len(services) - unlinked >= needed
 
     def _create_task(
         self,
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -505,7 +505,8 @@
         transfer_s = stats.answer_size.transfer_s(
             self._kernel.settings.link_mbps
         )
-        if route.shards and self.hubs.should_gather(route):
+        gather_at_hub = bool(route.shards) and self.hubs.should_gather(route)
+        if gather_at_hub and not self.directory.reach.links_lost:
             return delegation.DelegatedRequest(
                 self, request_context, self.hubs, stats.hub_latency, transfer_s
             )
