Keep forwarders through restarts of seeds and while they stop

What callers saw: two of three instances were cut off from replicas, and served 2 of 25 requests while the third, with links, served 45 of 45.

Cause, two parts. A seed that has just restarted names only the instances that have reported to it since, so the only instance with links was missing from the list of front-1 from 47.7 to 49.8 s. And an instance that is stopping refused requests of others at once, although it serves its own callers for some seconds, from 49.9 s on. Class: a list from one source is taken as complete after that source has lost its memory.

Forwarders that a list does not name any more are used for 5 s more. A stopping instance takes a request of an instance without links if its deadline is before the end of the drain time. The refusal of a request is recorded in one place (Hubs.record_refusal), which removes the second method of that name in delegation.py.

--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -34,8 +34,6 @@
 _log = logs.get_logger("delegation")
 
 PATH = "/v1/gather"
-# Body of a refusal by an instance that does not reach enough replicas.
-LINKS_LOST = b"links_lost"
 # A hub sends an interim response (100 Continue) as soon as it starts to read
 # the request. A hub that takes longer than this time, or than this share of the
 # route's objective if that is shorter, is frozen, cut off or overloaded.
@@ -367,7 +365,7 @@
         if outcome.status != 200:
             # The body states the reason for the refusal.
             entry.health.discard(attempt)
-            self._on_refused(entry, outcome.body, now_s)
+            self._hubs.record_refusal(entry, outcome.body, now_s)
             self._record_outcome(attempt, outcome.body.decode("latin1"))
             return None
         try:
@@ -391,14 +389,6 @@
             gathered.missing,
         )
 
-    def _on_refused(
-        self, entry: directory_lib.ReplicaEntry, reason: bytes, now_s: float
-    ) -> None:
-        """Called if an instance did not accept the request."""
-        del now_s
-        if reason == LINKS_LOST:
-            self._hubs.record_isolated(entry)
-
     def _record_reachability(
         self, entry: directory_lib.ReplicaEntry, responded: bool
     ) -> None:
@@ -510,9 +500,3 @@
             self._service,
             self._previous_attempts,
         )
-
-    def _on_refused(
-        self, entry: directory_lib.ReplicaEntry, reason: bytes, now_s: float
-    ) -> None:
-        del reason
-        self._hubs.avoid_forwarder(entry, now_s)
--- a/src/mallowloft/routes/hub_server.py
+++ b/src/mallowloft/routes/hub_server.py
@@ -178,9 +178,7 @@
             return
         routes = self._routes
         if not self._reaches_enough(call, route):
-            await exchange_lib.respond(
-                exchange.send, 409, delegation.LINKS_LOST
-            )
+            await exchange_lib.respond(exchange.send, 409, hubs_lib.LINKS_LOST)
             return
         task = self._create_task(exchange, call, route, started_s)
         fields = {"route": route.name, "version": routes.version}
@@ -201,6 +199,17 @@
         fields.update(task.describe())
         routes.record_end(call.id, started_s, answer, fields, True)
 
+    def _ends_before_stop(self, call: delegation.Call) -> bool:
+        """Whether a request of an instance without links ends while draining.
+
+        The instance may have no other forwarder. Others have links or hubs.
+        """
+        now_s = asyncio.get_running_loop().time()
+        return (
+            call.unlinked is not None
+            and now_s + call.left_s < self._routes.drain_ends_s
+        )
+
     def _reaches_enough(
         self, call: delegation.Call, route: model.Route
     ) -> bool:
@@ -262,7 +271,7 @@
 
     def _find_route(self, call: delegation.Call) -> model.Route | str:
         """Returns the route, or the reason for refusing the call."""
-        if self._kernel.stopping:
+        if self._kernel.stopping and not self._ends_before_stop(call):
             return "stopping"
         table = self._routes.table
         if table is None:
--- a/src/mallowloft/routes/hubs.py
+++ b/src/mallowloft/routes/hubs.py
@@ -9,6 +9,7 @@
 chosen by the size of their links, then by rendezvous hashing.
 """
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
@@ -49,9 +50,13 @@
 _MAX_COLLECTORS_PER_DOMAIN = 4
 # Most forwarders of a failure domain may have lost their own links.
 _MIN_FORWARDERS_PER_DOMAIN = 4
-# A forwarder that reaches no more replicas than this instance is not asked
-# again for this long.
+# A forwarder that did not accept a request is not asked again for this long.
 _FORWARDER_AVOIDED_S = 1.0
+# Forwarders that a list does not name any more are used for this long. A seed
+# that has restarted names only the instances that have reported to it since.
+_FORWARDER_RETENTION_S = 5.0
+# Reason for a refusal by an instance that does not reach enough replicas.
+LINKS_LOST = b"links_lost"
 # Links with at least this share of the largest link's bandwidth are large.
 _MIN_LARGE_LINK_RATIO = 0.5
 
@@ -268,6 +273,10 @@
         # or not forwarders serve its requests.
         self.links_lost = False
         self._avoided_until_s: dict[str, float] = {}
+        # Forwarders that the last list does not name, and when they go.
+        self._retained_by_id: dict[
+            str, tuple[directory_lib.ReplicaEntry, float]
+        ] = {}
         # A hub of this failure domain that reported that it is isolated.
         self.isolated_hub: directory_lib.ReplicaEntry | None = None
         self._small_links = 0
@@ -315,19 +324,36 @@
         ]
 
     def forwarders(self, now_s: float) -> list[directory_lib.ReplicaEntry]:
-        """Returns the forwarders that may reach more replicas."""
-        return [
+        """Returns the forwarders that have not refused a request recently."""
+        named = [
             entry
             for instance, entry in self._entries_by_id.items()
             if FORWARDER in self._hubs_by_id[instance].roles
-            and self._avoided_until_s.get(instance, 0.0) <= now_s
+        ]
+        retained = [
+            entry
+            for entry, until_s in self._retained_by_id.values()
+            if now_s < until_s
+        ]
+        return [
+            entry
+            for entry in (*named, *retained)
+            if self._avoided_until_s.get(entry.replica.id, 0.0) <= now_s
         ]
 
-    def avoid_forwarder(
-        self, entry: directory_lib.ReplicaEntry, now_s: float
+    def record_refusal(
+        self, entry: directory_lib.ReplicaEntry, reason: bytes, now_s: float
     ) -> None:
-        """Records that a forwarder does not reach more replicas."""
+        """Records that an instance did not accept a request.
+
+        Args:
+            entry: The instance.
+            reason: Its reason.
+            now_s: Current loop time.
+        """
         self._avoided_until_s[entry.replica.id] = now_s + _FORWARDER_AVOIDED_S
+        if reason == LINKS_LOST:
+            self.record_isolated(entry)
 
     def record_isolated(self, hub: directory_lib.ReplicaEntry) -> None:
         """Records that a hub reported that it is isolated."""
@@ -364,12 +390,8 @@
         if (hubs_by_id, small_links) == (self._hubs_by_id, self._small_links):
             return False
         self._small_links = small_links
-        self._hubs_by_id = hubs_by_id
-        self._avoided_until_s = {
-            instance: until_s
-            for instance, until_s in self._avoided_until_s.items()
-            if instance in hubs_by_id
-        }
+        previous_by_id, self._hubs_by_id = self._hubs_by_id, hubs_by_id
+        self._take_back_retained()
         for instance, entry in list(self._entries_by_id.items()):
             hub = self._hubs_by_id.get(instance)
             # A hub that keeps its id may have moved to another failure domain.
@@ -379,7 +401,10 @@
                 or hub.failure_domain != entry.replica.failure_domain
             ):
                 del self._entries_by_id[instance]
-                entry.pool.close()
+                if hub is None and FORWARDER in previous_by_id[instance].roles:
+                    self._retain(entry)
+                else:
+                    entry.pool.close()
         for instance, hub in self._hubs_by_id.items():
             if instance not in (self._instance, *self._entries_by_id):
                 address = split_address(hub.address)
@@ -410,6 +435,31 @@
         self._keep_connections_open()
         return True
 
+    def _retain(self, entry: directory_lib.ReplicaEntry) -> None:
+        """Keeps a forwarder that the list does not name any more."""
+        now_s = asyncio.get_running_loop().time()
+        entry.pool.stop_keeping_open()
+        self._retained_by_id[entry.replica.id] = (
+            entry,
+            now_s + _FORWARDER_RETENTION_S,
+        )
+
+    def _take_back_retained(self) -> None:
+        """Uses retained forwarders that are named again; drops old ones."""
+        now_s = asyncio.get_running_loop().time()
+        self._avoided_until_s = {
+            instance: until_s
+            for instance, until_s in self._avoided_until_s.items()
+            if now_s < until_s
+        }
+        for instance, (entry, until_s) in list(self._retained_by_id.items()):
+            if instance in self._hubs_by_id:
+                del self._retained_by_id[instance]
+                self._entries_by_id[instance] = entry
+            elif now_s >= until_s:
+                del self._retained_by_id[instance]
+                entry.pool.close()
+
     def _keep_connections_open(self) -> None:
         """Keeps connections open to the hubs that this instance uses often.
 
@@ -460,5 +510,6 @@
 
     def close(self) -> None:
         """Closes all connections."""
-        for entry in self._entries_by_id.values():
+        retained = [entry for entry, _ in self._retained_by_id.values()]
+        for entry in (*self._entries_by_id.values(), *retained):
             entry.pool.abort()
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -155,6 +155,8 @@
         self._stats_by_route: dict[str, _RouteStats] = {}
         self._open_requests = 0
         self._ended_count = 0
+        # Loop time until which this instance serves although it stops.
+        self.drain_ends_s = 0.0
         self._server = server_lib.Server(
             self._app,
             kernel.settings.host,
@@ -190,7 +192,9 @@
         """
         loop = asyncio.get_running_loop()
         end_s = loop.time() + grace_s
-        await asyncio.sleep(min(self._kernel.settings.drain_s, grace_s))
+        drain_s = min(self._kernel.settings.drain_s, grace_s)
+        self.drain_ends_s = loop.time() + drain_s
+        await asyncio.sleep(drain_s)
         await self._server.stop(max(0.0, end_s - loop.time()))
         while self._open_requests and loop.time() < end_s:
             await asyncio.sleep(_STOP_POLL_S)
--- a/tests/test_routes_hubs.py
+++ b/tests/test_routes_hubs.py
@@ -182,6 +182,64 @@
         self._run_in_loop(test)
 
 
+class TestForwarders:
+    """Forwarders stay known although a seed has just restarted."""
+
+    def _run(self, main) -> None:
+        async def run():
+            hubs = hubs_lib.Hubs("small-d1-0", "d1", _SMALL_MBPS)
+            members = _members(2, 0)
+            hubs.update(hubs_lib.choose_hubs(members, _HUBS_ABOVE), 0)
+            await main(hubs, members)
+            hubs.close()
+
+        virtual.run(run())
+
+    def _ids(self, hubs) -> set[str]:
+        now_s = asyncio.get_running_loop().time()
+        return {entry.replica.id for entry in hubs.forwarders(now_s)}
+
+    def test_forwarders_missing_in_a_list_are_kept_for_a_while(self):
+        async def main(hubs, members):
+            before = self._ids(hubs)
+            assert len(before) == 5
+            hubs.update((), 0)
+            assert self._ids(hubs) == before
+            await asyncio.sleep(20.0)
+            assert self._ids(hubs) == set()
+
+        self._run(main)
+
+    def test_forwarder_that_is_named_again_keeps_its_connections(self):
+        async def main(hubs, members):
+            now_s = asyncio.get_running_loop().time()
+            before = hubs.forwarders(now_s)
+            hubs.update((), 0)
+            hubs.update(hubs_lib.choose_hubs(members, _HUBS_ABOVE), 0)
+            assert hubs.forwarders(now_s) == before
+
+        self._run(main)
+
+    def test_forwarder_with_another_address_replaces_the_earlier_one(self):
+        async def main(hubs, members):
+            hubs.update((), 0)
+            moved = [
+                hubs_lib.Hub(item.instance, "127.0.0.1:2", "d1", 1.0)
+                for item in members
+            ]
+            named = hubs_lib.choose_hubs(moved, _HUBS_ABOVE)
+            hubs.update(named, 0)
+            now_s = asyncio.get_running_loop().time()
+            ports = {
+                entry.replica.port
+                for entry in hubs.forwarders(now_s)
+                if entry.replica.id in {hub.instance for hub in named}
+            }
+            assert ports == {2}
+
+        self._run(main)
+
+
 class TestHubsInSummary:
     """Seeds return hubs once they have reports of the whole fleet."""
 
