Do not refuse a request that another instance may have run

What callers saw: 503 with Retry-After, which promises that the request was not run, although a hub or forwarder had got it and gave no answer, and may have run it. Only requests that may be repeated were affected: others go to one forwarder only.

Cause: after such an instance the request is served locally or by the next one, and that one's refusal, true for itself, was passed on. Older for hubs; forwarders made it more likely.

Evidence: by reading; test_no_refusal_after_a_forwarder_may_have_run_the_ request failed before in both cases (503 for 502 or 504).

The refusal becomes a 502, which promises nothing. The tests of forwarded requests on simulated connections are new.

--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -44,6 +44,8 @@
 # Hubs are preferred if their failure domain covers at least this share of the
 # shards that the best failure domain covers.
 _MIN_RELATIVE_COVERAGE = 0.8
+# A refusal promises that the request was not run.
+_STATUS_REFUSED = 503
 # After this many hubs have failed, this instance gathers the answer itself.
 _MAX_HUB_ATTEMPTS = 2
 # The same for forwarders, many of which may have lost their links, too.
@@ -275,6 +277,9 @@
             self._finish(done.result())
 
     def _finish(self, answer: model.Answer) -> None:
+        if self._previous_attempts and answer.status == _STATUS_REFUSED:
+            # An instance that gave no answer may have run the request.
+            answer = model.failure(502, answer.reason)
         super()._finish(answer)
         if self._local_task is not None:
             self._local_task.cancel()
--- a/tests/test_routes_delegation.py
+++ b/tests/test_routes_delegation.py
@@ -10,7 +10,9 @@
 import pytest
 
 from mallowloft.routes import delegation
+from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import gathering
+from mallowloft.routes import health as health_lib
 from mallowloft.routes import hubs as hubs_lib
 from mallowloft.routes import limits
 from mallowloft.routes import model
@@ -304,3 +306,135 @@
     def test_malformed_calls_are_refused(self):
         with pytest.raises(msgspec.MsgspecError):
             delegation.call_decoder.decode(b"x")
+
+
+class _Forwarder:
+    """A forwarder's connections, whose outcomes the test gives.
+
+    Attributes:
+        calls: The requests that it got.
+    """
+
+    max_connections = 8
+    open_count = 1
+    failing = False
+    address = "forwarder:1"
+
+    def __init__(
+        self, outcome: http1.Response | http1.FailureReason | None
+    ) -> None:
+        """Creates connections.
+
+        Args:
+            outcome: Outcome of all requests; None for no response.
+        """
+        self._outcome = outcome
+        self.calls: list[delegation.Call] = []
+
+    def submit(self, exchange: http1.Exchange) -> None:
+        """Ends a request with the outcome."""
+        body = exchange.wire.partition(b"\r\n\r\n")[2]
+        self.calls.append(delegation.call_decoder.decode(body))
+        exchange.connection = self
+        if self._outcome is not None:
+            asyncio.get_running_loop().call_later(
+                _HOP_DELAY_S, exchange.set_outcome, self._outcome
+            )
+
+    def round_trip_s(self) -> float:
+        """Returns the round-trip time to the forwarder."""
+        return 2 * _HOP_DELAY_S
+
+    def close(self, reason: str = "") -> None:
+        """Does nothing."""
+
+    keep_open = stop_keeping_open = abort = close
+
+
+_REFUSED = http1.Response(409, (), hubs_lib.LINKS_LOST)
+_BROKEN = http1.FailureReason.BROKEN
+
+
+class TestForwardedRequest:
+    """Requests of an instance without links to replicas."""
+
+    def _run(self, outcomes, **fields: object):
+        """Returns the answer and the forwarders, asked in their order."""
+
+        async def main():
+            replica = replicas_lib.Replica(
+                "r", "s", "d1", random.Random(1), lambda rng: 0.01
+            )
+            replica.unresponsive = lambda now_s: True
+            instance = replicas_lib.Instance("d1", [replica], random.Random(1))
+            instance.directory.entry("r").draining = True
+            hubs = hubs_lib.Hubs("i", "d1", 0.0)
+            forwarders = [_Forwarder(outcome) for outcome in outcomes]
+            entries = [
+                directory_lib.ReplicaEntry(
+                    model.Replica(f"f{number}", "hubs", "h", 1, "d1", 8),
+                    forwarder,
+                    health_lib.ReplicaHealth(),
+                    remote=False,
+                )
+                for number, forwarder in enumerate(forwarders)
+            ]
+            hubs.forwarders = lambda now_s: entries
+            route = replicas_lib.route(
+                targets=(model.Target("s", 1.0),), **fields
+            )
+            task = delegation.ForwardedRequest(
+                instance,
+                instance.create_request_context(route),
+                hubs,
+                limits.RouteLatency(route.objective_s),
+                0.0,
+                ["s"],
+                1,
+            )
+            task._context.selector = _InOrder()
+            task.start()
+            return await task.done, forwarders
+
+        return virtual.run(main())
+
+    def test_next_forwarder_is_asked_after_a_refusal(self):
+        answered = http1.Response(
+            200,
+            (),
+            delegation.encode_answer(model.Answer(200, (), b"x"), False),
+        )
+        answer, forwarders = self._run([_REFUSED, _REFUSED, answered])
+        assert (answer.status, answer.body) == (200, b"x")
+        calls = [call for item in forwarders for call in item.calls]
+        assert [call.unlinked for call in calls] == [1, 1, 1]
+        assert [call.previous_attempts for call in calls] == [0, 0, 0]
+
+    def test_refusal_by_all_says_that_the_request_was_not_run(self):
+        answer, _ = self._run([_REFUSED, _REFUSED])
+        assert answer.status == 503
+
+    @pytest.mark.parametrize("outcome", [_BROKEN, None])
+    def test_no_refusal_after_a_forwarder_may_have_run_the_request(
+        self, outcome
+    ):
+        # Guards against "not run" for a request that a forwarder has got.
+        answer, _ = self._run([outcome, _REFUSED])
+        assert answer.status in (502, 504)
+
+    def test_submission_goes_to_one_forwarder_that_may_have_run_it(self):
+        answer, forwarders = self._run([_BROKEN, _BROKEN], idempotent=False)
+        assert answer.status == 502
+        assert [len(item.calls) for item in forwarders] == [1, 0]
+
+
+class _InOrder:
+    """Chooses the first entry that was not tried."""
+
+    def choose(self, entries, now_s, tried=(), healthy_only=False):
+        """Returns the entry, None if there is none."""
+        del now_s, healthy_only
+        left = (
+            item for item in entries if item not in tried and not item.draining
+        )
+        return next(left, None)
