Decide in reach whether a request is passed on to a forwarder

The decision was in the plug-in and needed a kernel to be tested; it is now a function of the route, the services and the directory, with tests. The list of rate limits that a seed returns is named after what it holds. No change of behaviour.

--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -214,7 +214,7 @@
             count if self._settled else 0,
             tuple(sorted(suspects)),
             self._failure_domain,
-            limits=self._limits.list(now_s),
+            limits=self._limits.statements(now_s),
         )
         if not self._settled or not (same_domain or report.wants_hubs):
             return summary
--- a/src/mallowloft/routes/rate_limits.py
+++ b/src/mallowloft/routes/rate_limits.py
@@ -76,7 +76,7 @@
             if now_s - heard[0] < _MAX_AGE_S
         }
 
-    def list(self, now_s: float) -> tuple[Statement, ...]:
+    def statements(self, now_s: float) -> tuple[Statement, ...]:
         """Returns the newest statements."""
         return newest(
             Statement(replica, per_s, max(0.0, now_s - heard_s))
--- a/src/mallowloft/routes/reach.py
+++ b/src/mallowloft/routes/reach.py
@@ -13,6 +13,7 @@
 import collections
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
 import math
 
@@ -164,16 +165,53 @@
 
 
 def count_unlinked(
-    services: Iterable[str], directory: directory_lib.Directory
+    services: Sequence[str], directory: directory_lib.Directory
 ) -> int:
     """Returns the number of services whose replicas are all out of reach.
 
-    This does not take into account whether the links to all replicas are lost.
-
     Args:
         services: Services, such as the shards of a route.
         directory: The known replicas.
     """
+    if directory.reach.links_lost:
+        return len(services)
+    return _count_without_replicas(services, directory)
+
+
+def should_forward(
+    route: model.Route,
+    services: Sequence[str],
+    directory: directory_lib.Directory,
+    now_s: float,
+) -> bool:
+    """Whether a request should go to an instance that reaches more replicas.
+
+    The load it answers: instances that lose their links to replicas, while
+    callers still reach them. While all links are lost, single requests that may
+    be repeated are served here, as trials, if replicas look reachable again.
+
+    Args:
+        route: The route.
+        services: The services that the request needs.
+        directory: The known replicas.
+        now_s: Current loop time.
+    """
+    if not count_unlinked(services, directory):
+        return False
+    links = directory.reach
+    is_trial = (
+        links.links_lost
+        and route.idempotent
+        and not _count_without_replicas(services, directory)
+        and links.take_trial(now_s)
+    )
+    return not is_trial
+
+
+def _count_without_replicas(
+    services: Iterable[str], directory: directory_lib.Directory
+) -> int:
+    """Returns the number of services of which no replica looks reachable."""
     unreachable = directory.reach.unreachable_domains()
     return sum(
         _is_unlinked(directory.entries(service), unreachable)
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -1,7 +1,6 @@
 """Plug-in that routes opaque requests to replicas."""
 
 import asyncio
-from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
 from typing import Any
@@ -289,11 +288,8 @@
             self._extra_by_service[service] = extra
         return extra
 
-    def count_unlinked(self, services: Iterable[str]) -> int:
+    def count_unlinked(self, services: Sequence[str]) -> int:
         """Returns the number of services that this instance does not reach."""
-        services = tuple(services)
-        if self.directory.reach.links_lost:
-            return len(services)
         return reach.count_unlinked(services, self.directory)
 
     def choose_collectors(
@@ -515,8 +511,10 @@
                 self, request_context, self.hubs, stats.hub_latency, transfer_s
             )
         services = route.shards or (matcher.choose_service(route),)
-        unlinked = self.count_unlinked(services)
-        if self._should_forward(route, services, unlinked):
+        now_s = asyncio.get_running_loop().time()
+        if self.hubs.forwarders(now_s) and reach.should_forward(
+            route, services, self.directory, now_s
+        ):
             return delegation.ForwardedRequest(
                 self,
                 request_context,
@@ -524,34 +522,12 @@
                 stats.hub_latency,
                 transfer_s,
                 services,
-                unlinked,
+                self.count_unlinked(services),
             )
         if route.shards:
             return gathering.ScatterGather(self, request_context)
         return single.Forwarding(self, request_context, services[0])
 
-    def _should_forward(
-        self, route: model.Route, services: Sequence[str], unlinked: int
-    ) -> bool:
-        """Whether to pass a request on to an instance that reaches more.
-
-        Args:
-            route: The route.
-            services: The services that the request needs.
-            unlinked: Number of them that this instance does not reach.
-        """
-        now_s = asyncio.get_running_loop().time()
-        if not unlinked or not self.hubs.forwarders(now_s):
-            return False
-        links = self.directory.reach
-        is_trial = (
-            links.links_lost
-            and route.idempotent
-            and not reach.count_unlinked(services, self.directory)
-            and links.take_trial(now_s)
-        )
-        return not is_trial
-
     def _build_request_context(
         self,
         exchange: exchange_lib.ServerExchange,
--- a/tests/test_routes_reach.py
+++ b/tests/test_routes_reach.py
@@ -86,6 +86,53 @@
 
         virtual.run(main())
 
+    def _run_with_two_services(self, main) -> None:
+        async def run() -> None:
+            rng = random.Random(1)
+            replicas = [
+                replicas_lib.Replica(name, name, "d1", rng, lambda rng: 0.01)
+                for name in ("s1", "s2")
+            ]
+            directory = replicas_lib.Instance("d1", replicas, rng).directory
+            directory.set_services(["s1", "s2"], {})
+            main(directory)
+
+        virtual.run(run())
+
+    def _should_forward(self, directory, now_s: float, **fields) -> bool:
+        route = replicas_lib.route(shards=("s1", "s2"), **fields)
+        return reach.should_forward(route, route.shards, directory, now_s)
+
+    def test_forwards_if_no_replica_of_one_service_is_connected(self):
+        def main(directory) -> None:
+            assert not self._should_forward(directory, 0.0)
+            directory.entry("s1").pool.failing = True
+            assert self._should_forward(directory, 0.0)
+            # A replica that leaves is not missed.
+            directory.entry("s1").draining = True
+            assert not self._should_forward(directory, 0.0)
+
+        self._run_with_two_services(main)
+
+    def test_forwards_all_but_single_idempotent_trials_without_links(self):
+        def main(directory) -> None:
+            self._lose(directory.reach)
+            assert self._should_forward(directory, 0.5)
+            directory.reach.connected("d1", 1.0)
+            assert self._should_forward(directory, 2.0, idempotent=False)
+            assert not self._should_forward(directory, 2.0)
+            assert self._should_forward(directory, 2.0)
+
+        self._run_with_two_services(main)
+
+    def test_no_trial_while_a_service_has_no_connected_replica(self):
+        def main(directory) -> None:
+            self._lose(directory.reach)
+            directory.entry("s1").pool.failing = True
+            assert self._should_forward(directory, 99.0)
+
+        self._run_with_two_services(main)
+
     def test_closed_connections_are_no_evidence(self):
         domains = reach.DomainReachability()
         _fail(domains, "d2", 10)
--- a/tests/test_routes_replica_limits.py
+++ b/tests/test_routes_replica_limits.py
@@ -285,18 +285,18 @@
         registry = rate_limits.StatementRegistry()
         registry.record([self._statement(5.0, 0.5)], 10.0)
         registry.record([self._statement(None, 3.0)], 10.0)
-        assert registry.list(11.0) == (self._statement(5.0, 1.5),)
+        assert registry.statements(11.0) == (self._statement(5.0, 1.5),)
         registry.record([self._statement(None, 0.0)], 11.0)
-        assert registry.list(11.0) == (self._statement(None, 0.0),)
+        assert registry.statements(11.0) == (self._statement(None, 0.0),)
         registry.record([], 100.0)
-        assert registry.list(100.0) == ()
+        assert registry.statements(100.0) == ()
 
     def test_seed_returns_no_more_than_a_message_may_hold(self):
         registry = rate_limits.StatementRegistry()
         for number in range(1000):
             item = rate_limits.Statement(f"r{number}", 1.0, 0.0)
             registry.record([item], number / 1000)
-        listed = registry.list(1.0)
+        listed = registry.statements(1.0)
         assert len(listed) == 200
         assert listed[0].replica == "r999"
 
