Log which requests are cut off when a replica ends

Failed requests now have a fingerprint, and an attempt that a replica breaks off is followed by a new connection at once: if that is refused, replica_crashed names the requests that this instance had there.

--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -6,6 +6,7 @@
 
 from mallowloft.kernel import logs
 from mallowloft.kernel import metrics as metrics_lib
+from mallowloft.routes import crashes as crashes_lib
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import limits
 from mallowloft.routes import model
@@ -91,6 +92,7 @@
     """
 
     __slots__ = (
+        "_fingerprint",
         "_head",
         "_tail",
         "has_reply_body",
@@ -119,6 +121,14 @@
         self.has_reply_body = request.method != b"HEAD"
         self._head = b"".join(lines)
         self._tail = b"\r\n\r\n" + request.body
+        self._fingerprint = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """What the request has in common with its repeats."""
+        if not self._fingerprint:
+            self._fingerprint = crashes_lib.fingerprint(self.request)
+        return self._fingerprint
 
     def serialize(
         self, deadline_ms: int, names: model.HeaderNames, replica_id: str
@@ -234,6 +244,9 @@
         self._reach = directory.reach
         self._rng = rng
         self._malformed_logged_s = -_LOG_INTERVAL_S
+        # Runs that were cut off at replicas that may have ended: fingerprint of
+        # the request, start and end.
+        self._cut_off_by_replica: dict[str, list[tuple[str, float, float]]] = {}
 
     def start(
         self,
@@ -260,9 +273,11 @@
             exchange: http1.Exchange,
             result: http1.Response | http1.FailureReason,
         ) -> None:
-            del exchange
             outcome = self._outcome_of(result)
             ended_s = asyncio.get_running_loop().time()
+            if outcome is model.Failure.BROKEN:
+                if exchange.connection.closed_by_server:
+                    self._check_crash(attempt, outgoing, ended_s)
             self.record(attempt, outcome, ended_s - attempt.started_s, latency)
             if attempt.pending:
                 attempt.pending = False
@@ -287,6 +302,36 @@
         entry.pool.submit(attempt.exchange)
         return attempt
 
+    def _check_crash(
+        self, attempt: Attempt, outgoing: OutgoingRequest, ended_s: float
+    ) -> None:
+        """Finds out whether a replica that cut off an attempt has ended."""
+        entry = attempt.entry
+        run = (outgoing.fingerprint, attempt.started_s, ended_s)
+        cut_off = self._cut_off_by_replica.get(entry.replica.id)
+        if cut_off is not None:
+            cut_off.append(run)
+            return
+        self._cut_off_by_replica[entry.replica.id] = [run]
+        entry.pool.check_refusal(
+            lambda refused: self._on_crash_checked(entry, refused)
+        )
+
+    def _on_crash_checked(
+        self, entry: directory_lib.ReplicaEntry, refused: bool
+    ) -> None:
+        cut_off = self._cut_off_by_replica.pop(entry.replica.id)
+        # A replica that leaves ends anyway.
+        if not refused or not entry.stays:
+            return
+        self._metrics.count("replica_crashes")
+        _log.warning(
+            "replica_crashed",
+            replica=entry.replica.id,
+            service=entry.replica.service,
+            fingerprints=",".join(sorted({run[0] for run in cut_off})),
+        )
+
     def record(
         self,
         attempt: Attempt,
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -486,6 +486,8 @@
             "late_ms": round(request_context.latency.hedge_delay_s * 1000, 1),
             **task.describe(),
         }
+        if answer.reason:
+            fields["fingerprint"] = request_context.outgoing.fingerprint
         if route.shards and answer.status == 200:
             stats.answer_size.record(answer)
         return _Result(answer, fields, task.finished_s)
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -499,6 +499,8 @@
         # one; None if none are to be replaced.
         self._renewed_from_s: float | None = None
         self._reopen_timer: asyncio.TimerHandle | None = None
+        # Waiting for the outcome of the next connection attempt.
+        self._checks: list[Callable[[bool], None]] = []
         self._closing = False
 
     @property
@@ -569,6 +571,22 @@
             self._idle.pop(0).close("renewed")
         self._connect_if_needed()
 
+    def check_refusal(self, on_checked: Callable[[bool], None]) -> None:
+        """Finds out at once whether the server refuses connections.
+
+        A connection that is established is kept for requests.
+
+        Args:
+            on_checked: Gets whether a connection was refused. This is not so if
+                there is no answer, or if the pool closes.
+        """
+        if self._closing:
+            on_checked(False)
+            return
+        self._checks.append(on_checked)
+        if not self._connecting:
+            self._start_connecting()
+
     def stop_keeping_open(self) -> None:
         """Reverts `keep_open`: connections are opened only for requests."""
         self._keeps_one_open = False
@@ -713,12 +731,15 @@
         except (OSError, TimeoutError) as error:
             self._connecting.discard(task)
             self._on_connect_failed(type(error).__name__)
+            self._end_checks(isinstance(error, ConnectionRefusedError))
             return
         except asyncio.CancelledError:
             self._connecting.discard(task)
+            self._end_checks(False)
             raise
         self._connecting.discard(task)
         self._connect_failures = 0
+        self._end_checks(False)
         self.on_event(CONNECTED)
         if connection.closed:
             self._connect_for_waiting()
@@ -728,6 +749,11 @@
         connection.idle_deadline_s = self.now() + _DEFAULT_IDLE_TIMEOUT_S
         self.release(connection)
 
+    def _end_checks(self, refused: bool) -> None:
+        checks, self._checks = self._checks, []
+        for on_checked in checks:
+            on_checked(refused)
+
     def _on_connect_failed(self, reason: str) -> None:
         self._connect_failures += 1
         self._failed_s = self.now()
