Refuse requests that crash replicas

Cause: nothing remembered under which request a replica ended, so every repeat was a new request, at any instance, and retries took it to further replicas. Class of the fault: harm that a request does to replicas was known only to the attempt that saw it, as a broken connection.

Change: routes/crashes.py remembers which requests were cut off when a replica ended; the seeds pass it on at once, to instances that start too. A request that explains three such ends and has not succeeded since is refused for ten minutes in every path, with that time as Retry-After. Requests beside it, and requests in flight when a failure domain goes down, are not. A gathered request whose first attempts are all cut off is not retried until a part arrives.

--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -225,6 +225,7 @@
         metrics: metrics_lib.Metrics,
         directory: directory_lib.Directory,
         rng: random.Random,
+        crashes: crashes_lib.CrashRegistry,
     ) -> None:
         """Prepares to send requests.
 
@@ -233,6 +234,8 @@
             metrics: Metrics of the instance.
             directory: The replicas; is told which of them leave.
             rng: Draws when this instance returns to a replica after a pause.
+            crashes: Is told of requests that were cut off by the end of a
+                replica, and of their successes.
         """
         self._names = names
         self._metrics = metrics
@@ -244,6 +247,7 @@
         self._reach = directory.reach
         self._rng = rng
         self._malformed_logged_s = -_LOG_INTERVAL_S
+        self._crashes = crashes
         # Runs that were cut off at replicas that may have ended: fingerprint of
         # the request, start and end.
         self._cut_off_by_replica: dict[str, list[tuple[str, float, float]]] = {}
@@ -278,6 +282,8 @@
             if outcome is model.Failure.BROKEN:
                 if exchange.connection.closed_by_server:
                     self._check_crash(attempt, outgoing, ended_s)
+            elif not self._crashes.is_empty and _is_success(outcome):
+                self._crashes.record_success(outgoing.fingerprint, ended_s)
             self.record(attempt, outcome, ended_s - attempt.started_s, latency)
             if attempt.pending:
                 attempt.pending = False
@@ -331,6 +337,10 @@
             service=entry.replica.service,
             fingerprints=",".join(sorted({run[0] for run in cut_off})),
         )
+        for fingerprint, started_s, ended_s in cut_off:
+            self._crashes.record_crash(
+                fingerprint, entry.replica.start_name, started_s, ended_s
+            )
 
     def record(
         self,
@@ -534,6 +544,10 @@
         return encoded or not reply.signature
 
 
+def _is_success(outcome: Outcome) -> bool:
+    return isinstance(outcome, model.Reply) and outcome.success
+
+
 def _parse_waiting(load: bytes | None) -> int:
     """Returns the number of waiting requests in a load header.
 
--- a/src/mallowloft/routes/collector.py
+++ b/src/mallowloft/routes/collector.py
@@ -40,6 +40,14 @@
         self._route = route
         self._loop = asyncio.get_running_loop()
         self._started_s = self._loop.time()
+        self._outgoing = attempts_lib.OutgoingRequest(
+            model.Request(
+                call.id, call.method, call.target, call.headers, call.body
+            ),
+            route.rank,
+            routes.names,
+            is_part=True,
+        )
         self._attempts_by_position: dict[int, attempts_lib.Attempt] = {}
         # Attempts that were not sent because of what their replicas asked for.
         self._refused_by_position: dict[int, batching.FailedAttempt] = {}
@@ -58,6 +66,14 @@
         """Number of attempts without an outcome."""
         return len(self._attempts_by_position)
 
+    @property
+    def crashes_replicas(self) -> bool:
+        """Whether the request is refused because it crashes replicas."""
+        crashes = self._routes.crashes
+        return not crashes.is_empty and bool(
+            crashes.refused_for_s(self._outgoing.fingerprint, self._started_s)
+        )
+
     def start(self) -> None:
         """Sends the attempts to the replicas that the call names."""
         call = self._call
@@ -67,14 +83,6 @@
             ),
             self._loop.call_at(self._started_s + call.left_s, self._on_end),
         ]
-        outgoing = attempts_lib.OutgoingRequest(
-            model.Request(
-                call.id, call.method, call.target, call.headers, call.body
-            ),
-            self._route.rank,
-            self._routes.names,
-            is_part=True,
-        )
         latency = self._routes.stats_of(self._route).latency
         for position, (shard, replica_id) in enumerate(call.replicas):
             entry = self._routes.directory.entry(replica_id)
@@ -96,7 +104,7 @@
                 continue
             attempt = self._routes.sender.start(
                 entry,
-                outgoing,
+                self._outgoing,
                 self._started_s + call.left_s,
                 latency,
                 lambda _, outcome, position=position: self._end(
@@ -258,6 +266,10 @@
             await exchange_lib.respond(exchange.send, 409, route.encode())
             return
         collection = _Collection(self._routes, call, route)
+        if collection.crashes_replicas:
+            self._count("crashes_replicas")
+            await exchange_lib.respond(exchange.send, 409, b"crashes_replicas")
+            return
         disconnected = asyncio.ensure_future(exchange.wait_for_disconnect())
         try:
             collection.start()
--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -195,8 +195,7 @@
         self._service = ""
         self._unlinked: int | None = None
 
-    def start(self) -> None:
-        """Sends the request to a hub."""
+    def _start(self) -> None:
         self._try_next_hub()
         if not self.done.done():
             self._schedule_timer()
--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -6,8 +6,9 @@
 sends too few requests to a replica to detect by itself that the replica is slow
 or failing. Every instance therefore reports to the seeds, which are a few
 configured instances. They answer with the number of reporting instances, the
-replicas that are slow or failing for several instances, and the rate limits
-that replicas state, so that no instance needs connections to all others.
+replicas that are slow or failing for several instances, the rate limits that
+replicas state, and the requests that were cut off when replicas ended, so that
+no instance needs connections to all others.
 
 In a large fleet the seeds also name hubs: a few instances of each failure
 domain, preferably with large network links. Hubs read the source of routes for
@@ -29,6 +30,7 @@
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
+from mallowloft.routes import crashes as crashes_lib
 from mallowloft.routes import exchange as exchange_lib
 from mallowloft.routes import hubs as hubs_lib
 from mallowloft.routes import message_types
@@ -65,7 +67,9 @@
 # reporter may have a faulty link of its own.
 _MIN_REPORTERS = 2
 _SUSPECT_WINDOW_S = 3.0
-_MAX_BODY_BYTES = 1 << 16
+# Crashes of replicas are reported at once, but not more often than this.
+_CRASH_REPORT_INTERVAL_S = 0.25
+_MAX_BODY_BYTES = 1 << 17
 # After a restart of the whole fleet no instance knows the hubs. Instances
 # therefore report more often until they know them, but at most for this long
 # after their start.
@@ -97,6 +101,9 @@
         wants_hubs: Whether a seed in any failure domain should name the hubs.
         known_hubs: Digest of the hubs that the instance knows.
         limits: What the instance last heard of the replicas' rate limits.
+        crash_digest: Digest of the crashes of replicas that it knows of.
+        crashes: Requests that were cut off by crashes; empty if the seed knows
+            of the same ones.
     """
 
     instance: message_types.Name
@@ -107,6 +114,8 @@
     wants_hubs: bool = False
     known_hubs: message_types.Name = ""
     limits: tuple[rate_limits.Statement, ...] = ()
+    crash_digest: message_types.Name = ""
+    crashes: tuple[crashes_lib.Trace, ...] = ()
 
 
 class Summary(msgspec.Struct, frozen=True, array_like=True):
@@ -122,6 +131,9 @@
         small_links: Number of instances whose links are small compared with
             the largest.
         limits: The newest statements about the replicas' rate limits.
+        crash_digest: Digest of the crashes of replicas that the seed knows of.
+        crashes: Requests that were cut off by crashes; empty if the instance
+            knows of the same ones.
     """
 
     instances: message_types.Count
@@ -131,6 +143,8 @@
     hubs: tuple[hubs_lib.Hub, ...] | None = None
     small_links: message_types.Count = 0
     limits: tuple[rate_limits.Statement, ...] = ()
+    crash_digest: message_types.Name = ""
+    crashes: tuple[crashes_lib.Trace, ...] = ()
 
 
 _report_decoder = msgspec.msgpack.Decoder(Report)
@@ -323,6 +337,11 @@
             settings.link_mbps,
             self.traffic,
         )
+        self.crashes = crashes_lib.CrashRegistry()
+        self._crash_noticed = asyncio.Event()
+        self.crashes.on_crash = self._crash_noticed.set
+        self._crash_digests_by_seed: dict[str, str] = {}
+        self._crash_task: asyncio.Task | None = None
         self._hub_digest = ""
         self.seeds_answered = False
         self._hub_listeners: list[Callable[[], None]] = []
@@ -377,10 +396,12 @@
         if self._server is not None:
             await self._server.start()
         self._task = asyncio.create_task(self._report_periodically())
+        self._crash_task = asyncio.create_task(self._report_crashes())
 
     async def stop(self, grace_s: float) -> None:
         """Stops reporting and answering reports."""
         self._task.cancel()
+        self._crash_task.cancel()
         for pool in self._pools_by_seed.values():
             pool.abort()
         self.hubs.close()
@@ -438,6 +459,19 @@
             jitter = self._kernel.rng.uniform(0.8, 1.2)
             await asyncio.sleep(_STARTUP_REPORT_INTERVAL_S * jitter)
 
+    async def _report_crashes(self) -> None:
+        """Reports to all seeds soon after a crash of a replica."""
+        while True:
+            await self._crash_noticed.wait()
+            self._crash_noticed.clear()
+            await asyncio.gather(
+                *(
+                    self._send_report(seed, _CALL_TIMEOUT_S)
+                    for seed in self._list_seeds()
+                )
+            )
+            await asyncio.sleep(_CRASH_REPORT_INTERVAL_S)
+
     def _list_seeds(self) -> list[str]:
         return [
             item.strip()
@@ -456,6 +490,8 @@
             self._pools_by_seed[seed] = pool
         settings = self._kernel.settings
         now_s = asyncio.get_running_loop().time()
+        crash_digest = self.crashes.digest()
+        is_known = self._crash_digests_by_seed.get(seed, "") == crash_digest
         report = Report(
             settings.instance_id,
             tuple(self.find_suspects()),
@@ -466,6 +502,8 @@
             now_s - self._hubs_received_s > _HUB_LIST_MAX_AGE_S,
             self._hub_digest,
             self.find_limits(),
+            crash_digest,
+            () if is_known else self.crashes.traces(now_s),
         )
         response = await http1.send_request(
             pool,
@@ -487,6 +525,7 @@
             return
         remote = summary.failure_domain != settings.failure_domain
         pool.set_meter(self.traffic.meter(remote))
+        self._crash_digests_by_seed[seed] = summary.crash_digest
         self._apply_summary(summary)
 
     def _apply_summary(self, summary: Summary) -> None:
@@ -496,6 +535,7 @@
             self._instance_registry.record_count(summary.instances, now_s)
         self.mark_suspects(summary.suspects)
         self.apply_limits(summary.limits)
+        self.crashes.apply(summary.crashes, now_s)
         if summary.hub_digest:
             self._hubs_received_s = now_s
         if summary.hubs is not None:
@@ -541,4 +581,12 @@
             return 400, str(error).encode()
         now_s = asyncio.get_running_loop().time()
         summary = self._instance_registry.record_report(report, now_s)
+        self.crashes.apply(report.crashes, now_s)
+        digest = self.crashes.digest()
+        is_known = report.crash_digest == digest
+        summary = msgspec.structs.replace(
+            summary,
+            crash_digest=digest,
+            crashes=() if is_known else self.crashes.traces(now_s),
+        )
         return 200, msgspec.msgpack.encode(summary)
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -24,6 +24,11 @@
 # The delay before a hedge is at most this share of the time until a partial
 # answer is due, so that the hedge has as much time as the first attempt.
 _MAX_HEDGE_DELAY_SHARE = 0.5
+# If this many attempts are cut off before any part arrives, the request may
+# crash replicas. Further retries wait until this time has shown whether the
+# replicas have ended.
+_MAX_CUT_OFF = 3
+_CRASH_CHECK_S = 0.005
 # Sending one attempt takes some 30 us of processor time.
 _SENDS_PER_ITERATION = 24
 _CONTENT_TYPE = (b"content-type", b"application/octet-stream")
@@ -104,6 +109,10 @@
         self._batches: list[batching.Batch] = []
         # Retries that wait until the request may be extended.
         self._postponed_count = 0
+        self._cut_off_count = 0
+        # Retries that wait for a part, which shows that the request crashes no
+        # replicas.
+        self._held: list[tuple[_ShardState, attempts_lib.Outcome]] = []
         # First attempts that are still to be sent.
         self._unsent: list[batching.Choice] = []
         self._pending_shards: dict[str, _ShardState] = {}
@@ -137,8 +146,7 @@
         self._unreachable_domains: frozenset[str] = frozenset()
         self.sent = 0
 
-    def start(self) -> None:
-        """Sends the first attempts."""
+    def _start(self) -> None:
         now_s = self._loop.time()
         directory = self._context.directory
         self._unreachable_domains = directory.reach.unreachable_domains()
@@ -286,6 +294,7 @@
             else:
                 self._release_attempts(shard)
         self._groups.append(group)
+        self._send_held()
         self._finish_if_decided(self._loop.time())
 
     def on_attempt_failed(
@@ -300,7 +309,7 @@
         ):
             # The collector knew that the replica wants fewer requests.
             shard.tried.remove(attempt.entry)
-        self._on_end(shard, attempt, outcome)
+        self._on_replica_end(shard, attempt, outcome)
 
     def on_batch_failed(
         self, attempts: Sequence[batching.Attempt], may_have_run: bool
@@ -338,12 +347,24 @@
             self._request_context.outgoing,
             self._request_context.end_s,
             self._request_context.latency,
-            lambda attempt, outcome: self._on_end(shard, attempt, outcome),
+            lambda attempt, outcome: self._on_replica_end(
+                shard, attempt, outcome
+            ),
         )
         if attempt.pending:
             shard.in_flight.append(attempt)
             self._in_flight_count += 1
 
+    def _on_replica_end(
+        self,
+        shard: _ShardState,
+        attempt: _Attempt,
+        outcome: attempts_lib.Outcome,
+    ) -> None:
+        """Handles the outcome of an attempt that a replica has caused."""
+        self._cut_off_count += outcome is model.Failure.BROKEN
+        self._on_end(shard, attempt, outcome)
+
     def _on_end(
         self,
         shard: _ShardState,
@@ -359,6 +380,7 @@
             self._parts[shard.service] = outcome
             del self._pending_shards[shard.service]
             self._release_attempts(shard)
+            self._send_held()
         else:
             self._on_failure(shard, outcome)
         self._finish_if_decided(self._loop.time())
@@ -369,6 +391,14 @@
         shard.failure = running.outcome_label(outcome)
         if shard.in_flight:
             return
+        if not self._covered and self._cut_off_count >= _MAX_CUT_OFF:
+            due_s = self._loop.time() + _CRASH_CHECK_S
+            self._postpone_retry(shard, outcome, due_s)
+        else:
+            self._retry(shard, outcome)
+
+    def _retry(self, shard: _ShardState, outcome: attempts_lib.Outcome) -> None:
+        """Sends a further attempt for a shard if the request may have one."""
         now_s = self._loop.time()
         unsent = outcome is model.Failure.UNSENT
         guard = self._extra_guard
@@ -396,11 +426,29 @@
             self._postponed_count -= 1
             if self.done.done() or shard.service not in self._pending_shards:
                 return
-            self._on_failure(shard, outcome)
+            if self._may_crash_replicas():
+                shard.failure = "held"
+                self._held.append((shard, outcome))
+            elif not shard.in_flight:
+                self._retry(shard, outcome)
             self._finish_if_decided(self._loop.time())
 
         self._loop.call_at(due_s, retry)
 
+    def _may_crash_replicas(self) -> bool:
+        """Whether replicas ended under the request and none gave a part."""
+        crashes = self._context.crashes
+        fingerprint = self._request_context.outgoing.fingerprint
+        return not self._covered and (
+            crashes.count_crashes(fingerprint) >= _MAX_CUT_OFF
+        )
+
+    def _send_held(self) -> None:
+        held, self._held = self._held, []
+        for shard, outcome in held:
+            if shard.service in self._pending_shards and not shard.in_flight:
+                self._retry(shard, outcome)
+
     def _choose_next(
         self,
         shard: _ShardState,
@@ -416,7 +464,7 @@
             healthy_only: Whether only healthy replicas are considered.
             extra: Whether an earlier attempt may have reached a replica.
         """
-        if len(shard.tried) >= self._max_attempts:
+        if len(shard.tried) >= self._max_attempts or self._refused_for_s():
             return None
         guard = self._extra_guard
         if extra and guard is not None and not guard.allows_extra():
--- a/src/mallowloft/routes/model.py
+++ b/src/mallowloft/routes/model.py
@@ -73,6 +73,11 @@
         """Identity of one start of a replica at one address."""
         return (self.id, self.service, self.started, self.host, self.port)
 
+    @property
+    def start_name(self) -> str:
+        """Name of one start of the replica, the same on all instances."""
+        return f"{self.id}@{self.started}" if self.started else self.id
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Target:
--- a/src/mallowloft/routes/running.py
+++ b/src/mallowloft/routes/running.py
@@ -9,6 +9,7 @@
 
 from mallowloft.routes import attempts as attempts_lib
 from mallowloft.routes import batching
+from mallowloft.routes import crashes as crashes_lib
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import limits
 from mallowloft.routes import model
@@ -30,6 +31,7 @@
     directory: directory_lib.Directory
     selector: selection.Selector
     sender: attempts_lib.Sender
+    crashes: crashes_lib.CrashRegistry
     response_delays: timing.ResponseDelays
     batch_overheads: batching.Overheads
     # Largest number of shards of another failure domain whose replicas are
@@ -89,8 +91,16 @@
         self.retries = 0
         self.denied = 0
 
-    @abc.abstractmethod
     def start(self) -> None:
+        """Sends the first attempts; refuses requests that crash replicas."""
+        refused_for_s = self._refused_for_s()
+        if refused_for_s:
+            self._finish(model.refusal("crashes_replicas", refused_for_s))
+            return
+        self._start()
+
+    @abc.abstractmethod
+    def _start(self) -> None:
         """Sends the first attempts."""
 
     @abc.abstractmethod
@@ -101,6 +111,15 @@
     def _attempts(self) -> Iterable[attempts_lib.Attempt]:
         """Returns the attempts in flight."""
 
+    def _refused_for_s(self) -> float:
+        """Returns for how long the request is refused, 0 if it is not."""
+        crashes = self._context.crashes
+        if crashes.is_empty:
+            return 0.0
+        return crashes.refused_for_s(
+            self._request_context.outgoing.fingerprint, self._loop.time()
+        )
+
     def cancel(self) -> None:
         """Stops the request if it is still running.
 
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -126,11 +126,13 @@
             leaving_grace_s=kernel.settings.leaving_grace_s,
         )
         self.selector = selection.Selector(kernel.rng)
+        self.crashes = kernel.plugin("fleet").crashes
         self.sender = attempts_lib.Sender(
             self.names,
             kernel.metrics,
             self.directory,
             kernel.rng,
+            self.crashes,
         )
         self._dropped_headers = frozenset(
             (self.names.deadline, self.names.expected_replica)
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -43,8 +43,7 @@
         self._may_have_run = False
         self._outcomes: list[str] = []
 
-    def start(self) -> None:
-        """Sends the first attempt."""
+    def _start(self) -> None:
         extra = self._context.extra_attempts(self._service)
         if not self._repeated:
             extra.refill(self._loop.time())
@@ -77,7 +76,7 @@
     def _choose_next(
         self, healthy_only: bool
     ) -> directory_lib.ReplicaEntry | None:
-        if len(self._tried) >= self._max_attempts:
+        if len(self._tried) >= self._max_attempts or self._refused_for_s():
             return None
         return self._context.selector.choose(
             self._context.directory.entries(self._service),
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -10,6 +10,7 @@
 from mallowloft.kernel import metrics as metrics_lib
 from mallowloft.routes import attempts as attempts_lib
 from mallowloft.routes import batching
+from mallowloft.routes import crashes as crashes_lib
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import gathering
 from mallowloft.routes import limits
@@ -213,8 +214,9 @@
                 )
             )
         self.selector = selection.Selector(rng)
+        self.crashes = crashes_lib.CrashRegistry()
         self.sender = attempts_lib.Sender(
-            NAMES, metrics_lib.Metrics(), self.directory, rng
+            NAMES, metrics_lib.Metrics(), self.directory, rng, self.crashes
         )
         self.response_delays = timing.ResponseDelays()
         self.batch_overheads = batching.Overheads()
