Do not let two instances keep each other isolated

What callers saw: after instances had been cut off from replicas, none of a fleet became ready again, and each closed its callers' connections after every answer, although all links were back.

Cause: an instance whose hub says that it is isolated is isolated, too, and said so to others; two that had each other as that hub never stopped. Class of the fault: a conclusion from another instance's state is passed on as if it were own knowledge.

Only what an instance knows by itself is told.

--- a/src/mallowloft/routes/hub_server.py
+++ b/src/mallowloft/routes/hub_server.py
@@ -142,7 +142,7 @@
     async def _serve_state(self, scope, receive, send) -> None:
         del scope, receive
         hubs = self._hubs
-        is_isolated = hubs.links_lost or hubs.instance_isolated
+        is_isolated = hubs.links_lost or hubs.reports_isolation
         body = _ISOLATED if is_isolated else _CONNECTED
         await exchange_lib.respond(send, 200, body)
 
--- a/src/mallowloft/routes/hubs.py
+++ b/src/mallowloft/routes/hubs.py
@@ -269,6 +269,8 @@
         # other failure domain but needs them to cover the shards, so that
         # callers should use other instances.
         self.instance_isolated = False
+        # Whether this instance knows so only from a hub.
+        self.isolated_by_hub = False
         # Whether this instance itself does not reach enough replicas, whether
         # or not forwarders serve its requests.
         self.links_lost = False
@@ -302,6 +304,15 @@
         """Whether this instance reads the source for others."""
         return self.holds(READER)
 
+    @property
+    def reports_isolation(self) -> bool:
+        """Whether other instances are told that this one is isolated.
+
+        What this instance knows only from a hub is not passed on. Otherwise two
+        instances could keep each other isolated for good.
+        """
+        return self.instance_isolated and not self.isolated_by_hub
+
     def holds(self, role: str) -> bool:
         """Whether this instance holds a role."""
         hub = self._hubs_by_id.get(self._instance)
--- a/src/mallowloft/routes/relaying.py
+++ b/src/mallowloft/routes/relaying.py
@@ -153,7 +153,7 @@
         end_s = loop.time() + wait_s
         while (
             follower.current
-            and not self._hubs.instance_isolated
+            and not self._hubs.reports_isolation
             and follower.position <= after
             and mirror.removal_count <= removals
             and loop.time() < end_s
@@ -161,7 +161,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(min(_CHECK_INTERVAL_S, wait_s)):
                     await follower.updated.wait()
-        if self._hubs.instance_isolated:
+        if self._hubs.reports_isolation:
             return _STATUS_NOT_CURRENT, _ISOLATED
         if not follower.current or not follower.revision:
             return _STATUS_NOT_CURRENT, _SOURCE_LOST
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -389,9 +389,10 @@
             links_lost = self.directory.reach.links_lost or domain_isolated
             if links_lost and not self.hubs.links_lost:
                 self.directory.reconnect()
+            hub_isolated = await hub_server.check_isolated_hub(self.hubs)
+            self.hubs.isolated_by_hub = hub_isolated and not domain_isolated
             isolated = (
-                await hub_server.check_isolated_hub(self.hubs)
-                or domain_isolated
+                hub_isolated or domain_isolated
             ) and not await hub_server.find_linked_forwarder(self.hubs)
             state = (unreachable, links_lost, isolated)
             if state != (
