Pass over gatherers that have lost their links

(2) After that an instance with a small link asked two gatherers, which refused within 3 ms because they had lost their links, and then gathered 90 parts over its own small link (hubs=front-kitakyu-1:links_lost@2.1ms,front-kitakyu-2:links_lost@2.0ms parts=81 denied=208, 504), although gatherers of other failure domains had links. And it asked the same ones again with the next request.

A refusal takes no time and no longer counts as a failed hub, up to five hubs; one that has lost its links is passed over for 1 s. The new test failed before.

--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -48,7 +48,8 @@
 _STATUS_REFUSED = 503
 # After this many hubs have failed, this instance gathers the answer itself.
 _MAX_HUB_ATTEMPTS = 2
-# The same for forwarders, many of which may have lost their links, too.
+# The same for forwarders and for hubs that refuse at once. Many of them may
+# have lost their links, too.
 _MAX_FORWARDER_ATTEMPTS = 5
 
 
@@ -245,7 +246,7 @@
         unreachable = directory.reach.unreachable_domains()
         hubs = [
             entry
-            for entry in self._hubs.gathering_hubs
+            for entry in self._hubs.gatherers(now_s)
             if entry.replica.failure_domain not in unreachable
         ]
         covered = reach.covered_by_domain(self._route, directory)
@@ -370,6 +371,11 @@
             # The body states the reason for the refusal.
             entry.health.discard(attempt)
             self._hubs.record_refusal(entry, outcome.body, now_s)
+            if self._unlinked is None:
+                # A refusal takes no time, and other hubs may have links.
+                self._max_hub_attempts = min(
+                    _MAX_FORWARDER_ATTEMPTS, self._max_hub_attempts + 1
+                )
             self._record_outcome(attempt, outcome.body.decode("latin1"))
             return None
         try:
--- a/src/mallowloft/routes/hubs.py
+++ b/src/mallowloft/routes/hubs.py
@@ -275,6 +275,8 @@
         # or not forwarders serve its requests.
         self.links_lost = False
         self._avoided_until_s: dict[str, float] = {}
+        # Hubs that refused a request because they have lost their links.
+        self._unlinked_until_s: dict[str, float] = {}
         # Forwarders that the last list does not name, and when they go.
         self._retained_by_id: dict[
             str, tuple[directory_lib.ReplicaEntry, float]
@@ -352,6 +354,14 @@
             if self._avoided_until_s.get(entry.replica.id, 0.0) <= now_s
         ]
 
+    def gatherers(self, now_s: float) -> list[directory_lib.ReplicaEntry]:
+        """Returns the gatherers for this instance that may have links."""
+        return [
+            entry
+            for entry in self.gathering_hubs
+            if self._unlinked_until_s.get(entry.replica.id, 0.0) <= now_s
+        ]
+
     def record_refusal(
         self, entry: directory_lib.ReplicaEntry, reason: bytes, now_s: float
     ) -> None:
@@ -364,6 +374,9 @@
         """
         self._avoided_until_s[entry.replica.id] = now_s + _FORWARDER_AVOIDED_S
         if reason == LINKS_LOST:
+            self._unlinked_until_s[entry.replica.id] = (
+                now_s + _FORWARDER_AVOIDED_S
+            )
             self.record_isolated(entry)
 
     def record_isolated(self, hub: directory_lib.ReplicaEntry) -> None:
@@ -458,11 +471,14 @@
     def _take_back_retained(self) -> None:
         """Uses retained forwarders that are named again; drops old ones."""
         now_s = asyncio.get_running_loop().time()
-        self._avoided_until_s = {
-            instance: until_s
-            for instance, until_s in self._avoided_until_s.items()
-            if now_s < until_s
-        }
+        self._avoided_until_s, self._unlinked_until_s = (
+            {
+                instance: until_s
+                for instance, until_s in until_s_by_id.items()
+                if now_s < until_s
+            }
+            for until_s_by_id in (self._avoided_until_s, self._unlinked_until_s)
+        )
         for instance, (entry, until_s) in list(self._retained_by_id.items()):
             if instance in self._hubs_by_id:
                 del self._retained_by_id[instance]
--- a/tests/test_routes_delegation.py
+++ b/tests/test_routes_delegation.py
@@ -353,6 +353,59 @@
 
 _REFUSED = http1.Response(409, (), hubs_lib.LINKS_LOST)
 _BROKEN = http1.FailureReason.BROKEN
+_UNSENT = http1.FailureReason.UNSENT
+
+
+class TestHubsWithoutLinks:
+    """Requests that are passed on while most hubs have lost their links."""
+
+    def _run(self, outcomes):
+        """Returns the answer, the gatherers and the hubs after the request."""
+
+        async def main():
+            replica = replicas_lib.Replica(
+                "r", "s", "d1", random.Random(1), lambda rng: 0.01
+            )
+            instance = replicas_lib.Instance("d1", [replica], random.Random(1))
+            hubs = hubs_lib.Hubs("i", "d1", 0.0)
+            gatherers = [_Forwarder(outcome) for outcome in outcomes]
+            hubs.gathering_hubs = [
+                directory_lib.ReplicaEntry(
+                    model.Replica(f"h{number}", "hubs", "h", 1, "d1", 8),
+                    gatherer,
+                    health_lib.ReplicaHealth(),
+                    remote=False,
+                )
+                for number, gatherer in enumerate(gatherers)
+            ]
+            route = replicas_lib.route(shards=("s",), min_coverage=1.0)
+            task = delegation.DelegatedRequest(
+                instance,
+                instance.create_request_context(route),
+                hubs,
+                limits.RouteLatency(route.objective_s),
+            )
+            task._context.selector = _InOrder()
+            task.start()
+            return await task.done, gatherers, hubs
+
+        return virtual.run(main())
+
+    def test_gatherers_with_links_are_asked_after_several_without(self):
+        answered = http1.Response(
+            200,
+            (),
+            delegation.encode_answer(model.Answer(200, (), b"x"), False),
+        )
+        answer, _, hubs = self._run([_REFUSED, _REFUSED, _REFUSED, answered])
+        assert answer.body == b"x"
+        left = [entry.replica.id for entry in hubs.gatherers(0.5)]
+        assert left == ["h3"]
+        assert len(hubs.gatherers(2.0)) == 4
+
+    def test_answer_is_gathered_here_after_two_broken_hubs(self):
+        _, gatherers, _ = self._run([_UNSENT, _UNSENT, _UNSENT])
+        assert [len(item.calls) for item in gatherers] == [1, 1, 0]
 
 
 class TestForwardedRequest:
