Do not take parts from collectors for a sign of own links

Cause: the outcomes of a batch were recorded like those of direct attempts, so each part that a collector returned ended the state of lost links. The next requests for one replica went to replicas and waited until their deadline.

The new test failed before (links_lost ended by one gathered answer).

--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -348,6 +348,7 @@
         outcome: Outcome,
         duration_s: float,
         latency: limits.RouteLatency,
+        is_direct: bool = True,
     ) -> None:
         """Updates health, latency and metrics with the outcome of an attempt.
 
@@ -356,7 +357,11 @@
             outcome: Its outcome.
             duration_s: Time from its start to the reply.
             latency: Latency statistics of the request's route.
+            is_direct: Whether this instance itself sent it to the replica.
         """
+        reached = (
+            self._reach.direct_succeeded if is_direct else self._reach.succeeded
+        )
         now_s = asyncio.get_running_loop().time()
         health = attempt.entry.health
         domain = attempt.entry.replica.failure_domain
@@ -370,12 +375,12 @@
             health.record_failure(attempt, now_s)
             # A malformed reply shows that the failure domain is reachable.
             if outcome is model.Failure.MALFORMED:
-                self._reach.direct_succeeded(domain)
+                reached(domain)
             else:
                 self._reach.failed(domain, now_s)
             self._increment_by_outcome[outcome]()
             return
-        self._reach.direct_succeeded(domain)
+        reached(domain)
         health.waiting = outcome.waiting
         if outcome.status == _STATUS_MISDIRECTED:
             self._mark_misdirected(attempt.entry)
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -244,7 +244,7 @@
             self._route.objective_s,
             self,
             lambda attempt, outcome, duration_s: context.sender.record(
-                attempt, outcome, duration_s, latency
+                attempt, outcome, duration_s, latency, is_direct=False
             ),
             context.directory.reach,
             context.batch_overheads,
--- a/tests/test_routes_batching.py
+++ b/tests/test_routes_batching.py
@@ -389,6 +389,38 @@
         assert answer.status == 200
         assert answer.missing <= 3
 
+    def test_parts_from_collectors_are_no_sign_of_own_links(self):
+        route = replicas_lib.route(
+            objective_s=_OBJECTIVE_S,
+            shards=("s0", "s1", "s2"),
+            top_records=1,
+            min_coverage=1.0,
+        )
+
+        async def main() -> None:
+            rng = random.Random(5)
+            replicas = [
+                replicas_lib.Replica(shard, shard, "d2", rng, lambda rng: 0.01)
+                for shard in route.shards
+            ]
+            instances = [
+                replicas_lib.Instance(domain, replicas, rng)
+                for domain in ("d1", "d2")
+            ]
+            table = model.Table(1, (route,), {})
+            pools = [collectors_lib.Pool(item, table) for item in instances]
+            collectors_lib.connect(instances, pools)
+            links = instances[0].directory.reach
+            for at_s in range(6):
+                links.direct_failed("d2", float(at_s))
+            links.succeeded("d2")
+            answer = await instances[0].serve(route)
+            assert (answer.status, pools[1].calls) == (200, 1)
+            assert links.links_lost
+            assert not links.unreachable_domains()
+
+        virtual.run(main())
+
     def test_no_attempt_stays_open_after_callers_have_left(self):
         result = _run_load(left_early=True)
         assert result.batches > 300
