--- a/src/mallowloft/routes/crashes.py
+++ b/src/mallowloft/routes/crashes.py
@@ -38,8 +38,12 @@
 # A crash is forgotten after this time. A request that is refused because of it
 # is then tried again.
 _RETENTION_S = 600.0
-# Limit on the crashes that are kept and passed on, counted for each request.
-_MAX_RUNS = 500
+# A success is remembered for this long, so that crashes before it that others
+# still tell of do not count.
+_SUCCESS_RETENTION_S = 60.0
+# Limits on what is kept and passed on in one message.
+_MAX_RUNS = 300
+_MAX_SUCCESSES = 200
 
 
 class Trace(msgspec.Struct, frozen=True, array_like=True):
@@ -196,12 +200,10 @@
         """Records what other instances have told."""
         for item in traces:
             ended_s = now_s - item.age_s
-            if item.age_s >= _RETENTION_S:
-                continue
-            if item.replica:
+            if item.replica and item.age_s < _RETENTION_S:
                 run = _Run(ended_s - item.lasted_s, ended_s)
                 self._add_run(item.request, item.replica, run)
-            else:
+            elif not item.replica and item.age_s < _SUCCESS_RETENTION_S:
                 self._add_success(item.request, ended_s)
 
     def _add_run(self, request: str, replica: str, run: _Run) -> bool:
@@ -219,7 +221,12 @@
     def _add_success(self, request: str, succeeded_s: float) -> None:
         known_s = self._succeeded_s_by_request.get(request, -math.inf)
         succeeded_s = max(known_s, succeeded_s)
+        # The newest are last.
+        self._succeeded_s_by_request.pop(request, None)
         self._succeeded_s_by_request[request] = succeeded_s
+        if len(self._succeeded_s_by_request) > _MAX_SUCCESSES:
+            oldest = next(iter(self._succeeded_s_by_request))
+            del self._succeeded_s_by_request[oldest]
         runs = self._runs_by_request.pop(request, {})
         left = {
             replica: run
@@ -240,8 +247,9 @@
         self._succeeded_s_by_request = {
             request: succeeded_s
             for request, succeeded_s in self._succeeded_s_by_request.items()
-            if succeeded_s > oldest_s
+            if succeeded_s > now_s - _SUCCESS_RETENTION_S
         }
+        self._refused &= self._runs_by_request.keys()
 
     def _drop_excess(self, now_s: float) -> None:
         """Forgets the requests with the fewest crashes if there are many."""
@@ -257,10 +265,6 @@
                 break
             del self._runs_by_request[request]
             count -= len(runs)
-        while len(self._succeeded_s_by_request) > _MAX_RUNS:
-            self._succeeded_s_by_request.pop(
-                next(iter(self._succeeded_s_by_request))
-            )
 
     def _find_causes(self, now_s: float) -> set[str]:
         """Returns the requests that explain the crashes.
--- a/tests/test_routes_crashes.py
+++ b/tests/test_routes_crashes.py
@@ -102,8 +102,13 @@
         _crash_in_turn(registry, "bad", 5)
         for number in range(2000):
             _crash(registry, f"g{number}", f"s{number}", 10.0)
+            registry.record_success(f"g{number}", 10.5)
         assert len(registry.traces(11.0)) <= 500
         assert registry.refused_for_s("bad", 12.0)
+        for number in range(2000):
+            _crash(registry, f"g{number}", f"s{number}", 11.0)
+        assert len(registry.traces(11.0)) <= 500
+        assert registry.refused_for_s("bad", 13.0)
 
 
 class TestExchange:
