Count crashes that are noticed after the replica was removed

Cause: whether a replica leaves, and ends anyway, was asked after its end; by then its entry may be gone, too, and its pool closes and checked nothing. Instances that had been paused notice both at the same time. It is asked at the start of the attempt now, and a closing pool checks.

The new test failed before with a closed pool.

--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -272,6 +272,8 @@
         """
         now_s = asyncio.get_running_loop().time()
         attempt = Attempt(entry, now_s, self._reach)
+        # A replica that leaves ends anyway.
+        ends_unexpectedly = entry.stays
 
         def on_exchange_end(
             exchange: http1.Exchange,
@@ -280,7 +282,7 @@
             outcome = self._outcome_of(result)
             ended_s = asyncio.get_running_loop().time()
             if outcome is model.Failure.BROKEN:
-                if exchange.connection.closed_by_server:
+                if ends_unexpectedly and exchange.connection.closed_by_server:
                     self._check_crash(attempt, outgoing, ended_s)
             elif not self._crashes.is_empty and _is_success(outcome):
                 self._crashes.record_success(outgoing.fingerprint, ended_s)
@@ -327,8 +329,7 @@
         self, entry: directory_lib.ReplicaEntry, refused: bool
     ) -> None:
         cut_off = self._cut_off_by_replica.pop(entry.replica.id)
-        # A replica that leaves ends anyway.
-        if not refused or not entry.stays:
+        if not refused:
             return
         self._metrics.count("replica_crashes")
         _log.warning(
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -574,15 +574,13 @@
     def check_refusal(self, on_checked: Callable[[bool], None]) -> None:
         """Finds out at once whether the server refuses connections.
 
-        A connection that is established is kept for requests.
+        A connection that is established is kept for requests, unless the pool
+        is closing.
 
         Args:
             on_checked: Gets whether a connection was refused. This is not so if
-                there is no answer, or if the pool closes.
+                there is no answer, or if the pool is aborted.
         """
-        if self._closing:
-            on_checked(False)
-            return
         self._checks.append(on_checked)
         if not self._connecting:
             self._start_connecting()
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -534,6 +534,44 @@
         _run_with_server(serve, test)
 
 
+class TestRefusalCheck:
+    """A check tells a server that has ended from a closed connection."""
+
+    async def _check(self, client) -> bool:
+        checked = asyncio.get_running_loop().create_future()
+        client.pool.check_refusal(checked.set_result)
+        async with asyncio.timeout(5):
+            return await checked
+
+    @pytest.mark.parametrize("pool_closed", [False, True])
+    def test_only_a_server_that_has_ended_refuses(self, pool_closed):
+        async def serve(server, reader, writer):
+            await server.read_request_id(reader)
+
+        async def test(server, client):
+            assert await client.get(b"1") is http1.FailureReason.BROKEN
+            if pool_closed:
+                client.pool.close()
+            assert not await self._check(client)
+            server._server.close()
+            assert await self._check(client)
+
+        _run_with_server(serve, test)
+
+    def test_several_checks_share_one_connection(self):
+        async def serve(server, reader, writer):
+            await reader.read()
+
+        async def test(server, client):
+            results = await asyncio.gather(
+                *(self._check(client) for _ in range(3))
+            )
+            assert results == [False] * 3
+            assert server.connections <= 1
+
+        _run_with_server(serve, test)
+
+
 class TestStreaming:
     """Bodies are passed on as they arrive."""
 
