Bound the crashes in one report

A request that ends thousands of replicas, such as a gathered one of the size in docs/CAPACITY.md, would have made reports larger than seeds read.

--- a/src/mallowloft/routes/crashes.py
+++ b/src/mallowloft/routes/crashes.py
@@ -163,8 +163,17 @@
         return ends_s[-_MIN_CRASHES] + _RETENTION_S - now_s
 
     def traces(self, now_s: float) -> tuple[Trace, ...]:
-        """Returns what to tell other instances."""
+        """Returns what to tell other instances.
+
+        If it is too much for a message, the requests with the most crashes come
+        first, because they explain those of the others.
+        """
         self._forget_old(now_s)
+        by_crashes = sorted(
+            self._runs_by_request.items(),
+            key=lambda item: len(item[1]),
+            reverse=True,
+        )
         crashes = [
             Trace(
                 request,
@@ -172,14 +181,14 @@
                 min(message_types.MAX_SECONDS, run.ended_s - run.started_s),
                 max(0.0, now_s - run.ended_s),
             )
-            for request, runs in self._runs_by_request.items()
+            for request, runs in by_crashes
             for replica, run in runs.items()
         ]
         successes = [
             Trace(request, "", 0.0, max(0.0, now_s - succeeded_s))
             for request, succeeded_s in self._succeeded_s_by_request.items()
         ]
-        return tuple(crashes + successes)
+        return tuple(crashes[:_MAX_RUNS] + successes)
 
     def digest(self) -> str:
         """Returns a digest of what is known; empty if there is nothing.
--- a/tests/test_routes_crashes.py
+++ b/tests/test_routes_crashes.py
@@ -135,6 +135,14 @@
             assert instance.refused_for_s("bad", 6.0)
             assert instance.digest() == seed.digest()
 
+    def test_request_that_ends_thousands_of_replicas_fits_in_a_report(self):
+        registry, other = (crashes_lib.CrashRegistry() for _ in range(2))
+        for number in range(4000):
+            _crash(registry, "bad", f"r{number}", 1.0 + number / 1000)
+        assert len(registry.traces(6.0)) <= 500
+        self._exchange(registry, other, 6.0)
+        assert other.refused_for_s("bad", 7.0)
+
     def test_restarted_seed_learns_again(self):
         instance, seed = (crashes_lib.CrashRegistry() for _ in range(2))
         _crash_in_turn(instance, "bad", 3)
