--- a/tests/test_routes_delegation.py
+++ b/tests/test_routes_delegation.py
@@ -356,6 +356,21 @@
 _UNSENT = http1.FailureReason.UNSENT
 
 
+def _create_entries(
+    pools: list[_Forwarder],
+) -> list[directory_lib.ReplicaEntry]:
+    """Returns the entries of other instances, in the order of their pools."""
+    return [
+        directory_lib.ReplicaEntry(
+            model.Replica(f"f{number}", "hubs", "h", 1, "d1", 8),
+            pool,
+            health_lib.ReplicaHealth(),
+            remote=False,
+        )
+        for number, pool in enumerate(pools)
+    ]
+
+
 class TestHubsWithoutLinks:
     """Requests that are passed on while most hubs have lost their links."""
 
@@ -369,15 +384,7 @@
             instance = replicas_lib.Instance("d1", [replica], random.Random(1))
             hubs = hubs_lib.Hubs("i", "d1", 0.0)
             gatherers = [_Forwarder(outcome) for outcome in outcomes]
-            hubs.gathering_hubs = [
-                directory_lib.ReplicaEntry(
-                    model.Replica(f"h{number}", "hubs", "h", 1, "d1", 8),
-                    gatherer,
-                    health_lib.ReplicaHealth(),
-                    remote=False,
-                )
-                for number, gatherer in enumerate(gatherers)
-            ]
+            hubs.gathering_hubs = _create_entries(gatherers)
             route = replicas_lib.route(shards=("s",), min_coverage=1.0)
             task = delegation.DelegatedRequest(
                 instance,
@@ -400,7 +407,7 @@
         answer, _, hubs = self._run([_REFUSED, _REFUSED, _REFUSED, answered])
         assert answer.body == b"x"
         left = [entry.replica.id for entry in hubs.gatherers(0.5)]
-        assert left == ["h3"]
+        assert left == ["f3"]
         assert len(hubs.gatherers(2.0)) == 4
 
     def test_answer_is_gathered_here_after_two_broken_hubs(self):
@@ -423,15 +430,7 @@
             instance.directory.entry("r").draining = True
             hubs = hubs_lib.Hubs("i", "d1", 0.0)
             forwarders = [_Forwarder(outcome) for outcome in outcomes]
-            entries = [
-                directory_lib.ReplicaEntry(
-                    model.Replica(f"f{number}", "hubs", "h", 1, "d1", 8),
-                    forwarder,
-                    health_lib.ReplicaHealth(),
-                    remote=False,
-                )
-                for number, forwarder in enumerate(forwarders)
-            ]
+            entries = _create_entries(forwarders)
             hubs.forwarders = lambda now_s: entries
             route = replicas_lib.route(
                 targets=(model.Target("s", 1.0),), **fields
