Detect the isolation of a failure domain sooner

Change: a forwarder calls instances in other failure domains before it answers, a hub's report ends the wait for the next check, and callers that wait for changes are told at once. The checks move out of the plug-in routes into a module of their own.

--- a/src/mallowloft/routes/following.py
+++ b/src/mallowloft/routes/following.py
@@ -205,9 +205,13 @@
             self.mirror.update(batch, now_s)
         self.mirror.apply_due(now_s)
         self._position = batch.position
+        self.wake_waiting()
+        return result.Ok(0 if needs_listing else len(batch.items))
+
+    def wake_waiting(self) -> None:
+        """Ends the waits for the next update, whether or not there was one."""
         updated, self.updated = self.updated, asyncio.Event()
         updated.set()
-        return result.Ok(0 if needs_listing else len(batch.items))
 
     def _apply_listing(self, batch: mirror_lib.Batch, now_s: float) -> None:
         mirror = self.mirror
--- a/src/mallowloft/routes/hub_server.py
+++ b/src/mallowloft/routes/hub_server.py
@@ -1,7 +1,6 @@
 """Plug-in with which an instance serves requests for other instances."""
 
 import asyncio
-import random
 from typing import Any
 
 import msgspec
@@ -11,24 +10,15 @@
 from mallowloft.kernel import registry
 from mallowloft.routes import attempts as attempts_lib
 from mallowloft.routes import delegation
-from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import exchange as exchange_lib
 from mallowloft.routes import gathering
 from mallowloft.routes import hubs as hubs_lib
 from mallowloft.routes import model
 from mallowloft.routes import running
 from mallowloft.routes import single
-from mallowloft.upstream import http1
 
 _log = logs.get_logger("hub_server")
 
-_STATE_PATH = "/v1/hub"
-_ISOLATED = b"isolated"
-_CONNECTED = b"connected"
-# Timeout of the call that reads a hub's state. A round trip within a failure
-# domain takes less than a tenth of this time.
-_STATE_TIMEOUT_S = 0.2
-_ASKED_FORWARDERS = 4
 # Time within which this instance detects that a sender has closed its
 # connection after the time limit for the acknowledgement.
 _CLOSE_DELAY_S = 0.003
@@ -37,52 +27,6 @@
 _MAX_CALL_BYTES = 16 << 20
 
 
-async def check_isolated_hub(hubs: hubs_lib.Hubs) -> bool:
-    """Returns whether the hub that reported isolation is still isolated.
-
-    Forgets the hub if it is no longer isolated or does not answer.
-    """
-    hub = hubs.isolated_hub
-    if hub is None:
-        return False
-    if await _read_state(hub) != _ISOLATED:
-        hubs.isolated_hub = None
-    return hubs.isolated_hub is not None
-
-
-async def find_linked_forwarder(hubs: hubs_lib.Hubs) -> bool:
-    """Returns whether a forwarder reaches enough replicas.
-
-    Asks a few of the forwarders that have not refused a request recently.
-    """
-    now_s = asyncio.get_running_loop().time()
-    entries = hubs.forwarders(now_s)
-    states = await asyncio.gather(
-        *(
-            _read_state(entry)
-            for entry in random.sample(
-                entries, min(_ASKED_FORWARDERS, len(entries))
-            )
-        )
-    )
-    return _CONNECTED in states
-
-
-async def _read_state(entry: directory_lib.ReplicaEntry) -> bytes:
-    """Returns the state of another instance, empty if it does not answer."""
-    response = await http1.send_request(
-        entry.pool,
-        b"GET",
-        _STATE_PATH,
-        entry.pool.address,
-        _STATE_TIMEOUT_S,
-        purpose="state",
-    )
-    if isinstance(response, http1.FailureReason):
-        return b""
-    return response.body
-
-
 def _serves(route: model.Route, service: str) -> bool:
     """Whether a route sends requests to a service, empty for its shards."""
     if not service:
@@ -123,7 +67,6 @@
         self._open_calls = 0
         fleet = kernel.plugin("fleet")
         fleet.mount(delegation.PATH, self._serve_call)
-        fleet.mount(_STATE_PATH, self._serve_state)
 
     async def start(self) -> None:
         """Does nothing; the plug-in `fleet` runs the server."""
@@ -139,13 +82,6 @@
         """Returns the number of calls in flight."""
         return {"open_calls": self._open_calls}
 
-    async def _serve_state(self, scope, receive, send) -> None:
-        del scope, receive
-        hubs = self._hubs
-        is_isolated = hubs.links_lost or hubs.reports_isolation
-        body = _ISOLATED if is_isolated else _CONNECTED
-        await exchange_lib.respond(send, 200, body)
-
     async def _serve_call(self, scope, receive, send) -> None:
         """Serves a request that another instance passed on."""
         exchange = exchange_lib.ServerExchange(scope, receive, send)
--- a/src/mallowloft/routes/hubs.py
+++ b/src/mallowloft/routes/hubs.py
@@ -283,6 +283,10 @@
         ] = {}
         # A hub of this failure domain that reported that it is isolated.
         self.isolated_hub: directory_lib.ReplicaEntry | None = None
+        # Set when a hub has reported that it is isolated.
+        self.isolation_reported = asyncio.Event()
+        # Called when this instance has become isolated or is so no longer.
+        self.isolation_listeners: list[Callable[[], None]] = []
         self._small_links = 0
         self._collectors_by_domain: dict[
             str, list[directory_lib.ReplicaEntry]
@@ -381,8 +385,11 @@
 
     def record_isolated(self, hub: directory_lib.ReplicaEntry) -> None:
         """Records that a hub reported that it is isolated."""
-        if not hub.remote:
-            self.isolated_hub = hub
+        if hub.remote:
+            return
+        if self.isolated_hub is None:
+            self.isolation_reported.set()
+        self.isolated_hub = hub
 
     def preferred(
         self, entries: Iterable[directory_lib.ReplicaEntry]
--- a/src/mallowloft/routes/relaying.py
+++ b/src/mallowloft/routes/relaying.py
@@ -108,6 +108,8 @@
         self._follower = follower
         self._hubs = hubs
         self._source_answers = source_answers
+        # Callers that wait for changes learn of an isolation at once.
+        hubs.isolation_listeners.append(follower.wake_waiting)
 
     async def serve(self, scope, receive, send) -> None:
         """Serves a call of `HubClient` as an ASGI application."""
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -15,8 +15,8 @@
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import exchange as exchange_lib
 from mallowloft.routes import gathering
-from mallowloft.routes import hub_server
 from mallowloft.routes import hubs as hubs_lib
+from mallowloft.routes import isolation
 from mallowloft.routes import limits
 from mallowloft.routes import model
 from mallowloft.routes import reach
@@ -40,8 +40,6 @@
 # One in this many requests with an outcome is logged, all others always are.
 _LOG_ONE_IN = {"answered": 50, "answered_partly": 5}
 _STOP_POLL_S = 0.02
-# Shorter than the interval of 1 s at which the load balancer checks readiness.
-_REACH_CHECK_INTERVAL_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,7 +139,7 @@
         self.batch_overheads = batching.Overheads()
         self.collect_above = kernel.settings.collect_above
         self._matcher: table_lib.RouteMatcher | None = None
-        self._reach_task: asyncio.Task | None = None
+        self._isolation = isolation.IsolationMonitor(self, kernel)
         self._extra_by_service: dict[str, limits.ExtraAttemptBucket] = {}
         self._shard_services: frozenset[str] = frozenset()
         fleet = kernel.plugin("fleet")
@@ -183,7 +181,7 @@
     async def start(self) -> None:
         """Starts accepting callers' connections."""
         await self._server.start()
-        self._reach_task = asyncio.create_task(self._monitor_reach())
+        self._isolation.start()
 
     async def stop(self, grace_s: float) -> None:
         """Drains, then closes all connections.
@@ -199,7 +197,7 @@
         await self._server.stop(max(0.0, end_s - loop.time()))
         while self._open_requests and loop.time() < end_s:
             await asyncio.sleep(_STOP_POLL_S)
-        self._reach_task.cancel()
+        self._isolation.stop()
         self.directory.close()
 
     def ready(self) -> bool:
@@ -362,55 +360,6 @@
             extra.limit = self._extra_limit_of(service)
         self.directory.divide_limits(instances, shard_divisor)
 
-    async def _monitor_reach(self) -> None:
-        """Checks periodically which failure domains are unreachable.
-
-        Connections to newly unreachable ones are replaced. An isolated instance
-        reports that it is not ready, because callers are better served in other
-        failure domains.
-        """
-        unreachable: frozenset[str] = frozenset()
-        while True:
-            await asyncio.sleep(_REACH_CHECK_INTERVAL_S)
-            before, unreachable = (
-                unreachable,
-                self.directory.reach.unreachable_domains(),
-            )
-            if unreachable - before:
-                self.directory.reconnect(unreachable - before)
-            table = self.table
-            domain_isolated = table is not None and reach.isolated(
-                table.routes,
-                self.directory,
-                self._kernel.settings.failure_domain,
-                unreachable,
-                asyncio.get_running_loop().time(),
-            )
-            links_lost = self.directory.reach.links_lost or domain_isolated
-            if links_lost and not self.hubs.links_lost:
-                self.directory.reconnect()
-            hub_isolated = await hub_server.check_isolated_hub(self.hubs)
-            self.hubs.isolated_by_hub = hub_isolated and not domain_isolated
-            isolated = (
-                hub_isolated or domain_isolated
-            ) and not await hub_server.find_linked_forwarder(self.hubs)
-            state = (unreachable, links_lost, isolated)
-            if state != (
-                before,
-                self.hubs.links_lost,
-                self.hubs.instance_isolated,
-            ):
-                self.hubs.links_lost = links_lost
-                self.hubs.instance_isolated = isolated
-                _log.warning(
-                    "reach_changed",
-                    lost=",".join(sorted(unreachable)),
-                    links_lost=links_lost,
-                    isolated=isolated,
-                    connected=self.directory.count_connected(),
-                    replicas=len(self.directory),
-                )
-
     def _count_connection_event(self, event: str) -> None:
         self._kernel.metrics.count("replica_connections", event=event)
 
