Do not count unsent attempts towards the limit of a route

Change: only attempts that may have run count. An unsent attempt still excludes its replica from further ones of the request.

--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -43,7 +43,9 @@
 
     Attributes:
         service: Service that holds the shard.
-        tried: Replicas to which attempts were sent.
+        tried: Replicas that were chosen for attempts.
+        unsent: How many of these attempts ended before they were sent. They
+            have not run, so the limit of the route does not count them.
         in_flight: Attempts in flight.
         hedge_due_s: Loop time at which a hedge is considered next.
         failure: Why the last attempt failed or no first attempt was sent; empty
@@ -54,10 +56,16 @@
     tried: list[directory_lib.ReplicaEntry] = dataclasses.field(
         default_factory=list
     )
+    unsent: int = 0
     in_flight: list[_Attempt] = dataclasses.field(default_factory=list)
     hedge_due_s: float = math.inf
     failure: str = ""
 
+    @property
+    def used_attempts(self) -> int:
+        """Number of replicas that may have run the request."""
+        return len(self.tried) - self.unsent
+
 
 class ExtraGuard(Protocol):
     """Decides whether a request that was passed on still may be extended.
@@ -382,13 +390,22 @@
             self._release_attempts(shard)
             self._send_held()
         else:
-            self._on_failure(shard, outcome)
+            self._on_failure(shard, attempt, outcome)
         self._finish_if_decided(self._loop.time())
 
+    def _is_exhausted(self, shard: _ShardState) -> bool:
+        """Whether the route allows no further attempt for a shard."""
+        return shard.used_attempts >= self._max_attempts
+
     def _on_failure(
-        self, shard: _ShardState, outcome: attempts_lib.Outcome
+        self,
+        shard: _ShardState,
+        attempt: _Attempt,
+        outcome: attempts_lib.Outcome,
     ) -> None:
         shard.failure = running.outcome_label(outcome)
+        if outcome is model.Failure.UNSENT and attempt.entry in shard.tried:
+            shard.unsent += 1
         if shard.in_flight:
             return
         if not self._covered and self._cut_off_count >= _MAX_CUT_OFF:
@@ -464,7 +481,7 @@
             healthy_only: Whether only healthy replicas are considered.
             extra: Whether an earlier attempt may have reached a replica.
         """
-        if len(shard.tried) >= self._max_attempts or self._refused_for_s():
+        if self._is_exhausted(shard) or self._refused_for_s():
             return None
         guard = self._extra_guard
         if extra and guard is not None and not guard.allows_extra():
@@ -553,7 +570,7 @@
         shard.hedge_due_s = now_s + self._hedge_delay_s / 2
         entry = self._choose_next(shard, now_s, healthy_only=True)
         if entry is None:
-            if len(shard.tried) >= self._max_attempts:
+            if self._is_exhausted(shard):
                 shard.hedge_due_s = math.inf
             return
         extra = self._context.extra_attempts(shard.service)
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -39,6 +39,9 @@
             1, request_context.route.max_attempts - previous_attempts
         )
         self._tried: list[directory_lib.ReplicaEntry] = []
+        # Attempts that ended before they were sent. They have not run, so the
+        # limit of the route does not count them.
+        self._unsent = 0
         self._in_flight: list[attempts_lib.Attempt] = []
         self._may_have_run = False
         self._outcomes: list[str] = []
@@ -76,7 +79,8 @@
     def _choose_next(
         self, healthy_only: bool
     ) -> directory_lib.ReplicaEntry | None:
-        if len(self._tried) >= self._max_attempts or self._refused_for_s():
+        used_attempts = len(self._tried) - self._unsent
+        if used_attempts >= self._max_attempts or self._refused_for_s():
             return None
         return self._context.selector.choose(
             self._context.directory.entries(self._service),
@@ -127,6 +131,8 @@
                 return
         elif outcome in (model.Failure.BROKEN, model.Failure.MALFORMED):
             self._may_have_run = True
+        elif outcome is model.Failure.UNSENT:
+            self._unsent += 1
         if self._in_flight:
             return
         if not self._send_retry(outcome):
--- a/tests/test_routes_signals.py
+++ b/tests/test_routes_signals.py
@@ -9,6 +9,7 @@
 from mallowloft.routes import model
 from mallowloft.routes import replica_signals
 from mallowloft.routes import selection
+from mallowloft.upstream import http1
 from tests.support import collectors as collectors_lib
 from tests.support import replicas as replicas_lib
 from tests.support import virtual
@@ -233,6 +234,37 @@
         assert sum(replica.arrivals for replica in replicas) == arrivals
 
 
+class TestUnsentAttempts:
+    """Attempts that reach no replica do not count towards the route's limit."""
+
+    @pytest.mark.parametrize("idempotent", [True, False])
+    @pytest.mark.parametrize("gathered", [True, False])
+    def test_next_replica_is_asked(self, gathered, idempotent):
+        # Guards against requests that fail although they may be sent to the
+        # replica that is left when connections to the others fail.
+        replicas = _service(3)
+        if gathered:
+            route = replicas_lib.route(shards=("s0",), top_records=5)
+        else:
+            route = replicas_lib.route(
+                targets=(model.Target("s0", 1.0),),
+                idempotent=idempotent,
+                max_attempts=1,
+            )
+
+        def fail(exchange):
+            exchange.set_outcome(http1.FailureReason.UNSENT)
+
+        async def main():
+            instance = _instance(replicas)
+            for name in ("r0", "r1"):
+                instance.directory.entry(name).pool.submit = fail
+            return await instance.serve(route)
+
+        assert virtual.run(main()).status == 200
+        assert [replica.arrivals for replica in replicas] == [0, 0, 1]
+
+
 class TestDirectory:
     """What a replica asked for outlives its entry, but not its start."""
 
