Let a connection pool be suspended

reject_waiting misses a request that was already taken from the queue and is written in the next iteration of the event loop, or is queued again because its connection has closed. A suspended pool checks at the moment of writing, keeps no connection and opens none. An exchange can carry a check of its own, for batches that wait in the pool of a collector. A request that was taken from the queue of a pool that closes meanwhile ends as unsent, too.

--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -120,6 +120,8 @@
         purpose: What the exchange is for, a label of the byte counts.
         on_data: Gets the body of a response with status 200 as it arrives; the
             outcome then has no body. If it is None, the outcome has the body.
+        may_send: Is asked just before the request is written; if it returns
+            False, the exchange ends as UNSENT. None if it may always be sent.
         interim_received: Whether an interim (1xx) response has arrived.
         connection: Connection to which the request was written, if any.
     """
@@ -131,6 +133,7 @@
         "has_body",
         "id",
         "id_name",
+        "may_send",
         "on_data",
         "purpose",
         "rank",
@@ -147,6 +150,7 @@
         has_body: bool = True,
         purpose: str = "other",
         on_data: Callable[[bytes], None] | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> None:
         self.wire = wire
         self.id_name = id_name
@@ -155,6 +159,7 @@
         self.has_body = has_body
         self.purpose = purpose
         self.on_data = on_data
+        self.may_send = may_send
         self.interim_received = False
         self.connection: Connection | None = None
         self._on_end: Callable | None = on_end
@@ -502,6 +507,7 @@
         # Waiting for the outcome of the next connection attempt.
         self._checks: list[Callable[[bool], None]] = []
         self._closing = False
+        self._suspended = False
 
     @property
     def open_count(self) -> int:
@@ -543,7 +549,13 @@
         return None
 
     def submit(self, exchange: Exchange) -> None:
-        """Sends a request on an idle connection or queues it."""
+        """Sends a request on an idle connection or queues it.
+
+        It ends as UNSENT if the pool is suspended.
+        """
+        if not self._may_send(exchange):
+            exchange.set_outcome(FailureReason.UNSENT)
+            return
         connection = self._pop_idle()
         if connection is not None:
             connection.send(exchange)
@@ -593,6 +605,33 @@
         """Ends the requests that wait for a connection as UNSENT."""
         self._fail_waiting()
 
+    def suspend(self) -> None:
+        """Sends no request and keeps no connection until `resume`.
+
+        Requests that have been written end normally; their connections are
+        closed then. Waiting and later requests end as UNSENT.
+        """
+        self._suspended = True
+        self._cancel_reopening()
+        if not self._checks:
+            for task in self._connecting:
+                task.cancel()
+            # A task that is cancelled before it runs does not remove itself.
+            self._connecting.clear()
+        for connection in list(self._idle):
+            connection.close("suspended")
+        self._fail_waiting()
+
+    def resume(self) -> None:
+        """Reverts `suspend`.
+
+        Failures to connect before it are forgotten; they say little about the
+        server as it is now.
+        """
+        self._suspended = False
+        self._connect_failures = self._early_closes = 0
+        self._connect_if_kept_open()
+
     def close(self) -> None:
         """Starts to close the pool.
 
@@ -601,8 +640,7 @@
         becomes idle.
         """
         self._closing = True
-        if self._reopen_timer is not None:
-            self._reopen_timer.cancel()
+        self._cancel_reopening()
         idle, self._idle = self._idle, []
         for connection in idle:
             self._open.discard(connection)
@@ -629,9 +667,9 @@
             self._connect_for_waiting()
             self._schedule_reopen()
             return
-        if self._closing:
+        if self._closing or self._suspended:
             self._open.discard(connection)
-            connection.close("pool_closed")
+            connection.close("suspended" if self._suspended else "pool_closed")
             self._fail_waiting()
             return
         exchange = self._pop_waiting()
@@ -657,6 +695,9 @@
     def _send_or_requeue(
         self, connection: Connection, exchange: Exchange
     ) -> None:
+        if self._closing or not self._may_send(exchange):
+            # This became so after the request was taken from the queue.
+            exchange.set_outcome(FailureReason.UNSENT)
         if exchange.done:
             if not connection.closed:
                 self.release(connection)
@@ -665,6 +706,11 @@
         else:
             connection.send(exchange)
 
+    def _may_send(self, exchange: Exchange) -> bool:
+        if self._suspended:
+            return False
+        return exchange.may_send is None or exchange.may_send()
+
     def _pop_idle(self) -> Connection | None:
         now_s = self.now()
         while self._idle:
@@ -685,6 +731,8 @@
         return None
 
     def _connect_for_waiting(self) -> None:
+        if self._suspended:
+            return
         waiting_count = sum(not item[2].done for item in self._waiting)
         capacity = (
             self.max_connections - len(self._open) - len(self._connecting)
@@ -703,6 +751,7 @@
             self._needs_connection
             and not self._connecting
             and not self._closing
+            and not self._suspended
         ):
             self._start_connecting()
 
@@ -778,6 +827,7 @@
             not self._needs_connection
             or self._connecting
             or self._closing
+            or self._suspended
             or self._reopen_timer
         ):
             return
@@ -790,8 +840,16 @@
         delay_s = min(max_backoff_s, _REOPEN_BACKOFF_S * 2**failures)
         self._reopen_timer = self._loop.call_later(delay_s, self._reopen)
 
+    def _cancel_reopening(self) -> None:
+        if self._reopen_timer is not None:
+            self._reopen_timer.cancel()
+            self._reopen_timer = None
+
     def _reopen(self) -> None:
         self._reopen_timer = None
+        self._connect_if_kept_open()
+
+    def _connect_if_kept_open(self) -> None:
         if self._keeps_one_open:
             self._connect_if_needed()
 
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -177,6 +177,7 @@
         """Does nothing."""
 
     keep_open = stop_keeping_open = renew = abort = reject_waiting = close
+    suspend = resume = close
 
 
 class Instance:
