Send nothing to evacuated failure domains and return by steps

Evacuated replicas are excluded from choices, at the start of attempts and in their connection pools; attempts that wait are routed elsewhere without using up an attempt or a token. While load returns, the selector prefers replicas of the domain only for the share that ReturnRamp gives.

--- a/src/mallowloft/routes/ablation.py
+++ b/src/mallowloft/routes/ablation.py
@@ -28,6 +28,7 @@
 from mallowloft.routes import selection
 from mallowloft.routes import timing
 from mallowloft.routes import warming
+from mallowloft.routes.evacuation import ramp
 from mallowloft.upstream import http1
 
 _log = logs.get_logger("ablation")
@@ -134,6 +135,16 @@
     reach.DomainReachability.unreachable_domains = lambda self: frozenset()
 
 
+@switches.register("evacuation")
+def _ignore_evacuations() -> None:
+    directory.Directory.set_evacuated = _ignore
+
+
+@switches.register("return_ramp")
+def _return_at_once() -> None:
+    ramp._INITIAL_SHARE = 1.0
+
+
 @switches.register("subset")
 def _use_all_replicas() -> None:
     directory._SUBSET_SIZE = 1_000_000
--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -262,6 +262,9 @@
     ) -> Attempt:
         """Sends a request to a replica.
 
+        The attempt ends at once as unsent if the replica is evacuated. The
+        replica may have been chosen before that became known.
+
         Args:
             entry: The replica.
             outgoing: The request.
@@ -272,6 +275,12 @@
         """
         now_s = asyncio.get_running_loop().time()
         attempt = Attempt(entry, now_s, self._reach)
+        if entry.evacuated:
+            attempt.exchange = http1.Exchange(b"", lambda *_: None)
+            attempt.abandon()
+            self._count_evacuated()
+            on_end(attempt, model.Failure.UNSENT)
+            return attempt
         # A replica that leaves ends anyway.
         ends_unexpectedly = entry.stays
 
@@ -366,6 +375,10 @@
         now_s = asyncio.get_running_loop().time()
         health = attempt.entry.health
         domain = attempt.entry.replica.failure_domain
+        if outcome is model.Failure.UNSENT and attempt.entry.evacuated:
+            health.discard(attempt)
+            self._count_evacuated()
+            return
         if outcome is model.Failure.UNSENT and attempt.entry.signals.restricted(
             now_s
         ):
@@ -412,6 +425,11 @@
         label = _OK if outcome.success else _REPLICA_FAILED
         self._increment_by_outcome[label]()
 
+    def _count_evacuated(self) -> None:
+        """Counts an attempt that was not sent because of an evacuation."""
+        self._metrics.count("evacuated_attempts")
+        self._increment_by_outcome[model.Failure.UNSENT]()
+
     def record_signals(
         self,
         entry: directory_lib.ReplicaEntry,
--- a/src/mallowloft/routes/batching.py
+++ b/src/mallowloft/routes/batching.py
@@ -479,6 +479,7 @@
             rank=route.rank,
             purpose="batch",
             on_data=self._on_data,
+            may_send=lambda: not self._evacuated,
         )
         reply_delay_s = first_reply_s + self._overheads.overhead_s(
             self.collector.replica.failure_domain
@@ -502,6 +503,22 @@
         self.collector.health.record_late(self, now_s)
         self._reach.failed(self.collector.replica.failure_domain, now_s)
 
+    @property
+    def _evacuated(self) -> bool:
+        """Whether a replica of the batch is evacuated."""
+        return any(attempt.entry.evacuated for attempt in self.attempts)
+
+    def withdraw_if_evacuated(self) -> bool:
+        """Ends a batch that still waits if a replica of it is evacuated.
+
+        Returns:
+            Whether the batch was ended; its attempts end as unsent.
+        """
+        if self.sent or not self._evacuated:
+            return False
+        self._exchange.set_outcome(http1.FailureReason.UNSENT)
+        return True
+
     def mark_unresponsive(self, now_s: float) -> None:
         """Records that the collector has not read the batch in time."""
         self.unresponsive = True
@@ -615,7 +632,10 @@
         outcome: http1.Response | http1.FailureReason,
     ) -> None:
         del exchange
-        if isinstance(outcome, http1.FailureReason):
+        if outcome is http1.FailureReason.UNSENT and self._evacuated:
+            self.collector.health.discard(self)
+            self._fail("evacuated", False, refused=True)
+        elif isinstance(outcome, http1.FailureReason):
             self._fail(outcome.value, outcome is not http1.FailureReason.UNSENT)
         elif outcome.status != 200:
             # The collector refused the batch; the body states the reason.
--- a/src/mallowloft/routes/collector.py
+++ b/src/mallowloft/routes/collector.py
@@ -10,11 +10,11 @@
 from mallowloft.kernel import registry
 from mallowloft.routes import attempts as attempts_lib
 from mallowloft.routes import batching
+from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import exchange as exchange_lib
 from mallowloft.routes import merge
 from mallowloft.routes import message_types
 from mallowloft.routes import model
-from mallowloft.routes import replica_signals
 
 _log = logs.get_logger("collector")
 
@@ -23,6 +23,10 @@
 _MAX_CALL_BYTES = 16 << 20
 # One in this many batches whose replicas all gave a part is logged.
 _LOG_ONE_IN_COMPLETE = 50
+# A sender that does not know of an evacuation yet is told that the replica
+# pauses for this long, which every build understands. It covers most of the
+# time by which instances learn of a change of the source one after the other.
+_EVACUATED_PAUSE_S = 0.5
 
 
 class _Collection:
@@ -98,7 +102,7 @@
                 if entry.signals.leaving:
                     self._leaving.append(position)
                 self._refused_by_position[position] = _refused_attempt(
-                    position, entry.signals, self._started_s
+                    position, entry, self._started_s
                 )
                 self._end(position, model.Failure.UNSENT)
                 continue
@@ -107,8 +111,8 @@
                 self._outgoing,
                 self._started_s + call.left_s,
                 latency,
-                lambda _, outcome, position=position: self._end(
-                    position, outcome
+                lambda attempt, outcome, position=position: self._end(
+                    position, outcome, attempt.entry
                 ),
             )
             if attempt.pending:
@@ -169,7 +173,17 @@
         self.ended = True
         self.changed.set()
 
-    def _end(self, position: int, outcome: attempts_lib.Outcome) -> None:
+    def _end(
+        self,
+        position: int,
+        outcome: attempts_lib.Outcome,
+        entry: directory_lib.ReplicaEntry | None = None,
+    ) -> None:
+        if outcome is model.Failure.UNSENT and entry and entry.evacuated:
+            # The replica was evacuated while the attempt waited.
+            self._refused_by_position[position] = _refused_attempt(
+                position, entry, self._loop.time()
+            )
         self._attempts_by_position.pop(position, None)
         if isinstance(outcome, model.Reply) and outcome.leaving:
             self._leaving.append(position)
@@ -179,13 +193,17 @@
 
 
 def _refused_attempt(
-    position: int, signals: replica_signals.ReplicaSignals, now_s: float
+    position: int, entry: directory_lib.ReplicaEntry, now_s: float
 ) -> batching.FailedAttempt:
     """Returns the outcome of an attempt that its replica would not accept."""
+    signals = entry.signals
+    pause_s = signals.pause_left_s(now_s)
+    if entry.evacuated:
+        pause_s = max(pause_s, _EVACUATED_PAUSE_S)
     return batching.FailedAttempt(
         position,
         model.Failure.UNSENT.value,
-        pause_s=_bounded(signals.pause_left_s(now_s) or None),
+        pause_s=_bounded(pause_s or None),
         limit_per_s=signals.limit.per_s if signals.limit else None,
     )
 
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -19,6 +19,8 @@
 from mallowloft.routes import rate_limits
 from mallowloft.routes import replica_signals
 from mallowloft.routes import warming
+from mallowloft.routes.evacuation import domains as domains_lib
+from mallowloft.routes.evacuation import ramp as ramp_lib
 from mallowloft.upstream import http1
 from mallowloft.upstream import traffic as traffic_lib
 
@@ -36,6 +38,8 @@
 # Limit on the suspects reported to other instances. If there are more, the
 # others see the same fault themselves.
 _MAX_SUSPECTS = 200
+# Interval at which the shares of returning failure domains are advanced.
+_RETURN_CHECK_INTERVAL_S = 0.1
 # Removed replicas whose signals are kept, in case they are listed again.
 _MAX_STORED_SIGNALS = 1_000
 
@@ -52,14 +56,20 @@
         in_subset: Whether the replica is in this instance's subset; connections
             to it are kept open unless the service is on demand or unused.
         remote: Whether the replica is in another failure domain.
+        evacuated: Whether the replica's failure domain is evacuated, so that
+            nothing is sent to the replica.
+        ramp: Limits how often the replica is preferred while load returns to
+            its failure domain; None otherwise.
     """
 
     __slots__ = (
         "_leaving_grace_s",
         "draining",
+        "evacuated",
         "health",
         "in_subset",
         "pool",
+        "ramp",
         "remote",
         "replica",
         "signals",
@@ -81,6 +91,8 @@
         self.signals = signals or replica_signals.ReplicaSignals()
         self.in_subset = True
         self.remote = remote
+        self.evacuated = False
+        self.ramp: ramp_lib.ReturnRamp | None = None
         self._leaving_grace_s = leaving_grace_s
 
     @property
@@ -90,7 +102,11 @@
 
     def admits(self, now_s: float) -> bool:
         """Whether the replica may get a request while others can serve it."""
-        return self.stays and self.signals.admits(now_s, self.health.in_flight)
+        return (
+            self.stays
+            and not self.evacuated
+            and self.signals.admits(now_s, self.health.in_flight)
+        )
 
     def admits_if_alone(self, now_s: float) -> bool:
         """Whether the replica may get a request that no other can serve.
@@ -100,6 +116,7 @@
         """
         return (
             not self.draining
+            and not self.evacuated
             and self.signals.left_for_s(now_s) < self._leaving_grace_s
             and not self.signals.wait_s(now_s)
         )
@@ -111,7 +128,7 @@
         accepts them now.
         """
         leaves = self.signals.left_for_s(now_s) >= self._leaving_grace_s
-        if self.draining or leaves or self.pool.failing:
+        if self.draining or self.evacuated or leaves or self.pool.failing:
             return math.inf
         return self.signals.wait_s(now_s)
 
@@ -124,6 +141,7 @@
     Attributes:
         warmer: Opens connections ahead of requests.
         leaving_ids: Ids of listed replicas that state that they leave.
+        evacuations: Failure domains that are evacuated or return.
     """
 
     def __init__(
@@ -144,6 +162,10 @@
         self._traffic = traffic
         self._leaving_grace_s = leaving_grace_s
         self.leaving_ids: set[str] = set()
+        self.evacuations = domains_lib.Evacuations()
+        # Number of listed replicas of each failure domain.
+        self._count_by_domain: collections.Counter[str] = collections.Counter()
+        self._return_timer: asyncio.TimerHandle | None = None
         self._id_by_address: dict[tuple[str, int], str] = {}
         # Signals of removed replicas by the identity of their start. A source
         # that was restored may list such replicas again.
@@ -217,8 +239,11 @@
         if entry.signals.leaving:
             self.leaving_ids.add(replica.id)
         self._entries_by_id[replica.id] = entry
+        self._count_by_domain[replica.failure_domain] += 1
         self._resolve_address(entry)
         self._entries_by_service.setdefault(replica.service, []).append(entry)
+        self._apply_evacuation(entry)
+        self._record_listed(replica.failure_domain, now_s)
         self._choose_subset(replica.service)
         _log.info(
             "replica_listed",
@@ -235,6 +260,7 @@
         if entry is None:
             return
         entry.draining = True
+        self._count_by_domain[entry.replica.failure_domain] -= 1
         self.leaving_ids.discard(replica_id)
         if self._id_by_address.get(entry.replica.address) == replica_id:
             del self._id_by_address[entry.replica.address]
@@ -353,6 +379,103 @@
             service=entry.replica.service,
         )
 
+    def set_evacuated(
+        self, failure_domains: frozenset[str], revision: int = 0
+    ) -> None:
+        """Sets the failure domains to whose replicas nothing is sent.
+
+        Attempts that wait for a connection to such a replica end as unsent.
+
+        Args:
+            failure_domains: All domains that are evacuated from now on.
+            revision: The source's revision of the change.
+        """
+        now_s = asyncio.get_running_loop().time()
+        changed = self.evacuations.set(
+            failure_domains,
+            revision,
+            now_s,
+            self._count_by_domain.__getitem__,
+        )
+        if changed:
+            self._apply_evacuations(changed)
+
+    def _apply_evacuations(self, failure_domains: Collection[str]) -> None:
+        """Applies what has changed for failure domains to their replicas.
+
+        Attempts that end as unsent are at once routed elsewhere, so before
+        that, all replicas must show whether they are evacuated.
+        """
+        entries = [
+            entry
+            for entry in self._entries_by_id.values()
+            if entry.replica.failure_domain in failure_domains
+        ]
+        changed = [entry for entry in entries if self._mark_evacuation(entry)]
+        for service in {entry.replica.service for entry in entries}:
+            self._choose_subset(service)
+        for entry in changed:
+            self._limit_connections(entry)
+        self._schedule_returns()
+
+    def _apply_evacuation(self, entry: ReplicaEntry) -> None:
+        """Applies the evacuations to a replica that was listed or moved."""
+        if self._mark_evacuation(entry):
+            self._limit_connections(entry)
+
+    def _mark_evacuation(self, entry: ReplicaEntry) -> bool:
+        """Updates what a replica shows of the state of its failure domain.
+
+        Returns:
+            Whether it is evacuated now and was not, or the reverse.
+        """
+        domain = entry.replica.failure_domain
+        was_evacuated = entry.evacuated
+        entry.evacuated = domain in self.evacuations
+        entry.ramp = self.evacuations.ramp_of(domain)
+        entry.health.on_sample = entry.ramp.record if entry.ramp else None
+        return entry.evacuated != was_evacuated
+
+    def _limit_connections(self, entry: ReplicaEntry) -> None:
+        if entry.evacuated:
+            entry.pool.suspend()
+        else:
+            entry.pool.resume()
+
+    def _record_listed(self, failure_domain: str, now_s: float) -> None:
+        """Starts the return of a failure domain if many replicas come back."""
+        if self.evacuations.record_listed(
+            failure_domain, self._count_by_domain[failure_domain], now_s
+        ):
+            self._apply_evacuations((failure_domain,))
+
+    def _schedule_returns(self) -> None:
+        if self._return_timer is None and self.evacuations.returns_by_domain:
+            self._return_timer = asyncio.get_running_loop().call_later(
+                _RETURN_CHECK_INTERVAL_S, self._advance_returns
+            )
+
+    def _advance_returns(self) -> None:
+        self._return_timer = None
+        returned = self.evacuations.advance(
+            asyncio.get_running_loop().time(),
+            self._cold_share_of,
+            self._count_by_domain.__getitem__,
+        )
+        if returned:
+            self._apply_evacuations(returned)
+        self._schedule_returns()
+
+    def _cold_share_of(self, failure_domain: str) -> float:
+        """Returns the share of a domain's replicas that are cold."""
+        now_s = asyncio.get_running_loop().time()
+        cold = sum(
+            entry.replica.failure_domain == failure_domain
+            and entry.health.cold(now_s)
+            for entry in self._entries_by_id.values()
+        )
+        return cold / max(1, self._count_by_domain[failure_domain])
+
     def set_services(
         self,
         services: Iterable[str],
@@ -436,6 +559,8 @@
     def close(self) -> None:
         """Closes all connections."""
         self.warmer.close()
+        if self._return_timer is not None:
+            self._return_timer.cancel()
         for entry in self._entries_by_id.values():
             entry.pool.abort()
 
@@ -458,6 +583,7 @@
         now_s = asyncio.get_running_loop().time()
         return {
             **dataclasses.asdict(entry.replica),
+            "evacuated": entry.evacuated,
             "leaving": entry.signals.leaving,
             "pause_left_s": round(entry.signals.pause_left_s(now_s), 3),
             "limit_per_s": entry.signals.limit and entry.signals.limit.per_s,
@@ -523,8 +649,11 @@
                 replica=replica.id,
                 service=replica.service,
             )
+        self._count_by_domain[entry.replica.failure_domain] -= 1
+        self._count_by_domain[replica.failure_domain] += 1
         entry.replica = replica
         entry.draining = replica.draining
+        self._apply_evacuation(entry)
         now_s = asyncio.get_running_loop().time()
         if replica.cold_s:
             entry.health.set_cold(now_s + replica.cold_s)
@@ -539,7 +668,11 @@
         rendezvous hashing: it spreads instances evenly over the replicas, and
         a change of the list changes the subsets of few instances.
         """
-        entries = [entry for entry in self.entries(service) if entry.stays]
+        entries = [
+            entry
+            for entry in self.entries(service)
+            if entry.stays and not entry.evacuated
+        ]
         if len(entries) > _SUBSET_SIZE:
             entries.sort(key=self._subset_order)
         for position, entry in enumerate(entries):
@@ -553,7 +686,9 @@
             else:
                 self.warmer.stop_keeping_open(entry.pool)
         for entry in self.entries(service):
-            if not entry.stays:
+            if entry.evacuated:
+                entry.in_subset = False
+            if entry.evacuated or not entry.stays:
                 self.warmer.stop_keeping_open(entry.pool)
 
     def _subset_order(self, entry: ReplicaEntry) -> tuple[bool, int]:
--- a/src/mallowloft/routes/evacuation/ramp.py
+++ b/src/mallowloft/routes/evacuation/ramp.py
@@ -56,9 +56,7 @@
         """
         if now_s < self._step_due_s or self.done:
             return
-        held = (
-            cold_share >= _MAX_COLD_SHARE or self._failed > self._succeeded
-        )
+        held = cold_share >= _MAX_COLD_SHARE or self._failed > self._succeeded
         # A process that was paused makes one step, not several.
         self._step_due_s = now_s + _STEP_S
         self._succeeded = self._failed = 0
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -155,10 +155,16 @@
         )
         self._coverable_shards = coverable_in_s.count(0.0)
         if self._coverable_shards < self._route.needed_shards:
+            evacuated = reach.count_evacuated(
+                self._route.shards, directory, now_s, self._unreachable_domains
+            )
+            covered = len(coverable_in_s) - coverable_in_s.count(math.inf)
             self._finish(
                 running.refuse_unusable(
                     coverable_in_s[self._route.needed_shards - 1],
-                    "not_coverable",
+                    running.EVACUATED
+                    if covered + evacuated >= self._route.needed_shards
+                    else "not_coverable",
                 )
             )
             return
@@ -374,6 +380,8 @@
         if attempt in shard.in_flight:
             shard.in_flight.remove(attempt)
             self._in_flight_count -= 1
+        if running.was_evacuated(attempt, outcome):
+            self._discard_unsent(shard, attempt)
         if self.done.done() or shard.service not in self._pending_shards:
             return
         if isinstance(outcome, model.Reply) and outcome.success:
@@ -381,10 +389,20 @@
             del self._pending_shards[shard.service]
             self._release_attempts(shard)
             self._send_held()
+        elif running.was_evacuated(attempt, outcome):
+            shard.failure = running.EVACUATED
+            # A hedge is replaced, too, since it has taken its token.
+            self._retry(shard, outcome)
         else:
             self._on_failure(shard, outcome)
         self._finish_if_decided(self._loop.time())
 
+    def _discard_unsent(self, shard: _ShardState, attempt: _Attempt) -> None:
+        """Makes an attempt not count that an evacuation has kept back."""
+        self.sent -= 1
+        if attempt.entry in shard.tried:
+            shard.tried.remove(attempt.entry)
+
     def _on_failure(
         self, shard: _ShardState, outcome: attempts_lib.Outcome
     ) -> None:
@@ -480,6 +498,8 @@
         for batch in self._batches:
             if batch.awaits_ack and now_s >= batch.ack_due_s:
                 self._replace_batch(batch, now_s)
+        if self.done.done():
+            return
         late = [
             shard
             for shard in self._pending_shards.values()
@@ -528,6 +548,8 @@
 
         Parts that the collector still returns count.
         """
+        if batch.withdraw_if_evacuated():
+            return
         batch.mark_unresponsive(now_s)
         for attempt in batch.attempts:
             shard = self._pending_shards.get(attempt.service)
@@ -635,7 +657,14 @@
 
     def _failure_answer(self, timed_out: bool) -> model.Answer:
         if not self.sent:
-            return model.refusal("no_replica", running.NO_REPLICA_RETRY_AFTER_S)
+            evacuated = any(
+                shard.failure == running.EVACUATED
+                for shard in self._pending_shards.values()
+            )
+            return model.refusal(
+                running.EVACUATED if evacuated else "no_replica",
+                running.NO_REPLICA_RETRY_AFTER_S,
+            )
         if timed_out:
             return model.failure(504, "parts_late")
         return model.failure(502, "parts_failed")
--- a/src/mallowloft/routes/health.py
+++ b/src/mallowloft/routes/health.py
@@ -6,6 +6,7 @@
 estimate has decayed.
 """
 
+from collections.abc import Callable
 import dataclasses
 import math
 
@@ -59,7 +60,12 @@
 
 
 class ReplicaHealth:
-    """Health of one replica, estimated from this instance's attempts."""
+    """Health of one replica, estimated from this instance's attempts.
+
+    Attributes:
+        on_sample: Is told of each attempt whether it was answered in about the
+            usual time; None if nobody wants to know.
+    """
 
     __slots__ = (
         "_cold_until_s",
@@ -70,6 +76,7 @@
         "_updated_s",
         "_slowness",
         "_suspected_until_s",
+        "on_sample",
         "waiting",
     )
 
@@ -83,6 +90,7 @@
         self._suspected_until_s = -math.inf
         self._pending: dict[object, _Pending] = {}
         self.waiting = 0
+        self.on_sample: Callable[[bool], None] | None = None
 
     @property
     def in_flight(self) -> int:
@@ -131,13 +139,18 @@
             return
         if duration_s is None:
             duration_s = now_s - pending.started_s
-        self._add_sample(duration_s / pending.median_s, now_s)
+        ratio = duration_s / pending.median_s
+        if self.on_sample is not None:
+            self.on_sample(ratio < _SUSPECT_SLOWNESS)
+        self._add_sample(ratio, now_s)
 
     def record_late(self, attempt: object, now_s: float) -> None:
         """Raises the slowness because the reply to an attempt is overdue."""
         pending = self._pending.get(attempt)
         if pending is None:
             return
+        if self.on_sample is not None:
+            self.on_sample(False)
         ratio = (now_s - pending.started_s) / pending.median_s
         ratio = min(ratio, self._max_sample(now_s))
         self._slowness = max(self.slowness(now_s), ratio)
@@ -146,6 +159,8 @@
     def record_failure(self, attempt: object, now_s: float) -> None:
         """Ejects the replica, for longer after each consecutive failure."""
         self._pending.pop(attempt, None)
+        if self.on_sample is not None:
+            self.on_sample(False)
         eject_s = min(
             _MAX_EJECTION_S, _MIN_EJECTION_S * 2 ** min(self._failures, 10)
         )
--- a/src/mallowloft/routes/mirror.py
+++ b/src/mallowloft/routes/mirror.py
@@ -293,6 +293,15 @@
         self._pending_removals_by_key.clear()
         self.hold_removals(now_s)
 
+    def revision_of(self, key: str) -> int:
+        """Returns the revision of the last write or removal of a key.
+
+        It is 0 if none is known.
+        """
+        removed = self._removed_by_key.get(key)
+        position = removed.position if removed else self._position_of(key)
+        return position[1]
+
     def _position_of(self, key: str) -> tuple[int, int]:
         item = self._items_by_key.get(key)
         return item.position if item is not None else (0, 0)
--- a/src/mallowloft/routes/reach.py
+++ b/src/mallowloft/routes/reach.py
@@ -164,6 +164,31 @@
     )
 
 
+def count_evacuated(
+    services: Iterable[str],
+    directory: directory_lib.Directory,
+    now_s: float,
+    unreachable: Collection[str] = (),
+) -> int:
+    """Returns the number of services that lack a replica due to an evacuation.
+
+    Args:
+        services: Services, such as the shards of a route.
+        directory: The known replicas.
+        now_s: Current loop time.
+        unreachable: Unreachable failure domains.
+    """
+    return sum(
+        any(entry.evacuated and not entry.draining for entry in entries)
+        and all(
+            entry.replica.failure_domain in unreachable
+            or math.isinf(entry.usable_in_s(now_s))
+            for entry in entries
+        )
+        for entries in map(directory.entries, services)
+    )
+
+
 def count_unlinked(
     services: Sequence[str], directory: directory_lib.Directory
 ) -> int:
@@ -222,8 +247,13 @@
 def _is_unlinked(
     entries: Iterable[directory_lib.ReplicaEntry], unreachable: Collection[str]
 ) -> bool:
-    """Whether the links to all of the replicas that stay are lost."""
-    staying = [entry for entry in entries if entry.stays]
+    """Whether the links to all of the replicas that stay are lost.
+
+    Evacuated replicas do not count: other instances do not use them either.
+    """
+    staying = [
+        entry for entry in entries if entry.stays and not entry.evacuated
+    ]
     return bool(staying) and all(
         entry.pool.failing or entry.replica.failure_domain in unreachable
         for entry in staying
@@ -236,7 +266,7 @@
     """Returns the number of covered shards by failure domain.
 
     A failure domain covers a shard if it has a replica of the shard that is not
-    draining.
+    draining or evacuated.
     """
     return collections.Counter(
         domain
@@ -244,7 +274,7 @@
         for domain in {
             entry.replica.failure_domain
             for entry in directory.entries(shard)
-            if entry.stays
+            if entry.stays and not entry.evacuated
         }
     )
 
@@ -259,12 +289,13 @@
     """Whether the failure domain is isolated.
 
     This is the case if too few shards of a route are reachable while all other
-    failure domains are unreachable.
+    failure domains are unreachable. Other domains that are evacuated do not
+    count: an instance there could use their replicas no more than this one.
     """
     others = {
         entry.replica.failure_domain
         for entry in directory.used_entries()
-        if not entry.draining
+        if not entry.draining and not entry.evacuated
     } - {failure_domain}
     if not others or not others <= set(unreachable):
         return False
--- a/src/mallowloft/routes/running.py
+++ b/src/mallowloft/routes/running.py
@@ -19,6 +19,8 @@
 # Retry-after of requests without a usable replica. A new replica is listed
 # within one to two seconds of its start.
 NO_REPLICA_RETRY_AFTER_S = 0.5
+# Reason for refusing a request whose replicas are in evacuated failure domains.
+EVACUATED = "evacuated"
 # Shortest retry-after: replicas that were all tried may accept a further
 # attempt after about the duration of one request.
 MIN_RETRY_AFTER_S = 0.02
@@ -160,6 +162,17 @@
     return model.refusal("replicas_paused", usable_in_s)
 
 
+def was_evacuated(
+    attempt: attempts_lib.Attempt | batching.Attempt,
+    outcome: attempts_lib.Outcome,
+) -> bool:
+    """Whether an attempt was not sent because its replica is evacuated.
+
+    It then counts neither as an attempt nor as an extra one.
+    """
+    return outcome is model.Failure.UNSENT and attempt.entry.evacuated
+
+
 def outcome_label(outcome: attempts_lib.Outcome) -> str:
     """Returns a label for the outcome of an attempt."""
     if isinstance(outcome, model.Failure):
--- a/src/mallowloft/routes/selection.py
+++ b/src/mallowloft/routes/selection.py
@@ -11,6 +11,7 @@
 import random
 
 from mallowloft.routes import directory as directory_lib
+from mallowloft.routes.evacuation import ramp as ramp_lib
 
 # Costs as multiples of the route's median attempt duration.
 _REMOTE_COST = 0.4
@@ -53,18 +54,60 @@
         """
         best = None
         best_cost = math.inf
+        best_healthy = False
+        # The best replica of failure domains to which load returns, beyond
+        # their share.
+        held = None
+        held_cost = math.inf
+        # Draws of this choice, by the ramp of a returning failure domain.
+        held_by_ramp: dict[ramp_lib.ReturnRamp, bool] = {}
         for entry in entries:
             if entry in tried:
                 continue
             cost = 0.0
+            healthy = True
             if not entry.admits(now_s):
                 if healthy_only or not entry.admits_if_alone(now_s):
                     continue
                 cost = _IF_ALONE_COST
+                healthy = False
             cost += self._cost(entry, now_s, healthy_only)
-            if cost < best_cost:
+            if entry.ramp is not None and self._is_held(
+                entry.ramp, held_by_ramp
+            ):
+                if cost < held_cost:
+                    held, held_cost = entry, cost
+            elif cost < best_cost:
                 best, best_cost = entry, cost
-        return best
+                best_healthy = healthy
+        if held is None or (best_healthy and self._is_healthy(best, now_s)):
+            return best
+        return held if held_cost < best_cost else best
+
+    def _is_held(
+        self,
+        ramp: ramp_lib.ReturnRamp,
+        held_by_ramp: dict[ramp_lib.ReturnRamp, bool],
+    ) -> bool:
+        """Whether a choice is beyond the share of a returning domain.
+
+        The draw applies to all replicas of the domain. Instances draw at
+        random, so that they do not return in step.
+        """
+        if ramp not in held_by_ramp:
+            held_by_ramp[ramp] = self._rng.random() >= ramp.share
+        return held_by_ramp[ramp]
+
+    def _is_healthy(
+        self, entry: directory_lib.ReplicaEntry, now_s: float
+    ) -> bool:
+        health = entry.health
+        return not (
+            health.fault_cost(now_s)
+            or health.should_report_suspect(now_s)
+            or health.suspected_by_others(now_s)
+            or entry.pool.failing
+        )
 
     def _cost(
         self,
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -168,6 +168,10 @@
         metrics.gauge("route_requests_open", lambda: self._open_requests)
         metrics.gauge("route_table_version", lambda: self.version)
         metrics.gauge("replicas_listed", lambda: len(self.directory))
+        metrics.gauge(
+            "evacuated_domains",
+            lambda: len(self.directory.evacuations.revision_by_domain),
+        )
         metrics.gauge("replicas_connected", self.directory.count_connected)
 
     @property
@@ -224,6 +228,7 @@
             if table
             else [],
             "replicas_by_service": self.directory.dump(),
+            "evacuation": self.directory.evacuations.dump(),
             "extra_attempts_by_service": {
                 service: round(extra.tokens, 2)
                 for service, extra in self._extra_by_service.items()
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -5,6 +5,7 @@
 from mallowloft.routes import attempts as attempts_lib
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import model
+from mallowloft.routes import reach
 from mallowloft.routes import running
 
 
@@ -49,7 +50,12 @@
             extra.refill(self._loop.time())
         entry = self._choose_next(healthy_only=False)
         if entry is None:
-            self._finish(running.refuse_unusable(self._usable_in_s()))
+            self._finish(
+                running.refuse_unusable(
+                    self._usable_in_s(),
+                    running.EVACUATED if self._evacuated else "no_replica",
+                )
+            )
             return
         if self._repeated:
             if not extra.take_retry():
@@ -96,6 +102,15 @@
             default=math.inf,
         )
 
+    @property
+    def _evacuated(self) -> bool:
+        """Whether replicas of the service are evacuated."""
+        return bool(
+            reach.count_evacuated(
+                (self._service,), self._context.directory, self._loop.time()
+            )
+        )
+
     def _send(self, entry: directory_lib.ReplicaEntry) -> None:
         self._tried.append(entry)
         attempt = self._context.sender.start(
@@ -113,6 +128,9 @@
     ) -> None:
         if attempt in self._in_flight:
             self._in_flight.remove(attempt)
+        evacuated = running.was_evacuated(attempt, outcome)
+        if evacuated:
+            self._tried.remove(attempt.entry)
         if self.done.done():
             return
         elapsed_ms = (self._loop.time() - attempt.started_s) * 1000
@@ -128,6 +146,9 @@
         elif outcome in (model.Failure.BROKEN, model.Failure.MALFORMED):
             self._may_have_run = True
         if self._in_flight:
+            if evacuated:
+                # The hedge is replaced, since it has taken its token.
+                self._send_retry(outcome)
             return
         if not self._send_retry(outcome):
             self._finish(self._final_answer(outcome))
@@ -154,6 +175,10 @@
             return self._replica_answer(outcome)
         if self._may_have_run:
             return model.failure(502, "replica_failed")
+        if not self._tried and self._evacuated:
+            return running.refuse_unusable(
+                self._usable_in_s(), running.EVACUATED
+            )
         wait_s = max(
             running.MIN_RETRY_AFTER_S, self._request_context.latency.median_s
         )
