Test that nothing is sent to evacuated failure domains

A property-based test runs real connection pools on connections in memory, with any order of listing, removal, restart, evacuation and return.

--- /dev/null
+++ b/tests/test_routes_evacuation.py
@@ -0,0 +1,459 @@
+"""Evacuation of failure domains: nothing is sent there, load returns slowly."""
+
+import asyncio
+import collections
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from mallowloft.routes import directory as directory_lib
+from mallowloft.routes import limits
+from mallowloft.routes import model
+from mallowloft.routes import reach
+from mallowloft.routes.evacuation import ramp as ramp_lib
+from mallowloft.upstream import http1
+from tests.support import collectors as collectors_lib
+from tests.support import replicas as replicas_lib
+from tests.support import virtual
+
+_DOMAINS = replicas_lib.DOMAINS
+_SERVICES = ("s0", "s1")
+_REPLY = b"HTTP/1.1 200 OK\r\nx-signature: s\r\ncontent-length: 0\r\n\r\n"
+_SINGLE = replicas_lib.route(targets=(model.Target("s0", 1.0),))
+_GATHERED = replicas_lib.route(name="g", shards=_SERVICES, min_coverage=1.0)
+
+
+@pytest.fixture
+def no_tokens(monkeypatch):
+    """Fails the test if an attempt takes a token for an extra attempt."""
+
+    def withdraw(self, min_tokens: float) -> bool:
+        raise AssertionError(f"token taken down to {min_tokens}")
+
+    monkeypatch.setattr(limits.ExtraAttemptBucket, "_withdraw", withdraw)
+
+
+class _Transport:
+    """A connection to a replica, which answers each request after a time."""
+
+    def __init__(self, network: "_Network", protocol, port: int) -> None:
+        self._network = network
+        self._protocol = protocol
+        self._port = port
+
+    def get_extra_info(self, name: str) -> None:
+        del name
+
+    def write(self, data: bytes) -> None:
+        del data
+        self._network.record(self._port)
+        asyncio.get_running_loop().call_later(0.03, self._reply)
+
+    def _reply(self) -> None:
+        if not self._protocol.closed:
+            self._protocol.data_received(_REPLY)
+
+    def close(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self._protocol.connection_lost, None)
+
+    abort = close
+
+
+class _Network:
+    """One instance with real pools, on connections in memory."""
+
+    def __init__(self, connections: int = 1) -> None:
+        self.instance = replicas_lib.Instance("d1", [], random.Random(1))
+        self.directory = self.instance.directory
+        self.directory._open_pool = http1.Pool
+        self.directory.set_services(
+            _SERVICES, dict.fromkeys(_SERVICES, connections)
+        )
+        asyncio.get_running_loop().create_connection = self._connect
+        self.domain_by_port: dict[int, str] = {}
+        self.evacuated: frozenset[str] = frozenset()
+        self.violations: list[str] = []
+        self.sent: collections.Counter[str] = collections.Counter()
+        self._transports: list[_Transport] = []
+        self._ports = iter(range(1, 10_000))
+        self.answers: list[asyncio.Task] = []
+
+    def put(self, service: str, domain: str, started: int = 1, **fields):
+        """Lists a replica; a start of its own has a port of its own."""
+        replica_id = f"{service}-{domain}"
+        entry = self.directory.entry(replica_id)
+        port = next(self._ports)
+        if entry is not None and entry.replica.started == started:
+            port = entry.replica.port
+        self.domain_by_port[port] = domain
+        self.directory.put(
+            model.Replica(
+                replica_id,
+                service,
+                "h",
+                port,
+                domain,
+                started=started,
+                **fields,
+            )
+        )
+
+    def put_all(self) -> None:
+        for service in _SERVICES:
+            for domain in _DOMAINS:
+                self.put(service, domain)
+
+    def evacuate(self, *domains: str) -> None:
+        self.evacuated = frozenset(domains)
+        self.directory.set_evacuated(self.evacuated, 7)
+
+    def record(self, port: int) -> None:
+        domain = self.domain_by_port[port]
+        self.sent[domain] += 1
+        if domain in self.evacuated:
+            self.violations.append(f"request to {domain}, port {port}")
+
+    def request(self, route: model.Route, count: int = 1) -> None:
+        for _ in range(count):
+            task = asyncio.ensure_future(self.instance.serve(route))
+            self.answers.append(task)
+
+    def cut(self, domain: str) -> None:
+        """Closes all connections to the replicas of a domain."""
+        for transport in self._transports:
+            if self.domain_by_port[transport._port] == domain:
+                transport.close()
+
+    def entries(self) -> list[directory_lib.ReplicaEntry]:
+        return [
+            entry
+            for service in _SERVICES
+            for entry in self.directory.entries(service)
+        ]
+
+    async def _connect(self, factory, host: str, port: int):
+        del host
+        await asyncio.sleep(0.002)
+        protocol = factory()
+        transport = _Transport(self, protocol, port)
+        self._transports.append(transport)
+        protocol.connection_made(transport)
+        return transport, protocol
+
+
+class TestInterleavings:
+    """No attempt starts at an evacuated domain, whatever happens meanwhile."""
+
+    @hypothesis.settings(max_examples=150, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(
+                    ["list", "remove", "restart", "cut"]
+                    + ["single", "gathered", "evacuate", "return"] * 2
+                ),
+                strategies.sampled_from(_DOMAINS),
+                strategies.sampled_from(_SERVICES),
+                # Some changes come in one iteration of the loop, others while
+                # requests wait, are answered, or after that.
+                strategies.sampled_from([None, None, 0.0, 0.002, 0.03, 0.5]),
+            ),
+            min_size=10,
+            max_size=40,
+        )
+    )
+    def test_nothing_is_sent_to_evacuated_domains(self, actions):
+        async def main():
+            network = _Network()
+            network.put_all()
+            starts = collections.Counter()
+            for action, domain, service, wait_s in actions:
+                key = (service, domain)
+                if action in ("list", "restart"):
+                    starts[key] += action == "restart"
+                    network.put(*key, 1 + starts[key])
+                elif action == "remove":
+                    network.directory.remove("-".join(key), "delisted")
+                elif action == "cut":
+                    network.cut(domain)
+                elif action in ("single", "gathered"):
+                    route = _SINGLE if action == "single" else _GATHERED
+                    network.request(route, 6)
+                elif action == "evacuate":
+                    network.evacuate(*network.evacuated, domain)
+                else:
+                    network.evacuate(*(network.evacuated - {domain}))
+                if wait_s is not None:
+                    await asyncio.sleep(wait_s)
+            answers = await asyncio.gather(*network.answers)
+            await asyncio.sleep(1.0)
+            assert not network.violations
+            if not any(action == "cut" for action, *_ in actions):
+                # Without a part, gathered requests whose other part has run
+                # fail; single ones are served, refused or late.
+                assert 500 not in {answer.status for answer in answers}
+                assert not any(
+                    answer.reason == "replica_failed" for answer in answers
+                )
+            for entry in network.entries():
+                assert entry.evacuated == (
+                    entry.replica.failure_domain in network.evacuated
+                )
+                assert not entry.evacuated or not entry.pool.open_count
+            # After the return, all is as before.
+            network.evacuate()
+            network.put_all()
+            await asyncio.sleep(8.0)
+            assert not any(entry.ramp for entry in network.entries())
+            assert (await network.instance.serve(_GATHERED)).status == 200
+
+        virtual.run(main())
+
+
+class TestWaiting:
+    """Attempts that wait for a connection are routed elsewhere for free."""
+
+    def _run(self, evacuate_after_s: float):
+        route = replicas_lib.route(
+            targets=(model.Target("s0", 1.0),), max_attempts=1
+        )
+
+        async def main():
+            network = _Network()
+            network.put_all()
+            network.request(route, 12)
+            await asyncio.sleep(evacuate_after_s)
+            network.evacuate("d1", "d2")
+            answers = await asyncio.gather(*network.answers)
+            assert not network.violations
+            now_s = asyncio.get_running_loop().time()
+            for entry in network.entries():
+                assert not entry.health.ejected(now_s)
+            return answers
+
+        return virtual.run(main())
+
+    @pytest.mark.parametrize("evacuate_after_s", [0.0, 0.001, 0.01])
+    def test_they_use_no_attempt_and_no_token(
+        self, evacuate_after_s, no_tokens
+    ):
+        answers = self._run(evacuate_after_s)
+        assert {answer.status for answer in answers} == {200}
+
+    def test_request_taken_from_the_queue_is_not_sent(self):
+        # Guards against a request that left the queue before the evacuation
+        # and is written, or queued again, in the next loop iteration.
+        async def main(closes: bool):
+            network = _Network()
+            network.put_all()
+            pool = network.directory.entry("s0-d1").pool
+            outcomes = []
+            for _ in range(2):
+                pool.submit(
+                    http1.Exchange(b"", lambda _, item: outcomes.append(item))
+                )
+            await asyncio.sleep(0.02)
+            (connection,) = pool._open
+            connection.data_received(_REPLY)
+            if closes:
+                connection.close("test")
+            network.evacuate("d1")
+            await asyncio.sleep(1.0)
+            assert not network.violations
+            assert network.sent["d1"] == 1
+            assert outcomes[-1] is http1.FailureReason.UNSENT
+
+        virtual.run(main(False))
+        virtual.run(main(True))
+
+    def test_attempt_in_flight_ends_normally(self):
+        async def main():
+            network = _Network()
+            network.put_all()
+            network.request(_SINGLE)
+            await asyncio.sleep(0.02)
+            network.evacuate("d1")
+            assert (await network.answers[0]).status == 200
+            assert sum(network.sent.values()) == 1
+
+        virtual.run(main())
+
+
+class TestRefusals:
+    """Requests that no replica is left for are refused at once."""
+
+    @pytest.mark.parametrize("route", [_SINGLE, _GATHERED])
+    def test_reason_and_retry_after(self, route):
+        async def main():
+            network = _Network()
+            network.put_all()
+            network.request(route, 4)
+            await asyncio.sleep(0.001)
+            network.evacuate(*_DOMAINS)
+            now_s = asyncio.get_running_loop().time()
+            network.request(route)
+            answers = await asyncio.gather(*network.answers)
+            assert asyncio.get_running_loop().time() == now_s
+            for answer in answers:
+                assert (answer.status, answer.reason) == (503, "evacuated")
+                assert dict(answer.headers)[b"retry-after"] == b"0.500"
+            assert not network.sent
+
+        virtual.run(main())
+
+    def test_instance_in_the_domain_is_not_isolated(self):
+        # Guards against an instance that leaves the load balancer although it
+        # serves with replicas elsewhere.
+        async def main(lost: tuple[str, ...], *domains: str) -> bool:
+            network = _Network()
+            network.put_all()
+            network.evacuate(*domains)
+            return reach.isolated(
+                [_GATHERED], network.directory, "d1", frozenset(lost), 0.0
+            )
+
+        assert not virtual.run(main((), "d1"))
+        assert not virtual.run(main(("d2",), "d1"))
+        assert not virtual.run(main(("d2", "d3"), *_DOMAINS))
+        # A cut counts also during an evacuation.
+        assert virtual.run(main(("d2", "d3"), "d1"))
+
+
+class TestCollectors:
+    """Batches name no evacuated replica, and collectors ask none."""
+
+    @pytest.mark.parametrize("knows", ["collector", "sender", "late sender"])
+    def test_parts_come_from_other_domains(self, knows, no_tokens):
+        shards = tuple(f"s{number}" for number in range(6))
+        rng = random.Random(1)
+        replicas = [
+            replicas_lib.Replica(
+                f"{shard}-{domain}", shard, domain, rng, lambda rng: 0.005
+            )
+            for shard in shards
+            for domain in ("d2", "d3")
+        ]
+        route = replicas_lib.route(
+            shards=shards, min_coverage=1.0, max_attempts=1
+        )
+        table = model.Table(1, (route,), {})
+
+        async def main():
+            sender, *others = (
+                replicas_lib.Instance(domain, replicas, rng)
+                for domain in ("d1", "d2", "d3")
+            )
+            pools = [collectors_lib.Pool(item, table) for item in others]
+            collectors_lib.connect([sender], pools)
+            sender.collect_above = 0
+            if knows == "late sender":
+                # The batches wait for a connection to their collectors.
+                waiting = []
+                for pool in pools:
+                    pool.submit = waiting.append
+            if knows == "collector":
+                others[0].directory.set_evacuated(frozenset(("d2",)))
+            if knows == "sender":
+                sender.directory.set_evacuated(frozenset(("d2",)))
+            answer = asyncio.ensure_future(sender.serve(route))
+            await asyncio.sleep(0)
+            if knows == "late sender":
+                sender.directory.set_evacuated(frozenset(("d2",)))
+                for pool in pools:
+                    del pool.submit
+                for exchange in waiting:
+                    if exchange.may_send():
+                        exchange.connection = None
+                        pools[1].submit(exchange)
+            assert (await answer).status == 200
+
+        virtual.run(main())
+        for replica in replicas:
+            assert replica.arrivals == 0 or replica.domain == "d3"
+
+
+class TestReturn:
+    """The share doubles by steps and is held while replicas have trouble."""
+
+    def _shares(self, cold_share: float = 0.0, good: bool = True):
+        ramp = ramp_lib.ReturnRamp(0.0)
+        shares = []
+        for tick in range(1, 50):
+            ramp.record(good)
+            ramp.advance(tick * 0.1, cold_share)
+            shares.append(ramp.share)
+        return shares
+
+    def test_doubles_each_step(self):
+        shares = self._shares()
+        assert shares[5] == 0.1
+        assert shares[6] == 0.2
+        assert shares[26] == 0.8
+        assert shares[27] == 1.0
+
+    def test_is_held_while_cold_or_failing(self):
+        assert set(self._shares(cold_share=0.2)) == {0.1}
+        assert set(self._shares(good=False)) == {0.1}
+        # The restart of one replica does not hold up many.
+        assert self._shares(cold_share=0.01)[-1] == 1.0
+
+    def _served_by_domain(self, prepare, seconds: float = 2.0):
+        async def main():
+            network = _Network(connections=8)
+            network.put_all()
+            await asyncio.sleep(20.0)
+            prepare(network)
+            network.sent.clear()
+            counts = []
+            for _ in range(int(seconds / 0.01)):
+                network.request(_SINGLE)
+                await asyncio.sleep(0.01)
+                counts.append(network.sent["d1"])
+            await asyncio.gather(*network.answers)
+            return counts, network
+
+        return virtual.run(main())
+
+    def test_load_returns_by_steps(self):
+        def prepare(network):
+            network.evacuate("d1")
+            network.evacuate()
+
+        counts, network = self._served_by_domain(prepare, 5.0)
+        # Without the ramp, d1, the instance's own domain, would get nearly all.
+        assert 0 < counts[69] <= 20
+        assert counts[139] - counts[69] <= 30
+        assert counts[-1] - counts[399] >= 60
+        assert not network.directory.evacuations.returns_by_domain
+
+    def test_unhealthy_others_do_not_hold_it_back(self):
+        def prepare(network):
+            network.evacuate("d1")
+            network.evacuate()
+            for domain in ("d2", "d3"):
+                network.directory.remove(f"s0-{domain}", "delisted")
+
+        counts, _ = self._served_by_domain(prepare, 0.5)
+        assert counts[-1] >= 45
+
+    def test_many_replicas_that_come_back_return_by_steps(self):
+        async def main():
+            network = _Network()
+            for number in range(8):
+                network.put(f"t{number}", "d1")
+            assert not network.directory.evacuations.returns_by_domain
+            await asyncio.sleep(20.0)
+            # A single restart is no return.
+            network.put("t0", "d1", 2)
+            assert not network.directory.evacuations.returns_by_domain
+            await asyncio.sleep(20.0)
+            for number in range(8):
+                network.put(f"t{number}", "d1", 3)
+            assert list(network.directory.evacuations.returns_by_domain) == [
+                "d1"
+            ]
+
+        virtual.run(main())
