--- a/src/mallowloft/explain.py
+++ b/src/mallowloft/explain.py
@@ -10,6 +10,9 @@
 # line of the request is included.
 _CONTEXT_EVENTS = frozenset(
     (
+        "domain_evacuated",
+        "domain_returned",
+        "domain_returns",
         "fleet_changed",
         "history_lost",
         "instance_started",
