--- a/tests/test_routes_evacuation.py
+++ b/tests/test_routes_evacuation.py
@@ -269,6 +269,31 @@
         virtual.run(main(False))
         virtual.run(main(True))
 
+    def test_start_at_an_evacuated_replica_takes_no_permit(self):
+        # The replica was chosen before the evacuation became known.
+        async def main():
+            network = _Network()
+            network.put_all()
+            entry = network.directory.entry("s0-d1")
+            network.directory.record_limit(entry, 0.5)
+            wait_s = entry.signals.limit.wait_s(0.0)
+            network.evacuate("d1")
+            context = network.instance.create_request_context(_SINGLE)
+            outcomes = []
+            attempt = network.instance.sender.start(
+                entry,
+                context.outgoing,
+                context.end_s,
+                context.latency,
+                lambda _, outcome: outcomes.append(outcome),
+            )
+            assert outcomes == [model.Failure.UNSENT]
+            assert not (attempt.pending or attempt.sent)
+            assert not entry.health.in_flight
+            assert entry.signals.limit.wait_s(0.0) == wait_s
+
+        virtual.run(main())
+
     def test_attempt_in_flight_ends_normally(self):
         async def main():
             network = _Network()
