Scale the time until the next permit when a limit changes

An instance that shortened its interval had its next permit clipped to the new interval. Instances that learned of the change together then got many permits at one moment, and when the interval grew they still sent the first request within the old one. The time left is now scaled, so that permits stay evenly spread. The time after which a permit lapses becomes an argument.

--- a/src/mallowloft/routes/rate_limits.py
+++ b/src/mallowloft/routes/rate_limits.py
@@ -95,10 +95,15 @@
         stated_s: Loop time at which the replica last stated it.
     """
 
-    __slots__ = ("_due_s", "_interval_s", "per_s", "stated_s")
+    __slots__ = ("_due_s", "_interval_s", "_lapse_s", "per_s", "stated_s")
 
     def __init__(
-        self, per_s: float, divisor: float, phase: float, now_s: float
+        self,
+        per_s: float,
+        divisor: float,
+        phase: float,
+        now_s: float,
+        lapse_s: float = _LAPSE_S,
     ) -> None:
         """Creates a limit that has just become known.
 
@@ -107,18 +112,29 @@
             divisor: Number by which the rate is divided.
             phase: Part of the interval after which the first permit is due.
             now_s: Current loop time.
+            lapse_s: Time within which a permit must be used.
         """
         self.per_s = per_s
         self.stated_s = now_s
+        self._lapse_s = lapse_s
         self._interval_s = _interval_s(per_s, divisor)
         # When the next permit is due.
         self._due_s = now_s + phase * self._interval_s
 
     def update(self, per_s: float, divisor: float, now_s: float) -> None:
-        """Changes the rate or the divisor."""
+        """Changes the rate or the divisor.
+
+        The time until the next permit is scaled. If it were only shortened to
+        the new interval, many instances would get a permit at one moment.
+        """
+        before_s, self._interval_s = (
+            self._interval_s,
+            _interval_s(per_s, divisor),
+        )
         self.per_s = per_s
-        self._interval_s = _interval_s(per_s, divisor)
-        self._due_s = min(self._due_s, now_s + self._interval_s)
+        left_s = self._due_s - now_s
+        if left_s > 0:
+            self._due_s = now_s + left_s * self._interval_s / before_s
 
     def wait_s(self, now_s: float) -> float:
         """Returns the time until a permit is available, 0 if one is."""
@@ -134,7 +150,7 @@
         self._due_s += self._interval_s
 
     def _drop_lapsed(self, now_s: float) -> None:
-        excess_s = now_s - _LAPSE_S - self._due_s
+        excess_s = now_s - self._lapse_s - self._due_s
         if excess_s > 0:
             lapsed = math.ceil(excess_s / self._interval_s)
             self._due_s += lapsed * self._interval_s
