Read home regions and limits of cold replicas

The digest of a route without homes stays as it is, so that old and new builds serve each other's requests.

--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -108,6 +108,21 @@
         " that no other replica can serve, seconds",
         1.0,
     )
+    cold_overshoot: NonNegativeNumber = _setting(
+        "factor of the rate that a cold replica tolerates in the bound on the"
+        " requests of all instances to it in one second",
+        1.5,
+    )
+    cold_slack: NonNegativeNumber = _setting(
+        "requests of all instances to a cold replica in one second that are"
+        " allowed in addition",
+        5.0,
+    )
+    regions: str = _setting(
+        "regions of the failure domains, comma-separated domain=region; a"
+        " failure domain that is not listed is in no home region",
+        "",
+    )
     peer_port: Port = _setting("port for other instances (ZeroMQ)", 8082)
     platform_url: str = _setting("base URL of the platform's services", "")
     peers: str = _setting(
@@ -216,6 +231,7 @@
         self._check_platform_url()
         self._check_peers()
         self._check_drain_time()
+        self._check_regions()
         self._check_tls()
         self._check_curve_keys()
 
@@ -307,6 +323,12 @@
                 f"{drain_s:g} is greater than --stop-grace-s {grace_s:g}",
             )
 
+    def _check_regions(self) -> None:
+        for item in _split_list(self._get("regions") or ""):
+            domain, _, region = item.partition("=")
+            if not domain.strip() or not region.strip():
+                self._add_error("regions", f"{item!r} is not domain=region")
+
     def _check_tls(self) -> None:
         names = ("tls_certificate", "tls_private_key")
         given_names = [name for name in names if self._get(name)]
--- a/src/mallowloft/routes/model.py
+++ b/src/mallowloft/routes/model.py
@@ -100,6 +100,8 @@
         rank: Priority; 0 is the most urgent.
         top_records: Maximum number of records in a gathered answer.
         min_coverage: Minimum share of shards in a successful answer.
+        home_regions: Regions whose replicas may serve the requests; empty for
+            all.
     """
 
     name: str
@@ -114,6 +116,9 @@
     shards: tuple[str, ...] = ()
     top_records: int = 0
     min_coverage: float = 0.0
+    # It is no part of `repr`, so that the digest of a route without homes is
+    # the same as in builds that do not know the field.
+    home_regions: tuple[str, ...] = dataclasses.field(default=(), repr=False)
 
     @property
     def needed_shards(self) -> int:
@@ -125,7 +130,10 @@
 @functools.lru_cache(maxsize=64)
 def digest(route: Route) -> str:
     """Returns a digest that is equal on instances with the same route."""
-    return hashlib.blake2s(repr(route).encode(), digest_size=8).hexdigest()
+    text = repr(route)
+    if route.home_regions:
+        text += repr(route.home_regions)
+    return hashlib.blake2s(text.encode(), digest_size=8).hexdigest()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,6 +144,20 @@
     idle_timeout_s: float = 15.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdStart:
+    """What replicas of a service tolerate after their start.
+
+    Attributes:
+        start_s: How long a replica is cold after its start, seconds.
+        per_s: Requests per second that a cold replica tolerates from all
+            instances together; 0 for no limit.
+    """
+
+    start_s: float = 0.0
+    per_s: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Table:
     """One version of the route table.
@@ -143,12 +165,14 @@
     Attributes:
         max_connections_by_service: Connections that one replica accepts from
             all callers together.
+        cold_starts: What cold replicas tolerate, by service.
     """
 
     version: int
     routes: tuple[Route, ...]
     max_connections_by_service: dict[str, int]
     limits: Limits = Limits()
+    cold_starts: dict[str, ColdStart] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
