--- /dev/null
+++ b/src/mallowloft/routes/cold/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the requests to replicas that have started recently."""
