Apply limits of cold replicas and home regions on all paths

Attempts without a permit for a cold replica end as unsent. Attempts that wait too long for a connection are returned, so that they are not sent together later. Seeds pass on the largest recent number of instances, because parts of a cut fleet may reach the same replicas. Replicas outside the homes of a route and instances outside the homes and the own region get nothing of it.

--- a/src/mallowloft/routes/ablation.py
+++ b/src/mallowloft/routes/ablation.py
@@ -19,6 +19,7 @@
 from mallowloft.routes import directory
 from mallowloft.routes import gathering
 from mallowloft.routes import health
+from mallowloft.routes import homes
 from mallowloft.routes import hubs
 from mallowloft.routes import limits
 from mallowloft.routes import mirror
@@ -28,6 +29,7 @@
 from mallowloft.routes import selection
 from mallowloft.routes import timing
 from mallowloft.routes import warming
+from mallowloft.routes.cold import replicas as cold_replicas
 from mallowloft.upstream import http1
 
 _log = logs.get_logger("ablation")
@@ -166,6 +168,16 @@
     relaying.may_call_source = lambda *arguments: True
 
 
+@switches.register("cold_limits")
+def _send_to_cold_replicas_without_limit() -> None:
+    cold_replicas.ColdReplicas.refresh = _ignore
+
+
+@switches.register("homes")
+def _ignore_home_regions() -> None:
+    homes.HomePolicy.allows = lambda self, route, failure_domain: True
+
+
 def check(
     names: Iterable[str], place: str, findings: findings_lib.Findings
 ) -> None:
--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -12,6 +12,7 @@
 from mallowloft.routes import model
 from mallowloft.routes import reach as reach_lib
 from mallowloft.routes import replica_signals
+from mallowloft.routes.cold import limit as cold_limit
 from mallowloft.upstream import http1
 
 _log = logs.get_logger("attempts")
@@ -304,12 +305,38 @@
             purpose="part" if outgoing.is_part else "request",
         )
         entry.health.record_start(attempt, now_s, latency.median_s)
+        cold = entry.signals.cold
+        if cold is not None and cold.active(now_s):
+            if not cold.take(now_s):
+                # Another request took the permit after the replica was chosen.
+                self.count_denied_cold()
+                attempt.exchange.set_outcome(http1.FailureReason.UNSENT)
+                return attempt
+            self._end_if_unsent_later(attempt.exchange)
         if entry.signals.limit is not None:
             entry.signals.limit.take(now_s)
             self._metrics.count("replica_limit_attempts")
         entry.pool.submit(attempt.exchange)
         return attempt
 
+    def count_denied_cold(self) -> None:
+        """Counts a cold replica that was passed over without a permit."""
+        self._metrics.count("cold_permits_denied")
+
+    def _end_if_unsent_later(self, exchange: http1.Exchange) -> None:
+        """Returns an exchange that waits too long for a connection.
+
+        The permit for a cold replica is valid only for a short time.
+        """
+
+        def end_if_unsent() -> None:
+            if not exchange.sent:
+                exchange.set_outcome(http1.FailureReason.UNSENT)
+
+        asyncio.get_running_loop().call_later(
+            cold_limit.MAX_WAIT_S, end_if_unsent
+        )
+
     def _check_crash(
         self, attempt: Attempt, outgoing: OutgoingRequest, ended_s: float
     ) -> None:
--- a/src/mallowloft/routes/batching.py
+++ b/src/mallowloft/routes/batching.py
@@ -214,6 +214,7 @@
     choose_collectors: Callable[
         [str, int], Sequence[directory_lib.ReplicaEntry]
     ],
+    now_s: float = math.inf,
 ) -> Plan:
     """Divides first attempts into direct ones and batches.
 
@@ -226,11 +227,13 @@
             which no collector is used.
         choose_collectors: Returns up to a number of collectors of a failure
             domain.
+        now_s: Current loop time; by default no replica counts as cold.
     """
     direct: list[Choice] = []
     choices_by_domain: dict[str, list[Choice]] = {}
     for choice in choices:
-        if choice.entry.signals.limit is not None:
+        signals = choice.entry.signals
+        if signals.limit is not None or signals.limited_while_cold(now_s):
             direct.append(choice)
             continue
         domain = choice.entry.replica.failure_domain
--- a/src/mallowloft/routes/collector.py
+++ b/src/mallowloft/routes/collector.py
@@ -91,6 +91,9 @@
                 or entry.draining
                 or not 0 <= shard < len(self._route.shards)
                 or entry.replica.service != self._route.shards[shard]
+                or not self._routes.directory.homes.allows(
+                    self._route, entry.replica.failure_domain
+                )
             ):
                 self._end(position, model.Failure.UNSENT)
                 continue
--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -246,7 +246,9 @@
         unreachable = directory.reach.unreachable_domains()
         hubs = [
             entry
-            for entry in self._hubs.gatherers(now_s)
+            for entry in directory.homes.allowed_instances(
+                self._route, self._hubs.gatherers(now_s)
+            )
             if entry.replica.failure_domain not in unreachable
         ]
         covered = reach.covered_by_domain(self._route, directory)
@@ -495,7 +497,9 @@
 
     def _choose_hub(self, now_s: float) -> directory_lib.ReplicaEntry | None:
         choose = self._context.selector.choose
-        entries = self._hubs.forwarders(now_s)
+        entries = self._context.directory.homes.allowed_instances(
+            self._route, self._hubs.forwarders(now_s)
+        )
         # A forwarder with a fault is still better than no replica.
         return choose(entries, now_s, self._tried, healthy_only=True) or choose(
             entries, now_s, self._tried
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import functools
 import math
@@ -14,11 +15,13 @@
 from mallowloft.kernel import logs
 from mallowloft.membership import rendezvous
 from mallowloft.routes import health as health_lib
+from mallowloft.routes import homes as homes_lib
 from mallowloft.routes import message_types
 from mallowloft.routes import model
 from mallowloft.routes import rate_limits
 from mallowloft.routes import replica_signals
 from mallowloft.routes import warming
+from mallowloft.routes.cold import replicas as cold_replicas
 from mallowloft.upstream import http1
 from mallowloft.upstream import traffic as traffic_lib
 
@@ -124,6 +127,8 @@
     Attributes:
         warmer: Opens connections ahead of requests.
         leaving_ids: Ids of listed replicas that state that they leave.
+        cold: The cold replicas and this instance's part of their limits.
+        homes: Decides where requests with home regions may go.
     """
 
     def __init__(
@@ -161,6 +166,8 @@
         self._divisor = 1.0
         self._shard_divisor = 1.0
         self._permit_phase = random.Random(f"{instance} permits").random()
+        self.cold = cold_replicas.ColdReplicas(self._permit_phase)
+        self.homes = homes_lib.HomePolicy()
 
     def __len__(self) -> int:
         return len(self._entries_by_id)
@@ -169,6 +176,19 @@
         """Returns the replicas of a service, including draining ones."""
         return self._entries_by_service.get(service, [])
 
+    def entries_for(
+        self, route: model.Route, service: str
+    ) -> list[ReplicaEntry]:
+        """Returns the replicas of a service that a route may use."""
+        entries = self.entries(service)
+        if not route.home_regions:
+            return entries
+        return [
+            entry
+            for entry in entries
+            if self.homes.allows(route, entry.replica.failure_domain)
+        ]
+
     def entry(self, replica_id: str) -> ReplicaEntry | None:
         """Returns a listed replica, None if it is not listed."""
         return self._entries_by_id.get(replica_id)
@@ -198,6 +218,7 @@
             self.remove(replica.id, "started_again")
         now_s = asyncio.get_running_loop().time()
         remote = replica.failure_domain != self._failure_domain
+        signals = self._signals_by_key.pop(replica.key, None)
         entry = ReplicaEntry(
             replica,
             self._open_pool(
@@ -211,12 +232,13 @@
             ),
             health_lib.ReplicaHealth(now_s + replica.cold_s),
             remote,
-            self._signals_by_key.pop(replica.key, None),
+            signals,
             self._leaving_grace_s,
         )
         if entry.signals.leaving:
             self.leaving_ids.add(replica.id)
         self._entries_by_id[replica.id] = entry
+        self.cold.on_listed(entry, signals is not None, now_s)
         self._resolve_address(entry)
         self._entries_by_service.setdefault(replica.service, []).append(entry)
         self._choose_subset(replica.service)
@@ -235,6 +257,7 @@
         if entry is None:
             return
         entry.draining = True
+        self.cold.on_removed(entry)
         self.leaving_ids.discard(replica_id)
         if self._id_by_address.get(entry.replica.address) == replica_id:
             del self._id_by_address[entry.replica.address]
@@ -359,6 +382,7 @@
         max_connections: dict[str, int],
         shards: Iterable[str] = (),
         on_demand: Iterable[str] = (),
+        cold_starts: Mapping[str, model.ColdStart] | None = None,
     ) -> None:
         """Sets the services that the routes use.
 
@@ -367,7 +391,13 @@
             max_connections: Connections that a replica accepts, by service.
             shards: Services that hold shards.
             on_demand: Services to which connections are opened only on demand.
+            cold_starts: What cold replicas tolerate, by service.
         """
+        self.cold.set_services(
+            cold_starts or {},
+            self._entries_by_id.values(),
+            asyncio.get_running_loop().time(),
+        )
         self._max_connections_by_service = max_connections
         self._used_services = frozenset(services)
         self._shard_services = frozenset(shards)
@@ -433,6 +463,16 @@
         self._shard_divisor = max(1.0, shard_divisor)
         self._update_limits()
 
+    def update_cold(self, divisor: int) -> None:
+        """Updates the limits of cold replicas and logs which are warm now.
+
+        Args:
+            divisor: Number of instances by which the limits are divided.
+        """
+        now_s = asyncio.get_running_loop().time()
+        self.cold.set_divisor(divisor, self._entries_by_id.values(), now_s)
+        self.cold.log_warm(now_s)
+
     def close(self) -> None:
         """Closes all connections."""
         self.warmer.close()
@@ -465,6 +505,7 @@
             "ejected": entry.health.ejected(now_s),
             "in_flight": entry.health.in_flight,
             "connections": entry.pool.open_count,
+            **self.cold.describe(entry, now_s),
         }
 
     def _update_limits(self) -> None:
@@ -523,11 +564,12 @@
                 replica=replica.id,
                 service=replica.service,
             )
-        entry.replica = replica
+        before, entry.replica = entry.replica, replica
         entry.draining = replica.draining
         now_s = asyncio.get_running_loop().time()
         if replica.cold_s:
             entry.health.set_cold(now_s + replica.cold_s)
+        self.cold.on_changed(entry, before, now_s)
         if replica.draining:
             self.warmer.stop_keeping_open(entry.pool)
         self._choose_subset(replica.service)
--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -35,6 +35,7 @@
 from mallowloft.routes import hubs as hubs_lib
 from mallowloft.routes import message_types
 from mallowloft.routes import rate_limits
+from mallowloft.routes.cold import counts as cold_counts
 from mallowloft.upstream import http1
 from mallowloft.upstream import traffic as traffic_lib
 
@@ -104,6 +105,8 @@
         crash_digest: Digest of the crashes of replicas that it knows of.
         crashes: Requests that were cut off by crashes; empty if the seed knows
             of the same ones.
+        largest_count: Largest number of instances that the instance knows of,
+            and how long ago a seed counted them.
     """
 
     instance: message_types.Name
@@ -116,6 +119,7 @@
     limits: tuple[rate_limits.Statement, ...] = ()
     crash_digest: message_types.Name = ""
     crashes: tuple[crashes_lib.Trace, ...] = ()
+    largest_count: cold_counts.Statement = (0, 0.0)
 
 
 class Summary(msgspec.Struct, frozen=True, array_like=True):
@@ -134,6 +138,8 @@
         crash_digest: Digest of the crashes of replicas that the seed knows of.
         crashes: Requests that were cut off by crashes; empty if the instance
             knows of the same ones.
+        largest_count: Largest number of instances that the seed knows of, and
+            how long ago a seed counted them.
     """
 
     instances: message_types.Count
@@ -145,6 +151,7 @@
     limits: tuple[rate_limits.Statement, ...] = ()
     crash_digest: message_types.Name = ""
     crashes: tuple[crashes_lib.Trace, ...] = ()
+    largest_count: cold_counts.Statement = (0, 0.0)
 
 
 _report_decoder = msgspec.msgpack.Decoder(Report)
@@ -185,6 +192,7 @@
         self._reports_by_instance: dict[str, tuple[float, Report]] = {}
         self._limits = rate_limits.StatementRegistry()
         self._received_counts: list[tuple[float, int]] = []
+        self._largest = cold_counts.LargestCount()
         self._choice: _Choice | None = None
         self._first_report_s: float | None = None
         self._last_new_s = 0.0
@@ -203,6 +211,7 @@
             or now_s - self._first_report_s >= _MAX_SEED_WARM_UP_S
         )
         self._limits.record(report.limits, now_s)
+        self._largest.record(*report.largest_count, now_s)
         self._reports_by_instance[report.instance] = (now_s, report)
         self._reports_by_instance = {
             instance: (reported_s, known)
@@ -223,12 +232,15 @@
             if count >= _MIN_REPORTERS
         )
         count = len(self._reports_by_instance)
+        if self._settled:
+            self._largest.record(count, 0.0, now_s)
         same_domain = report.failure_domain == self._failure_domain
         summary = Summary(
             count if self._settled else 0,
             tuple(sorted(suspects)),
             self._failure_domain,
             limits=self._limits.statements(now_s),
+            largest_count=self.largest_count(now_s),
         )
         if not self._settled or not (same_domain or report.wants_hubs):
             return summary
@@ -273,8 +285,23 @@
             and hubs_lib.split_address(known.address) is not None
         )
 
+    def record_largest(
+        self, statement: cold_counts.Statement, now_s: float
+    ) -> None:
+        """Records the largest count that a seed knows of."""
+        self._largest.record(*statement, now_s)
+
+    def largest_count(self, now_s: float) -> cold_counts.Statement:
+        """Returns the largest known count with its age, within bounds."""
+        return self._largest.statement(now_s)
+
+    def cold_divisor(self, now_s: float) -> int:
+        """Returns the divisor of the limits of cold replicas."""
+        return self._largest.divisor(now_s)
+
     def record_count(self, instances: int, now_s: float) -> None:
         """Records the number of instances that a seed returned."""
+        self._largest.record(instances, 0.0, now_s)
         oldest_s = now_s - _RETENTION_S
         # Older counts that are not larger can no longer be the maximum.
         self._received_counts = [
@@ -374,6 +401,12 @@
         now_s = asyncio.get_running_loop().time()
         return self._instance_registry.instances(now_s)
 
+    @property
+    def cold_divisor(self) -> int:
+        """Number of instances by which limits of cold replicas are divided."""
+        now_s = asyncio.get_running_loop().time()
+        return self._instance_registry.cold_divisor(now_s)
+
     def subscribe(self, listener: Callable[[int], None]) -> None:
         """Adds a listener that is called when the instance count changes."""
         self._listeners.append(listener)
@@ -504,6 +537,7 @@
             self.find_limits(),
             crash_digest,
             () if is_known else self.crashes.traces(now_s),
+            self._instance_registry.largest_count(now_s),
         )
         response = await http1.send_request(
             pool,
@@ -533,6 +567,7 @@
         now_s = asyncio.get_running_loop().time()
         if summary.instances:
             self._instance_registry.record_count(summary.instances, now_s)
+        self._instance_registry.record_largest(summary.largest_count, now_s)
         self.mark_suspects(summary.suspects)
         self.apply_limits(summary.limits)
         self.crashes.apply(summary.crashes, now_s)
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -172,7 +172,7 @@
             if (choice := self._choose_first(shard, now_s)) is not None
         ]
         plan = batching.plan(
-            choices, self._context.collect_above, self._choose_collectors
+            choices, self._context.collect_above, self._choose_collectors, now_s
         )
         for collector, members in plan.batches:
             self._send_batch(collector, members, now_s)
@@ -207,7 +207,8 @@
     ) -> batching.Choice | None:
         """Returns the replica for a first attempt, None to send none."""
         entry = self._context.selector.choose(
-            self._context.directory.entries(shard.service), now_s
+            self._context.directory.entries_for(self._route, shard.service),
+            now_s,
         )
         if entry is None:
             shard.failure = "no_replica"
@@ -228,6 +229,9 @@
             failure_domain, self._route.objective_s
         ):
             return ()
+        homes = self._context.directory.homes
+        if not homes.allows_instance(self._route, failure_domain):
+            return ()
         return self._context.choose_collectors(failure_domain, count)
 
     def _send_batch(
@@ -374,6 +378,7 @@
         if attempt in shard.in_flight:
             shard.in_flight.remove(attempt)
             self._in_flight_count -= 1
+        running.forget_denied(shard.tried, attempt, outcome)
         if self.done.done() or shard.service not in self._pending_shards:
             return
         if isinstance(outcome, model.Reply) and outcome.success:
@@ -469,7 +474,9 @@
         guard = self._extra_guard
         if extra and guard is not None and not guard.allows_extra():
             return None
-        entries = self._context.directory.entries(shard.service)
+        entries = self._context.directory.entries_for(
+            self._route, shard.service
+        )
         return self._context.selector.choose(
             entries, now_s, shard.tried, healthy_only
         )
--- a/src/mallowloft/routes/health.py
+++ b/src/mallowloft/routes/health.py
@@ -213,6 +213,11 @@
             return False
         return now_s - self._replied_s > _RECENT_SAMPLE_S
 
+    @property
+    def cold_until_s(self) -> float:
+        """Loop time until which the replica counts as cold."""
+        return self._cold_until_s
+
     def cold(self, now_s: float) -> bool:
         """Whether the replica is still slow because it started recently."""
         return now_s < self._cold_until_s
--- a/src/mallowloft/routes/reach.py
+++ b/src/mallowloft/routes/reach.py
@@ -155,7 +155,7 @@
         min(
             (
                 entry.usable_in_s(now_s)
-                for entry in directory.entries(shard)
+                for entry in directory.entries_for(route, shard)
                 if entry.replica.failure_domain not in unreachable
             ),
             default=math.inf,
@@ -165,17 +165,20 @@
 
 
 def count_unlinked(
-    services: Sequence[str], directory: directory_lib.Directory
+    route: model.Route,
+    services: Sequence[str],
+    directory: directory_lib.Directory,
 ) -> int:
     """Returns the number of services whose replicas are all out of reach.
 
     Args:
+        route: The route whose requests need them.
         services: Services, such as the shards of a route.
         directory: The known replicas.
     """
     if directory.reach.links_lost:
         return len(services)
-    return _count_without_replicas(services, directory)
+    return _count_without_replicas(route, services, directory)
 
 
 def should_forward(
@@ -196,25 +199,27 @@
         directory: The known replicas.
         now_s: Current loop time.
     """
-    if not count_unlinked(services, directory):
+    if not count_unlinked(route, services, directory):
         return False
     links = directory.reach
     is_trial = (
         links.links_lost
         and route.idempotent
-        and not _count_without_replicas(services, directory)
+        and not _count_without_replicas(route, services, directory)
         and links.take_trial(now_s)
     )
     return not is_trial
 
 
 def _count_without_replicas(
-    services: Iterable[str], directory: directory_lib.Directory
+    route: model.Route,
+    services: Iterable[str],
+    directory: directory_lib.Directory,
 ) -> int:
     """Returns the number of services of which no replica looks reachable."""
     unreachable = directory.reach.unreachable_domains()
     return sum(
-        _is_unlinked(directory.entries(service), unreachable)
+        _is_unlinked(directory.entries_for(route, service), unreachable)
         for service in services
     )
 
@@ -243,7 +248,7 @@
         for shard in route.shards
         for domain in {
             entry.replica.failure_domain
-            for entry in directory.entries(shard)
+            for entry in directory.entries_for(route, shard)
             if entry.stays
         }
     )
--- a/src/mallowloft/routes/replica_signals.py
+++ b/src/mallowloft/routes/replica_signals.py
@@ -17,6 +17,7 @@
 import re
 
 from mallowloft.routes import rate_limits
+from mallowloft.routes.cold import limit as cold_limit
 
 # An instance comes back up to this share of the pause later, at most the longer
 # time below. Objectives of requests are tenths of seconds.
@@ -47,12 +48,15 @@
     Attributes:
         limit: Rate of the requests that it accepts; None if it states none.
         limit_ended_s: Loop time at which it last stated no limit any more.
+        cold: Rate of the requests that it tolerates while it is cold; None if
+            it was not cold or its service has no such rate.
     """
 
     __slots__ = (
         "_is_returning",
         "_leaving_since_s",
         "_paused_until_s",
+        "cold",
         "limit",
         "limit_ended_s",
     )
@@ -64,6 +68,7 @@
         self._is_returning = False
         self.limit: rate_limits.RateLimit | None = None
         self.limit_ended_s = -math.inf
+        self.cold: cold_limit.ColdLimit | None = None
 
     @property
     def leaving(self) -> bool:
@@ -117,11 +122,24 @@
         A request is accepted after a pause and within the rate limit.
         """
         limit_s = self.limit.wait_s(now_s) if self.limit else 0.0
-        return max(limit_s, self.pause_left_s(now_s))
+        cold_s = self.cold.wait_s(now_s) if self.cold else 0.0
+        return max(limit_s, cold_s, self.pause_left_s(now_s))
+
+    def limited_while_cold(self, now_s: float) -> bool:
+        """Whether the replica is cold and tolerates only a rate."""
+        return self.cold is not None and self.cold.active(now_s)
+
+    def lacks_cold_permit(self, now_s: float) -> bool:
+        """Whether the replica gets no request now because it is cold."""
+        return self.cold is not None and self.cold.wait_s(now_s) > 0
 
     def restricted(self, now_s: float) -> bool:
         """Whether the replica has asked for fewer requests."""
-        return self.limit is not None or now_s < self._paused_until_s
+        return (
+            self.limit is not None
+            or now_s < self._paused_until_s
+            or self.limited_while_cold(now_s)
+        )
 
     def admits(self, now_s: float, in_flight: int) -> bool:
         """Whether a request may be sent, whether or not the replica leaves.
--- a/src/mallowloft/routes/running.py
+++ b/src/mallowloft/routes/running.py
@@ -169,6 +169,24 @@
     return f"status_{outcome.status}"
 
 
+def forget_denied(
+    tried: list[directory_lib.ReplicaEntry],
+    attempt: attempts_lib.Attempt,
+    outcome: attempts_lib.Outcome,
+) -> None:
+    """Removes a cold replica that got no request from the tried ones.
+
+    The attempt had no permit or waited too long, so it uses up no attempt.
+    """
+    now_s = asyncio.get_running_loop().time()
+    if (
+        outcome is model.Failure.UNSENT
+        and attempt.entry.signals.limited_while_cold(now_s)
+        and attempt.entry in tried
+    ):
+        tried.remove(attempt.entry)
+
+
 def take_hedge(
     extra: limits.ExtraAttemptBucket,
     late: Iterable[attempts_lib.Attempt],
--- a/src/mallowloft/routes/selection.py
+++ b/src/mallowloft/routes/selection.py
@@ -5,6 +5,7 @@
 short latency objective, so local replicas are preferred.
 """
 
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 import math
@@ -32,8 +33,20 @@
 class Selector:
     """Chooses the replica with the lowest expected duration."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        on_cold_denied: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Creates a selector.
+
+        Args:
+            rng: Draws the random part of the cost.
+            on_cold_denied: Called for each cold replica that is skipped
+                because this instance has no permit for it.
+        """
         self._rng = rng
+        self._on_cold_denied = on_cold_denied
 
     def choose(
         self,
@@ -58,6 +71,9 @@
                 continue
             cost = 0.0
             if not entry.admits(now_s):
+                if entry.signals.lacks_cold_permit(now_s):
+                    self._on_cold_denied()
+                    continue
                 if healthy_only or not entry.admits_if_alone(now_s):
                     continue
                 cost = _IF_ALONE_COST
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -15,6 +15,7 @@
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import exchange as exchange_lib
 from mallowloft.routes import gathering
+from mallowloft.routes import homes as homes_lib
 from mallowloft.routes import hub_server
 from mallowloft.routes import hubs as hubs_lib
 from mallowloft.routes import limits
@@ -125,7 +126,14 @@
             traffic=kernel.plugin("fleet").traffic,
             leaving_grace_s=kernel.settings.leaving_grace_s,
         )
-        self.selector = selection.Selector(kernel.rng)
+        settings = kernel.settings
+        self.directory.cold.overshoot = settings.cold_overshoot
+        self.directory.cold.slack = settings.cold_slack
+        self.directory.homes = homes_lib.HomePolicy(
+            homes_lib.parse_regions(settings.regions),
+            settings.failure_domain,
+            settings.region,
+        )
         self.crashes = kernel.plugin("fleet").crashes
         self.sender = attempts_lib.Sender(
             self.names,
@@ -134,6 +142,9 @@
             kernel.rng,
             self.crashes,
         )
+        self.selector = selection.Selector(
+            kernel.rng, self.sender.count_denied_cold
+        )
         self._dropped_headers = frozenset(
             (self.names.deadline, self.names.expected_replica)
         )
@@ -290,9 +301,11 @@
             self._extra_by_service[service] = extra
         return extra
 
-    def count_unlinked(self, services: Sequence[str]) -> int:
+    def count_unlinked(
+        self, route: model.Route, services: Sequence[str]
+    ) -> int:
         """Returns the number of services that this instance does not reach."""
-        return reach.count_unlinked(services, self.directory)
+        return reach.count_unlinked(route, services, self.directory)
 
     def choose_collectors(
         self, failure_domain: str, count: int
@@ -338,6 +351,7 @@
             table.max_connections_by_service,
             self._shard_services,
             on_demand,
+            table.cold_starts,
         )
 
     def _on_hubs_changed(self) -> None:
@@ -372,6 +386,9 @@
         unreachable: frozenset[str] = frozenset()
         while True:
             await asyncio.sleep(_REACH_CHECK_INTERVAL_S)
+            self.directory.update_cold(
+                self._kernel.plugin("fleet").cold_divisor
+            )
             before, unreachable = (
                 unreachable,
                 self.directory.reach.unreachable_domains(),
@@ -527,7 +544,7 @@
                 stats.hub_latency,
                 transfer_s,
                 services,
-                self.count_unlinked(services),
+                self.count_unlinked(route, services),
             )
         if route.shards:
             return gathering.ScatterGather(self, request_context)
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -79,7 +79,7 @@
         if len(self._tried) >= self._max_attempts or self._refused_for_s():
             return None
         return self._context.selector.choose(
-            self._context.directory.entries(self._service),
+            self._context.directory.entries_for(self._route, self._service),
             self._loop.time(),
             self._tried,
             healthy_only,
@@ -91,7 +91,9 @@
         return min(
             (
                 entry.usable_in_s(now_s)
-                for entry in self._context.directory.entries(self._service)
+                for entry in self._context.directory.entries_for(
+                    self._route, self._service
+                )
             ),
             default=math.inf,
         )
@@ -113,6 +115,7 @@
     ) -> None:
         if attempt in self._in_flight:
             self._in_flight.remove(attempt)
+        running.forget_denied(self._tried, attempt, outcome)
         if self.done.done():
             return
         elapsed_ms = (self._loop.time() - attempt.started_s) * 1000
