Test the limit on requests to cold replicas

The sum over 100 instances with restarts, unequal counts, a cut and a replica that becomes cold again; permits, rates and counts as decisions.

--- /dev/null
+++ b/tests/test_routes_cold.py
@@ -0,0 +1,307 @@
+"""Cold replicas get no more requests than they tolerate."""
+
+import asyncio
+import bisect
+import math
+import random
+import time
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from mallowloft.kernel import metrics as metrics_lib
+from mallowloft.routes import batching
+from mallowloft.routes import fleet as fleet_lib
+from mallowloft.routes import limits
+from mallowloft.routes import model
+from mallowloft.routes import rate_limits
+from mallowloft.routes.cold import counts
+from mallowloft.routes.cold import limit as limit_lib
+from tests.support import replicas as replicas_lib
+from tests.support import virtual
+
+_OVERSHOOT = 1.5
+_SLACK = 5.0
+_INSTANCES = 100
+_COLD_S = 12.0
+_ROUTE = replicas_lib.route(
+    targets=(model.Target("s0", 1.0),), timeout_s=4.0, objective_s=0.6
+)
+
+
+class _Replica(replicas_lib.Replica):
+    """A replica that notes when requests arrive."""
+
+    def __post_init__(self) -> None:
+        super().__post_init__()
+        self.arrived_s: list[float] = []
+
+    def receive(self, exchange, delay_s: float) -> None:
+        self.arrived_s.append(asyncio.get_running_loop().time())
+        super().receive(exchange, delay_s)
+
+    def most_in_a_second(self) -> int:
+        """Returns the most requests in any second."""
+        return max(
+            (
+                bisect.bisect_right(self.arrived_s, at_s + 1.0) - number
+                for number, at_s in enumerate(self.arrived_s)
+            ),
+            default=0,
+        )
+
+
+def _create_replica(number: int = 0, service: str = "s0") -> _Replica:
+    return _Replica(
+        f"{service}-{number}",
+        service,
+        "d1",
+        random.Random(number),
+        lambda rng: 0.005,
+        slots=50,
+    )
+
+
+def _listed(replica: _Replica, **fields: object) -> model.Replica:
+    return model.Replica(
+        replica.id, replica.service, "127.0.0.1", 1, replica.domain, **fields
+    )
+
+
+def _start(
+    replicas: list[_Replica], per_s: float, divisor: int, rng: random.Random
+) -> replicas_lib.Instance:
+    """Returns an instance that lists the first replica as cold."""
+    now_s = asyncio.get_running_loop().time()
+    instance = replicas_lib.Instance("d1", replicas, rng)
+    instance.directory.set_services(
+        {item.service for item in replicas},
+        {},
+        cold_starts={"s0": model.ColdStart(_COLD_S, per_s)},
+    )
+    instance.directory.update_cold(divisor)
+    left_s = max(0.0, _COLD_S - now_s)
+    instance.directory.put(_listed(replicas[0], cold_s=left_s))
+    return instance
+
+
+async def _serve(instances, until_s: float, per_s: float, rng) -> list:
+    loop = asyncio.get_running_loop()
+    tasks = []
+    while loop.time() < until_s:
+        instance = rng.choice(instances)
+        tasks.append(asyncio.create_task(instance.serve(_ROUTE)))
+        await asyncio.sleep(rng.expovariate(per_s))
+    return await asyncio.gather(*tasks)
+
+
+class TestSum:
+    """All instances together stay within the bound in any second."""
+
+    @pytest.mark.parametrize("seed", range(3))
+    @pytest.mark.parametrize("per_s", [4.0, 20.0, 60.0])
+    def test_with_restarts_and_unequal_counts(self, per_s, seed):
+        # Guards against bursts of restarted instances, of a count that changes
+        # everywhere at once, and of a replica that becomes cold again.
+        replica = _create_replica()
+        rng = random.Random(seed)
+
+        async def main():
+            instances = [
+                _start([replica], per_s, 200, rng) for _ in range(_INSTANCES)
+            ]
+            await _serve(instances, 2.0, 600.0, rng)
+            for instance in instances:
+                instance.directory.update_cold(rng.randint(80, 100))
+            for second in range(3, 11):
+                for number in rng.sample(range(_INSTANCES), 10):
+                    instances[number] = _start([replica], per_s, 200, rng)
+                for number in rng.sample(range(_INSTANCES), 20):
+                    instances[number].directory.update_cold(
+                        rng.randint(80, 100)
+                    )
+                if second == 7:
+                    for instance in instances:
+                        again = _listed(replica, cold_s=_COLD_S, slots=2)
+                        instance.directory.put(again)
+                await _serve(instances, float(second), 600.0, rng)
+
+        virtual.run(main())
+        bound = per_s * _OVERSHOOT + _SLACK
+        assert replica.most_in_a_second() <= bound
+        assert len(replica.arrived_s) >= 0.2 * per_s * 10
+
+    def test_attempts_held_by_a_cut_are_not_sent_together_afterwards(self):
+        replica = _create_replica()
+        rng = random.Random(5)
+
+        async def main():
+            loop = asyncio.get_running_loop()
+            instances = [
+                _start([replica], 20.0, _INSTANCES, rng)
+                for _ in range(_INSTANCES)
+            ]
+            for instance in instances:
+                pool = instance.directory.entry("s0-0").pool
+                submit = pool.submit
+
+                def submit_after_cut(exchange, submit=submit):
+                    def send():
+                        if not exchange.done:
+                            submit(exchange)
+
+                    loop.call_at(max(loop.time(), 6.0), send)
+
+                pool.submit = submit_after_cut
+            await _serve(instances, 8.0, 400.0, rng)
+
+        virtual.run(main())
+        assert replica.arrived_s[0] >= 6.0
+        assert replica.most_in_a_second() <= 20.0 * _OVERSHOOT + _SLACK
+
+    def test_two_requests_do_not_use_one_permit(self):
+        # A gathered request chooses its replicas before it sends to them.
+        replica = _create_replica()
+        route = replicas_lib.route(shards=("s0",))
+
+        async def main():
+            instance = _start([replica], 1.0, 1, random.Random(1))
+            entry = instance.directory.entry("s0-0")
+            await asyncio.sleep(entry.signals.wait_s(0.0))
+            outcomes = []
+            for _ in range(2):
+                context = instance.create_request_context(route)
+                instance.sender.start(
+                    entry,
+                    context.outgoing,
+                    context.end_s,
+                    limits.RouteLatency(0.1),
+                    lambda attempt, outcome: outcomes.append(outcome),
+                )
+            assert outcomes == [model.Failure.UNSENT]
+            assert not entry.health.ejected(asyncio.get_running_loop().time())
+            await asyncio.sleep(0.1)
+
+        virtual.run(main())
+        assert len(replica.arrived_s) == 1
+
+    def test_others_serve_and_refusals_name_the_next_permit(self):
+        replicas = [_create_replica(0), _create_replica(1)]
+
+        async def main():
+            rng = random.Random(3)
+            denied = metrics_lib.Metrics()
+            instance = _start(replicas, 2.0, 4, rng)
+            instance.sender._metrics = denied
+            instance.selector._on_cold_denied = (
+                instance.sender.count_denied_cold
+            )
+            answers = await _serve([instance], 3.0, 50.0, rng)
+            assert {answer.status for answer in answers} == {200}
+            assert denied.counter_value("cold_permits_denied")
+            instance.directory.remove("s0-1", "delisted")
+            while (answer := await instance.serve(_ROUTE)).status == 200:
+                pass
+            await asyncio.sleep(float(dict(answer.headers)[b"retry-after"]))
+            assert (await instance.serve(_ROUTE)).status == 200
+            await asyncio.sleep(_COLD_S)
+            instance.directory.update_cold(4)
+            answers = await _serve([instance], 20.0, 50.0, rng)
+            assert {answer.status for answer in answers} == {200}
+
+        virtual.run(main())
+
+    def test_attempts_at_cold_replicas_are_not_batched(self):
+        async def main():
+            instance = _start([_create_replica()], 2.0, 4, random.Random(1))
+            entry = instance.directory.entry("s0-0")
+            entry.remote = True
+            choices = [batching.Choice(f"s{n}", entry) for n in range(9)]
+            for now_s, direct in ((1.0, 9), (_COLD_S + 1.0, 0)):
+                plan = batching.plan(choices, 2, lambda *_: [entry], now_s)
+                assert len(plan.direct) == direct
+
+        virtual.run(main())
+
+
+class TestStart:
+    """A replica that has started is cold even if its entry does not say so."""
+
+    @pytest.mark.parametrize(
+        ("age_s", "left_s"),
+        # The clocks may differ by seconds, in both directions.
+        [(0.0, 12.0), (4.0, 12.0), (-9.0, 12.0), (11.0, 6.0), (60.0, 0.0)],
+    )
+    def test_time_left_follows_the_start(self, age_s, left_s):
+        async def main():
+            instance = _start([_create_replica()], 2.0, 4, random.Random(1))
+            born = int((time.time() - age_s) * 1000)
+            await asyncio.sleep(30.0)
+            instance.directory._open_pool = lambda *args: replicas_lib.Pool(
+                _create_replica(), True, replicas_lib.Link()
+            )
+            instance.directory.put(_listed(_create_replica(7), started=born))
+            dump = instance.directory.dump()["s0"][1]
+            assert dump["cold_left_s"] == pytest.approx(left_s, abs=1.0)
+            assert dump["cold_per_s"] == (2.0 if left_s else None)
+            # A replica that is listed again keeps its permits.
+            signals = instance.directory.entry("s0-7").signals
+            instance.directory.remove("s0-7", "delisted")
+            instance.directory.put(_listed(_create_replica(7), started=born))
+            entry = instance.directory.entry("s0-7")
+            assert entry.signals is signals
+            assert entry.health.cold_until_s >= 30.0 + left_s - 1.0
+
+        virtual.run(main())
+
+
+class TestDecision:
+    """Rates, permits and the number of instances."""
+
+    @hypothesis.given(
+        strategies.floats(0.01, 1e5),
+        strategies.floats(1.0, 3.0),
+        strategies.floats(0.0, 50.0),
+    )
+    def test_used_rate_keeps_the_bound(self, per_s, overshoot, slack):
+        used_per_s = limit_lib.used_per_s(per_s, overshoot, slack)
+        assert 0.0 <= used_per_s <= 0.8 * per_s
+        mean = used_per_s * (1.0 + limit_lib.LAPSE_S)
+        assert mean <= math.floor(per_s * overshoot + slack)
+
+    @hypothesis.given(strategies.lists(strategies.integers(1, 400)))
+    def test_changed_divisor_keeps_permits_evenly_spread(self, divisors):
+        # A permit that was clipped to a shorter interval would be due at the
+        # same moment on many instances.
+        waits = []
+        for phase in (0.25, 0.5, 0.75):
+            permits = rate_limits.RateLimit(2.0, 200, phase, 0.0)
+            for divisor in divisors:
+                permits.update(2.0, divisor, 0.0)
+            interval_s = (divisors or [200])[-1] / 2.0
+            waits.append(permits.wait_s(0.0) / interval_s)
+        assert waits == pytest.approx([0.25, 0.5, 0.75])
+
+    def test_part_of_a_cut_fleet_keeps_the_number_of_all(self):
+        largest = counts.LargestCount()
+        assert largest.divisor(0.0) == counts.ASSUMED_INSTANCES
+        largest.record(100, 0.0, 0.0)
+        assert largest.divisor(1.0) == counts.ASSUMED_INSTANCES
+        for now_s in range(2, 600, 2):
+            largest.record(50, 0.0, now_s)
+        assert largest.divisor(600.0) == 100
+        # An instance that restarts in this part learns it from a seed.
+        restarted = counts.LargestCount()
+        restarted.record(50, 0.0, 600.0)
+        restarted.record(*largest.statement(600.0), 600.0)
+        assert restarted.divisor(606.0) == 100
+        assert restarted.divisor(2000.0) == 50
+
+    def test_seed_passes_on_the_largest_number(self):
+        registry = fleet_lib.InstanceRegistry()
+        registry.record_report(fleet_lib.Report("a"), 0.0)
+        report = fleet_lib.Report("a", largest_count=(98, 3.0))
+        summary = registry.record_report(report, 1.0)
+        assert summary.largest_count == (98, 3.0)
+        assert registry.cold_divisor(7.0) == 98
