--- a/src/mallowloft/routes/cold/counts.py
+++ b/src/mallowloft/routes/cold/counts.py
@@ -46,8 +46,8 @@
         self._counts = [
             (known_s, known)
             for known_s, known in self._counts
-            if known > count
-            or (known_s > counted_s and now_s - known_s < _RETENTION_S)
+            if now_s - known_s < _RETENTION_S
+            and (known > count or known_s > counted_s)
         ]
         self._counts.append((counted_s, count))
 
