--- a/src/mallowloft/routes/cold/limit.py
+++ b/src/mallowloft/routes/cold/limit.py
@@ -17,6 +17,12 @@
 # An attempt that waits longer for a connection is not sent. Attempts that were
 # held up would otherwise be sent together with later ones.
 MAX_WAIT_S = 0.1
+# By how much more permits there may be than expected, because instances know a
+# smaller number of instances than there are.
+_VIEW_FACTOR = 1.25
+# Most permits that are expected in one second, as a multiple of the rate: those
+# that fall into it, and earlier ones that have not lapsed.
+_EXPECTED_FACTOR = _VIEW_FACTOR * (1.0 + LAPSE_S)
 # Probability with which more permits than the bound fall into one second if
 # every instance uses all of its permits.
 _MAX_EXCESS_PROBABILITY = 1e-5
@@ -25,7 +31,7 @@
 
 @functools.lru_cache(maxsize=64)
 def used_per_s(per_s: float, overshoot: float, slack: float) -> float:
-    """Returns the rate that all instances together use.
+    """Returns the rate that all instances together use at most.
 
     Permits of instances fall at independent random times. For low rates, a
     fixed share of the tolerated rate would exceed the bound of one second too
@@ -38,29 +44,28 @@
     """
     bound = math.floor(per_s * overshoot + slack)
     low, high = 0.0, _USED_SHARE * per_s
-    if _excess_probability(high * (1.0 + LAPSE_S), bound) <= (
-        _MAX_EXCESS_PROBABILITY
-    ):
+    if _keeps_bound(high, bound):
         return high
     for _ in range(_SEARCH_STEPS):
         middle = (low + high) / 2
-        mean = middle * (1.0 + LAPSE_S)
-        if _excess_probability(mean, bound) <= _MAX_EXCESS_PROBABILITY:
+        if _keeps_bound(middle, bound):
             low = middle
         else:
             high = middle
     return low
 
 
-def _excess_probability(mean: float, bound: int) -> float:
-    """Returns the probability that a Poisson variable exceeds a bound."""
+def _keeps_bound(per_s: float, bound: int) -> bool:
+    """Whether a Poisson variable of this rate hardly ever exceeds a bound."""
+    mean = _EXPECTED_FACTOR * per_s
     if mean <= 0.0:
-        return 0.0
+        return True
     if bound <= mean:
-        return 1.0
+        return False
     # The terms above the bound fall faster than a geometric series.
     log_term = (bound + 1) * math.log(mean) - mean - math.lgamma(bound + 2)
-    return math.exp(log_term) / (1.0 - mean / (bound + 2))
+    excess_probability = math.exp(log_term) / (1.0 - mean / (bound + 2))
+    return excess_probability <= _MAX_EXCESS_PROBABILITY
 
 
 class ColdLimit:
