Apply the cold time that a replica states in a reply

An instance that the source does not reach otherwise never learns that a replica has become cold again.

--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -410,6 +410,9 @@
             return
         reached(domain)
         health.waiting = outcome.waiting
+        # A misdirected reply is from another replica.
+        if outcome.cold_s and outcome.status != _STATUS_MISDIRECTED:
+            self._directory.cold.on_stated(attempt.entry, outcome.cold_s, now_s)
         if outcome.status == _STATUS_MISDIRECTED:
             self._mark_misdirected(attempt.entry)
         else:
@@ -537,8 +540,16 @@
             limit_per_s=self._parse_decimal(
                 response, self._names.rate_limit, "replica_limits_malformed"
             ),
+            cold_s=self._parse_cold_s(response),
         )
 
+    def _parse_cold_s(self, response: http1.Response) -> float:
+        """Returns for how long the replica is cold, 0 if it does not say so."""
+        value = response.header(self._names.cold)
+        if value is None:
+            return 0.0
+        return (replica_signals.parse_decimal(value) or 0.0) / 1000
+
     def _parse_decimal(
         self, response: http1.Response, name: bytes, malformed_metric: str
     ) -> float | None:
--- a/src/mallowloft/routes/cold/replicas.py
+++ b/src/mallowloft/routes/cold/replicas.py
@@ -21,6 +21,8 @@
 _LISTING_S = 1.0
 # Clocks of replicas and instances may differ by this much.
 _MAX_CLOCK_ERROR_S = 5.0
+# Replies of one cold time differ by the time that they take.
+_MIN_EXTENSION_S = 0.1
 
 
 class ColdReplicas:
@@ -119,6 +121,22 @@
             entry.health.set_cold(now_s)
         self.refresh(entry, now_s)
 
+    def on_stated(
+        self, entry: "directory.ReplicaEntry", left_s: float, now_s: float
+    ) -> None:
+        """Applies a cold time that a replica states in a reply.
+
+        An instance that the source does not reach learns only in this way that
+        a replica has become cold again.
+        """
+        until_s = now_s + left_s
+        if (
+            entry.replica.service in self._services
+            and until_s > entry.health.cold_until_s + _MIN_EXTENSION_S
+        ):
+            entry.health.set_cold(until_s)
+            self.refresh(entry, now_s)
+
     def refresh(self, entry: "directory.ReplicaEntry", now_s: float) -> None:
         """Applies the end of the cold time and the rates to a replica."""
         service = self._services.get(entry.replica.service)
--- a/src/mallowloft/routes/model.py
+++ b/src/mallowloft/routes/model.py
@@ -27,6 +27,7 @@
             other.
         rate_limit: Requests per second that a replica accepts from all
             instances together.
+        cold: Milliseconds for which a replica is still cold.
     """
 
     request_id: bytes = b"x-request-id"
@@ -40,6 +41,7 @@
     leaving: bytes = b"x-leaving"
     retry_after: bytes = b"retry-after"
     rate_limit: bytes = b"x-rate-limit"
+    cold: bytes = b"x-cold-ms"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -203,6 +205,7 @@
             refusal; None if it does not state a time.
         limit_per_s: Requests per second that the replica accepts from all
             instances together; None if it does not state a limit.
+        cold_s: For how long the replica is still cold; 0 if it does not say so.
     """
 
     status: int
@@ -214,6 +217,7 @@
     leaving: bool = False
     pause_s: float | None = None
     limit_per_s: float | None = None
+    cold_s: float = 0.0
 
     @property
     def success(self) -> bool:
