--- a/src/mallowloft/routes/cold/limit.py
+++ b/src/mallowloft/routes/cold/limit.py
@@ -42,7 +42,11 @@
         overshoot: Factor of this rate in the bound of one second.
         slack: Requests in the bound in addition.
     """
-    bound = math.floor(per_s * overshoot + slack)
+    bound = per_s * overshoot + slack
+    if not math.isfinite(bound):
+        # Numbers that are not finite come from a faulty configuration.
+        return 0.0
+    bound = math.floor(bound)
     low, high = 0.0, _USED_SHARE * per_s
     if _keeps_bound(high, bound):
         return high
