Merge limits of cold replicas and home regions

All instances together keep within what a cold replica tolerates in any second; routes with home regions use replicas and instances there only.

--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import functools
 import math
@@ -14,11 +15,13 @@
 from mallowloft.kernel import logs
 from mallowloft.membership import rendezvous
 from mallowloft.routes import health as health_lib
+from mallowloft.routes import homes as homes_lib
 from mallowloft.routes import message_types
 from mallowloft.routes import model
 from mallowloft.routes import rate_limits
 from mallowloft.routes import replica_signals
 from mallowloft.routes import warming
+from mallowloft.routes.cold import replicas as cold_replicas
 from mallowloft.routes.evacuation import domains as domains_lib
 from mallowloft.routes.evacuation import ramp as ramp_lib
 from mallowloft.upstream import http1
@@ -142,6 +145,8 @@
         warmer: Opens connections ahead of requests.
         leaving_ids: Ids of listed replicas that state that they leave.
         evacuations: Failure domains that are evacuated or return.
+        cold: The cold replicas and this instance's part of their limits.
+        homes: Decides where requests with home regions may go.
     """
 
     def __init__(
@@ -183,6 +188,8 @@
         self._divisor = 1.0
         self._shard_divisor = 1.0
         self._permit_phase = random.Random(f"{instance} permits").random()
+        self.cold = cold_replicas.ColdReplicas(self._permit_phase)
+        self.homes = homes_lib.HomePolicy()
 
     def __len__(self) -> int:
         return len(self._entries_by_id)
@@ -191,6 +198,19 @@
         """Returns the replicas of a service, including draining ones."""
         return self._entries_by_service.get(service, [])
 
+    def entries_for(
+        self, route: model.Route, service: str
+    ) -> list[ReplicaEntry]:
+        """Returns the replicas of a service that a route may use."""
+        entries = self.entries(service)
+        if not route.home_regions:
+            return entries
+        return [
+            entry
+            for entry in entries
+            if self.homes.allows(route, entry.replica.failure_domain)
+        ]
+
     def entry(self, replica_id: str) -> ReplicaEntry | None:
         """Returns a listed replica, None if it is not listed."""
         return self._entries_by_id.get(replica_id)
@@ -220,6 +240,7 @@
             self.remove(replica.id, "started_again")
         now_s = asyncio.get_running_loop().time()
         remote = replica.failure_domain != self._failure_domain
+        signals = self._signals_by_key.pop(replica.key, None)
         entry = ReplicaEntry(
             replica,
             self._open_pool(
@@ -233,13 +254,14 @@
             ),
             health_lib.ReplicaHealth(now_s + replica.cold_s),
             remote,
-            self._signals_by_key.pop(replica.key, None),
+            signals,
             self._leaving_grace_s,
         )
         if entry.signals.leaving:
             self.leaving_ids.add(replica.id)
         self._entries_by_id[replica.id] = entry
         self._count_by_domain[replica.failure_domain] += 1
+        self.cold.on_listed(entry, signals is not None, now_s)
         self._resolve_address(entry)
         self._entries_by_service.setdefault(replica.service, []).append(entry)
         self._apply_evacuation(entry)
@@ -261,6 +283,7 @@
             return
         entry.draining = True
         self._count_by_domain[entry.replica.failure_domain] -= 1
+        self.cold.on_removed(entry)
         self.leaving_ids.discard(replica_id)
         if self._id_by_address.get(entry.replica.address) == replica_id:
             del self._id_by_address[entry.replica.address]
@@ -482,6 +505,7 @@
         max_connections: dict[str, int],
         shards: Iterable[str] = (),
         on_demand: Iterable[str] = (),
+        cold_starts: Mapping[str, model.ColdStart] | None = None,
     ) -> None:
         """Sets the services that the routes use.
 
@@ -490,7 +514,13 @@
             max_connections: Connections that a replica accepts, by service.
             shards: Services that hold shards.
             on_demand: Services to which connections are opened only on demand.
+            cold_starts: What cold replicas tolerate, by service.
         """
+        self.cold.set_services(
+            cold_starts or {},
+            self._entries_by_id.values(),
+            asyncio.get_running_loop().time(),
+        )
         self._max_connections_by_service = max_connections
         self._used_services = frozenset(services)
         self._shard_services = frozenset(shards)
@@ -556,6 +586,16 @@
         self._shard_divisor = max(1.0, shard_divisor)
         self._update_limits()
 
+    def update_cold(self, divisor: int) -> None:
+        """Updates the limits of cold replicas and logs which are warm now.
+
+        Args:
+            divisor: Number of instances by which the limits are divided.
+        """
+        now_s = asyncio.get_running_loop().time()
+        self.cold.set_divisor(divisor, self._entries_by_id.values(), now_s)
+        self.cold.log_warm(now_s)
+
     def close(self) -> None:
         """Closes all connections."""
         self.warmer.close()
@@ -591,6 +631,7 @@
             "ejected": entry.health.ejected(now_s),
             "in_flight": entry.health.in_flight,
             "connections": entry.pool.open_count,
+            **self.cold.describe(entry, now_s),
         }
 
     def _update_limits(self) -> None:
@@ -651,12 +692,13 @@
             )
         self._count_by_domain[entry.replica.failure_domain] -= 1
         self._count_by_domain[replica.failure_domain] += 1
-        entry.replica = replica
+        before, entry.replica = entry.replica, replica
         entry.draining = replica.draining
         self._apply_evacuation(entry)
         now_s = asyncio.get_running_loop().time()
         if replica.cold_s:
             entry.health.set_cold(now_s + replica.cold_s)
+        self.cold.on_changed(entry, before, now_s)
         if replica.draining:
             self.warmer.stop_keeping_open(entry.pool)
         self._choose_subset(replica.service)
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -186,7 +186,7 @@
             if (choice := self._choose_first(shard, now_s)) is not None
         ]
         plan = batching.plan(
-            choices, self._context.collect_above, self._choose_collectors
+            choices, self._context.collect_above, self._choose_collectors, now_s
         )
         for collector, members in plan.batches:
             self._send_batch(collector, members, now_s)
@@ -221,7 +221,8 @@
     ) -> batching.Choice | None:
         """Returns the replica for a first attempt, None to send none."""
         entry = self._context.selector.choose(
-            self._context.directory.entries(shard.service), now_s
+            self._context.directory.entries_for(self._route, shard.service),
+            now_s,
         )
         if entry is None:
             shard.failure = "no_replica"
@@ -242,6 +243,9 @@
             failure_domain, self._route.objective_s
         ):
             return ()
+        homes = self._context.directory.homes
+        if not homes.allows_instance(self._route, failure_domain):
+            return ()
         return self._context.choose_collectors(failure_domain, count)
 
     def _send_batch(
@@ -390,6 +394,7 @@
             self._in_flight_count -= 1
         if running.was_evacuated(attempt, outcome):
             self._discard_unsent(shard, attempt)
+        running.forget_denied(shard.tried, attempt, outcome)
         if self.done.done() or shard.service not in self._pending_shards:
             return
         if isinstance(outcome, model.Reply) and outcome.success:
@@ -504,7 +509,9 @@
         guard = self._extra_guard
         if extra and guard is not None and not guard.allows_extra():
             return None
-        entries = self._context.directory.entries(shard.service)
+        entries = self._context.directory.entries_for(
+            self._route, shard.service
+        )
         return self._context.selector.choose(
             entries, now_s, shard.tried, healthy_only
         )
--- a/src/mallowloft/routes/hubs.py
+++ b/src/mallowloft/routes/hubs.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 import dataclasses
 import math
+import random
 
 import msgspec
 
@@ -391,6 +392,18 @@
             self.isolation_reported.set()
         self.isolated_hub = hub
 
+    def suspect_isolation(self) -> None:
+        """Lets the monitor ask a gatherer here whether it is isolated.
+
+        Called if a seed does not answer. Gatherers have the most traffic and
+        detect a cut first; most other instances have too little to do so.
+        """
+        if self.isolated_hub is not None:
+            return
+        gatherers = self._entries_with_role(GATHERER, self._failure_domain)
+        if gatherers:
+            self.record_isolated(random.choice(gatherers))
+
     def preferred(
         self, entries: Iterable[directory_lib.ReplicaEntry]
     ) -> directory_lib.ReplicaEntry | None:
--- a/src/mallowloft/routes/isolation.py
+++ b/src/mallowloft/routes/isolation.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
 import random
@@ -91,13 +92,20 @@
     better served in other failure domains.
     """
 
-    def __init__(self, routes: Any, kernel: lifecycle.Kernel) -> None:
+    def __init__(
+        self,
+        routes: Any,
+        kernel: lifecycle.Kernel,
+        on_check: Callable[[], None],
+    ) -> None:
         """Creates a monitor.
 
         Args:
             routes: The plug-in `routes`.
             kernel: The kernel of the instance.
+            on_check: Is called at each check.
         """
+        self._on_check = on_check
         self._routes = routes
         self._failure_domain = kernel.settings.failure_domain
         fleet = kernel.plugin("fleet")
@@ -117,6 +125,7 @@
         unreachable: frozenset[str] = frozenset()
         while True:
             await self._wait()
+            self._on_check()
             unreachable = await self._check(unreachable)
 
     async def _wait(self) -> None:
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -89,7 +89,7 @@
         if used_attempts >= self._max_attempts or self._refused_for_s():
             return None
         return self._context.selector.choose(
-            self._context.directory.entries(self._service),
+            self._context.directory.entries_for(self._route, self._service),
             self._loop.time(),
             self._tried,
             healthy_only,
@@ -101,7 +101,9 @@
         return min(
             (
                 entry.usable_in_s(now_s)
-                for entry in self._context.directory.entries(self._service)
+                for entry in self._context.directory.entries_for(
+                    self._route, self._service
+                )
             ),
             default=math.inf,
         )
@@ -135,6 +137,7 @@
         evacuated = running.was_evacuated(attempt, outcome)
         if evacuated:
             self._tried.remove(attempt.entry)
+        running.forget_denied(self._tried, attempt, outcome)
         if self.done.done():
             return
         elapsed_ms = (self._loop.time() - attempt.started_s) * 1000
@@ -149,7 +152,7 @@
                 return
         elif outcome in (model.Failure.BROKEN, model.Failure.MALFORMED):
             self._may_have_run = True
-        elif outcome is model.Failure.UNSENT:
+        elif outcome is model.Failure.UNSENT and attempt.entry in self._tried:
             self._unsent += 1
         if self._in_flight:
             if evacuated:
--- a/tests/test_routes_isolation.py
+++ b/tests/test_routes_isolation.py
@@ -13,8 +13,10 @@
 _CUT_DOMAIN = "d1"
 
 
-def _hub(name: str, domain: str) -> hubs_lib.Hub:
-    return hubs_lib.Hub(name, f"{name}:1", domain, 10.0, (hubs_lib.FORWARDER,))
+def _hub(
+    name: str, domain: str, role: str = hubs_lib.FORWARDER
+) -> hubs_lib.Hub:
+    return hubs_lib.Hub(name, f"{name}:1", domain, 10.0, (role,))
 
 
 _FLEET = (_hub("a1", "d1"), _hub("a2", "d1"), _hub("b1", "d2"))
@@ -33,7 +35,7 @@
             ),
         )
         self.hubs = hubs
-        self.monitor = isolation.IsolationMonitor(None, kernel)
+        self.monitor = isolation.IsolationMonitor(None, kernel, lambda: None)
         monitors_by_name[name] = self.monitor
 
 
@@ -41,6 +43,9 @@
 def cut_domain(monkeypatch):
     """Returns a function that runs a test in a domain cut off from `d2`."""
 
+    # There is no network to connect to.
+    monkeypatch.setattr(http1.Pool, "keep_open", lambda pool: None)
+
     def run(test) -> None:
         async def main():
             monitors_by_name = {}
@@ -98,6 +103,22 @@
 class TestReports:
     """A report of a hub ends the wait for the next check."""
 
+    def test_gatherer_is_asked_if_a_seed_does_not_answer(self, cut_domain):
+        # Guards against instances without traffic that notice a cut only
+        # seconds later, while hubs have lost the source and tell them nothing.
+        async def test(hub, other, monitors_by_name):
+            del monitors_by_name
+            hub.hubs.links_lost = True
+            gatherer = _hub("a1", _CUT_DOMAIN, hubs_lib.GATHERER)
+            other.hubs.update((gatherer, *_FLEET[1:]), 0)
+            other.hubs.suspect_isolation()
+            assert other.hubs.isolation_reported.is_set()
+            assert await other.monitor._check_isolated_hub()
+            hub.hubs.links_lost = False
+            assert not await other.monitor._check_isolated_hub()
+
+        cut_domain(test)
+
     def test_report_ends_the_wait(self, cut_domain):
         async def test(hub, other, monitors_by_name):
             del monitors_by_name
