Limit running requests when replicas or the instance are overloaded

At 20 times the load, each gathered request took a place on nearly all shards, was rejected by the rest and failed with 502. A limit of running requests by service group adapts to rejections, stated queues, durations and the lateness of the event loop; requests beyond it wait briefly or are refused with 503.

--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -103,6 +103,16 @@
     extra_window_s: Seconds = _setting(
         "window in which extra attempts are counted, seconds", 10.0
     )
+    admission: bool = _setting(
+        "whether requests that run at once are limited when replicas or this"
+        " instance are overloaded",
+        True,
+    )
+    admission_min_share: Share = _setting(
+        "share of the started requests that each less urgent rank keeps when"
+        " requests wait",
+        0.05,
+    )
     leaving_grace_s: NonNegativeNumber = _setting(
         "how long a replica that states that it leaves may still get requests"
         " that no other replica can serve, seconds",
--- a/src/mallowloft/routes/ablation.py
+++ b/src/mallowloft/routes/ablation.py
@@ -28,6 +28,7 @@
 from mallowloft.routes import selection
 from mallowloft.routes import timing
 from mallowloft.routes import warming
+from mallowloft.routes.admission import gate
 from mallowloft.upstream import http1
 
 _log = logs.get_logger("ablation")
@@ -160,6 +161,11 @@
     hubs.Hubs.should_gather = lambda self, route: False
 
 
+@switches.register("admission")
+def _start_all_requests_at_once() -> None:
+    gate.Gate.admit = lambda self, task, *others: task
+
+
 @switches.register("relays")
 def _read_the_source_everywhere() -> None:
     relaying.HubClient._choose_hub = _ignore
--- /dev/null
+++ b/src/mallowloft/routes/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Limits the requests that run at once when replicas are overloaded."""
--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -248,6 +248,10 @@
         self._rng = rng
         self._malformed_logged_s = -_LOG_INTERVAL_S
         self._crashes = crashes
+        # Called with the replica and its reply for each reply.
+        self.on_reply: Callable[
+            [directory_lib.ReplicaEntry, model.Reply], None
+        ] = lambda entry, reply: None
         # Runs that were cut off at replicas that may have ended: fingerprint of
         # the request, start and end.
         self._cut_off_by_replica: dict[str, list[tuple[str, float, float]]] = {}
@@ -382,6 +386,7 @@
             self._increment_by_outcome[outcome]()
             return
         reached(domain)
+        self.on_reply(attempt.entry, outcome)
         health.waiting = outcome.waiting
         if outcome.status == _STATUS_MISDIRECTED:
             self._mark_misdirected(attempt.entry)
--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -27,8 +27,10 @@
 from mallowloft.routes import message_types
 from mallowloft.routes import model
 from mallowloft.routes import reach
+from mallowloft.routes import replica_signals
 from mallowloft.routes import running
 from mallowloft.routes import single
+from mallowloft.routes.admission import gate
 from mallowloft.upstream import http1
 
 _log = logs.get_logger("delegation")
@@ -51,6 +53,11 @@
 # The same for forwarders and for hubs that refuse at once. Many of them may
 # have lost their links, too.
 _MAX_FORWARDER_ATTEMPTS = 5
+# After this many hubs have refused as overloaded, the caller gets the refusal.
+# Hubs of one fleet are mostly overloaded together, and each refusal costs them
+# and the caller time.
+_MAX_OVERLOADED_HUBS = 2
+_OVERLOADED = gate.OVERLOADED.encode()
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True):
@@ -67,6 +74,7 @@
         service: Service that serves the request; empty if the route has shards.
         unlinked: Number of services that the sender does not reach; None if
             it passes the request on for another reason.
+        caller: Address of the caller; empty if it is unknown.
     """
 
     route: message_types.Name
@@ -81,6 +89,7 @@
     previous_attempts: message_types.Attempts
     service: message_types.Name = ""
     unlinked: message_types.Count | None = None
+    caller: message_types.Name = ""
 
 
 class Gathered(msgspec.Struct, frozen=True, array_like=True):
@@ -190,6 +199,8 @@
         self._outcomes: list[str] = []
         # Hubs that may have sent first attempts to the replicas.
         self._previous_attempts = 0
+        # Retry-after of each hub that refused as overloaded.
+        self._overloaded_s: list[float] = []
         self._local_task: running.RequestTask | None = None
         self._max_hub_attempts = _MAX_HUB_ATTEMPTS
         # Services of the request, for forwarders.
@@ -230,7 +241,14 @@
             and now_s < self._request_context.end_s
         ):
             entry = self._choose_hub(now_s)
-        if entry is None:
+        if self._overloaded_s and (
+            entry is None or len(self._overloaded_s) >= _MAX_OVERLOADED_HUBS
+        ):
+            # Serving it here would bypass the limits of the hubs.
+            self._finish(
+                model.refusal(gate.OVERLOADED, min(self._overloaded_s))
+            )
+        elif entry is None:
             self._serve_locally()
         else:
             self._send(entry, now_s)
@@ -268,9 +286,12 @@
         task.start()
 
     def _create_local_task(self) -> running.RequestTask:
-        return gathering.ScatterGather(
+        task = gathering.ScatterGather(
             self._context, self._request_context, self._previous_attempts
         )
+        return self._context.admission.admit(
+            task, self._request_context, self._route.shards
+        )
 
     def _on_served(self, done: asyncio.Future) -> None:
         if not done.cancelled() and not self.done.done():
@@ -324,6 +345,7 @@
             self._previous_attempts,
             self._service,
             self._unlinked,
+            self._request_context.caller,
         )
         body = msgspec.msgpack.encode(call)
         return (
@@ -370,6 +392,14 @@
         if outcome.status != 200:
             # The body states the reason for the refusal.
             entry.health.discard(attempt)
+            if outcome.body == _OVERLOADED:
+                retry_after = outcome.header(b"retry-after") or b""
+                self._overloaded_s.append(
+                    replica_signals.parse_decimal(retry_after)
+                    or running.NO_REPLICA_RETRY_AFTER_S
+                )
+                self._record_outcome(attempt, gate.OVERLOADED)
+                return None
             self._hubs.record_refusal(entry, outcome.body, now_s)
             if self._unlinked is None:
                 # A refusal takes no time, and other hubs may have links.
@@ -504,9 +534,12 @@
     def _create_local_task(self) -> running.RequestTask:
         if not self._service:
             return super()._create_local_task()
-        return single.Forwarding(
+        task = single.Forwarding(
             self._context,
             self._request_context,
             self._service,
             self._previous_attempts,
         )
+        return self._context.admission.admit(
+            task, self._request_context, (self._service,)
+        )
--- a/src/mallowloft/routes/exchange.py
+++ b/src/mallowloft/routes/exchange.py
@@ -36,6 +36,12 @@
                 return value
         return b""
 
+    @property
+    def caller(self) -> str:
+        """Address of the peer without its port; empty if it is unknown."""
+        client = self.scope.get("client")
+        return str(client[0]) if client else ""
+
     def caller_path(self, default_round_trip_s: float) -> timing.CallerPath:
         """Returns the network path to the caller.
 
@@ -115,9 +121,11 @@
         await self.send({"type": "http.response.body", "body": answer.body})
 
 
-async def respond(send, status: int, body: bytes) -> None:
+async def respond(
+    send, status: int, body: bytes, headers: model.Headers = ()
+) -> None:
     """Sends a complete response of an ASGI application."""
-    headers = [(b"content-length", b"%d" % len(body))]
+    headers = [(b"content-length", b"%d" % len(body)), *headers]
     await send(
         {"type": "http.response.start", "status": status, "headers": headers}
     )
--- a/src/mallowloft/routes/hub_server.py
+++ b/src/mallowloft/routes/hub_server.py
@@ -18,6 +18,7 @@
 from mallowloft.routes import model
 from mallowloft.routes import running
 from mallowloft.routes import single
+from mallowloft.routes.admission import gate
 from mallowloft.upstream import http1
 
 _log = logs.get_logger("hub_server")
@@ -187,6 +188,13 @@
         except exchange_lib.CallerLeftError:
             routes.record_end(call.id, started_s, "abandoned", fields, True)
             return
+        if answer.reason == gate.OVERLOADED:
+            # Nothing was sent, so the sender may ask another hub.
+            await exchange_lib.respond(
+                exchange.send, answer.status, answer.body, answer.headers
+            )
+            routes.record_end(call.id, started_s, answer, fields, True)
+            return
         await exchange_lib.respond(
             exchange.send,
             200,
@@ -233,13 +241,17 @@
     ) -> running.RequestTask:
         request_context = self._create_request_context(call, route, started_s)
         if call.service:
-            return single.Forwarding(
-                self._routes,
+            return self._routes.admission.admit(
+                single.Forwarding(
+                    self._routes,
+                    request_context,
+                    call.service,
+                    call.previous_attempts,
+                ),
                 request_context,
-                call.service,
-                call.previous_attempts,
+                (call.service,),
             )
-        return gathering.ScatterGather(
+        task = gathering.ScatterGather(
             self._routes,
             request_context,
             call.previous_attempts,
@@ -248,6 +260,7 @@
                 started_s + delegation.ack_timeout_s(route) + _CLOSE_DELAY_S,
             ),
         )
+        return self._routes.admission.admit(task, request_context, route.shards)
 
     def _create_request_context(
         self, call: delegation.Call, route: model.Route, started_s: float
@@ -267,6 +280,7 @@
             started_s=started_s,
             answer_by_s=started_s + call.answer_in_s,
             end_s=started_s + call.left_s,
+            caller=call.caller,
         )
 
     def _find_route(self, call: delegation.Call) -> model.Route | str:
--- a/src/mallowloft/routes/running.py
+++ b/src/mallowloft/routes/running.py
@@ -24,6 +24,18 @@
 MIN_RETRY_AFTER_S = 0.02
 
 
+class Admission(Protocol):
+    """Limits how many requests run at once."""
+
+    def admit(
+        self,
+        task: "RequestTask",
+        request_context: "RequestContext",
+        services: tuple[str, ...],
+    ) -> "RequestTask":
+        """Returns a task that runs `task` once it is admitted."""
+
+
 class Context(Protocol):
     """Parts of the service that all running requests share."""
 
@@ -34,6 +46,7 @@
     crashes: crashes_lib.CrashRegistry
     response_delays: timing.ResponseDelays
     batch_overheads: batching.Overheads
+    admission: Admission
     # Largest number of shards of another failure domain whose replicas are
     # called directly.
     collect_above: float
@@ -55,6 +68,7 @@
         answer_by_s: Loop time by which an answer must be written to meet the
             objective.
         end_s: Loop time of the deadline for the final answer.
+        caller: Address of the caller; empty if it is unknown.
     """
 
     route: model.Route
@@ -63,6 +77,7 @@
     started_s: float
     answer_by_s: float
     end_s: float
+    caller: str = ""
 
 
 class RequestTask(abc.ABC):
@@ -120,6 +135,10 @@
             self._request_context.outgoing.fingerprint, self._loop.time()
         )
 
+    def refuse(self, refusal: model.Answer) -> None:
+        """Ends a request that has not been started."""
+        self._finish(refusal)
+
     def cancel(self) -> None:
         """Stops the request if it is still running.
 
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -25,6 +25,7 @@
 from mallowloft.routes import single
 from mallowloft.routes import table as table_lib
 from mallowloft.routes import timing
+from mallowloft.routes.admission import gate
 
 _log = logs.get_logger("routes")
 
@@ -137,6 +138,13 @@
         self._dropped_headers = frozenset(
             (self.names.deadline, self.names.expected_replica)
         )
+        self.admission = gate.Gate(
+            kernel.settings.admission,
+            kernel.settings.admission_min_share,
+            kernel.rng,
+            kernel.metrics,
+        )
+        self.sender.on_reply = self.admission.record_reply
         self.response_delays = timing.ResponseDelays()
         self.batch_overheads = batching.Overheads()
         self.collect_above = kernel.settings.collect_above
@@ -231,6 +239,7 @@
             "requests_open": self._open_requests,
             "response_delays": self.response_delays.dump(),
             "batch_overhead_ms": self.batch_overheads.dump(),
+            "admission": self.admission.dump(),
         }
 
     def apply(
@@ -267,6 +276,14 @@
             for name, stats in self._stats_by_route.items()
             if name in names
         }
+        self.admission.retain(
+            group
+            for route in table.routes
+            for group in (
+                route.shards,
+                *((target.service,) for target in route.targets),
+            )
+        )
         self._update_directory()
         self._server.set_idle_timeout(table.limits.idle_timeout_s)
         _log.info(
@@ -529,9 +546,12 @@
                 services,
                 self.count_unlinked(services),
             )
-        if route.shards:
-            return gathering.ScatterGather(self, request_context)
-        return single.Forwarding(self, request_context, services[0])
+        task = (
+            gathering.ScatterGather(self, request_context)
+            if route.shards
+            else single.Forwarding(self, request_context, services[0])
+        )
+        return self.admission.admit(task, request_context, services)
 
     def _build_request_context(
         self,
@@ -573,6 +593,7 @@
                 stats.latency.median_s,
             ),
             end_s=started_s + allowed_s - margin_s,
+            caller=exchange.caller,
         )
 
     def _deadline_s(
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -20,6 +20,7 @@
 from mallowloft.routes import selection
 from mallowloft.routes import single
 from mallowloft.routes import timing
+from mallowloft.routes.admission import gate
 from mallowloft.upstream import http1
 
 NAMES = model.HeaderNames()
@@ -218,6 +219,8 @@
         self.sender = attempts_lib.Sender(
             NAMES, metrics_lib.Metrics(), self.directory, rng, self.crashes
         )
+        self.admission = gate.Gate(True, 0.05, rng, metrics_lib.Metrics())
+        self.sender.on_reply = self.admission.record_reply
         self.response_delays = timing.ResponseDelays()
         self.batch_overheads = batching.Overheads()
         self.collect_above = 2.0
