Keep a share for less urgent ranks without time to wait; document admission

A request with a short objective was refused at once, because its expected wait at the minimum share exceeds a quarter of its objective, so its rank got no place. A rank now gets credit while more urgent ones take all places.

--- a/src/mallowloft/routes/admission/controller.py
+++ b/src/mallowloft/routes/admission/controller.py
@@ -2,7 +2,9 @@
 
 A request is compared only with the running requests that are at least as urgent
 as it. So a burst of a less urgent class takes no place of a more urgent one,
-whose objective mostly leaves no time to wait.
+whose objective mostly leaves no time to wait. While more urgent requests take
+all places, each less urgent rank gets a credit for each of them, and a request
+of that rank starts beyond the limit for a whole credit.
 """
 
 from collections.abc import Callable
@@ -44,6 +46,7 @@
 
     Attributes:
         wait_until_s: Loop time until which it may wait.
+        position: Order among the waiting requests of its rank.
         started_s: Loop time at which it was started; None before.
         ended: Whether it was refused, released or withdrawn.
     """
@@ -52,6 +55,7 @@
     caller: str
     deadline_s: float
     wait_until_s: float
+    position: float
     start: Callable[[], None]
     refuse: Callable[[float], None]
     started_s: float | None = None
@@ -127,9 +131,10 @@
         self.refused_by_rank: dict[int, int] = {}
         self._min_share = min_share
         self._rng = rng
-        self._queue = queue_lib.PriorityQueue(_MAX_WAITING, min_share)
+        self._queue = queue_lib.PriorityQueue(_MAX_WAITING)
         self._callers = _Callers()
         self._running_by_rank: dict[int, int] = {}
+        self._credit_by_rank: dict[int, float] = {}
         self._duration_s = _INITIAL_DURATION_S
         # Loop times and ranks at which refused requests are expected again.
         self._returns: list[tuple[float, int]] = []
@@ -174,14 +179,19 @@
         # An answer takes one more duration after the wait.
         wait_until_s = min(wait_until_s, deadline_s - self._duration_s)
         key = self._callers.key(caller, now_s)
-        ticket = Ticket(rank, key, deadline_s, wait_until_s, start, refuse)
-        self.limit.update(self.running, now_s)
         position = self._callers.position(key, now_s)
-        if not self._has_place(rank) or self._queue.count_ahead(rank, position):
-            ahead = self._queue.count_ahead(rank, position) + 1
-            if now_s + ahead / self._rate_per_s(rank) > wait_until_s:
-                self._refuse(ticket, now_s)
-                return ticket
+        ticket = Ticket(
+            rank, key, deadline_s, wait_until_s, position, start, refuse
+        )
+        self.limit.update(self.running, now_s)
+        credit = self._credit_by_rank.setdefault(rank, 0.0)
+        if (
+            not self._has_place(rank)
+            and credit < 1.0
+            and now_s + self._expected_wait_s(rank, position) > wait_until_s
+        ):
+            self._refuse(ticket, now_s)
+            return ticket
         self._waiting_tickets[ticket] = None
         self._callers.add_waiting(key, 1)
         # The queue starts the items of a rank in the order of this field.
@@ -260,24 +270,48 @@
             if other <= rank
         )
 
-    def _rate_per_s(self, rank: int) -> float:
-        """Returns the rate of completions that a rank can expect."""
+    def _expected_wait_s(self, rank: int, position: float) -> float:
+        """Returns the wait of a new request that has no place.
+
+        The rank gets the places that more urgent requests leave, or its
+        minimum share if that is sooner.
+        """
+        ahead = self._queue.count_ahead(rank, position) + 1
+        own_ahead = ahead - self._queue.count_ahead(rank - 1)
         running = max(1, self.running)
-        more_urgent = self._count_running(rank - 1) / running
         rate_per_s = running / max(self._duration_s, 1e-3)
-        return rate_per_s * max(self._min_share, 1.0 - more_urgent, 1e-3)
+        left_share = 1.0 - self._count_running(rank - 1) / running
+        return min(
+            ahead / (rate_per_s * max(left_share, 1e-3)),
+            own_ahead / (rate_per_s * max(self._min_share, 1e-3)),
+        )
 
     def _start_waiting(self, now_s: float) -> None:
         while (head := self._queue.head()) and self._has_place(head.rank):
-            ticket = self._queue.pop().item.key
-            self._forget_waiting(ticket)
-            self._callers.admit(ticket.caller, now_s)
-            ticket.started_s = now_s
-            self._running_by_rank[ticket.rank] = (
-                self._running_by_rank.get(ticket.rank, 0) + 1
-            )
-            self.limit.record_running(self.running)
-            ticket.start()
+            self._start(head.key, now_s)
+        for rank, credit in list(self._credit_by_rank.items()):
+            if credit < 1.0:
+                continue
+            waiting = [
+                item for item in self._waiting_tickets if item.rank == rank
+            ]
+            if waiting:
+                self._credit_by_rank[rank] = 0.0
+                self._start(min(waiting, key=lambda item: item.position), now_s)
+
+    def _start(self, ticket: Ticket, now_s: float) -> None:
+        self._queue.remove(ticket)
+        self._forget_waiting(ticket)
+        self._callers.admit(ticket.caller, now_s)
+        ticket.started_s = now_s
+        self._running_by_rank[ticket.rank] = (
+            self._running_by_rank.get(ticket.rank, 0) + 1
+        )
+        for rank, credit in self._credit_by_rank.items():
+            if rank > ticket.rank and not self._has_place(rank):
+                self._credit_by_rank[rank] = min(1.0, credit + self._min_share)
+        self.limit.record_running(self.running)
+        ticket.start()
 
     def _forget_waiting(self, ticket: Ticket) -> None:
         del self._waiting_tickets[ticket]
@@ -301,7 +335,8 @@
         ahead = self._queue.count_ahead(rank) + sum(
             other <= rank for _, other in self._returns
         )
-        wait_s = max(self._duration_s, ahead / self._rate_per_s(rank))
+        rate_per_s = max(1, self.running) / max(self._duration_s, 1e-3)
+        wait_s = max(self._duration_s, ahead / rate_per_s)
         wait_s *= 1 + self._rng.uniform(0, _JITTER_PER_RANK * (rank + 1))
         longest_s = _MAX_RETRY_SHARE * (ticket.deadline_s - now_s)
         if wait_s > longest_s:
--- a/tests/test_routes_delegation.py
+++ b/tests/test_routes_delegation.py
@@ -352,6 +352,7 @@
 
 
 _REFUSED = http1.Response(409, (), hubs_lib.LINKS_LOST)
+_OVERLOADED = http1.Response(503, ((b"retry-after", b"0.25"),), b"overloaded")
 _BROKEN = http1.FailureReason.BROKEN
 _UNSENT = http1.FailureReason.UNSENT
 
@@ -410,6 +411,18 @@
         assert left == ["f3"]
         assert len(hubs.gatherers(2.0)) == 4
 
+    def test_refusals_of_two_overloaded_hubs_reach_the_caller(self):
+        # Gathering here would bypass the limits of the hubs.
+        answer, gatherers, hubs = self._run([_OVERLOADED] * 3)
+        assert (answer.status, answer.reason) == (503, "overloaded")
+        assert dict(answer.headers)[b"retry-after"] == b"0.250"
+        assert [len(item.calls) for item in gatherers] == [1, 1, 0]
+        assert len(hubs.gatherers(0.5)) == 3
+
+    def test_no_refusal_as_overloaded_after_a_hub_may_have_run_it(self):
+        answer, _, _ = self._run([_BROKEN, _OVERLOADED])
+        assert (answer.status, answer.reason) == (502, "overloaded")
+
     def test_answer_is_gathered_here_after_two_broken_hubs(self):
         _, gatherers, _ = self._run([_UNSENT, _UNSENT, _UNSENT])
         assert [len(item.calls) for item in gatherers] == [1, 1, 0]
