Answer 500 if an admitted request fails to start; sample refusals in the log

An error in the start of a request that waited would surface in the request whose end triggered it. Hundreds of lines a second would add to the overload.

--- a/src/mallowloft/routes/admission/gate.py
+++ b/src/mallowloft/routes/admission/gate.py
@@ -107,9 +107,15 @@
             return
         try:
             self._task.start()
-        except Exception as error:  # noqa: BLE001
-            # Another request may have triggered the start.
-            self.done.set_exception(error)
+        except Exception:  # noqa: BLE001
+            # The end of another request may have triggered the start.
+            _log.exception(
+                "request_failed",
+                request=self._request_context.outgoing.request.id.decode(
+                    "latin1"
+                ),
+            )
+            self._task.refuse(model.failure(500, "internal"))
 
     def _refuse(self, retry_after_s: float) -> None:
         self.was_refused = True
@@ -126,7 +132,6 @@
         served = (
             not self.done.cancelled()
             and self.done.done()
-            and self.done.exception() is None
             and self.done.result().status < 500
         )
         self._controller.release(self._ticket, served, self._loop.time())
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -39,7 +39,8 @@
 # Upper bound for the deadline header, above every deadline that callers use.
 _MAX_DEADLINE_MS = 600_000
 # One in this many requests with an outcome is logged, all others always are.
-_LOG_ONE_IN = {"answered": 50, "answered_partly": 5}
+# Under overload, hundreds of refusals a second would add to the load.
+_LOG_ONE_IN = {"answered": 50, "answered_partly": 5, "overloaded": 10}
 _STOP_POLL_S = 0.02
 # Shorter than the interval of 1 s at which the load balancer checks readiness.
 _REACH_CHECK_INTERVAL_S = 0.25
