--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -26,6 +26,7 @@
 from mallowloft.routes import single
 from mallowloft.routes import table as table_lib
 from mallowloft.routes import timing
+from mallowloft.routes.admission import gate
 
 _log = logs.get_logger("routes")
 
@@ -39,7 +40,8 @@
 # Upper bound for the deadline header, above every deadline that callers use.
 _MAX_DEADLINE_MS = 600_000
 # One in this many requests with an outcome is logged, all others always are.
-_LOG_ONE_IN = {"answered": 50, "answered_partly": 5}
+# Under overload, hundreds of refusals a second would add to the load.
+_LOG_ONE_IN = {"answered": 50, "answered_partly": 5, "overloaded": 10}
 _STOP_POLL_S = 0.02
 
 
@@ -146,6 +148,13 @@
         self._dropped_headers = frozenset(
             (self.names.deadline, self.names.expected_replica)
         )
+        self.admission = gate.Gate(
+            kernel.settings.admission,
+            kernel.settings.admission_min_share,
+            kernel.rng,
+            kernel.metrics,
+        )
+        self.sender.on_reply = self.admission.record_reply
         self.response_delays = timing.ResponseDelays()
         self.batch_overheads = batching.Overheads()
         self.collect_above = kernel.settings.collect_above
@@ -247,6 +256,7 @@
             "requests_open": self._open_requests,
             "response_delays": self.response_delays.dump(),
             "batch_overhead_ms": self.batch_overheads.dump(),
+            "admission": self.admission.dump(),
         }
 
     def apply(
@@ -283,6 +293,14 @@
             for name, stats in self._stats_by_route.items()
             if name in names
         }
+        self.admission.retain(
+            group
+            for route in table.routes
+            for group in (
+                route.shards,
+                *((target.service,) for target in route.targets),
+            )
+        )
         self._update_directory()
         self._server.set_idle_timeout(table.limits.idle_timeout_s)
         _log.info(
@@ -503,9 +521,12 @@
                 services,
                 self.count_unlinked(route, services),
             )
-        if route.shards:
-            return gathering.ScatterGather(self, request_context)
-        return single.Forwarding(self, request_context, services[0])
+        task = (
+            gathering.ScatterGather(self, request_context)
+            if route.shards
+            else single.Forwarding(self, request_context, services[0])
+        )
+        return self.admission.admit(task, request_context, services)
 
     def _build_request_context(
         self,
@@ -547,6 +568,7 @@
                 stats.latency.median_s,
             ),
             end_s=started_s + allowed_s - margin_s,
+            caller=exchange.caller,
         )
 
     def _deadline_s(
--- a/tests/test_routes_isolation.py
+++ b/tests/test_routes_isolation.py
@@ -42,7 +42,6 @@
 @pytest.fixture
 def cut_domain(monkeypatch):
     """Returns a function that runs a test in a domain cut off from `d2`."""
-
     # There is no network to connect to.
     monkeypatch.setattr(http1.Pool, "keep_open", lambda pool: None)
 
