--- /dev/null
+++ b/src/mallowloft/routes/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Outcomes and placement of gathered requests."""
