Refuse requests that no replica can have run; end hopeless ones at once

Requests whose replicas were all full, or that waited for a connection until the deadline, ended with 502 or 504, so callers could not repeat them safely. They now end with 503 and a Retry-After derived from the reported queues. A gathered request ends as soon as too few shards are left; replies to attempts that were written are awaited for a tenth of the objective, since only they show whether the request was run.

An answer of 500 from a gatherer or collector is no refusal any more: its program failed after it may have sent attempts.

--- a/src/mallowloft/routes/ablation.py
+++ b/src/mallowloft/routes/ablation.py
@@ -114,6 +114,16 @@
     gathering.ScatterGather.__init__ = initialize_without_partial_answer
 
 
+@switches.register("accurate_outcomes")
+def _fail_requests_that_were_not_run() -> None:
+    gathering.ScatterGather._cannot_have_run = lambda self: not self.sent
+
+
+@switches.register("early_end")
+def _wait_for_parts_that_are_too_few() -> None:
+    gathering.ScatterGather._is_out_of_reach = lambda self: False
+
+
 @switches.register("held_removals")
 def _apply_removals_at_once() -> None:
     mirror.Mirror.hold_removals = _ignore
--- a/src/mallowloft/routes/batching.py
+++ b/src/mallowloft/routes/batching.py
@@ -617,6 +617,9 @@
         del exchange
         if isinstance(outcome, http1.FailureReason):
             self._fail(outcome.value, outcome is not http1.FailureReason.UNSENT)
+        elif outcome.status >= 500:
+            # An error in the collector's program; it may have sent attempts.
+            self._fail(f"status_{outcome.status}", may_have_run=True)
         elif outcome.status != 200:
             # The collector refused the batch; the body states the reason.
             self.collector.health.discard(self)
--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -29,6 +29,7 @@
 from mallowloft.routes import reach
 from mallowloft.routes import running
 from mallowloft.routes import single
+from mallowloft.routes.placement import outcomes
 from mallowloft.upstream import http1
 
 _log = logs.get_logger("delegation")
@@ -147,6 +148,11 @@
     exchange: http1.Exchange | None = None
     pending: bool = True
 
+    @property
+    def sent(self) -> bool:
+        """Whether the request was written to a connection."""
+        return self.exchange.sent
+
     def release(self) -> None:
         """Cancels the attempt; the hub stops when the connection closes."""
         self.pending = False
@@ -367,6 +373,12 @@
                 )
             self._record_outcome(attempt, outcome.value)
             return None
+        if outcome.status >= 500:
+            # An error in the hub's program; it may have sent attempts.
+            entry.health.record_failure(attempt, now_s)
+            self._previous_attempts += self._route.max_attempts
+            self._record_outcome(attempt, f"status_{outcome.status}")
+            return None
         if outcome.status != 200:
             # The body states the reason for the refusal.
             entry.health.discard(attempt)
@@ -419,6 +431,10 @@
     def _schedule_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
+            self._timer = None
+        if self._local_task is not None:
+            # It has a timer of its own, and knows what it has sent.
+            return
         due_s = self._request_context.end_s
         for attempt in self._in_flight:
             if not attempt.exchange.interim_received:
@@ -429,7 +445,7 @@
         self._timer = None
         now_s = self._loop.time()
         if now_s >= self._request_context.end_s:
-            self._finish(model.failure(504, "hubs_late"))
+            self._finish(self._timeout_answer())
             return
         for attempt in list(self._in_flight):
             late = now_s >= attempt.started_s + self._ack_timeout_s
@@ -438,6 +454,12 @@
         if not self.done.done():
             self._schedule_timer()
 
+    def _timeout_answer(self) -> model.Answer:
+        if self._previous_attempts or outcomes.any_sent(self._in_flight):
+            return model.failure(504, "hubs_late")
+        retry_after_s = max(running.MIN_RETRY_AFTER_S, self._latency.median_s)
+        return model.refusal("hubs_not_reached", retry_after_s)
+
     def _fail_unacknowledged(self, attempt: _Attempt, now_s: float) -> None:
         """Cancels an attempt that the hub has not acknowledged in time.
 
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -13,6 +13,7 @@
 from mallowloft.routes import model
 from mallowloft.routes import reach
 from mallowloft.routes import running
+from mallowloft.routes.placement import outcomes
 
 # If more shards are late at once than the larger of these two limits, this
 # instance's own link or processor is assumed to be congested. Hedges are then
@@ -29,6 +30,9 @@
 # replicas have ended.
 _MAX_CUT_OFF = 3
 _CRASH_CHECK_S = 0.005
+# A rejection by a full replica takes about a round trip. This share of the
+# objective leaves room for it, also at replicas in other failure domains.
+_MAX_REJECTION_WAIT_SHARE = 0.1
 # Sending one attempt takes some 30 us of processor time.
 _SENDS_PER_ITERATION = 24
 _CONTENT_TYPE = (b"content-type", b"application/octet-stream")
@@ -48,6 +52,7 @@
         hedge_due_s: Loop time at which a hedge is considered next.
         failure: Why the last attempt failed or no first attempt was sent; empty
             if neither is the case.
+        exhausted: Whether no further attempt follows the ones in flight.
     """
 
     service: str
@@ -57,6 +62,7 @@
     in_flight: list[_Attempt] = dataclasses.field(default_factory=list)
     hedge_due_s: float = math.inf
     failure: str = ""
+    exhausted: bool = False
 
 
 class ExtraGuard(Protocol):
@@ -141,6 +147,12 @@
         )
         # Attempts in flight for pending shards.
         self._in_flight_count = 0
+        # Shards whose parts cannot arrive any more.
+        self._exhausted_count = 0
+        # Loop time by which the request fails, once too few parts can arrive.
+        self._give_up_s = math.inf
+        # Whether an attempt that has ended may have run at a replica.
+        self._may_have_run = False
         # Number of shards with a reachable, usable replica.
         self._coverable_shards = 0
         self._unreachable_domains: frozenset[str] = frozenset()
@@ -187,8 +199,11 @@
         """
         now_s = self._loop.time()
         for _ in range(min(_SENDS_PER_ITERATION, len(self._unsent))):
+            # An attempt that ends at once may end the request.
             if self.done.done():
                 return
+            if not self._unsent:
+                break
             choice = self._unsent.pop()
             self._send(
                 self._pending_shards[choice.service], choice.entry, now_s
@@ -211,11 +226,13 @@
         )
         if entry is None:
             shard.failure = "no_replica"
+            self._mark_exhausted(shard)
             return None
         if self._repeated:
             if not self._context.extra_attempts(shard.service).take_retry():
                 self.denied += 1
                 shard.failure = "denied"
+                self._mark_exhausted(shard)
                 return None
             self.retries += 1
         return batching.Choice(shard.service, entry)
@@ -285,6 +302,7 @@
         If a hedge was faster for one of the shards, its part is discarded,
         because the merged records cannot be separated.
         """
+        self._may_have_run = True
         if self.done.done():
             return
         for service in group.services:
@@ -371,6 +389,9 @@
         attempt: _Attempt,
         outcome: attempts_lib.Outcome,
     ) -> None:
+        self._may_have_run = self._may_have_run or outcomes.may_have_run(
+            outcome
+        )
         if attempt in shard.in_flight:
             shard.in_flight.remove(attempt)
             self._in_flight_count -= 1
@@ -409,12 +430,57 @@
             shard, now_s, healthy_only=False, extra=not unsent
         )
         if entry is None:
+            self._mark_exhausted(shard)
             return
         if unsent or self._context.extra_attempts(shard.service).take_retry():
             self.retries += 1
             self._send(shard, entry, now_s)
         else:
             self.denied += 1
+            self._mark_exhausted(shard)
+
+    def _mark_exhausted(self, shard: _ShardState) -> None:
+        """Records that no further attempt for a shard will be sent."""
+        if not shard.exhausted:
+            shard.exhausted = True
+            self._exhausted_count += 1
+
+    def _is_out_of_reach(self) -> bool:
+        """Whether too many shards have used all their attempts."""
+        reachable = len(self._route.shards) - self._exhausted_count
+        return reachable < self._route.needed_shards
+
+    def _gives_up(self, now_s: float) -> bool:
+        """Whether the request ends because too few parts can arrive.
+
+        If no attempt is known to have run, the replies to those that were
+        written are awaited for a moment: when all replicas are full, all of
+        them say that the request was not run, and the caller may repeat it.
+        """
+        if not self._is_out_of_reach():
+            return False
+        if self._may_have_run:
+            return True
+        if math.isinf(self._give_up_s):
+            self._give_up_s = now_s + min(
+                self._request_context.latency.median_s,
+                _MAX_REJECTION_WAIT_SHARE * self._route.objective_s,
+            )
+            self._drop_unsent()
+            if self._timer is not None:
+                self._timer.cancel()
+                self._schedule_timer(now_s)
+        return not self._in_flight_count or now_s >= self._give_up_s
+
+    def _drop_unsent(self) -> None:
+        """Cancels the attempts that no connection has taken."""
+        self._unsent.clear()
+        for shard in self._pending_shards.values():
+            for attempt in list(shard.in_flight):
+                if not attempt.sent:
+                    shard.in_flight.remove(attempt)
+                    self._in_flight_count -= 1
+                    attempt.release()
 
     def _postpone_retry(
         self, shard: _ShardState, outcome: attempts_lib.Outcome, due_s: float
@@ -466,6 +532,8 @@
         """
         if len(shard.tried) >= self._max_attempts or self._refused_for_s():
             return None
+        if not math.isinf(self._give_up_s):
+            return None
         guard = self._extra_guard
         if extra and guard is not None and not guard.allows_extra():
             return None
@@ -581,7 +649,7 @@
                 due_s = min(due_s, batch.ack_due_s)
         if now_s < self._partial_answer_s:
             due_s = min(due_s, self._partial_answer_s)
-        due_s = min(due_s, self._request_context.end_s)
+        due_s = min(due_s, self._request_context.end_s, self._give_up_s)
         self._timer_due_s = due_s
         self._timer = self._loop.call_at(due_s, self._on_timer)
 
@@ -589,7 +657,8 @@
         """Finishes the request if no further part is awaited.
 
         This is the case if no part can still arrive, if enough parts have
-        arrived and the partial answer is due, or at the deadline.
+        arrived and the partial answer is due, if enough parts cannot arrive any
+        more, or at the deadline.
         """
         if self.done.done():
             return
@@ -603,7 +672,7 @@
             none_in_flight or now_s >= self._partial_answer_s or timed_out
         ):
             self._finish(self._merged_answer())
-        elif none_in_flight or timed_out:
+        elif none_in_flight or timed_out or self._gives_up(now_s):
             self._finish(self._failure_answer(timed_out))
 
     @property
@@ -634,12 +703,30 @@
         )
 
     def _failure_answer(self, timed_out: bool) -> model.Answer:
-        if not self.sent:
-            return model.refusal("no_replica", running.NO_REPLICA_RETRY_AFTER_S)
+        if self._cannot_have_run():
+            return self._refusal()
         if timed_out:
             return model.failure(504, "parts_late")
         return model.failure(502, "parts_failed")
 
+    def _cannot_have_run(self) -> bool:
+        """Whether no replica has run or will run the request."""
+        return not self._may_have_run and not outcomes.any_sent(
+            self._attempts()
+        )
+
+    def _refusal(self) -> model.Answer:
+        """Returns the refusal of a request that no replica can have run."""
+        retry_after_s = outcomes.retry_after_s(
+            self._context.directory,
+            self._route.shards,
+            self._route.needed_shards,
+            self._request_context.latency.median_s,
+            self._loop.time(),
+        )
+        reason = "not_run" if self.sent else "no_replica"
+        return model.refusal(reason, retry_after_s)
+
     def _attempts(self) -> list[_Attempt]:
         return [
             attempt
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -6,6 +6,7 @@
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import model
 from mallowloft.routes import running
+from mallowloft.routes.placement import outcomes
 
 
 class Forwarding(running.RequestTask):
@@ -120,13 +121,12 @@
             f"{attempt.entry.replica.id}:{running.outcome_label(outcome)}"
             f"@{elapsed_ms:.1f}ms"
         )
-        if isinstance(outcome, model.Reply) and not outcome.not_run:
-            self._may_have_run = True
-            if outcome.status < 500 or not self._route.idempotent:
-                self._finish(self._replica_answer(outcome))
-                return
-        elif outcome in (model.Failure.BROKEN, model.Failure.MALFORMED):
+        if outcomes.may_have_run(outcome):
             self._may_have_run = True
+        is_final = isinstance(outcome, model.Reply) and not outcome.not_run
+        if is_final and (outcome.status < 500 or not self._route.idempotent):
+            self._finish(self._replica_answer(outcome))
+            return
         if self._in_flight:
             return
         if not self._send_retry(outcome):
@@ -154,13 +154,18 @@
             return self._replica_answer(outcome)
         if self._may_have_run:
             return model.failure(502, "replica_failed")
-        wait_s = max(
-            running.MIN_RETRY_AFTER_S, self._request_context.latency.median_s
+        return self._refusal(running.outcome_label(outcome))
+
+    def _refusal(self, reason: str) -> model.Answer:
+        """Returns the refusal of a request that no replica can have run."""
+        retry_after_s = outcomes.retry_after_s(
+            self._context.directory,
+            (self._service,),
+            1,
+            self._request_context.latency.median_s,
+            self._loop.time(),
         )
-        usable_in_s = self._usable_in_s()
-        if not math.isinf(usable_in_s):
-            wait_s = max(wait_s, usable_in_s)
-        return model.refusal(running.outcome_label(outcome), wait_s)
+        return model.refusal(reason, retry_after_s)
 
     def _replica_answer(self, reply: model.Reply) -> model.Answer:
         headers = attempts_lib.end_to_end_headers(reply.headers, frozenset())
@@ -200,12 +205,9 @@
             self._schedule_timer()
 
     def _timeout_answer(self) -> model.Answer:
-        sent = self._may_have_run or any(
-            attempt.sent for attempt in self._in_flight
-        )
-        if sent:
+        if self._may_have_run or outcomes.any_sent(self._in_flight):
             return model.failure(504, "replica_late")
-        return model.refusal("not_sent", running.NO_REPLICA_RETRY_AFTER_S)
+        return self._refusal("not_sent")
 
     def _attempts(self) -> list[attempts_lib.Attempt]:
         return self._in_flight
--- /dev/null
+++ b/tests/test_routes_placement.py
@@ -0,0 +1,177 @@
+"""Outcomes of requests that were not run, and placement of gathered ones."""
+
+import asyncio
+import random
+
+import pytest
+
+from mallowloft.routes import delegation
+from mallowloft.routes import directory as directory_lib
+from mallowloft.routes import health as health_lib
+from mallowloft.routes import hubs as hubs_lib
+from mallowloft.routes import limits
+from mallowloft.routes import model
+from mallowloft.upstream import http1
+from tests.support import replicas as replicas_lib
+from tests.support import virtual
+
+_SHARDS = 10
+_NOT_RUN = ((replicas_lib.NAMES.not_run, b"1"),)
+_LOADED = (*_NOT_RUN, (replicas_lib.NAMES.load, b"2,12,2"))
+
+
+class _BusyPool:
+    """Connections that never become idle, so that requests wait."""
+
+    max_connections = 1
+    open_count = 1
+    failing = False
+    address = "busy:1"
+
+    def submit(self, exchange: http1.Exchange) -> None:
+        """Leaves the request waiting."""
+
+    def round_trip_s(self) -> None:
+        """Returns no round trip."""
+
+
+def _gather(prepare, **fields):
+    """Returns an answer gathered from prepared replicas, and its duration."""
+
+    async def main():
+        rng = random.Random(1)
+        replicas = [
+            replicas_lib.Replica(
+                f"{shard}-{domain}", f"s{shard}", domain, rng, lambda rng: 0.01
+            )
+            for shard in range(_SHARDS)
+            for domain in ("d1", "d2")
+        ]
+        instance = replicas_lib.Instance("d1", replicas, rng)
+        prepare(replicas, instance)
+        route = replicas_lib.route(
+            shards=tuple(f"s{shard}" for shard in range(_SHARDS)),
+            min_coverage=0.9,
+            **fields,
+        )
+        context = instance.create_request_context(route)
+        answer = await instance.serve(route)
+        return answer, asyncio.get_running_loop().time(), context
+
+    return virtual.run(main())
+
+
+def _reject(replica, headers) -> None:
+    replica.status = lambda now_s: 503
+    replica.headers = lambda now_s: headers
+
+
+def _retry_after_s(answer: model.Answer) -> float:
+    return float(dict(answer.headers)[b"retry-after"])
+
+
+class TestNotRun:
+    """Guards against 502 and 504 for requests that no replica has run."""
+
+    def test_rejection_by_all_replicas_is_a_refusal(self):
+        def prepare(replicas, instance):
+            for replica in replicas:
+                _reject(replica, _LOADED)
+
+        answer, _, context = _gather(prepare)
+        assert (answer.status, answer.reason) == (503, "not_run")
+        # The median of an attempt, and six more for the reported queue.
+        median_s = context.latency.median_s
+        assert _retry_after_s(answer) == pytest.approx(7 * median_s, abs=1e-3)
+
+    def test_one_failed_attempt_may_have_run(self):
+        def prepare(replicas, instance):
+            for replica in replicas:
+                _reject(replica, _NOT_RUN if replica.id != "3-d1" else ())
+
+        answer, _, _ = _gather(prepare)
+        assert answer.status == 502
+
+    @pytest.mark.parametrize("written", [False, True])
+    def test_requests_that_wait_for_a_connection_are_refused_at_the_deadline(
+        self, written
+    ):
+        def prepare(replicas, instance):
+            for entry in instance.directory.used_entries() or [
+                instance.directory.entry(replica.id) for replica in replicas
+            ]:
+                if not written or entry.replica.service != "s1":
+                    entry.pool = _BusyPool()
+            for replica in replicas:
+                replica.unresponsive = lambda now_s: True
+
+        answer, ended_s, _ = _gather(prepare)
+        assert ended_s == pytest.approx(0.4, abs=0.01)
+        assert answer.status == (504 if written else 503)
+
+
+class TestOutOfReach:
+    """Guards against waiting for parts when too few can still arrive."""
+
+    @pytest.mark.parametrize("failing,ended_s", [(1, 0.3), (2, 0.05)])
+    def test_request_ends_once_too_few_shards_are_left(self, failing, ended_s):
+        def prepare(replicas, instance):
+            for replica in replicas:
+                if int(replica.id[0]) < failing:
+                    replica.status = lambda now_s: 500
+                else:
+                    replica.work_s = lambda rng: 0.25
+
+        answer, now_s, _ = _gather(prepare, timeout_s=1.0, objective_s=0.9)
+        assert answer.status == (200 if failing == 1 else 502)
+        assert now_s <= ended_s
+
+
+def _forward(pool, **fields) -> model.Answer:
+    """Returns the answer to a request that is passed on to one forwarder."""
+
+    async def main():
+        instance = replicas_lib.Instance("d1", [], random.Random(1))
+        hubs = hubs_lib.Hubs("i", "d1", 0.0)
+        entry = directory_lib.ReplicaEntry(
+            model.Replica("f", "hubs", "h", 1, "d1", 8),
+            pool,
+            health_lib.ReplicaHealth(),
+            remote=False,
+        )
+        hubs.forwarders = lambda now_s: [entry]
+        route = replicas_lib.route(targets=(model.Target("s", 1.0),), **fields)
+        task = delegation.ForwardedRequest(
+            instance,
+            instance.create_request_context(route),
+            hubs,
+            limits.RouteLatency(route.objective_s),
+            0.0,
+            ["s"],
+            1,
+        )
+        task.start()
+        return await task.done
+
+    return virtual.run(main())
+
+
+class _FailingPool(_BusyPool):
+    """Connections to an instance whose program fails."""
+
+    def submit(self, exchange: http1.Exchange) -> None:
+        """Answers with an internal error."""
+        exchange.connection = self
+        loop = asyncio.get_running_loop()
+        loop.call_soon(exchange.set_outcome, http1.Response(500, (), b""))
+
+
+class TestPassedOn:
+    """Guards against wrong promises about requests that were passed on."""
+
+    def test_request_that_no_instance_got_is_refused(self):
+        answer = _forward(_BusyPool(), idempotent=False)
+        assert (answer.status, answer.reason) == (503, "hubs_not_reached")
+
+    def test_request_at_a_failing_instance_may_have_run(self):
+        assert _forward(_FailingPool(), idempotent=False).status == 502
