Limit connections to each instance's allotment

A replica accepts fewer connections than there are instances, but every instance might open one to each replica: the limit was rounded up to one connection. Instances that gathered for themselves while hubs failed, and hedges at replicas outside the subset, opened them. After a cut, every instance connected to all replicas of all services at once, also to those it does not use. Connections above a lowered limit were never closed.

An instance is now connected to as many replicas of a service as fit below the limit for all instances. After a cut, it replaces connections that it has, and otherwise tries three replicas per failure domain.

--- a/src/mallowloft/routes/ablation.py
+++ b/src/mallowloft/routes/ablation.py
@@ -28,6 +28,7 @@
 from mallowloft.routes import selection
 from mallowloft.routes import timing
 from mallowloft.routes import warming
+from mallowloft.routes.placement import connections
 from mallowloft.upstream import http1
 
 _log = logs.get_logger("ablation")
@@ -124,6 +125,11 @@
     gathering.ScatterGather._is_out_of_reach = lambda self: False
 
 
+@switches.register("connection_allotment")
+def _connect_to_all_replicas() -> None:
+    connections.Population.max_connected = lambda self, *arguments: math.inf
+
+
 @switches.register("held_removals")
 def _apply_removals_at_once() -> None:
     mirror.Mirror.hold_removals = _ignore
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -19,6 +19,7 @@
 from mallowloft.routes import rate_limits
 from mallowloft.routes import replica_signals
 from mallowloft.routes import warming
+from mallowloft.routes.placement import connections
 from mallowloft.upstream import http1
 from mallowloft.upstream import traffic as traffic_lib
 
@@ -33,6 +34,9 @@
 # healthy. In large fleets a replica accepts fewer connections than there are
 # instances.
 _SUBSET_SIZE = 2
+# Replicas of a failure domain to which a connection is tried after a cut if
+# none is open there. They show when the domain is reachable again.
+_MAX_RECONNECT_TRIALS = 3
 # Limit on the suspects reported to other instances. If there are more, the
 # others see the same fault themselves.
 _MAX_SUSPECTS = 200
@@ -52,6 +56,7 @@
         in_subset: Whether the replica is in this instance's subset; connections
             to it are kept open unless the service is on demand or unused.
         remote: Whether the replica is in another failure domain.
+        may_connect: Whether a connection may be opened if there is none.
     """
 
     __slots__ = (
@@ -59,6 +64,7 @@
         "draining",
         "health",
         "in_subset",
+        "may_connect",
         "pool",
         "remote",
         "replica",
@@ -81,8 +87,14 @@
         self.signals = signals or replica_signals.ReplicaSignals()
         self.in_subset = True
         self.remote = remote
+        self.may_connect: Callable[[], bool] = lambda: True
         self._leaving_grace_s = leaving_grace_s
 
+    @property
+    def connectable(self) -> bool:
+        """Whether a connection is open or may be opened."""
+        return bool(self.pool.open_count) or self.may_connect()
+
     @property
     def stays(self) -> bool:
         """Whether the replica is not known to be about to end."""
@@ -113,6 +125,8 @@
         leaves = self.signals.left_for_s(now_s) >= self._leaving_grace_s
         if self.draining or leaves or self.pool.failing:
             return math.inf
+        if not self.connectable:
+            return math.inf
         return self.signals.wait_s(now_s)
 
 
@@ -160,6 +174,8 @@
         self._on_demand_services: frozenset[str] = frozenset()
         self._divisor = 1.0
         self._shard_divisor = 1.0
+        # The instances that share the limits on connections; None if unknown.
+        self._population: connections.Population | None = None
         self._permit_phase = random.Random(f"{instance} permits").random()
 
     def __len__(self) -> int:
@@ -214,6 +230,8 @@
             self._signals_by_key.pop(replica.key, None),
             self._leaving_grace_s,
         )
+        entry.may_connect = functools.partial(self._may_connect, entry)
+        entry.pool.may_connect = entry.may_connect
         if entry.signals.leaving:
             self.leaving_ids.add(replica.id)
         self._entries_by_id[replica.id] = entry
@@ -382,17 +400,29 @@
         An open connection may never deliver data again, while a new one shows
         when the failure domain is reachable again. An open connection may also
         be the only kind that still works, so it is kept until there is a new
-        one.
+        one. Connections to other replicas are not opened: after a cut, all
+        instances would exceed the replicas' limits at once.
 
         Args:
             failure_domains: The failure domains; by default all.
         """
+        others_by_domain: dict[str, list[ReplicaEntry]] = {}
+        renewed_domains = set()
         for entry in self.used_entries():
-            if (
-                failure_domains is None
-                or entry.replica.failure_domain in failure_domains
-            ):
+            domain = entry.replica.failure_domain
+            if failure_domains is not None and domain not in failure_domains:
+                continue
+            if entry.pool.open_count or self.warmer.keeps_open(entry.pool):
+                renewed_domains.add(domain)
                 entry.pool.renew()
+            else:
+                others_by_domain.setdefault(domain, []).append(entry)
+        for domain, entries in others_by_domain.items():
+            if domain not in renewed_domains:
+                # Instances differ, so that they do not all try the same ones.
+                entries.sort(key=self._subset_order)
+                for entry in entries[:_MAX_RECONNECT_TRIALS]:
+                    entry.pool.renew()
 
     def suspects(self) -> list[str]:
         """Returns the ids of replicas to report to other instances.
@@ -420,7 +450,12 @@
             if entry is not None:
                 entry.health.mark_suspected(now_s)
 
-    def divide_limits(self, divisor: float, shard_divisor: float) -> None:
+    def divide_limits(
+        self,
+        divisor: float,
+        shard_divisor: float,
+        population: connections.Population | None = None,
+    ) -> None:
         """Divides the replicas' limits among the instances.
 
         These are the limits on connections and on the rate of requests.
@@ -428,10 +463,89 @@
         Args:
             divisor: Number by which the limits of a replica are divided.
             shard_divisor: The same for replicas of shards.
+            population: The instances that share the limits on connections; None
+                if their number is only assumed. Then an instance may be
+                connected to all replicas.
         """
+        changed = population != self._population
+        self._population = population
         self._divisor = max(1.0, divisor)
         self._shard_divisor = max(1.0, shard_divisor)
         self._update_limits()
+        if changed:
+            self._apply_allotments()
+
+    def allotments(self) -> dict[str, int]:
+        """Returns to how many replicas of services to be connected.
+
+        Services with enough connections for all instances are left out.
+        """
+        return {
+            service: int(max_connected)
+            for service in self._used_services
+            if not math.isinf(max_connected := self._max_connected(service))
+        }
+
+    def count_unconnectable(self) -> int:
+        """Returns the number of used replicas outside the allotment."""
+        return sum(not entry.connectable for entry in self.used_entries())
+
+    def _apply_allotments(self) -> None:
+        """Closes the idle connections that exceed the allotments."""
+        allotments = self.allotments()
+        for service in self._used_services:
+            self._choose_subset(service)
+        for service, max_connected in allotments.items():
+            connected = [
+                entry
+                for entry in self.entries(service)
+                if entry.pool.open_count
+            ]
+            connected.sort(key=lambda entry: entry.in_subset, reverse=True)
+            for entry in connected[max_connected:]:
+                entry.pool.close_idle()
+        _log.info(
+            "connection_allotments_changed",
+            instances=self._population.instances if self._population else 0,
+            limited_services=len(allotments),
+            max_connected=max(allotments.values(), default=""),
+        )
+
+    def _live_entries(self, service: str) -> list[ReplicaEntry]:
+        return [
+            entry
+            for entry in self.entries(service)
+            if entry.stays and not entry.pool.failing
+        ]
+
+    def _max_connected(self, service: str) -> float:
+        """Returns to how many replicas of a service to be connected."""
+        limit = self._max_connections_by_service.get(service)
+        if limit is None or self._population is None:
+            return math.inf
+        is_shard = service in self._shard_services
+        share = self._population.share(
+            limit, is_shard, _MAX_CONNECTIONS_PER_REPLICA
+        )
+        if share >= 1:
+            return math.inf
+        live = len(self._live_entries(service))
+        return self._population.max_connected(share, max(1, live), is_shard)
+
+    def _may_connect(self, entry: ReplicaEntry) -> bool:
+        """Whether a first connection to a replica may be opened."""
+        max_connected = self._max_connected(entry.replica.service)
+        if math.isinf(max_connected) or self.warmer.keeps_open(entry.pool):
+            return True
+        others = sum(
+            other is not entry
+            and (
+                bool(other.pool.open_count + other.pool.connecting_count)
+                or self.warmer.keeps_open(other.pool)
+            )
+            for other in self._live_entries(entry.replica.service)
+        )
+        return others < max_connected
 
     def close(self) -> None:
         """Closes all connections."""
@@ -542,8 +656,9 @@
         entries = [entry for entry in self.entries(service) if entry.stays]
         if len(entries) > _SUBSET_SIZE:
             entries.sort(key=self._subset_order)
+        size = min(_SUBSET_SIZE, self._max_connected(service))
         for position, entry in enumerate(entries):
-            entry.in_subset = position < _SUBSET_SIZE
+            entry.in_subset = position < size
             if (
                 entry.in_subset
                 and service in self._used_services
--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -284,6 +284,11 @@
         ]
         self._received_counts.append((now_s, instances))
 
+    @property
+    def instances_known(self) -> bool:
+        """Whether a seed has told the number of instances."""
+        return bool(self._received_counts)
+
     def instances(self, now_s: float) -> int:
         """Returns the number of instances, an assumed one if it is unknown."""
         if self._received_counts:
@@ -374,6 +379,11 @@
         now_s = asyncio.get_running_loop().time()
         return self._instance_registry.instances(now_s)
 
+    @property
+    def instances_known(self) -> bool:
+        """Whether a seed has told the number of instances."""
+        return self._instance_registry.instances_known
+
     def subscribe(self, listener: Callable[[int], None]) -> None:
         """Adds a listener that is called when the instance count changes."""
         self._listeners.append(listener)
--- a/src/mallowloft/routes/hubs.py
+++ b/src/mallowloft/routes/hubs.py
@@ -521,6 +521,11 @@
             return instances
         return large_links / (1.0 - _SMALL_LINKS_SHARE)
 
+    @property
+    def small_links(self) -> int:
+        """Number of instances of the fleet with small links."""
+        return self._small_links
+
     def should_gather(self, route: model.Route) -> bool:
         """Whether hubs should gather the answers of a route.
 
--- a/src/mallowloft/routes/selection.py
+++ b/src/mallowloft/routes/selection.py
@@ -54,7 +54,7 @@
         best = None
         best_cost = math.inf
         for entry in entries:
-            if entry in tried:
+            if entry in tried or not entry.connectable:
                 continue
             cost = 0.0
             if not entry.admits(now_s):
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -25,6 +25,7 @@
 from mallowloft.routes import single
 from mallowloft.routes import table as table_lib
 from mallowloft.routes import timing
+from mallowloft.routes.placement import connections
 
 _log = logs.get_logger("routes")
 
@@ -169,6 +170,9 @@
         metrics.gauge("route_table_version", lambda: self.version)
         metrics.gauge("replicas_listed", lambda: len(self.directory))
         metrics.gauge("replicas_connected", self.directory.count_connected)
+        metrics.gauge(
+            "replicas_out_of_allotment", self.directory.count_unconnectable
+        )
 
     @property
     def version(self) -> int:
@@ -228,6 +232,7 @@
                 service: round(extra.tokens, 2)
                 for service, extra in self._extra_by_service.items()
             },
+            "connection_allotments": self.directory.allotments(),
             "requests_open": self._open_requests,
             "response_delays": self.response_delays.dump(),
             "batch_overhead_ms": self.batch_overheads.dump(),
@@ -360,7 +365,20 @@
         )
         for service, extra in self._extra_by_service.items():
             extra.limit = self._extra_limit_of(service)
-        self.directory.divide_limits(instances, shard_divisor)
+        self.directory.divide_limits(
+            instances, shard_divisor, self._population(instances)
+        )
+
+    def _population(self, instances: int) -> connections.Population | None:
+        """Returns the instances that share the limits, None if unknown."""
+        if not self._kernel.plugin("fleet").instances_known:
+            return None
+        return connections.Population(
+            instances,
+            self.hubs.small_links,
+            bool(self.hubs.gathering_hubs),
+            connections.draw(self._kernel.settings.instance_id),
+        )
 
     async def _monitor_reach(self) -> None:
         """Checks periodically which failure domains are unreachable.
--- a/src/mallowloft/routes/warming.py
+++ b/src/mallowloft/routes/warming.py
@@ -51,6 +51,10 @@
         self._waiting.append(pool)
         self._schedule()
 
+    def keeps_open(self, pool: Pool) -> bool:
+        """Whether a connection of the pool is to be kept open."""
+        return pool in self._kept
+
     def stop_keeping_open(self, pool: Pool) -> None:
         """Reverts `keep_open`."""
         self._kept.discard(pool)
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -482,6 +482,8 @@
         self.address = f"{host}:{port}"
         self.max_connections = max(1, max_connections)
         self.on_event = on_event
+        # Whether a connection may be opened although none is open.
+        self.may_connect: Callable[[], bool] = lambda: True
         self._meter = meter
         self._host = host
         self._port = port
@@ -508,6 +510,11 @@
         """Number of open connections."""
         return len(self._open)
 
+    @property
+    def connecting_count(self) -> int:
+        """Number of connections that are being established."""
+        return len(self._connecting)
+
     @property
     def failing(self) -> bool:
         """Whether no connection is open after failed attempts or early closes.
@@ -589,6 +596,11 @@
         """Reverts `keep_open`: connections are opened only for requests."""
         self._keeps_one_open = False
 
+    def close_idle(self) -> None:
+        """Closes the idle connections; requests may open new ones."""
+        for connection in list(self._idle):
+            connection.close("over_limit")
+
     def reject_waiting(self) -> None:
         """Ends the requests that wait for a connection as UNSENT."""
         self._fail_waiting()
@@ -634,6 +646,13 @@
             connection.close("pool_closed")
             self._fail_waiting()
             return
+        if (
+            connection.response_received
+            and len(self._open) > self.max_connections
+        ):
+            # The limit was lowered, or the connection has been replaced.
+            connection.close("over_limit")
+            return
         exchange = self._pop_waiting()
         if exchange is not None:
             # The response to the previous request is delivered only after this
@@ -686,12 +705,20 @@
 
     def _connect_for_waiting(self) -> None:
         waiting_count = sum(not item[2].done for item in self._waiting)
+        if waiting_count and not self._may_open_first():
+            self._fail_waiting()
+            return
         capacity = (
             self.max_connections - len(self._open) - len(self._connecting)
         )
         for _ in range(min(capacity, waiting_count - len(self._connecting))):
             self._start_connecting()
 
+    def _may_open_first(self) -> bool:
+        if self._open or self._connecting or self._renewed_from_s is not None:
+            return True
+        return self.may_connect()
+
     @property
     def _needs_connection(self) -> bool:
         """Whether none is open, or those that are open are to be replaced."""
@@ -703,6 +730,7 @@
             self._needs_connection
             and not self._connecting
             and not self._closing
+            and self._may_open_first()
         ):
             self._start_connecting()
 
--- a/tests/test_routes_placement.py
+++ b/tests/test_routes_placement.py
@@ -11,6 +11,8 @@
 from mallowloft.routes import hubs as hubs_lib
 from mallowloft.routes import limits
 from mallowloft.routes import model
+from mallowloft.routes import reach
+from mallowloft.routes.placement import connections
 from mallowloft.upstream import http1
 from tests.support import replicas as replicas_lib
 from tests.support import virtual
@@ -175,3 +177,179 @@
 
     def test_request_at_a_failing_instance_may_have_run(self):
         assert _forward(_FailingPool(), idempotent=False).status == 502
+
+
+class _CountedPool:
+    """Connections of one instance to one replica, without a network."""
+
+    connecting_count = 0
+
+    def __init__(self, host, port, max_connections, *others) -> None:
+        del others
+        self.address = f"{host}:{port}"
+        self.max_connections = max_connections
+        self.open_count = 0
+        self.failing = False
+
+    def open(self, count: int) -> None:
+        """Opens connections as requests that wait would."""
+        if not self.failing and (self.open_count or self.may_connect()):
+            self.open_count = max(
+                self.open_count, min(count, self.max_connections)
+            )
+
+    def close_idle(self) -> None:
+        """Closes all connections."""
+        self.open_count = 0
+
+    def renew(self) -> None:
+        """Opens a connection."""
+        self.open_count = max(1, self.open_count)
+
+    def keep_open(self) -> None:
+        """Opens a connection."""
+        self.open(1)
+
+    def stop_keeping_open(self) -> None:
+        """Does nothing."""
+
+
+_FLEET_SHARDS = tuple(f"s{shard}" for shard in range(8))
+
+
+def _open_fleet(instances, small_links, limit):
+    """Returns the directories of a fleet that shares a limit."""
+    directories = []
+    for number in range(instances):
+        name = f"i{number}"
+        is_small = number < small_links
+        directory = directory_lib.Directory(
+            name,
+            f"d{number % 3}",
+            lambda event: None,
+            reach.DomainReachability(),
+            _CountedPool,
+        )
+        on_demand = _FLEET_SHARDS if is_small else ()
+        directory.set_services(
+            _FLEET_SHARDS,
+            dict.fromkeys(_FLEET_SHARDS, limit),
+            _FLEET_SHARDS,
+            on_demand,
+        )
+        for service in _FLEET_SHARDS:
+            for domain in range(3):
+                directory.put(
+                    model.Replica(
+                        f"{service}-{domain}", service, "h", 1, f"d{domain}"
+                    )
+                )
+        population = connections.Population(
+            instances, small_links, is_small, connections.draw(name)
+        )
+        # The hubs give these divisors for instances with and without them.
+        divisor = float(instances)
+        if small_links:
+            large = instances - small_links
+            divisor = instances / 0.2 if is_small else large / 0.8
+        directory.divide_limits(instances, divisor, population)
+        directories.append(directory)
+    return directories
+
+
+def _count_by_replica(directories) -> dict[str, int]:
+    entries = [item for one in directories for item in one.used_entries()]
+    counts = dict.fromkeys((entry.replica.id for entry in entries), 0)
+    for entry in entries:
+        counts[entry.replica.id] += entry.pool.open_count
+    return counts
+
+
+class TestConnections:
+    """Guards against more connections than a replica accepts.
+
+    98 instances had one connection to each of the replicas, which accept 84.
+    """
+
+    def _run(self, test) -> None:
+        async def main() -> None:
+            test()
+
+        virtual.run(main())
+
+    @pytest.mark.parametrize(
+        "instances,small_links,limit,failing",
+        [
+            (98, 49, 84, "s1-0"),
+            (98, 70, 84, ""),
+            (98, 0, 84, "s1-0"),
+            (63, 0, 54, "s1-0"),
+            (63, 30, 54, "s1-0"),
+        ],
+    )
+    def test_all_instances_together_stay_within_the_limit(
+        self, instances, small_links, limit, failing
+    ):
+        def test():
+            rng = random.Random(3)
+            fleet = _open_fleet(instances, small_links, limit)
+            for failing_id in ("", failing):
+                for directory in fleet:
+                    entries = directory.used_entries()
+                    for entry in entries:
+                        if entry.replica.id == failing_id:
+                            entry.pool.failing = True
+                            entry.pool.open_count = 0
+                    # All gather themselves, and hedge at all replicas.
+                    rng.shuffle(entries)
+                    for entry in entries:
+                        entry.pool.open(8)
+                assert max(_count_by_replica(fleet).values()) <= limit
+            served = sum(
+                any(entry.connectable for entry in directory.entries(service))
+                for directory in fleet
+                for service in _FLEET_SHARDS
+            )
+            # Instances without an allotment have gatherers.
+            assert served >= (0.7 if small_links else 1.0) * len(fleet) * len(
+                _FLEET_SHARDS
+            )
+
+        self._run(test)
+
+    def test_without_a_known_fleet_all_replicas_may_be_connected(self):
+        def test():
+            (directory,) = _open_fleet(1, 0, 54)
+            directory.divide_limits(200.0, 200.0)
+            assert not directory.allotments()
+            assert all(item.connectable for item in directory.used_entries())
+
+        self._run(test)
+
+    def test_connections_beyond_the_allotment_are_closed_once_it_is_known(self):
+        # Guards against the connections that an instance opens at its start,
+        # while it assumes a small fleet.
+        def test():
+            directory, *_ = _open_fleet(63, 0, 54)
+            directory.divide_limits(8.0, 8.0)
+            for entry in directory.used_entries():
+                entry.pool.open(8)
+            population = connections.Population(63, 0, False, 0.5)
+            directory.divide_limits(63.0, 63.0, population)
+            for service in _FLEET_SHARDS:
+                entries = directory.entries(service)
+                assert sum(bool(item.pool.open_count) for item in entries) == 2
+
+        self._run(test)
+
+    def test_few_connections_are_tried_after_a_cut(self):
+        # Guards against connections of all instances to all replicas at once.
+        def test():
+            fleet = _open_fleet(98, 98, 84)
+            for directory in fleet:
+                directory.reconnect()
+            counts = _count_by_replica(fleet)
+            assert sum(counts.values()) <= 98 * 3 * 3
+            assert max(counts.values()) <= 84
+
+        self._run(test)
