Choose gatherers by reported load; ask one other after a refusal

A gatherer that refused as overloaded was followed by gathering at the sender, which repeated the load, and the choice of a gatherer did not depend on its load. Gatherers now state their load with each reply, the better of two at random is asked, and a refusal as overloaded is passed on after one other gatherer.

--- a/src/mallowloft/routes/ablation.py
+++ b/src/mallowloft/routes/ablation.py
@@ -29,6 +29,7 @@
 from mallowloft.routes import timing
 from mallowloft.routes import warming
 from mallowloft.routes.placement import connections
+from mallowloft.routes.placement import gatherers
 from mallowloft.upstream import http1
 
 _log = logs.get_logger("ablation")
@@ -130,6 +131,16 @@
     connections.Population.max_connected = lambda self, *arguments: math.inf
 
 
+@switches.register("gatherer_load")
+def _choose_gatherers_without_their_load() -> None:
+    gatherers.LoadReports.better_of_two = lambda self, *arguments: None
+
+
+@switches.register("second_gatherer")
+def _ask_no_other_overloaded_gatherer() -> None:
+    gatherers.OverloadRefusal.take_other = lambda self: False
+
+
 @switches.register("held_removals")
 def _apply_removals_at_once() -> None:
     mirror.Mirror.hold_removals = _ignore
--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -29,6 +29,7 @@
 from mallowloft.routes import reach
 from mallowloft.routes import running
 from mallowloft.routes import single
+from mallowloft.routes.placement import gatherers
 from mallowloft.routes.placement import outcomes
 from mallowloft.upstream import http1
 
@@ -91,6 +92,7 @@
         isolated: Whether the hub reaches no other failure domain but needs
             them to cover the shards.
         leaving: Ids of replicas that state that they are about to end.
+        load: Load of the hub.
     """
 
     status: int
@@ -100,6 +102,7 @@
     missing: int
     isolated: bool
     leaving: message_types.Names = ()
+    load: gatherers.Load = gatherers.NO_LOAD
 
 
 call_decoder = msgspec.msgpack.Decoder(Call)
@@ -118,7 +121,10 @@
 
 
 def encode_answer(
-    answer: model.Answer, isolated: bool, leaving: Iterable[str] = ()
+    answer: model.Answer,
+    isolated: bool,
+    leaving: Iterable[str] = (),
+    load: gatherers.Load = gatherers.NO_LOAD,
 ) -> bytes:
     """Returns an answer encoded for the instance that passed the request.
 
@@ -126,6 +132,7 @@
         answer: The answer.
         isolated: Whether this hub is isolated.
         leaving: Ids of replicas that state that they are about to end.
+        load: Load of this hub.
     """
     gathered = Gathered(
         answer.status,
@@ -135,6 +142,7 @@
         answer.missing,
         isolated,
         tuple(leaving),
+        load,
     )
     return msgspec.msgpack.encode(gathered)
 
@@ -198,6 +206,7 @@
         self._previous_attempts = 0
         self._local_task: running.RequestTask | None = None
         self._max_hub_attempts = _MAX_HUB_ATTEMPTS
+        self._overload_refusal = gatherers.OverloadRefusal()
         # Services of the request, for forwarders.
         self._service = ""
         self._unlinked: int | None = None
@@ -230,13 +239,18 @@
         if self._previous_attempts >= max_attempts:
             self._finish(model.failure(502, "hubs_failed"))
             return
+        refused = self._overload_refusal.answer
+        if refused is not None and not self._overload_refusal.take_other():
+            self._finish(refused)
+            return
         entry = None
         if (
-            len(self._tried) < self._max_hub_attempts
-            and now_s < self._request_context.end_s
-        ):
+            refused or len(self._tried) < self._max_hub_attempts
+        ) and now_s < self._request_context.end_s:
             entry = self._choose_hub(now_s)
-        if entry is None:
+        if entry is None and refused is not None:
+            self._finish(refused)
+        elif entry is None:
             self._serve_locally()
         else:
             self._send(entry, now_s)
@@ -262,10 +276,22 @@
             for entry in hubs
             if covered[entry.replica.failure_domain] >= min_covered
         ]
+        return self._choose_among(preferred, now_s) or self._choose_among(
+            hubs, now_s
+        )
+
+    def _choose_among(
+        self, hubs: list[directory_lib.ReplicaEntry], now_s: float
+    ) -> directory_lib.ReplicaEntry | None:
         choose = self._context.selector.choose
-        return choose(
-            preferred, now_s, self._tried, healthy_only=True
-        ) or choose(hubs, now_s, self._tried, healthy_only=True)
+        healthy = [
+            entry
+            for entry in hubs
+            if choose((entry,), now_s, self._tried, healthy_only=True)
+        ]
+        return self._hubs.loads.better_of_two(healthy, now_s) or choose(
+            healthy, now_s, healthy_only=True
+        )
 
     def _serve_locally(self) -> None:
         task = self._create_local_task()
@@ -397,19 +423,26 @@
             self._previous_attempts += self._route.max_attempts
             self._record_outcome(attempt, f"malformed ({error})")
             return None
-        entry.health.record_reply(attempt, now_s)
-        self._latency.record(now_s - attempt.started_s)
-        self._context.directory.mark_leaving(gathered.leaving)
-        if gathered.isolated:
-            self._hubs.record_isolated(entry)
-        self._record_outcome(attempt, gathered.reason or "answered")
-        return model.Answer(
+        answer = model.Answer(
             gathered.status,
             gathered.headers,
             gathered.body,
             gathered.reason,
             gathered.missing,
         )
+        self._hubs.loads.record(entry.replica.id, gathered.load, now_s)
+        if self._overload_refusal.record(answer):
+            # It took no time, which says nothing about the next request.
+            entry.health.discard(attempt)
+            self._record_outcome(attempt, gathered.reason)
+            return None
+        entry.health.record_reply(attempt, now_s)
+        self._latency.record(now_s - attempt.started_s)
+        self._context.directory.mark_leaving(gathered.leaving)
+        if gathered.isolated:
+            self._hubs.record_isolated(entry)
+        self._record_outcome(attempt, gathered.reason or "answered")
+        return answer
 
     def _record_reachability(
         self, entry: directory_lib.ReplicaEntry, responded: bool
--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -428,6 +428,9 @@
             "instances": self.instances,
             "seeds": self._kernel.settings.seeds,
             "hubs": self.hubs.dump(),
+            "gatherer_loads": self.hubs.loads.dump(
+                asyncio.get_running_loop().time()
+            ),
             "link_bytes": self.traffic.dump(),
         }
 
--- a/src/mallowloft/routes/hub_server.py
+++ b/src/mallowloft/routes/hub_server.py
@@ -1,6 +1,7 @@
 """Plug-in with which an instance serves requests for other instances."""
 
 import asyncio
+from collections.abc import Callable
 import random
 from typing import Any
 
@@ -18,6 +19,7 @@
 from mallowloft.routes import model
 from mallowloft.routes import running
 from mallowloft.routes import single
+from mallowloft.routes.placement import gatherers
 from mallowloft.upstream import http1
 
 _log = logs.get_logger("hub_server")
@@ -112,7 +114,12 @@
 
 @registry.plugins.register("hub_server")
 class HubServer:
-    """Gathers answers for other instances with the plug-in `routes`."""
+    """Gathers answers for other instances with the plug-in `routes`.
+
+    Attributes:
+        read_load: Returns the load to report to other instances. The part that
+            limits the running requests sets it; without one there is no limit.
+    """
 
     requires: tuple[str, ...] = ("fleet", "routes")
 
@@ -121,6 +128,9 @@
         self._routes = kernel.plugin("routes")
         self._hubs: hubs_lib.Hubs = kernel.plugin("fleet").hubs
         self._open_calls = 0
+        self.read_load: Callable[[], gatherers.Load] = lambda: gatherers.Load(
+            self._open_calls
+        )
         fleet = kernel.plugin("fleet")
         fleet.mount(delegation.PATH, self._serve_call)
         fleet.mount(_STATE_PATH, self._serve_state)
@@ -194,6 +204,7 @@
                 answer,
                 self._hubs.links_lost,
                 routes.directory.leaving_ids,
+                self.read_load(),
             ),
         )
         fields.update(task.describe())
--- a/src/mallowloft/routes/hubs.py
+++ b/src/mallowloft/routes/hubs.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 import dataclasses
 import math
+import random
 
 import msgspec
 
@@ -23,6 +24,7 @@
 from mallowloft.routes import health as health_lib
 from mallowloft.routes import message_types
 from mallowloft.routes import model
+from mallowloft.routes.placement import gatherers
 from mallowloft.upstream import http1
 from mallowloft.upstream import traffic as traffic_lib
 
@@ -262,6 +264,8 @@
         self._link_mbps = link_mbps
         self._hubs_by_id: dict[str, Hub] = {}
         self._entries_by_id: dict[str, directory_lib.ReplicaEntry] = {}
+        # What gatherers reported of their load.
+        self.loads = gatherers.LoadReports(random.Random(instance))
         # Gatherers for this instance; empty unless its own link is small
         # compared with the largest of the hubs.
         self.gathering_hubs: list[directory_lib.ReplicaEntry] = []
--- a/tests/test_routes_placement.py
+++ b/tests/test_routes_placement.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
 from mallowloft.routes import delegation
@@ -13,6 +14,7 @@
 from mallowloft.routes import model
 from mallowloft.routes import reach
 from mallowloft.routes.placement import connections
+from mallowloft.routes.placement import gatherers
 from mallowloft.upstream import http1
 from tests.support import replicas as replicas_lib
 from tests.support import virtual
@@ -353,3 +355,123 @@
             assert max(counts.values()) <= 84
 
         self._run(test)
+
+
+def _overloaded() -> http1.Response:
+    refusal = model.refusal(gatherers.OVERLOADED, 0.1)
+    return http1.Response(200, (), delegation.encode_answer(refusal, False))
+
+
+def _create_entries(pools) -> list[directory_lib.ReplicaEntry]:
+    return [
+        directory_lib.ReplicaEntry(
+            model.Replica(f"g{number}", "hubs", "h", 1, "d1", 8),
+            pool,
+            health_lib.ReplicaHealth(),
+            remote=False,
+        )
+        for number, pool in enumerate(pools)
+    ]
+
+
+class _Gatherer(_BusyPool):
+    """Connections to a gatherer that gives one outcome.
+
+    Attributes:
+        calls: Number of requests that it got.
+    """
+
+    def __init__(self, outcome) -> None:
+        self._outcome = outcome
+        self.calls = 0
+
+    def submit(self, exchange: http1.Exchange) -> None:
+        """Ends a request with the outcome."""
+        self.calls += 1
+        exchange.connection = self
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.001, exchange.set_outcome, self._outcome)
+
+    def close(self, reason: str) -> None:
+        """Does nothing."""
+
+
+class _InOrder:
+    """Chooses the first entry that was not tried."""
+
+    def choose(self, entries, now_s, tried=(), healthy_only=False):
+        """Returns the entry, None if there is none."""
+        del now_s, healthy_only
+        return next((item for item in entries if item not in tried), None)
+
+
+class TestGatherers:
+    """Guards against overload that spreads from one gatherer to all."""
+
+    def _run(self, outcomes) -> tuple[model.Answer, int, int]:
+        """Returns answer, calls of gatherers and arrivals at the replica."""
+
+        async def main():
+            rng = random.Random(1)
+            replica = replicas_lib.Replica(
+                "r", "s", "d1", rng, lambda rng: 0.01
+            )
+            instance = replicas_lib.Instance("d1", [replica], rng)
+            instance.selector = _InOrder()
+            pools = [_Gatherer(outcome) for outcome in outcomes]
+            hubs = hubs_lib.Hubs("i", "d1", 0.0)
+            hubs.gathering_hubs = _create_entries(pools)
+            route = replicas_lib.route(shards=("s",), min_coverage=1.0)
+            task = delegation.DelegatedRequest(
+                instance,
+                instance.create_request_context(route),
+                hubs,
+                limits.RouteLatency(route.objective_s),
+            )
+            task.start()
+            answer = await task.done
+            return answer, sum(pool.calls for pool in pools), replica.arrivals
+
+        return virtual.run(main())
+
+    @pytest.mark.parametrize("count,calls", [(1, 1), (2, 2), (5, 2)])
+    def test_refusal_is_passed_on_after_one_other_gatherer(self, count, calls):
+        answer, called, arrivals = self._run([_overloaded()] * count)
+        assert (answer.status, answer.reason) == (503, "overloaded")
+        assert _retry_after_s(answer) == 0.1
+        assert (called, arrivals) == (calls, 0)
+
+    @pytest.mark.parametrize(
+        "other,status",
+        [
+            (http1.FailureReason.UNSENT, 503),
+            (http1.FailureReason.BROKEN, 502),
+            (http1.Response(409, (), b"stopping"), 503),
+        ],
+    )
+    def test_request_is_not_gathered_here_after_a_refusal(self, other, status):
+        outcomes = [_overloaded(), other, _overloaded()]
+        answer, called, arrivals = self._run(outcomes)
+        assert (answer.status, called, arrivals) == (status, 2, 0)
+
+    def test_less_loaded_gatherer_is_chosen_until_the_report_expires(self):
+        reports = gatherers.LoadReports(random.Random(1))
+        entries = _create_entries([_BusyPool(), _BusyPool()])
+        reports.record("g0", gatherers.Load(10, 5, 10), 1.0)
+        for _ in range(20):
+            assert reports.better_of_two(entries, 1.9) is entries[1]
+        assert reports.better_of_two(entries, 2.0) is None
+        # A load without a limit says nothing.
+        reports.record("g1", gatherers.Load(3), 2.5)
+        assert reports.better_of_two(entries, 2.5) is None
+
+    def test_builds_without_loads_are_understood(self):
+        encoded = delegation.encode_answer(
+            model.Answer(200), False, load=gatherers.Load(1, 2, 3)
+        )
+        fields = msgspec.msgpack.decode(encoded)
+        assert fields[-1] == [1, 2, 3]
+        decoded = msgspec.msgpack.decode(
+            msgspec.msgpack.encode(fields[:-1]), type=delegation.Gathered
+        )
+        assert decoded.load == gatherers.NO_LOAD
