Tell a restarted seed of crashes with the first report to it

A survivor remembered what a seed knew of crashing requests and left it out of its next report, also if the seed had restarted since. After a kill of all seeds the evidence was missing there until the second report, some two seconds later, and instances that restarted learned nothing. A survivor now forgets what a seed knows when a call fails, and reports again at once if the seed's digest shows that it has restarted.

--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -518,6 +518,24 @@
             crash_digest,
             () if is_known else self.crashes.traces(now_s),
         )
+        summary = await self._call_seed(seed, pool, report, timeout_s)
+        if summary is None:
+            return
+        if report.crashes or self.crashes.digest() == summary.crash_digest:
+            return
+        # The seed has restarted since it was told of the crashes. Until it
+        # knows of them again, no instance that restarts learns of them.
+        crashes = self.crashes.traces(asyncio.get_running_loop().time())
+        if crashes:
+            report = msgspec.structs.replace(
+                report, crash_digest=self.crashes.digest(), crashes=crashes
+            )
+            await self._call_seed(seed, pool, report, timeout_s)
+
+    async def _call_seed(
+        self, seed: str, pool: http1.Pool, report: Report, timeout_s: float
+    ) -> Summary | None:
+        """Sends a report and applies the summary; None if there is none."""
         response = await http1.send_request(
             pool,
             b"POST",
@@ -528,18 +546,21 @@
             purpose="report",
         )
         if isinstance(response, http1.FailureReason) or response.status != 200:
+            # It may have restarted, and then knows of no crashes.
+            self._crash_digests_by_seed.pop(seed, None)
             # The seed may have been removed for good; other seeds answer.
             _log.debug("fleet_report_failed", seed=seed, reason=str(response))
-            return
+            return None
         try:
             summary = _summary_decoder.decode(response.body)
         except msgspec.MsgspecError as error:
             _log.warning("fleet_report_failed", seed=seed, reason=str(error))
-            return
-        remote = summary.failure_domain != settings.failure_domain
+            return None
+        remote = summary.failure_domain != self._kernel.settings.failure_domain
         pool.set_meter(self.traffic.meter(remote))
         self._crash_digests_by_seed[seed] = summary.crash_digest
         self._apply_summary(summary)
+        return summary
 
     def _apply_summary(self, summary: Summary) -> None:
         before = self.instances
