Let gatherers serve instances that may not hedge

An instance with a link of medium size gathers routes with long objectives itself. With one connection per shard it would have no replica for a hedge or a retry, so it passes these requests on while gatherers answer.

--- a/src/mallowloft/routes/ablation.py
+++ b/src/mallowloft/routes/ablation.py
@@ -185,6 +185,7 @@
 @switches.register("delegation")
 def _gather_all_requests_locally() -> None:
     hubs.Hubs.should_gather = lambda self, route: False
+    directory.Directory.may_hedge = lambda self, service: True
 
 
 @switches.register("relays")
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -486,6 +486,10 @@
             if not math.isinf(max_connected := self._max_connected(service))
         }
 
+    def may_hedge(self, service: str) -> bool:
+        """Whether this instance may be connected to two of its replicas."""
+        return self._max_connected(service) >= 2
+
     def count_unconnectable(self) -> int:
         """Returns the number of used replicas outside the allotment."""
         return sum(not entry.connectable for entry in self.used_entries())
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -528,8 +528,7 @@
         transfer_s = stats.answer_size.transfer_s(
             self._kernel.settings.link_mbps
         )
-        gather_at_hub = bool(route.shards) and self.hubs.should_gather(route)
-        if gather_at_hub and not self.directory.reach.links_lost:
+        if self._gathers_at_hub(route) and not self.directory.reach.links_lost:
             return delegation.DelegatedRequest(
                 self, request_context, self.hubs, stats.hub_latency, transfer_s
             )
@@ -551,6 +550,19 @@
             return gathering.ScatterGather(self, request_context)
         return single.Forwarding(self, request_context, services[0])
 
+    def _gathers_at_hub(self, route: model.Route) -> bool:
+        """Whether hubs gather the answers of a route.
+
+        An instance that may be connected to fewer than two replicas of a shard
+        cannot hedge, so it gathers answers only if no hub does.
+        """
+        if not route.shards or not self.hubs.gathering_hubs:
+            return False
+        # All shards share the limit on connections.
+        return self.hubs.should_gather(route) or not self.directory.may_hedge(
+            route.shards[0]
+        )
+
     def _build_request_context(
         self,
         exchange: exchange_lib.ServerExchange,
--- a/tests/test_routes_placement.py
+++ b/tests/test_routes_placement.py
@@ -319,6 +319,16 @@
 
         self._run(test)
 
+    def test_instances_with_one_connection_per_shard_use_gatherers(self):
+        # Guards against late answers: such an instance cannot hedge.
+        def test():
+            fleet = _open_fleet(98, 49, 84)
+            assert not any(item.may_hedge("s1") for item in fleet[:49])
+            assert all(item.may_hedge("s1") for item in fleet[49:])
+            assert all(item.may_hedge("s1") for item in _open_fleet(63, 0, 54))
+
+        self._run(test)
+
     def test_without_a_known_fleet_all_replicas_may_be_connected(self):
         def test():
             (directory,) = _open_fleet(1, 0, 54)
