Send nothing after the deadline; leave unreachable domains out

A request whose last hub failed at the deadline was still gathered locally. Replicas of an unreachable domain held the only allotted connection of a shard until it timed out. An attempt that ends unsent for want of an allotment says nothing about the health of its replica.

--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -366,8 +366,9 @@
         now_s = asyncio.get_running_loop().time()
         health = attempt.entry.health
         domain = attempt.entry.replica.failure_domain
-        if outcome is model.Failure.UNSENT and attempt.entry.signals.restricted(
-            now_s
+        if outcome is model.Failure.UNSENT and (
+            attempt.entry.signals.restricted(now_s)
+            or not attempt.entry.connectable
         ):
             health.discard(attempt)
             self._increment_by_outcome[outcome]()
--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -243,10 +243,11 @@
         if refused is not None and not self._overload_refusal.take_other():
             self._finish(refused)
             return
+        if now_s >= self._request_context.end_s:
+            self._finish(refused or self._timeout_answer())
+            return
         entry = None
-        if (
-            refused or len(self._tried) < self._max_hub_attempts
-        ) and now_s < self._request_context.end_s:
+        if refused or len(self._tried) < self._max_hub_attempts:
             entry = self._choose_hub(now_s)
         if entry is None and refused is not None:
             self._finish(refused)
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -516,10 +516,13 @@
         )
 
     def _live_entries(self, service: str) -> list[ReplicaEntry]:
+        unreachable = self.reach.unreachable_domains()
         return [
             entry
             for entry in self.entries(service)
-            if entry.stays and not entry.pool.failing
+            if entry.stays
+            and not entry.pool.failing
+            and entry.replica.failure_domain not in unreachable
         ]
 
     def _max_connected(self, service: str) -> float:
--- a/tests/test_routes_placement.py
+++ b/tests/test_routes_placement.py
@@ -1,6 +1,7 @@
 """Outcomes of requests that were not run, and placement of gathered ones."""
 
 import asyncio
+import dataclasses
 import random
 
 import msgspec
@@ -418,7 +419,9 @@
 class TestGatherers:
     """Guards against overload that spreads from one gatherer to all."""
 
-    def _run(self, outcomes) -> tuple[model.Answer, int, int]:
+    def _run(
+        self, outcomes, left_s: float = 0.4
+    ) -> tuple[model.Answer, int, int]:
         """Returns answer, calls of gatherers and arrivals at the replica."""
 
         async def main():
@@ -432,9 +435,10 @@
             hubs = hubs_lib.Hubs("i", "d1", 0.0)
             hubs.gathering_hubs = _create_entries(pools)
             route = replicas_lib.route(shards=("s",), min_coverage=1.0)
+            context = instance.create_request_context(route)
             task = delegation.DelegatedRequest(
                 instance,
-                instance.create_request_context(route),
+                dataclasses.replace(context, end_s=context.started_s + left_s),
                 hubs,
                 limits.RouteLatency(route.objective_s),
             )
@@ -464,6 +468,10 @@
         answer, called, arrivals = self._run(outcomes)
         assert (answer.status, called, arrivals) == (status, 2, 0)
 
+    def test_nothing_is_sent_after_the_deadline(self):
+        answer, called, arrivals = self._run([_overloaded()], left_s=0.0)
+        assert (answer.status, called, arrivals) == (503, 0, 0)
+
     def test_less_loaded_gatherer_is_chosen_until_the_report_expires(self):
         reports = gatherers.LoadReports(random.Random(1))
         entries = _create_entries([_BusyPool(), _BusyPool()])
