--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -354,6 +354,39 @@
 
         _run_with_server(serve, test)
 
+    def test_no_first_connection_is_opened_without_an_allotment(self):
+        # Guards against more connections than a replica accepts from all.
+        async def serve(server, reader, writer):
+            await server.read_request_id(reader)
+
+        async def test(server, client):
+            client.pool.may_connect = lambda: False
+            client.pool.keep_open()
+            _, outcome_future = client.send(b"a")
+            assert await outcome_future == http1.FailureReason.UNSENT
+            await asyncio.sleep(0.05)
+            assert server.connections == 0
+
+        _run_with_server(serve, test)
+
+    def test_connections_above_a_lowered_limit_are_closed(self):
+        async def serve(server, reader, writer):
+            while True:
+                request = await server.read_request_id(reader)
+                await asyncio.sleep(0.05)
+                writer.write(_response(b"x", request))
+
+        async def test(server, client):
+            futures = [client.send(name)[1] for name in (b"a", b"b")]
+            await asyncio.sleep(0.03)
+            assert client.pool.open_count == 2
+            client.pool.max_connections = 1
+            for future in futures:
+                assert (await future).status == 200
+            assert client.pool.open_count == 1
+
+        _run_with_server(serve, test, max_connections=2)
+
     def test_waiting_requests_are_sent_by_rank(self):
         release = None
 
