Merge accurate outcomes, connection allotments and placement of gathered requests

A hub's refusal as overloaded is the response with status 503 that admission control sends; the tests of the choice of a second gatherer use this form. Gatherers report the load of their admission control.

--- a/src/mallowloft/routes/ablation.py
+++ b/src/mallowloft/routes/ablation.py
@@ -32,6 +32,8 @@
 from mallowloft.routes.admission import gate
 from mallowloft.routes.cold import replicas as cold_replicas
 from mallowloft.routes.evacuation import ramp
+from mallowloft.routes.placement import connections
+from mallowloft.routes.placement import gatherers
 from mallowloft.upstream import http1
 
 _log = logs.get_logger("ablation")
@@ -118,6 +120,31 @@
     gathering.ScatterGather.__init__ = initialize_without_partial_answer
 
 
+@switches.register("accurate_outcomes")
+def _fail_requests_that_were_not_run() -> None:
+    gathering.ScatterGather._cannot_have_run = lambda self: not self.sent
+
+
+@switches.register("early_end")
+def _wait_for_parts_that_are_too_few() -> None:
+    gathering.ScatterGather._is_out_of_reach = lambda self: False
+
+
+@switches.register("connection_allotment")
+def _connect_to_all_replicas() -> None:
+    connections.Population.max_connected = lambda self, *arguments: math.inf
+
+
+@switches.register("gatherer_load")
+def _choose_gatherers_without_their_load() -> None:
+    gatherers.LoadReports.better_of_two = lambda self, *arguments: None
+
+
+@switches.register("second_gatherer")
+def _ask_no_other_overloaded_gatherer() -> None:
+    gatherers.OverloadRefusal.take_other = lambda self: False
+
+
 @switches.register("held_removals")
 def _apply_removals_at_once() -> None:
     mirror.Mirror.hold_removals = _ignore
@@ -172,6 +199,7 @@
 @switches.register("delegation")
 def _gather_all_requests_locally() -> None:
     hubs.Hubs.should_gather = lambda self, route: False
+    directory.Directory.may_hedge = lambda self, service: True
 
 
 @switches.register("admission")
--- a/src/mallowloft/routes/admission/gate.py
+++ b/src/mallowloft/routes/admission/gate.py
@@ -14,6 +14,7 @@
 from mallowloft.routes import running
 from mallowloft.routes.admission import controller as controller_lib
 from mallowloft.routes.admission import limit as limit_lib
+from mallowloft.routes.placement import gatherers
 
 _log = logs.get_logger("admission")
 
@@ -270,6 +271,19 @@
         self._timer_due_s = due_s
         self._timer = loop.call_at(due_s, self._on_timer)
 
+    def load(self) -> gatherers.Load:
+        """Returns the load of the service group that is loaded most."""
+        return max(
+            (
+                gatherers.Load(
+                    item.running, item.waiting, int(item.limit.value)
+                )
+                for item in self._controllers.values()
+            ),
+            key=lambda load: (load.running + load.waiting) / load.limit,
+            default=gatherers.NO_LOAD,
+        )
+
     def dump(self) -> dict[str, Any]:
         """Returns the state of each service group, by its first service."""
         return {
--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -410,8 +410,9 @@
             health.discard(attempt)
             self._count_evacuated()
             return
-        if outcome is model.Failure.UNSENT and attempt.entry.signals.restricted(
-            now_s
+        if outcome is model.Failure.UNSENT and (
+            attempt.entry.signals.restricted(now_s)
+            or not attempt.entry.connectable
         ):
             health.discard(attempt)
             self._increment_by_outcome[outcome]()
--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -31,6 +31,8 @@
 from mallowloft.routes import running
 from mallowloft.routes import single
 from mallowloft.routes.admission import gate
+from mallowloft.routes.placement import gatherers
+from mallowloft.routes.placement import outcomes
 from mallowloft.upstream import http1
 
 _log = logs.get_logger("delegation")
@@ -53,10 +55,6 @@
 # The same for forwarders and for hubs that refuse at once. Many of them may
 # have lost their links, too.
 _MAX_FORWARDER_ATTEMPTS = 5
-# After this many hubs have refused as overloaded, the caller gets the refusal.
-# Hubs of one fleet are mostly overloaded together, and each refusal costs them
-# and the caller time.
-_MAX_OVERLOADED_HUBS = 2
 _OVERLOADED = gate.OVERLOADED.encode()
 
 
@@ -99,6 +97,7 @@
         isolated: Whether the hub reaches no other failure domain but needs
             them to cover the shards.
         leaving: Ids of replicas that state that they are about to end.
+        load: Load of the hub.
     """
 
     status: int
@@ -108,6 +107,7 @@
     missing: int
     isolated: bool
     leaving: message_types.Names = ()
+    load: gatherers.Load = gatherers.NO_LOAD
 
 
 call_decoder = msgspec.msgpack.Decoder(Call)
@@ -126,7 +126,10 @@
 
 
 def encode_answer(
-    answer: model.Answer, isolated: bool, leaving: Iterable[str] = ()
+    answer: model.Answer,
+    isolated: bool,
+    leaving: Iterable[str] = (),
+    load: gatherers.Load = gatherers.NO_LOAD,
 ) -> bytes:
     """Returns an answer encoded for the instance that passed the request.
 
@@ -134,6 +137,7 @@
         answer: The answer.
         isolated: Whether this hub is isolated.
         leaving: Ids of replicas that state that they are about to end.
+        load: Load of this hub.
     """
     gathered = Gathered(
         answer.status,
@@ -143,6 +147,7 @@
         answer.missing,
         isolated,
         tuple(leaving),
+        load,
     )
     return msgspec.msgpack.encode(gathered)
 
@@ -156,6 +161,11 @@
     exchange: http1.Exchange | None = None
     pending: bool = True
 
+    @property
+    def sent(self) -> bool:
+        """Whether the request was written to a connection."""
+        return self.exchange.sent
+
     def release(self) -> None:
         """Cancels the attempt; the hub stops when the connection closes."""
         self.pending = False
@@ -199,10 +209,9 @@
         self._outcomes: list[str] = []
         # Hubs that may have sent first attempts to the replicas.
         self._previous_attempts = 0
-        # Retry-after of each hub that refused as overloaded.
-        self._overloaded_s: list[float] = []
         self._local_task: running.RequestTask | None = None
         self._max_hub_attempts = _MAX_HUB_ATTEMPTS
+        self._overload_refusal = gatherers.OverloadRefusal()
         # Services of the request, for forwarders.
         self._service = ""
         self._unlinked: int | None = None
@@ -235,19 +244,18 @@
         if self._previous_attempts >= max_attempts:
             self._finish(model.failure(502, "hubs_failed"))
             return
+        refused = self._overload_refusal.answer
+        if refused is not None and not self._overload_refusal.take_other():
+            self._finish(refused)
+            return
+        if now_s >= self._request_context.end_s:
+            self._finish(refused or self._timeout_answer())
+            return
         entry = None
-        if (
-            len(self._tried) < self._max_hub_attempts
-            and now_s < self._request_context.end_s
-        ):
+        if refused or len(self._tried) < self._max_hub_attempts:
             entry = self._choose_hub(now_s)
-        if self._overloaded_s and (
-            entry is None or len(self._overloaded_s) >= _MAX_OVERLOADED_HUBS
-        ):
-            # Serving it here would bypass the limits of the hubs.
-            self._finish(
-                model.refusal(gate.OVERLOADED, min(self._overloaded_s))
-            )
+        if entry is None and refused is not None:
+            self._finish(refused)
         elif entry is None:
             self._serve_locally()
         else:
@@ -276,10 +284,22 @@
             for entry in hubs
             if covered[entry.replica.failure_domain] >= min_covered
         ]
+        return self._choose_among(preferred, now_s) or self._choose_among(
+            hubs, now_s
+        )
+
+    def _choose_among(
+        self, hubs: list[directory_lib.ReplicaEntry], now_s: float
+    ) -> directory_lib.ReplicaEntry | None:
         choose = self._context.selector.choose
-        return choose(
-            preferred, now_s, self._tried, healthy_only=True
-        ) or choose(hubs, now_s, self._tried, healthy_only=True)
+        healthy = [
+            entry
+            for entry in hubs
+            if choose((entry,), now_s, self._tried, healthy_only=True)
+        ]
+        return self._hubs.loads.better_of_two(healthy, now_s) or choose(
+            healthy, now_s, healthy_only=True
+        )
 
     def _serve_locally(self) -> None:
         task = self._create_local_task()
@@ -395,13 +415,22 @@
             # The body states the reason for the refusal.
             entry.health.discard(attempt)
             if outcome.body == _OVERLOADED:
+                # Serving it here would bypass the limits of the hubs.
                 retry_after = outcome.header(b"retry-after") or b""
-                self._overloaded_s.append(
+                refused = model.refusal(
+                    gate.OVERLOADED,
                     replica_signals.parse_decimal(retry_after)
-                    or running.NO_REPLICA_RETRY_AFTER_S
+                    or running.NO_REPLICA_RETRY_AFTER_S,
                 )
+                self._overload_refusal.record(refused)
                 self._record_outcome(attempt, gate.OVERLOADED)
                 return None
+            if outcome.status >= 500:
+                # An error in the hub's program; it may have sent attempts.
+                entry.health.record_failure(attempt, now_s)
+                self._previous_attempts += self._route.max_attempts
+                self._record_outcome(attempt, f"status_{outcome.status}")
+                return None
             self._hubs.record_refusal(entry, outcome.body, now_s)
             if self._unlinked is None:
                 # A refusal takes no time, and other hubs may have links.
@@ -417,19 +446,21 @@
             self._previous_attempts += self._route.max_attempts
             self._record_outcome(attempt, f"malformed ({error})")
             return None
-        entry.health.record_reply(attempt, now_s)
-        self._latency.record(now_s - attempt.started_s)
-        self._context.directory.mark_leaving(gathered.leaving)
-        if gathered.isolated:
-            self._hubs.record_isolated(entry)
-        self._record_outcome(attempt, gathered.reason or "answered")
-        return model.Answer(
+        answer = model.Answer(
             gathered.status,
             gathered.headers,
             gathered.body,
             gathered.reason,
             gathered.missing,
         )
+        self._hubs.loads.record(entry.replica.id, gathered.load, now_s)
+        entry.health.record_reply(attempt, now_s)
+        self._latency.record(now_s - attempt.started_s)
+        self._context.directory.mark_leaving(gathered.leaving)
+        if gathered.isolated:
+            self._hubs.record_isolated(entry)
+        self._record_outcome(attempt, gathered.reason or "answered")
+        return answer
 
     def _record_reachability(
         self, entry: directory_lib.ReplicaEntry, responded: bool
@@ -451,6 +482,10 @@
     def _schedule_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
+            self._timer = None
+        if self._local_task is not None:
+            # It has a timer of its own, and knows what it has sent.
+            return
         due_s = self._request_context.end_s
         for attempt in self._in_flight:
             if not attempt.exchange.interim_received:
@@ -461,7 +496,7 @@
         self._timer = None
         now_s = self._loop.time()
         if now_s >= self._request_context.end_s:
-            self._finish(model.failure(504, "hubs_late"))
+            self._finish(self._timeout_answer())
             return
         for attempt in list(self._in_flight):
             late = now_s >= attempt.started_s + self._ack_timeout_s
@@ -470,6 +505,12 @@
         if not self.done.done():
             self._schedule_timer()
 
+    def _timeout_answer(self) -> model.Answer:
+        if self._previous_attempts or outcomes.any_sent(self._in_flight):
+            return model.failure(504, "hubs_late")
+        retry_after_s = max(running.MIN_RETRY_AFTER_S, self._latency.median_s)
+        return model.refusal("hubs_not_reached", retry_after_s)
+
     def _fail_unacknowledged(self, attempt: _Attempt, now_s: float) -> None:
         """Cancels an attempt that the hub has not acknowledged in time.
 
--- a/src/mallowloft/routes/selection.py
+++ b/src/mallowloft/routes/selection.py
@@ -75,7 +75,7 @@
         # Draws of this choice, by the ramp of a returning failure domain.
         held_by_ramp: dict[ramp_lib.ReturnRamp, bool] = {}
         for entry in entries:
-            if entry in tried:
+            if entry in tried or not entry.connectable:
                 continue
             cost = 0.0
             healthy = True
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -27,6 +27,7 @@
 from mallowloft.routes import table as table_lib
 from mallowloft.routes import timing
 from mallowloft.routes.admission import gate
+from mallowloft.routes.placement import connections
 
 _log = logs.get_logger("routes")
 
@@ -193,6 +194,9 @@
             lambda: len(self.directory.evacuations.revision_by_domain),
         )
         metrics.gauge("replicas_connected", self.directory.count_connected)
+        metrics.gauge(
+            "replicas_out_of_allotment", self.directory.count_unconnectable
+        )
 
     @property
     def version(self) -> int:
@@ -253,6 +257,7 @@
                 service: round(extra.tokens, 2)
                 for service, extra in self._extra_by_service.items()
             },
+            "connection_allotments": self.directory.allotments(),
             "requests_open": self._open_requests,
             "response_delays": self.response_delays.dump(),
             "batch_overhead_ms": self.batch_overheads.dump(),
@@ -397,7 +402,20 @@
         )
         for service, extra in self._extra_by_service.items():
             extra.limit = self._extra_limit_of(service)
-        self.directory.divide_limits(instances, shard_divisor)
+        self.directory.divide_limits(
+            instances, shard_divisor, self._population(instances)
+        )
+
+    def _population(self, instances: int) -> connections.Population | None:
+        """Returns the instances that share the limits, None if unknown."""
+        if not self._kernel.plugin("fleet").instances_known:
+            return None
+        return connections.Population(
+            instances,
+            self.hubs.small_links,
+            bool(self.hubs.gathering_hubs),
+            connections.draw(self._kernel.settings.instance_id),
+        )
 
     def _update_cold(self) -> None:
         """Updates the limits of cold replicas, which change with time."""
@@ -502,8 +520,7 @@
         transfer_s = stats.answer_size.transfer_s(
             self._kernel.settings.link_mbps
         )
-        gather_at_hub = bool(route.shards) and self.hubs.should_gather(route)
-        if gather_at_hub and not self.directory.reach.links_lost:
+        if self._gathers_at_hub(route) and not self.directory.reach.links_lost:
             return delegation.DelegatedRequest(
                 self, request_context, self.hubs, stats.hub_latency, transfer_s
             )
@@ -528,6 +545,19 @@
         )
         return self.admission.admit(task, request_context, services)
 
+    def _gathers_at_hub(self, route: model.Route) -> bool:
+        """Whether hubs gather the answers of a route.
+
+        An instance that may be connected to fewer than two replicas of a shard
+        cannot hedge, so it gathers answers only if no hub does.
+        """
+        if not route.shards or not self.hubs.gathering_hubs:
+            return False
+        # All shards share the limit on connections.
+        return self.hubs.should_gather(route) or not self.directory.may_hedge(
+            route.shards[0]
+        )
+
     def _build_request_context(
         self,
         exchange: exchange_lib.ServerExchange,
