--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -380,7 +380,8 @@
         if attempt in shard.in_flight:
             shard.in_flight.remove(attempt)
             self._in_flight_count -= 1
-        if running.was_evacuated(attempt, outcome):
+        evacuated = running.was_evacuated(attempt, outcome)
+        if evacuated:
             self._discard_unsent(shard, attempt)
         if self.done.done() or shard.service not in self._pending_shards:
             return
@@ -389,12 +390,8 @@
             del self._pending_shards[shard.service]
             self._release_attempts(shard)
             self._send_held()
-        elif running.was_evacuated(attempt, outcome):
-            shard.failure = running.EVACUATED
-            # A hedge is replaced, too, since it has taken its token.
-            self._retry(shard, outcome)
         else:
-            self._on_failure(shard, outcome)
+            self._on_failure(shard, outcome, evacuated)
         self._finish_if_decided(self._loop.time())
 
     def _discard_unsent(self, shard: _ShardState, attempt: _Attempt) -> None:
@@ -404,10 +401,16 @@
             shard.tried.remove(attempt.entry)
 
     def _on_failure(
-        self, shard: _ShardState, outcome: attempts_lib.Outcome
+        self,
+        shard: _ShardState,
+        outcome: attempts_lib.Outcome,
+        evacuated: bool,
     ) -> None:
         shard.failure = running.outcome_label(outcome)
-        if shard.in_flight:
+        if evacuated:
+            # A hedge is replaced, too, since it has taken its token.
+            shard.failure = running.EVACUATED
+        elif shard.in_flight:
             return
         if not self._covered and self._cut_off_count >= _MAX_CUT_OFF:
             due_s = self._loop.time() + _CRASH_CHECK_S
