--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -423,10 +423,6 @@
             del self._pending_shards[shard.service]
             self._release_attempts(shard)
             self._send_held()
-        elif running.was_evacuated(attempt, outcome):
-            shard.failure = running.EVACUATED
-            # A hedge is replaced, too, since it has taken its token.
-            self._retry(shard, outcome)
         else:
             self._on_failure(shard, attempt, outcome)
         self._finish_if_decided(self._loop.time())
@@ -450,7 +446,10 @@
         shard.failure = running.outcome_label(outcome)
         if outcome is model.Failure.UNSENT and attempt.entry in shard.tried:
             shard.unsent += 1
-        if shard.in_flight:
+        if running.was_evacuated(attempt, outcome):
+            # A hedge is replaced, too, since it has taken its token.
+            shard.failure = running.EVACUATED
+        elif shard.in_flight:
             return
         if not self._covered and self._cut_off_count >= _MAX_CUT_OFF:
             due_s = self._loop.time() + _CRASH_CHECK_S
