--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -177,11 +177,11 @@
         return self._entries_by_service.get(service, [])
 
     def entries_for(
-        self, route: model.Route, service: str
+        self, route: model.Route | None, service: str
     ) -> list[ReplicaEntry]:
         """Returns the replicas of a service that a route may use."""
         entries = self.entries(service)
-        if not route.home_regions:
+        if route is None or not route.home_regions:
             return entries
         return [
             entry
--- a/src/mallowloft/routes/hub_server.py
+++ b/src/mallowloft/routes/hub_server.py
@@ -218,7 +218,7 @@
         It must also reach more than a sender that has lost links does.
         """
         services = (call.service,) if call.service else route.shards
-        unlinked = self._routes.count_unlinked(route, services)
+        unlinked = self._routes.count_unlinked(services, route)
         if call.unlinked is not None and unlinked >= call.unlinked:
             return False
         needed = 1 if call.service else route.needed_shards
--- a/src/mallowloft/routes/reach.py
+++ b/src/mallowloft/routes/reach.py
@@ -165,14 +165,14 @@
 
 
 def count_unlinked(
-    route: model.Route,
+    route: model.Route | None,
     services: Sequence[str],
     directory: directory_lib.Directory,
 ) -> int:
     """Returns the number of services whose replicas are all out of reach.
 
     Args:
-        route: The route whose requests need them.
+        route: The route whose homes count; None to count all replicas.
         services: Services, such as the shards of a route.
         directory: The known replicas.
     """
@@ -212,7 +212,7 @@
 
 
 def _count_without_replicas(
-    route: model.Route,
+    route: model.Route | None,
     services: Iterable[str],
     directory: directory_lib.Directory,
 ) -> int:
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -302,9 +302,14 @@
         return extra
 
     def count_unlinked(
-        self, route: model.Route, services: Sequence[str]
+        self, services: Sequence[str], route: model.Route | None = None
     ) -> int:
-        """Returns the number of services that this instance does not reach."""
+        """Returns the number of services that this instance does not reach.
+
+        Args:
+            services: Services, such as the shards of a route.
+            route: The route, whose homes count; None to count all replicas.
+        """
         return reach.count_unlinked(route, services, self.directory)
 
     def choose_collectors(
@@ -544,7 +549,7 @@
                 stats.hub_latency,
                 transfer_s,
                 services,
-                self.count_unlinked(route, services),
+                self.count_unlinked(services, route),
             )
         if route.shards:
             return gathering.ScatterGather(self, request_context)
