--- a/src/mallowloft/kernel/metrics.py
+++ b/src/mallowloft/kernel/metrics.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
 import importlib
 from typing import Any
 
@@ -68,6 +69,10 @@
     def __init__(self) -> None:
         self._counters: dict[str, dict[_Labels, Counter]] = {}
         self._gauges_by_name: dict[str, Callable[[], float]] = {}
+        self._gauge_families: dict[
+            str,
+            tuple[tuple[str, ...], Callable[[], Mapping[tuple, float]]],
+        ] = {}
         self._latencies: dict[str, dict[_Labels, LatencyHistogram]] = {}
         # The registry of the library that renders the metrics.
         self._registry: Any = None
@@ -108,6 +113,22 @@
         """Registers a gauge; `read` is called whenever metrics are rendered."""
         self._gauges_by_name[name] = read
 
+    def gauge_family(
+        self,
+        name: str,
+        label_names: tuple[str, ...],
+        read: Callable[[], Mapping[tuple, float]],
+    ) -> None:
+        """Registers a gauge with labels.
+
+        Args:
+            name: Metric name without the `mallowloft_` prefix.
+            label_names: Names of the labels.
+            read: Returns the values by the values of the labels; called
+                whenever metrics are rendered.
+        """
+        self._gauge_families[name] = (label_names, read)
+
     def observe_ms(self, name: str, value_ms: float, **labels: str) -> None:
         """Records a latency in milliseconds."""
         self.latency_histogram(name, **labels).record_ms(value_ms)
@@ -153,6 +174,15 @@
             yield families.GaugeMetricFamily(
                 f"mallowloft_{name}", name.replace("_", " "), value=read()
             )
+        for name, (label_names, read) in self._gauge_families.items():
+            family = families.GaugeMetricFamily(
+                f"mallowloft_{name}",
+                name.replace("_", " "),
+                labels=label_names,
+            )
+            for values, value in read().items():
+                family.add_metric(values, value)
+            yield family
         for name, by_labels in self._latencies.items():
             label_names = _names(next(iter(by_labels)))
             family = families.GaugeMetricFamily(
