Keep the number of running requests that replicas state

Only the number of waiting requests was read. The slots that are free in another failure domain are those that neither run nor wait. Collectors pass the number on in a new last field of their replies; choices carry the reason for leaving the failure domain.

--- a/src/mallowloft/routes/batching.py
+++ b/src/mallowloft/routes/batching.py
@@ -119,6 +119,8 @@
             about to end.
         limits: Positions of the attempts that gave a part and whose replicas
             state a rate limit, with the limits.
+        running: Numbers of requests that run at the replicas of the attempts
+            that gave a part; empty from builds that do not state them.
     """
 
     positions: tuple[message_types.Count, ...]
@@ -129,6 +131,7 @@
     failed: tuple[FailedAttempt, ...]
     leaving: tuple[message_types.Count, ...] = ()
     limits: tuple[tuple[message_types.Count, message_types.PerSecond], ...] = ()
+    running: tuple[message_types.Count, ...] = ()
 
 
 RecordSignals = Callable[
@@ -187,10 +190,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
-    """The replica that was chosen for a shard."""
+    """The replica that was chosen for a shard.
+
+    Attributes:
+        reason: Why it is in another failure domain; empty if it is not.
+    """
 
     service: str
     entry: directory_lib.ReplicaEntry
+    reason: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -562,6 +570,7 @@
             )
         limits_per_s = dict(reply.limits)
         served = [self._owed.pop(position) for position in reply.positions]
+        running = dict(zip(reply.positions, reply.running, strict=False))
         for position, attempt, signature, duration_s, waiting in zip(
             reply.positions,
             served,
@@ -577,6 +586,7 @@
                 signature,
                 waiting=waiting,
                 limit_per_s=limits_per_s.get(position),
+                running=running.get(position, 0),
             )
             self._record(attempt, outcome, duration_s + round_trip_s)
         failed = [
--- a/src/mallowloft/routes/collector.py
+++ b/src/mallowloft/routes/collector.py
@@ -148,6 +148,7 @@
                 for position, outcome, _ in parts
                 if outcome.limit_per_s is not None
             ),
+            tuple(outcome.running for _, outcome, _ in parts),
         )
 
     def abandon(self) -> None:
--- a/src/mallowloft/routes/health.py
+++ b/src/mallowloft/routes/health.py
@@ -59,7 +59,14 @@
 
 
 class ReplicaHealth:
-    """Health of one replica, estimated from this instance's attempts."""
+    """Health of one replica, estimated from this instance's attempts.
+
+    Attributes:
+        waiting: Number of waiting requests that the replica stated last.
+        foreign_load: Running and waiting requests that it stated last, without
+            those of this instance.
+        load_stated_s: Loop time of that statement.
+    """
 
     __slots__ = (
         "_cold_until_s",
@@ -70,6 +77,8 @@
         "_updated_s",
         "_slowness",
         "_suspected_until_s",
+        "foreign_load",
+        "load_stated_s",
         "waiting",
     )
 
@@ -83,12 +92,24 @@
         self._suspected_until_s = -math.inf
         self._pending: dict[object, _Pending] = {}
         self.waiting = 0
+        self.foreign_load = 0
+        self.load_stated_s = -math.inf
 
     @property
     def in_flight(self) -> int:
         """Number of attempts without an outcome."""
         return len(self._pending)
 
+    def record_load(self, running: int, waiting: int, now_s: float) -> None:
+        """Records the load that the replica states in a reply.
+
+        Call it before the outcome of the attempt is recorded.
+        """
+        self.waiting = waiting
+        own = max(0, len(self._pending) - 1)
+        self.foreign_load = max(0, running + waiting - own)
+        self.load_stated_s = now_s
+
     def record_start(
         self,
         attempt: object,
--- a/src/mallowloft/routes/model.py
+++ b/src/mallowloft/routes/model.py
@@ -179,6 +179,7 @@
             refusal; None if it does not state a time.
         limit_per_s: Requests per second that the replica accepts from all
             instances together; None if it does not state a limit.
+        running: Number of requests running at the replica.
     """
 
     status: int
@@ -190,6 +191,7 @@
     leaving: bool = False
     pause_s: float | None = None
     limit_per_s: float | None = None
+    running: int = 0
 
     @property
     def success(self) -> bool:
