--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -27,6 +27,7 @@
     from mallowloft.kernel.setting_types import Name
     from mallowloft.kernel.setting_types import NonNegativeNumber
     from mallowloft.kernel.setting_types import Port
+    from mallowloft.kernel.setting_types import Price
     from mallowloft.kernel.setting_types import Seconds
     from mallowloft.kernel.setting_types import Share
 
@@ -76,6 +77,11 @@
         " their parts are collected by an instance there",
         2,
     )
+    crossing_price_ms_per_kb: Price = _setting(
+        "milliseconds of delay that a kilobyte sent to another failure domain"
+        " is worth",
+        0.2,
+    )
     caller_round_trip_s: NonNegativeNumber = _setting(
         "round-trip time to callers whose connections have measured none,"
         " seconds",
--- /dev/null
+++ b/src/mallowloft/routes/crossing/__init__.py
@@ -0,0 +1,1 @@
+"""Decides when attempts leave the failure domain, and how many of them."""
--- a/src/mallowloft/routes/limits.py
+++ b/src/mallowloft/routes/limits.py
@@ -1,6 +1,7 @@
 """Limits on extra attempts, and the delay before a hedge."""
 
 import dataclasses
+import math
 
 from mallowloft.kernel import quantile
 
@@ -32,6 +33,13 @@
 _MAX_HEDGE_DELAY_SHARE = 0.4
 # Replicas with a higher slowness are left out of the route's latency.
 MAX_SAMPLED_SLOWNESS = 3.0
+# Time constant and least number of values of the mean duration without a
+# queue.
+_SERVICE_TIME_S = 60.0
+_MIN_SERVICE_COUNT = 20
+_MIN_SERVICE_S = 0.0005
+# Weight of a new value in the mean size of requests and replies.
+_BYTES_WEIGHT = 0.05
 # Share of the objective that is used until a route has samples.
 _DEFAULT_DELAY_SHARE = 0.25
 
@@ -133,12 +141,49 @@
 
 
 class RouteLatency:
-    """Latency statistics of the attempts on one route."""
+    """Latency statistics of the attempts on one route.
+
+    Attributes:
+        exchange_bytes: Mean size of a request and its reply; 0 if unknown.
+    """
 
     def __init__(self, objective_s: float) -> None:
         self._objective_s = objective_s
         self._hedge_quantile = quantile.QuantileEstimator(_HEDGE_QUANTILE)
         self._median = quantile.QuantileEstimator(0.5)
+        self.exchange_bytes = 0.0
+        self._service_mean_s = 0.0
+        self._service_weight = 0.0
+        self._service_count = 0
+        self._service_updated_s = -math.inf
+
+    def record_service(self, duration_s: float, now_s: float) -> None:
+        """Records how long an attempt took without a queue at the replica."""
+        age_s = now_s - self._service_updated_s
+        self._service_updated_s = now_s
+        self._service_weight *= math.exp(-max(0.0, age_s) / _SERVICE_TIME_S)
+        self._service_weight += 1.0
+        self._service_mean_s += (
+            duration_s - self._service_mean_s
+        ) / self._service_weight
+        self._service_count += 1
+
+    def record_bytes(self, size: int) -> None:
+        """Records the size of a request and its reply."""
+        if not self.exchange_bytes:
+            self.exchange_bytes = float(size)
+        self.exchange_bytes += _BYTES_WEIGHT * (size - self.exchange_bytes)
+
+    @property
+    def service_s(self) -> float | None:
+        """Mean duration of an attempt without a queue, None if unknown.
+
+        Its time constant is far longer than that of an overload, so that the
+        two can be told apart.
+        """
+        if self._service_count < _MIN_SERVICE_COUNT:
+            return None
+        return max(_MIN_SERVICE_S, self._service_mean_s)
 
     def record(self, duration_s: float) -> None:
         """Records the duration of an attempt.
