Use the crossing share in the selection of replicas

First attempts ask it if the cheapest replica is elsewhere. Hedges, retries and shards without a usable local replica are not limited. Bytes that cross are counted by reason; shares are in the metrics, the log and the state; the switch crossing brings back the constant cost.

--- a/src/mallowloft/routes/ablation.py
+++ b/src/mallowloft/routes/ablation.py
@@ -28,6 +28,7 @@
 from mallowloft.routes import selection
 from mallowloft.routes import timing
 from mallowloft.routes import warming
+from mallowloft.routes.crossing import crossing
 from mallowloft.upstream import http1
 
 _log = logs.get_logger("ablation")
@@ -86,6 +87,16 @@
 @switches.register("local_first")
 def _choose_regardless_of_domain() -> None:
     selection._REMOTE_COST = 0.0
+    crossing.Crossing.cost_medians = lambda self, *arguments: 0.0
+    crossing.Crossing.allows = lambda self, *arguments: True
+
+
+@switches.register("crossing")
+def _cross_by_constant_cost() -> None:
+    crossing.Crossing.cost_medians = lambda self, *arguments: (
+        selection._REMOTE_COST
+    )
+    crossing.Crossing.allows = lambda self, *arguments: True
 
 
 @switches.register("caller_distance")
--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -12,7 +12,9 @@
 from mallowloft.routes import model
 from mallowloft.routes import reach as reach_lib
 from mallowloft.routes import replica_signals
+from mallowloft.routes.crossing import crossing as crossing_lib
 from mallowloft.upstream import http1
+from mallowloft.upstream import traffic as traffic_lib
 
 _log = logs.get_logger("attempts")
 
@@ -226,6 +228,8 @@
         directory: directory_lib.Directory,
         rng: random.Random,
         crashes: crashes_lib.CrashRegistry,
+        crossing: crossing_lib.Crossing | None = None,
+        traffic: traffic_lib.Traffic | None = None,
     ) -> None:
         """Prepares to send requests.
 
@@ -236,8 +240,13 @@
             rng: Draws when this instance returns to a replica after a pause.
             crashes: Is told of requests that were cut off by the end of a
                 replica, and of their successes.
+            crossing: Is told of replies and rejections, if it is given.
+            traffic: Counts the bytes of attempts at replicas in other failure
+                domains, if it is given.
         """
         self._names = names
+        self._crossing = crossing
+        self._traffic = traffic
         self._metrics = metrics
         self._increment_by_outcome = {
             outcome: metrics.counter("route_attempts", outcome=outcome).inc
@@ -259,6 +268,7 @@
         deadline_s: float,
         latency: limits.RouteLatency,
         on_end: Callable[[Attempt, Outcome], None],
+        reason: str = "",
     ) -> Attempt:
         """Sends a request to a replica.
 
@@ -269,6 +279,7 @@
             latency: Latency statistics of the request's route.
             on_end: Called once with the outcome, unless the attempt is
                 released first.
+            reason: Why the attempt goes to another failure domain if it does.
         """
         now_s = asyncio.get_running_loop().time()
         attempt = Attempt(entry, now_s, self._reach)
@@ -303,6 +314,10 @@
             outgoing.has_reply_body,
             purpose="part" if outgoing.is_part else "request",
         )
+        if reason and entry.remote and self._traffic is not None:
+            attempt.exchange.on_bytes = self._traffic.crossing_counter(
+                entry.replica.failure_domain, reason
+            )
         entry.health.record_start(attempt, now_s, latency.median_s)
         if entry.signals.limit is not None:
             entry.signals.limit.take(now_s)
@@ -382,7 +397,7 @@
             self._increment_by_outcome[outcome]()
             return
         reached(domain)
-        health.waiting = outcome.waiting
+        health.record_load(outcome.running, outcome.waiting, now_s)
         if outcome.status == _STATUS_MISDIRECTED:
             self._mark_misdirected(attempt.entry)
         else:
@@ -397,6 +412,11 @@
         if outcome.not_run or outcome.pause_s is not None:
             if outcome.pause_s is None:
                 health.record_failure(attempt, now_s)
+                if (
+                    self._crossing is not None
+                    and outcome.status == _STATUS_UNAVAILABLE
+                ):
+                    self._crossing.record_rejection(attempt.entry, now_s)
             else:
                 # A replica that asks for a pause has no fault.
                 health.discard(attempt)
@@ -408,7 +428,11 @@
         if outcome.status >= 500:
             health.record_failure(attempt, now_s)
         else:
-            self._record_duration(attempt, now_s, duration_s, latency)
+            # Of a batch, request and parts are not known one by one.
+            size = 0
+            if is_direct and attempt.exchange is not None:
+                size = len(attempt.exchange.wire) + _size_of(outcome)
+            self._record_duration(attempt, now_s, duration_s, latency, size)
         label = _OK if outcome.success else _REPLICA_FAILED
         self._increment_by_outcome[label]()
 
@@ -483,8 +507,13 @@
         now_s: float,
         duration_s: float,
         latency: limits.RouteLatency,
+        exchange_bytes: int,
     ) -> None:
         health = attempt.entry.health
+        if self._crossing is not None:
+            self._crossing.record(
+                attempt.entry, latency, duration_s, exchange_bytes, now_s
+            )
         # Samples of slow replicas would raise the hedge delay until no attempt
         # counts as late.
         if health.slowness(now_s) < limits.MAX_SAMPLED_SLOWNESS:
@@ -493,6 +522,7 @@
 
     def _parse_reply(self, response: http1.Response) -> model.Reply:
         not_run = response.header(self._names.not_run) is not None
+        load = _parse_load(response.header(self._names.load))
         pause_s = None
         if response.status == _STATUS_UNAVAILABLE:
             pause_s = self._parse_decimal(
@@ -504,12 +534,13 @@
             body=response.body,
             signature=response.header(self._names.signature) or b"",
             not_run=not_run or response.status == _STATUS_MISDIRECTED,
-            waiting=_parse_waiting(response.header(self._names.load)),
+            waiting=load[1],
             leaving=response.header(self._names.leaving) is not None,
             pause_s=pause_s,
             limit_per_s=self._parse_decimal(
                 response, self._names.rate_limit, "replica_limits_malformed"
             ),
+            running=load[0],
         )
 
     def _parse_decimal(
@@ -554,15 +585,21 @@
     return isinstance(outcome, model.Reply) and outcome.success
 
 
-def _parse_waiting(load: bytes | None) -> int:
-    """Returns the number of waiting requests in a load header.
+def _size_of(reply: model.Reply) -> int:
+    """Returns the size of a reply, without the separators of its headers."""
+    size = sum(len(name) + len(value) for name, value in reply.headers)
+    return size + len(reply.body)
+
+
+def _parse_load(load: bytes | None) -> tuple[int, int]:
+    """Returns the numbers of running and waiting requests in a load header.
 
     Args:
         load: Value in the format `running,waiting,slots`, None if missing.
     """
     if load is None:
-        return 0
-    fields = load.split(b",")
-    if len(fields) < 2 or not fields[1].strip().isdigit():
-        return 0
-    return int(fields[1])
+        return (0, 0)
+    fields = [field.strip() for field in load.split(b",")]
+    if len(fields) < 2 or not fields[1].isdigit():
+        return (0, 0)
+    return (int(fields[0]) if fields[0].isdigit() else 0, int(fields[1]))
--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -330,7 +330,9 @@
         self._pools_by_seed: dict[str, http1.Pool] = {}
         self._listeners: list[Callable[[int], None]] = []
         self._apps_by_path: dict[str, Application] = {_PATH: self._serve_report}
-        self.traffic = traffic_lib.Traffic(kernel.metrics)
+        self.traffic = traffic_lib.Traffic(
+            kernel.metrics, settings.failure_domain
+        )
         self.hubs = hubs_lib.Hubs(
             settings.instance_id,
             settings.failure_domain,
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -13,6 +13,7 @@
 from mallowloft.routes import model
 from mallowloft.routes import reach
 from mallowloft.routes import running
+from mallowloft.routes import selection
 
 # If more shards are late at once than the larger of these two limits, this
 # instance's own link or processor is assumed to be congested. Hedges are then
@@ -191,7 +192,10 @@
                 return
             choice = self._unsent.pop()
             self._send(
-                self._pending_shards[choice.service], choice.entry, now_s
+                self._pending_shards[choice.service],
+                choice.entry,
+                now_s,
+                choice.reason,
             )
         if self.done.done():
             return
@@ -207,8 +211,12 @@
     ) -> batching.Choice | None:
         """Returns the replica for a first attempt, None to send none."""
         entry = self._context.selector.choose(
-            self._context.directory.entries(shard.service), now_s
+            self._context.directory.entries(shard.service),
+            now_s,
+            latency=self._request_context.latency,
+            first_rank=self._route.rank,
         )
+        reason = self._context.selector.reason
         if entry is None:
             shard.failure = "no_replica"
             return None
@@ -218,7 +226,7 @@
                 shard.failure = "denied"
                 return None
             self.retries += 1
-        return batching.Choice(shard.service, entry)
+        return batching.Choice(shard.service, entry, reason)
 
     def _choose_collectors(
         self, failure_domain: str, count: int
@@ -338,6 +346,7 @@
         shard: _ShardState,
         entry: directory_lib.ReplicaEntry,
         now_s: float,
+        reason: str,
     ) -> None:
         shard.tried.append(entry)
         shard.hedge_due_s = self._earliest_hedge_s(now_s + self._hedge_delay_s)
@@ -350,6 +359,7 @@
             lambda attempt, outcome: self._on_replica_end(
                 shard, attempt, outcome
             ),
+            reason,
         )
         if attempt.pending:
             shard.in_flight.append(attempt)
@@ -412,7 +422,7 @@
             return
         if unsent or self._context.extra_attempts(shard.service).take_retry():
             self.retries += 1
-            self._send(shard, entry, now_s)
+            self._send(shard, entry, now_s, selection.RETRY)
         else:
             self.denied += 1
 
@@ -471,7 +481,11 @@
             return None
         entries = self._context.directory.entries(shard.service)
         return self._context.selector.choose(
-            entries, now_s, shard.tried, healthy_only
+            entries,
+            now_s,
+            shard.tried,
+            healthy_only,
+            self._request_context.latency,
         )
 
     def _on_timer(self) -> None:
@@ -563,7 +577,7 @@
             allowed = running.take_hedge(extra, shard.in_flight, now_s)
         if allowed:
             self.hedges += 1
-            self._send(shard, entry, now_s)
+            self._send(shard, entry, now_s, selection.HEDGE)
         else:
             self.denied += 1
 
--- a/src/mallowloft/routes/selection.py
+++ b/src/mallowloft/routes/selection.py
@@ -11,9 +11,12 @@
 import random
 
 from mallowloft.routes import directory as directory_lib
+from mallowloft.routes import limits
+from mallowloft.routes.crossing import crossing as crossing_lib
 
 # Costs as multiples of the route's median attempt duration.
-_REMOTE_COST = 0.4
+# Of another failure domain, if the round trip is not measured.
+_REMOTE_COST = crossing_lib.ASSUMED_COST
 _NO_CONNECTION_COST = 0.4
 _OUTSIDE_SUBSET_COST = 2.0
 _LOAD_COST = 0.5
@@ -29,11 +32,32 @@
 _MAX_JITTER = 0.05
 
 
+# Why an attempt goes to another failure domain.
+NO_LOCAL = "no_local"
+LOCAL_FAULT = "local_fault"
+SHARE = "share"
+HEDGE = "hedge"
+RETRY = "retry"
+
+
 class Selector:
-    """Chooses the replica with the lowest expected duration."""
+    """Chooses the replica with the lowest expected duration.
 
-    def __init__(self, rng: random.Random) -> None:
+    Attributes:
+        crossing: Decides which first attempts go to another failure domain;
+            None if the cost alone decides.
+        reason: Why the replica chosen last is in another failure domain; empty
+            if it is not, or if the attempt is no first one.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        crossing: crossing_lib.Crossing | None = None,
+    ) -> None:
         self._rng = rng
+        self.crossing = crossing
+        self.reason = ""
 
     def choose(
         self,
@@ -41,6 +65,8 @@
         now_s: float,
         tried: Collection[directory_lib.ReplicaEntry] = (),
         healthy_only: bool = False,
+        latency: limits.RouteLatency | None = None,
+        first_rank: int | None = None,
     ) -> directory_lib.ReplicaEntry | None:
         """Returns the best replica for the next attempt, None if there is none.
 
@@ -50,9 +76,14 @@
             tried: Replicas that already got an attempt of this request.
             healthy_only: Whether to consider only replicas without a known
                 fault.
+            latency: Latency statistics of the route, None if unknown.
+            first_rank: Rank of the request if this is its first attempt at the
+                service; None for hedges, retries and other instances.
         """
         best = None
         best_cost = math.inf
+        local = None
+        local_cost = math.inf
         for entry in entries:
             if entry in tried:
                 continue
@@ -61,16 +92,84 @@
                 if healthy_only or not entry.admits_if_alone(now_s):
                     continue
                 cost = _IF_ALONE_COST
-            cost += self._cost(entry, now_s, healthy_only)
+            cost += self._cost(entry, now_s, healthy_only, latency)
             if cost < best_cost:
                 best, best_cost = entry, cost
-        return best
+            if not entry.remote and cost < local_cost:
+                local, local_cost = entry, cost
+        self.reason = ""
+        if best is None or first_rank is None or self.crossing is None:
+            return best
+        self.crossing.count_first(best.replica.service, first_rank, now_s)
+        if not best.remote:
+            return best
+        self.reason = self._reason_to_cross(
+            best, local, now_s, latency, first_rank
+        )
+        return best if self.reason else local
+
+    def _reason_to_cross(
+        self,
+        best: directory_lib.ReplicaEntry,
+        local: directory_lib.ReplicaEntry | None,
+        now_s: float,
+        latency: limits.RouteLatency | None,
+        rank: int,
+    ) -> str:
+        """Returns why a first attempt goes to another failure domain.
+
+        Args:
+            best: The cheapest replica; it is in another failure domain.
+            local: The cheapest replica in this one, None if there is none.
+            now_s: Current loop time.
+            latency: Latency statistics of the route, None if unknown.
+            rank: Rank of the request.
+
+        Returns:
+            The reason, empty if the attempt must stay in this domain.
+        """
+        if local is None or not local.admits(now_s) or local.pool.failing:
+            return NO_LOCAL
+        if local.health.ejected(now_s):
+            # A replica that rejects because its queue is full is ejected by
+            # all instances at about the same time. If all of them crossed,
+            # they would fill the queue in the other domain, too.
+            is_full = local.health.waiting > 0
+            if is_full and not self.crossing.has_free_slot(best, now_s):
+                return ""
+            return NO_LOCAL
+        if not local.health.waiting:
+            # Without a stated queue, a replica that is slower than the others
+            # of its domain is not overloaded but pauses or has a fault.
+            excess = self._quality_cost(local, now_s) - self._quality_cost(
+                best, now_s
+            )
+            excess -= self.crossing.excess_here(best, latency, now_s)
+            cost = self.crossing.cost_medians(best, latency)
+            if excess > max(_REMOTE_COST, cost):
+                return LOCAL_FAULT
+        if self.crossing.allows(best, rank, now_s):
+            return SHARE
+        return ""
+
+    def _quality_cost(
+        self, entry: directory_lib.ReplicaEntry, now_s: float
+    ) -> float:
+        """Returns the part of the cost that load does not cause."""
+        health = entry.health
+        cost = health.fault_cost(now_s) + health.slowness(now_s)
+        if entry.pool.failing:
+            cost += _CONNECT_FAILURE_COST
+        if not entry.pool.open_count:
+            cost += _NO_CONNECTION_COST
+        return cost + health.uncertainty_cost(now_s)
 
     def _cost(
         self,
         entry: directory_lib.ReplicaEntry,
         now_s: float,
         healthy_only: bool,
+        latency: limits.RouteLatency | None = None,
     ) -> float:
         """Returns the expected duration, infinite for an excluded replica.
 
@@ -89,7 +188,7 @@
         if load:
             cost += _LOAD_COST * load / entry.replica.slots
         if entry.remote:
-            cost += _REMOTE_COST
+            cost += self._remote_cost(entry, latency)
         if not entry.in_subset:
             cost += _OUTSIDE_SUBSET_COST
         if not entry.pool.open_count:
@@ -97,3 +196,19 @@
         if entry.signals.returning:
             cost -= _TRIAL_ADVANTAGE
         return cost + health.uncertainty_cost(now_s)
+
+    def _remote_cost(
+        self,
+        entry: directory_lib.ReplicaEntry,
+        latency: limits.RouteLatency | None,
+    ) -> float:
+        """Returns the cost of a replica in another failure domain.
+
+        One in a domain that is cut off is chosen only if there is no other.
+        """
+        if self.crossing is None:
+            return _REMOTE_COST
+        cost = self.crossing.cost_medians(entry, latency)
+        if self.crossing.is_cut_off(entry):
+            cost += _IF_ALONE_COST
+        return cost
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -25,6 +25,7 @@
 from mallowloft.routes import single
 from mallowloft.routes import table as table_lib
 from mallowloft.routes import timing
+from mallowloft.routes.crossing import crossing as crossing_lib
 
 _log = logs.get_logger("routes")
 
@@ -125,7 +126,14 @@
             traffic=kernel.plugin("fleet").traffic,
             leaving_grace_s=kernel.settings.leaving_grace_s,
         )
-        self.selector = selection.Selector(kernel.rng)
+        self.crossing = crossing_lib.Crossing(
+            kernel.settings.failure_domain,
+            kernel.settings.crossing_price_ms_per_kb,
+            self.directory.reach.unreachable_domains,
+            kernel.rng,
+            kernel.metrics,
+        )
+        self.selector = selection.Selector(kernel.rng, self.crossing)
         self.crashes = kernel.plugin("fleet").crashes
         self.sender = attempts_lib.Sender(
             self.names,
@@ -133,6 +141,8 @@
             self.directory,
             kernel.rng,
             self.crashes,
+            self.crossing,
+            kernel.plugin("fleet").traffic,
         )
         self._dropped_headers = frozenset(
             (self.names.deadline, self.names.expected_replica)
@@ -169,6 +179,9 @@
         metrics.gauge("route_table_version", lambda: self.version)
         metrics.gauge("replicas_listed", lambda: len(self.directory))
         metrics.gauge("replicas_connected", self.directory.count_connected)
+        metrics.gauge_family(
+            "crossing_share", ("here", "there"), self.crossing.shares
+        )
 
     @property
     def version(self) -> int:
@@ -231,6 +244,7 @@
             "requests_open": self._open_requests,
             "response_delays": self.response_delays.dump(),
             "batch_overhead_ms": self.batch_overheads.dump(),
+            "crossing": self.crossing.dump(),
         }
 
     def apply(
@@ -327,6 +341,12 @@
         self._shard_services = frozenset(
             shard for route in table.routes for shard in route.shards
         )
+        # Routes over the same shards are one group.
+        group_by_service: dict[str, str] = {}
+        for route in table.routes:
+            for shard in route.shards:
+                group_by_service.setdefault(shard, route.name)
+        self.crossing.set_groups(group_by_service, _services_of(table))
         on_demand = {
             shard
             for route in table.routes
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -6,6 +6,7 @@
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import model
 from mallowloft.routes import running
+from mallowloft.routes import selection
 
 
 class Forwarding(running.RequestTask):
@@ -47,7 +48,8 @@
         extra = self._context.extra_attempts(self._service)
         if not self._repeated:
             extra.refill(self._loop.time())
-        entry = self._choose_next(healthy_only=False)
+        entry = self._choose_next(healthy_only=False, first=True)
+        reason = self._context.selector.reason
         if entry is None:
             self._finish(running.refuse_unusable(self._usable_in_s()))
             return
@@ -57,7 +59,7 @@
                 self._finish(model.failure(502, "denied"))
                 return
             self.retries += 1
-        self._send(entry)
+        self._send(entry, reason)
         if not self.done.done():
             self._schedule_timer()
 
@@ -74,7 +76,7 @@
         }
 
     def _choose_next(
-        self, healthy_only: bool
+        self, healthy_only: bool, first: bool = False
     ) -> directory_lib.ReplicaEntry | None:
         if len(self._tried) >= self._max_attempts or self._refused_for_s():
             return None
@@ -83,6 +85,8 @@
             self._loop.time(),
             self._tried,
             healthy_only,
+            self._request_context.latency,
+            self._route.rank if first else None,
         )
 
     def _usable_in_s(self) -> float:
@@ -96,7 +100,7 @@
             default=math.inf,
         )
 
-    def _send(self, entry: directory_lib.ReplicaEntry) -> None:
+    def _send(self, entry: directory_lib.ReplicaEntry, reason: str) -> None:
         self._tried.append(entry)
         attempt = self._context.sender.start(
             entry,
@@ -104,6 +108,7 @@
             self._request_context.end_s,
             self._request_context.latency,
             self._on_end,
+            reason,
         )
         if attempt.pending:
             self._in_flight.append(attempt)
@@ -146,7 +151,7 @@
             self.denied += 1
             return False
         self.retries += 1
-        self._send(entry)
+        self._send(entry, selection.RETRY)
         return True
 
     def _final_answer(self, outcome: attempts_lib.Outcome) -> model.Answer:
@@ -193,7 +198,7 @@
             extra = self._context.extra_attempts(self._service)
             if running.take_hedge(extra, self._in_flight, now_s):
                 self.hedges += 1
-                self._send(entry)
+                self._send(entry, selection.HEDGE)
             else:
                 self.denied += 1
         if not self.done.done():
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -120,6 +120,8 @@
         purpose: What the exchange is for, a label of the byte counts.
         on_data: Gets the body of a response with status 200 as it arrives; the
             outcome then has no body. If it is None, the outcome has the body.
+        on_bytes: Gets the direction and number of bytes that are sent or
+            received for it, if it is set.
         interim_received: Whether an interim (1xx) response has arrived.
         connection: Connection to which the request was written, if any.
     """
@@ -131,6 +133,7 @@
         "has_body",
         "id",
         "id_name",
+        "on_bytes",
         "on_data",
         "purpose",
         "rank",
@@ -155,6 +158,7 @@
         self.has_body = has_body
         self.purpose = purpose
         self.on_data = on_data
+        self.on_bytes: Callable[[str, int], None] | None = None
         self.interim_received = False
         self.connection: Connection | None = None
         self._on_end: Callable | None = on_end
@@ -241,6 +245,8 @@
         self._pool.count_bytes(
             exchange.purpose, traffic.SENT, len(exchange.wire)
         )
+        if exchange.on_bytes is not None:
+            exchange.on_bytes(traffic.SENT, len(exchange.wire))
         self._transport.write(exchange.wire)
 
     def round_trip_s(self) -> float | None:
@@ -270,6 +276,8 @@
         self._pool.count_bytes(
             self._exchange.purpose, traffic.RECEIVED, len(data)
         )
+        if self._exchange.on_bytes is not None:
+            self._exchange.on_bytes(traffic.RECEIVED, len(data))
         self._overhead_size += len(data)
         try:
             self._parser.feed_data(data)
--- a/src/mallowloft/upstream/traffic.py
+++ b/src/mallowloft/upstream/traffic.py
@@ -36,7 +36,14 @@
 class Traffic:
     """Meters for servers in the same and in other failure domains."""
 
-    def __init__(self, metrics: metrics_lib.Metrics) -> None:
+    def __init__(
+        self, metrics: metrics_lib.Metrics, failure_domain: str = ""
+    ) -> None:
+        self._metrics = metrics
+        self._failure_domain = failure_domain
+        self._crossing_counters: dict[
+            tuple[str, str], Callable[[str, int], None]
+        ] = {}
         self._local = LinkMeter(metrics, "local")
         self._remote = LinkMeter(metrics, "remote")
 
@@ -44,6 +51,38 @@
         """Returns the meter for servers that are remote or not."""
         return self._remote if remote else self._local
 
+    def crossing_counter(
+        self, failure_domain: str, reason: str
+    ) -> Callable[[str, int], None]:
+        """Returns a function that counts bytes to and from another domain.
+
+        Args:
+            failure_domain: The other failure domain.
+            reason: Why the attempt goes there.
+
+        Returns:
+            A function of the direction and the number of bytes.
+        """
+        key = (failure_domain, reason)
+        count = self._crossing_counters.get(key)
+        if count is None:
+            add_by_direction = {
+                direction: self._metrics.counter(
+                    "crossing_bytes",
+                    here=self._failure_domain,
+                    there=failure_domain,
+                    reason=reason,
+                    direction=direction,
+                ).inc
+                for direction in (SENT, RECEIVED)
+            }
+
+            def count(direction: str, size: int) -> None:
+                add_by_direction[direction](size)
+
+            self._crossing_counters[key] = count
+        return count
+
     def dump(self) -> dict[str, dict[str, int]]:
         """Returns the bytes by scope, then by purpose and direction."""
         return {
