--- a/tests/test_routes_delegation.py
+++ b/tests/test_routes_delegation.py
@@ -483,9 +483,19 @@
 class _InOrder:
     """Chooses the first entry that was not tried."""
 
-    def choose(self, entries, now_s, tried=(), healthy_only=False):
+    reason = ""
+
+    def choose(
+        self,
+        entries,
+        now_s,
+        tried=(),
+        healthy_only=False,
+        latency=None,
+        first_rank=None,
+    ):
         """Returns the entry, None if there is none."""
-        del now_s, healthy_only
+        del now_s, healthy_only, latency, first_rank
         left = (
             item for item in entries if item not in tried and not item.draining
         )
