Treat an unmeasured domain like the measured ones

An instance without local replicas would have preferred the first domain whose round trip it measured. A slow replica without a stated queue is now compared with the one elsewhere only, not also with the mean of its domain: a few very slow replicas raise that mean and would hold attempts at themselves. Attempts leave it only while the other replica states no queue.

--- a/src/mallowloft/routes/crossing/crossing.py
+++ b/src/mallowloft/routes/crossing/crossing.py
@@ -175,14 +175,14 @@
             entry: The replica.
             latency: Latency statistics of the route, None if unknown.
         """
-        round_trip = self._round_trips.get(entry.replica.failure_domain)
         if latency is None:
             return ASSUMED_COST
         median_s = latency.median_s
         cost = self._price_s_per_byte * latency.exchange_bytes / median_s
-        if round_trip is None or round_trip.value_s is None:
+        round_trip_s = self._round_trip_s(entry.replica.failure_domain)
+        if round_trip_s is None:
             return ASSUMED_COST + cost
-        return max(_MIN_COST, cost + round_trip.value_s / median_s)
+        return max(_MIN_COST, cost + round_trip_s / median_s)
 
     def has_free_slot(
         self, entry: directory_lib.ReplicaEntry, now_s: float
@@ -229,35 +229,6 @@
         crossed.add(rank, now_s)
         return True
 
-    def excess_here(
-        self,
-        entry: directory_lib.ReplicaEntry,
-        latency: limits.RouteLatency | None,
-        now_s: float,
-    ) -> float:
-        """Returns by how much all replicas here are slower than those there.
-
-        A replica that is slow like the others of its domain has no fault of
-        its own.
-
-        Args:
-            entry: A replica in another failure domain.
-            latency: Latency statistics of the route, None if unknown.
-            now_s: Current loop time.
-
-        Returns:
-            The difference as a multiple of the median duration, at least 0.
-        """
-        group = self._group_of(entry.replica.service)
-        here = group.estimate(self._here).expected_ratio(now_s)
-        there = group.estimate(entry.replica.failure_domain).expected_ratio(
-            now_s
-        )
-        scale = 1.0
-        if latency is not None and latency.service_s is not None:
-            scale = latency.service_s / latency.median_s
-        return max(0.0, (here - there) * scale)
-
     def record(
         self,
         entry: directory_lib.ReplicaEntry,
@@ -348,6 +319,23 @@
             group = self._groups[name] = _Group()
         return group
 
+    def _round_trip_s(self, failure_domain: str) -> float | None:
+        """Returns the round trip to a failure domain, None if unknown.
+
+        One that is not measured counts as the mean of the others. Otherwise an
+        instance without local replicas would prefer the first domain that it
+        measured, and never measure another.
+        """
+        measured = self._round_trips.get(failure_domain)
+        if measured is not None and measured.value_s is not None:
+            return measured.value_s
+        known = [
+            item.value_s
+            for item in self._round_trips.values()
+            if item.value_s is not None
+        ]
+        return sum(known) / len(known) if known else None
+
     def _step_if_due(
         self, name: str, group: _Group, domain: str, now_s: float
     ) -> share_lib.ShareController:
@@ -383,8 +371,7 @@
         here = group.estimate(self._here)
         there = group.estimate(domain)
         service_s = group.service_s or 0.0
-        round_trip = self._round_trips.get(domain)
-        round_trip_s = round_trip.value_s if round_trip else None
+        round_trip_s = self._round_trip_s(domain)
         if round_trip_s is None:
             round_trip_s = ASSUMED_COST * service_s
         there_s = (
--- a/src/mallowloft/routes/selection.py
+++ b/src/mallowloft/routes/selection.py
@@ -138,13 +138,12 @@
             if is_full and not self.crossing.has_free_slot(best, now_s):
                 return ""
             return NO_LOCAL
-        if not local.health.waiting:
-            # Without a stated queue, a replica that is slower than the others
-            # of its domain is not overloaded but pauses or has a fault.
+        if not local.health.waiting and not best.health.waiting:
+            # Without a stated queue, a slow replica is not overloaded but
+            # pauses or has a fault.
             excess = self._quality_cost(local, now_s) - self._quality_cost(
                 best, now_s
             )
-            excess -= self.crossing.excess_here(best, latency, now_s)
             cost = self.crossing.cost_medians(best, latency)
             if excess > max(_REMOTE_COST, cost):
                 return LOCAL_FAULT
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -20,6 +20,7 @@
 from mallowloft.routes import selection
 from mallowloft.routes import single
 from mallowloft.routes import timing
+from mallowloft.routes.crossing import crossing as crossing_lib
 from mallowloft.upstream import http1
 
 NAMES = model.HeaderNames()
@@ -176,6 +177,10 @@
     def close(self, reason: str = "") -> None:
         """Does nothing."""
 
+    def round_trip_s(self) -> float:
+        """Returns the round-trip time to the replica."""
+        return 2 * self._delay_s
+
     keep_open = stop_keeping_open = renew = abort = reject_waiting = close
 
 
@@ -190,6 +195,7 @@
         replicas: list[Replica],
         rng: random.Random,
         link: Link | None = None,
+        crossing: crossing_lib.Crossing | None = None,
     ) -> None:
         self.domain = domain
         self._link = link or Link()
@@ -213,10 +219,15 @@
                     replica.slots,
                 )
             )
-        self.selector = selection.Selector(rng)
+        self.selector = selection.Selector(rng, crossing)
         self.crashes = crashes_lib.CrashRegistry()
         self.sender = attempts_lib.Sender(
-            NAMES, metrics_lib.Metrics(), self.directory, rng, self.crashes
+            NAMES,
+            metrics_lib.Metrics(),
+            self.directory,
+            rng,
+            self.crashes,
+            crossing,
         )
         self.response_delays = timing.ResponseDelays()
         self.batch_overheads = batching.Overheads()
--- a/tests/test_routes_crossing.py
+++ b/tests/test_routes_crossing.py
@@ -225,6 +225,39 @@
         assert allowed[1] < 50
 
 
+class TestCost:
+    """The cost follows the measured round trip and the price of the bytes."""
+
+    def _record(self, chooser, entry, count=30):
+        for _ in range(count):
+            chooser.crossing.record(entry, chooser.latency, 0.011, 1000, 1.0)
+            chooser.latency.record(0.01)
+
+    def test_round_trip_and_price(self):
+        chooser = domains_lib.Domains(1, price=2.0).choosers["a"][0]
+        remote = chooser.entries[0]["b"]
+        cost = chooser.crossing.cost_medians(remote, chooser.latency)
+        assert cost == pytest.approx(selection._REMOTE_COST)
+        self._record(chooser, remote)
+        cost = chooser.crossing.cost_medians(remote, chooser.latency)
+        assert cost == pytest.approx((1.0 + 2.0) / 10.0, rel=0.1)
+
+    def test_domain_that_is_not_measured_is_not_avoided(self):
+        # Guards against an instance without local replicas that prefers the
+        # domain that it happened to measure first.
+        chooser = domains_lib.Domains(1).choosers["a"][0]
+        remote = chooser.entries[0]["b"]
+        self._record(chooser, remote)
+        other = types.SimpleNamespace(
+            replica=types.SimpleNamespace(failure_domain="c")
+        )
+        costs = {
+            chooser.crossing.cost_medians(entry, chooser.latency)
+            for entry in (remote, other)
+        }
+        assert len(costs) == 1
+
+
 class TestVisibility:
     """The state and the metrics show shares and their inputs."""
 
