--- a/tests/test_routes_load.py
+++ b/tests/test_routes_load.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from mallowloft.kernel import metrics as metrics_lib
 from mallowloft.routes import model
+from mallowloft.routes.crossing import crossing as crossing_lib
 from tests.support import replicas as replicas_lib
 from tests.support import virtual
 
@@ -74,8 +76,19 @@
     )
 
 
+def _crossing(domain: str) -> crossing_lib.Crossing:
+    crossing = crossing_lib.Crossing(
+        domain, 0.2, frozenset, random.Random(1), metrics_lib.Metrics()
+    )
+    services = [f"s{shard}" for shard in range(_SHARDS)]
+    crossing.set_groups(dict.fromkeys(services, "r"), services)
+    return crossing
+
+
 def _run_load(
-    kind: str, inject_fault=lambda replicas, rng: None
+    kind: str,
+    inject_fault=lambda replicas, rng: None,
+    crosses_by_share: bool = False,
 ) -> _LoadResult:
     """Simulates load on instances that do not communicate."""
     rng = random.Random(11)
@@ -100,7 +113,12 @@
     async def main() -> None:
         instances = [
             replicas_lib.Instance(
-                replicas_lib.DOMAINS[number % 3], replicas, rng
+                replicas_lib.DOMAINS[number % 3],
+                replicas,
+                rng,
+                crossing=_crossing(replicas_lib.DOMAINS[number % 3])
+                if crosses_by_share
+                else None,
             )
             for number in range(_INSTANCES)
         ]
@@ -155,6 +173,14 @@
         assert result.credit >= 0.985
         assert result.extra_share <= _EXTRA_SHARE
 
+    @pytest.mark.parametrize("kind", ["long", "short"])
+    def test_credit_with_pauses_and_crossing_share(self, kind):
+        # Guards against attempts that the share holds at a paused replica.
+        result = _run_load(kind, crosses_by_share=True)
+        assert result.failed == 0
+        assert result.credit >= 0.985
+        assert result.extra_share <= _EXTRA_SHARE
+
     @pytest.mark.parametrize("kind", ["long", "short"])
     @pytest.mark.parametrize(
         "inject_fault",
