--- a/src/mallowloft/routes/ablation.py
+++ b/src/mallowloft/routes/ablation.py
@@ -31,6 +31,7 @@
 from mallowloft.routes import warming
 from mallowloft.routes.admission import gate
 from mallowloft.routes.cold import replicas as cold_replicas
+from mallowloft.routes.crossing import crossing
 from mallowloft.routes.evacuation import ramp
 from mallowloft.routes.placement import connections
 from mallowloft.routes.placement import gatherers
@@ -92,6 +93,16 @@
 @switches.register("local_first")
 def _choose_regardless_of_domain() -> None:
     selection._REMOTE_COST = 0.0
+    crossing.Crossing.cost_medians = lambda self, *arguments: 0.0
+    crossing.Crossing.allows = lambda self, *arguments: True
+
+
+@switches.register("crossing")
+def _cross_by_constant_cost() -> None:
+    crossing.Crossing.cost_medians = lambda self, *arguments: (
+        selection._REMOTE_COST
+    )
+    crossing.Crossing.allows = lambda self, *arguments: True
 
 
 @switches.register("caller_distance")
--- a/src/mallowloft/routes/model.py
+++ b/src/mallowloft/routes/model.py
@@ -206,6 +206,7 @@
         limit_per_s: Requests per second that the replica accepts from all
             instances together; None if it does not state a limit.
         cold_s: For how long the replica is still cold; 0 if it does not say so.
+        running: Number of requests running at the replica.
     """
 
     status: int
@@ -218,6 +219,7 @@
     pause_s: float | None = None
     limit_per_s: float | None = None
     cold_s: float = 0.0
+    running: int = 0
 
     @property
     def success(self) -> bool:
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -27,6 +27,7 @@
 from mallowloft.routes import table as table_lib
 from mallowloft.routes import timing
 from mallowloft.routes.admission import gate
+from mallowloft.routes.crossing import crossing as crossing_lib
 from mallowloft.routes.placement import connections
 
 _log = logs.get_logger("routes")
@@ -135,6 +136,13 @@
             settings.failure_domain,
             settings.region,
         )
+        self.crossing = crossing_lib.Crossing(
+            kernel.settings.failure_domain,
+            kernel.settings.crossing_price_ms_per_kb,
+            self.directory.reach.unreachable_domains,
+            kernel.rng,
+            kernel.metrics,
+        )
         self.crashes = kernel.plugin("fleet").crashes
         self.sender = attempts_lib.Sender(
             self.names,
@@ -142,9 +150,11 @@
             self.directory,
             kernel.rng,
             self.crashes,
+            self.crossing,
+            kernel.plugin("fleet").traffic,
         )
         self.selector = selection.Selector(
-            kernel.rng, self.sender.count_denied_cold
+            kernel.rng, self.sender.count_denied_cold, self.crossing
         )
         self._dropped_headers = frozenset(
             (self.names.deadline, self.names.expected_replica)
@@ -197,6 +207,9 @@
         metrics.gauge(
             "replicas_out_of_allotment", self.directory.count_unconnectable
         )
+        metrics.gauge_family(
+            "crossing_share", ("here", "there"), self.crossing.shares
+        )
 
     @property
     def version(self) -> int:
@@ -262,6 +275,7 @@
             "response_delays": self.response_delays.dump(),
             "batch_overhead_ms": self.batch_overheads.dump(),
             "admission": self.admission.dump(),
+            "crossing": self.crossing.dump(),
         }
 
     def apply(
@@ -373,6 +387,12 @@
         self._shard_services = frozenset(
             shard for route in table.routes for shard in route.shards
         )
+        # Routes over the same shards are one group.
+        group_by_service: dict[str, str] = {}
+        for route in table.routes:
+            for shard in route.shards:
+                group_by_service.setdefault(shard, route.name)
+        self.crossing.set_groups(group_by_service, _services_of(table))
         on_demand = {
             shard
             for route in table.routes
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -7,6 +7,7 @@
 from mallowloft.routes import model
 from mallowloft.routes import reach
 from mallowloft.routes import running
+from mallowloft.routes import selection
 from mallowloft.routes.placement import outcomes
 
 
@@ -52,7 +53,8 @@
         extra = self._context.extra_attempts(self._service)
         if not self._repeated:
             extra.refill(self._loop.time())
-        entry = self._choose_next(healthy_only=False)
+        entry = self._choose_next(healthy_only=False, first=True)
+        reason = self._context.selector.reason
         if entry is None:
             self._finish(
                 running.refuse_unusable(
@@ -67,7 +69,7 @@
                 self._finish(model.failure(502, "denied"))
                 return
             self.retries += 1
-        self._send(entry)
+        self._send(entry, reason)
         if not self.done.done():
             self._schedule_timer()
 
@@ -84,7 +86,7 @@
         }
 
     def _choose_next(
-        self, healthy_only: bool
+        self, healthy_only: bool, first: bool = False
     ) -> directory_lib.ReplicaEntry | None:
         used_attempts = len(self._tried) - self._unsent
         if used_attempts >= self._max_attempts or self._refused_for_s():
@@ -94,6 +96,8 @@
             self._loop.time(),
             self._tried,
             healthy_only,
+            self._request_context.latency,
+            self._route.rank if first else None,
         )
 
     def _usable_in_s(self) -> float:
@@ -118,7 +122,7 @@
             )
         )
 
-    def _send(self, entry: directory_lib.ReplicaEntry) -> None:
+    def _send(self, entry: directory_lib.ReplicaEntry, reason: str) -> None:
         self._tried.append(entry)
         attempt = self._context.sender.start(
             entry,
@@ -126,6 +130,7 @@
             self._request_context.end_s,
             self._request_context.latency,
             self._on_end,
+            reason,
         )
         if attempt.pending:
             self._in_flight.append(attempt)
@@ -176,7 +181,7 @@
             self.denied += 1
             return False
         self.retries += 1
-        self._send(entry)
+        self._send(entry, selection.RETRY)
         return True
 
     def _final_answer(self, outcome: attempts_lib.Outcome) -> model.Answer:
@@ -232,7 +237,7 @@
             extra = self._context.extra_attempts(self._service)
             if running.take_hedge(extra, self._in_flight, now_s):
                 self.hedges += 1
-                self._send(entry)
+                self._send(entry, selection.HEDGE)
             else:
                 self.denied += 1
         if not self.done.done():
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -122,6 +122,8 @@
             outcome then has no body. If it is None, the outcome has the body.
         may_send: Is asked just before the request is written; if it returns
             False, the exchange ends as UNSENT. None if it may always be sent.
+        on_bytes: Gets the direction and number of bytes that are sent or
+            received for it, if it is set.
         interim_received: Whether an interim (1xx) response has arrived.
         connection: Connection to which the request was written, if any.
     """
@@ -134,6 +136,7 @@
         "id",
         "id_name",
         "may_send",
+        "on_bytes",
         "on_data",
         "purpose",
         "rank",
@@ -160,6 +163,7 @@
         self.purpose = purpose
         self.on_data = on_data
         self.may_send = may_send
+        self.on_bytes: Callable[[str, int], None] | None = None
         self.interim_received = False
         self.connection: Connection | None = None
         self._on_end: Callable | None = on_end
@@ -246,6 +250,8 @@
         self._pool.count_bytes(
             exchange.purpose, traffic.SENT, len(exchange.wire)
         )
+        if exchange.on_bytes is not None:
+            exchange.on_bytes(traffic.SENT, len(exchange.wire))
         self._transport.write(exchange.wire)
 
     def round_trip_s(self) -> float | None:
@@ -275,6 +281,8 @@
         self._pool.count_bytes(
             self._exchange.purpose, traffic.RECEIVED, len(data)
         )
+        if self._exchange.on_bytes is not None:
+            self._exchange.on_bytes(traffic.RECEIVED, len(data))
         self._overhead_size += len(data)
         try:
             self._parser.feed_data(data)
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -21,6 +21,7 @@
 from mallowloft.routes import single
 from mallowloft.routes import timing
 from mallowloft.routes.admission import gate
+from mallowloft.routes.crossing import crossing as crossing_lib
 from mallowloft.upstream import http1
 
 NAMES = model.HeaderNames()
@@ -180,6 +181,10 @@
     def close(self, reason: str = "") -> None:
         """Does nothing."""
 
+    def round_trip_s(self) -> float:
+        """Returns the round-trip time to the replica."""
+        return 2 * self._delay_s
+
     keep_open = stop_keeping_open = renew = abort = reject_waiting = close
     suspend = resume = close
 
@@ -195,6 +200,7 @@
         replicas: list[Replica],
         rng: random.Random,
         link: Link | None = None,
+        crossing: crossing_lib.Crossing | None = None,
     ) -> None:
         self.domain = domain
         self._link = link or Link()
@@ -218,10 +224,15 @@
                     replica.slots,
                 )
             )
-        self.selector = selection.Selector(rng)
+        self.selector = selection.Selector(rng, crossing=crossing)
         self.crashes = crashes_lib.CrashRegistry()
         self.sender = attempts_lib.Sender(
-            NAMES, metrics_lib.Metrics(), self.directory, rng, self.crashes
+            NAMES,
+            metrics_lib.Metrics(),
+            self.directory,
+            rng,
+            self.crashes,
+            crossing,
         )
         self.admission = gate.Gate(True, 0.05, rng, metrics_lib.Metrics())
         self.sender.on_reply = self.admission.record_reply
