Do not give up a shard while an attempt is in flight

Cause: when a hedge was withdrawn because its replica was evacuated and no other replica was left, the shard counted as out of reach although its first attempt could still give a part.

--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -488,8 +488,11 @@
             self._mark_exhausted(shard)
 
     def _mark_exhausted(self, shard: _ShardState) -> None:
-        """Records that no further attempt for a shard will be sent."""
-        if not shard.exhausted:
+        """Records that no part of a shard can arrive any more.
+
+        A replaced hedge may leave another attempt in flight.
+        """
+        if not shard.exhausted and not shard.in_flight:
             shard.exhausted = True
             self._exhausted_count += 1
 
