--- a/src/mallowloft/routes/admission/limit.py
+++ b/src/mallowloft/routes/admission/limit.py
@@ -14,16 +14,16 @@
 # attempt, which takes some 10 ms, or 90 ms on slow routes.
 _INTERVAL_S = 0.1
 _DECREASE_FACTOR = 0.8
-# Factor for signs that precede a loss of requests. With 0.8, the slots of the
-# replicas are at times idle: 6% fewer requests are served.
+# Factor for signs that precede a loss of requests. A smaller one leaves slots
+# of the replicas idle at times.
 _EARLY_DECREASE_FACTOR = 0.9
 _EARLY_SIGNS = ("waiting", "slow")
 _INCREASE_STEP = 1.0
 # Replicas with a queue of 12 requests reject when the limit is too high by far;
 # a few rejections also occur after pauses of replicas.
 _MAX_REJECTED_SHARE = 0.05
-# In simulations of 40 times the load of a less urgent class, 1.0 served 8% more
-# of it, but made a third of the most urgent requests late; 0.75 made none late.
+# A longer queue at the replicas keeps more slots busy, but makes the requests
+# of the most urgent class late, since the replicas do not know of ranks.
 _MAX_WAITING_PER_SLOT = 0.75
 # Above it, the limit does not rise, because the slots are mostly busy.
 _RISING_WAITING_PER_SLOT = 0.5
