--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -77,6 +77,11 @@
         " their parts are collected by an instance there",
         2,
     )
+    crossing: bool = _setting(
+        "whether first attempts leave the failure domain by shares that follow"
+        " the marginal cost; otherwise a constant cost decides",
+        False,
+    )
     crossing_price_ms_per_kb: Price = _setting(
         "milliseconds of delay that a kilobyte sent to another failure domain"
         " is worth",
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -154,7 +154,9 @@
             kernel.plugin("fleet").traffic,
         )
         self.selector = selection.Selector(
-            kernel.rng, self.sender.count_denied_cold, self.crossing
+            kernel.rng,
+            self.sender.count_denied_cold,
+            self.crossing if kernel.settings.crossing else None,
         )
         self._dropped_headers = frozenset(
             (self.names.deadline, self.names.expected_replica)
