Log the steps of a stop and what is still open

Change: stop_step has the open connections and requests at the end of each step; request_ended is not sampled during a stop and says when the request arrived (stop_ms); request_dropped names each request that the stop leaves without an answer. No decision changes.

--- a/src/mallowloft/callers/server.py
+++ b/src/mallowloft/callers/server.py
@@ -139,6 +139,11 @@
         """Whether new connections are accepted."""
         return self._server.started and self._listener is not None
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return len(self._server.server_state.connections)
+
     def set_idle_timeout(self, seconds: float) -> None:
         """Sets the idle timeout of connections that are opened from now on."""
         self._config.timeout_keep_alive = seconds
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -20,6 +20,7 @@
 from mallowloft.routes import isolation
 from mallowloft.routes import limits
 from mallowloft.routes import model
+from mallowloft.routes import open_requests
 from mallowloft.routes import reach
 from mallowloft.routes import running
 from mallowloft.routes import selection
@@ -187,7 +188,9 @@
         fleet.apply_limits = self.directory.apply_statements
         self._update_limits(fleet.instances)
         self._stats_by_route: dict[str, _RouteStats] = {}
-        self._open_requests = 0
+        self.open_requests = open_requests.OpenRequests()
+        # Loop time at which the stop began; None before.
+        self._stop_started_s: float | None = None
         self._ended_count = 0
         # Loop time until which this instance serves although it stops.
         self.drain_ends_s = 0.0
@@ -198,7 +201,7 @@
             {"timeout_keep_alive": _DEFAULT_IDLE_TIMEOUT_S},
         )
         metrics = kernel.metrics
-        metrics.gauge("route_requests_open", lambda: self._open_requests)
+        metrics.gauge("route_requests_open", lambda: len(self.open_requests))
         metrics.gauge("route_table_version", lambda: self.version)
         metrics.gauge("replicas_listed", lambda: len(self.directory))
         metrics.gauge(
@@ -235,15 +238,26 @@
         detect that the instance is no longer ready.
         """
         loop = asyncio.get_running_loop()
+        self._stop_started_s = loop.time()
         end_s = loop.time() + grace_s
         drain_s = min(self._kernel.settings.drain_s, grace_s)
         self.drain_ends_s = loop.time() + drain_s
         await asyncio.sleep(drain_s)
+        self._log_stop_step("drained")
         await self._server.stop(max(0.0, end_s - loop.time()))
-        while self._open_requests and loop.time() < end_s:
+        self._log_stop_step("server_stopped")
+        while self.open_requests and loop.time() < end_s:
             await asyncio.sleep(_STOP_POLL_S)
+        for request in self.open_requests:
+            _log.warning(
+                "request_dropped",
+                request=request.id.decode("latin1"),
+                stop_ms=self._since_stop_ms(request.started_s),
+                **(request.task.describe() if request.task else {}),
+            )
         self._isolation.stop()
         self.directory.close()
+        self._log_stop_step("connections_closed")
 
     def ready(self) -> bool:
         """Whether callers should use this instance.
@@ -273,7 +287,7 @@
                 for service, extra in self._extra_by_service.items()
             },
             "connection_allotments": self.directory.allotments(),
-            "requests_open": self._open_requests,
+            "requests_open": len(self.open_requests),
             "response_delays": self.response_delays.dump(),
             "batch_overhead_ms": self.batch_overheads.dump(),
             "admission": self.admission.dump(),
@@ -460,17 +474,19 @@
 
     async def _app(self, scope, receive, send) -> None:
         exchange = exchange_lib.ServerExchange(scope, receive, send)
-        self._open_requests += 1
-        try:
-            await self._serve(exchange)
-        finally:
-            self._open_requests -= 1
-
-    async def _serve(self, exchange: exchange_lib.ServerExchange) -> None:
         started_s = asyncio.get_running_loop().time()
         request_id = exchange.header(self.names.request_id)
+        with self.open_requests.track(request_id, started_s) as open_request:
+            await self._serve(exchange, open_request)
+
+    async def _serve(
+        self,
+        exchange: exchange_lib.ServerExchange,
+        open_request: open_requests.OpenRequest,
+    ) -> None:
+        started_s, request_id = open_request.started_s, open_request.id
         try:
-            result = await self._answer(exchange, started_s)
+            result = await self._answer(exchange, open_request)
         except exchange_lib.CallerLeftError:
             self.record_end(request_id, started_s, "abandoned", {})
             return
@@ -489,8 +505,11 @@
         self.record_end(request_id, started_s, result.answer, result.fields)
 
     async def _answer(
-        self, exchange: exchange_lib.ServerExchange, started_s: float
+        self,
+        exchange: exchange_lib.ServerExchange,
+        open_request: open_requests.OpenRequest,
     ) -> _Result:
+        started_s = open_request.started_s
         matcher = self._matcher
         if matcher is None:
             return _Result(model.refusal("starting", _DEFAULT_RETRY_AFTER_S))
@@ -515,6 +534,7 @@
             return _Result(refused, {"route": route.name})
         stats = self.stats_of(route)
         task = self._create_task(request_context, matcher)
+        open_request.task = task
         answer = await exchange_lib.run_until_answered(exchange, task)
         fields = {
             "route": route.name,
@@ -636,6 +656,20 @@
             return min(int(value), _MAX_DEADLINE_MS) / 1000
         return route.timeout_s
 
+    def _since_stop_ms(self, at_s: float) -> int:
+        """Returns the time since the stop began; negative before it."""
+        return round((at_s - self._stop_started_s) * 1000)
+
+    def _log_stop_step(self, step: str) -> None:
+        """Logs what is still open when a step of the stop ends."""
+        _log.info(
+            "stop_step",
+            step=step,
+            stop_ms=self._since_stop_ms(asyncio.get_running_loop().time()),
+            connections=self._server.connection_count,
+            requests=len(self.open_requests),
+        )
+
     def record_end(
         self,
         request_id: bytes,
@@ -646,7 +680,7 @@
     ) -> None:
         """Updates the metrics of a completed request and logs a sample.
 
-        Requests that failed are always logged.
+        Requests that failed are always logged, and all that end during a stop.
 
         Args:
             request_id: The caller's id of the request.
@@ -679,6 +713,9 @@
             metrics.observe_ms("route_request", elapsed_ms, route=route)
         self._ended_count += 1
         one_in = _LOG_ONE_IN.get(outcome, 1)
+        if self._stop_started_s is not None:
+            one_in = 1
+            fields = {**fields, "stop_ms": self._since_stop_ms(started_s)}
         if self._ended_count % one_in:
             return
         _log.info(
