Answer every request before a planned stop ends

Cause: the steps of a stop had no common time limit. Requests were accepted on open connections until 4.2 s after SIGTERM, and each following step got the whole rest of the grace period: 3.2 s drain, up to 1 s for further requests, then 2.1 s for those running, 6.3 s in all, while the process is killed after 6 s. What would have ended the open requests came after that. The time limit also counted from the end of the start instead of the signal.

Requests of 2.5 s sent after 3.6 s, and any request at a silent replica, got no answer.

Change: one schedule for all steps (stopping.Schedule). Shortly before the end, all open requests, also those of other instances, get the answer of their deadline (RequestTask.expire). A request that is not likely to end by then is refused on arrival as not run; deadlines of attempts end with the stop. Server.stop has one time limit for its two steps.

--- a/src/mallowloft/callers/operators.py
+++ b/src/mallowloft/callers/operators.py
@@ -62,11 +62,11 @@
         """Stops the HTTP servers.
 
         Plug-ins that require this one stop earlier, so that operators can still
-        read the state while those plug-ins stop. Each server in turn gets the
-        whole grace period.
+        read the state while those plug-ins stop.
         """
-        for server in self._servers:
-            await server.stop(grace_s)
+        await asyncio.gather(
+            *(server.stop(grace_s, idle_wait_s=0.0) for server in self._servers)
+        )
 
     def ready(self) -> bool:
         """Returns whether the servers accept connections."""
--- a/src/mallowloft/callers/server.py
+++ b/src/mallowloft/callers/server.py
@@ -24,7 +24,7 @@
 _CONNECTION_SETUP_ITERATIONS = 3
 # Shortest time limit for closing the connections, even if no grace period is
 # left. Responses still in write buffers can be sent within it.
-_CLOSE_TIMEOUT_S = 1.0
+_MIN_CLOSE_S = 0.2
 
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -175,29 +175,29 @@
     ) -> None:
         """Responds to requests that still arrive, then closes connections.
 
-        Connections with a request still running after the grace period may stay
-        open until the process exits.
+        The server does not end requests that still run after the grace period;
+        their connections may stay open until the process exits.
 
         Args:
-            grace_s: Time limit, in seconds, of each of two steps: the wait for
-                further requests, and after that the wait for requests still
-                running. The limit of the second step is at least 1 s.
+            grace_s: Time limit in seconds. It includes the wait for further
+                requests and the wait for requests still running.
             idle_wait_s: How long open connections stay open for further
                 requests, in seconds. Closing a connection just as its client
                 sends a request resets it, so frequently used connections are
                 given time to receive one more response.
         """
-        await self._stop_accepting()
         loop = asyncio.get_running_loop()
-        end_s = loop.time() + min(grace_s, idle_wait_s)
+        started_s = loop.time()
+        await self._stop_accepting()
+        end_s = started_s + grace_s
+        idle_end_s = min(end_s, started_s + idle_wait_s)
         connections = self._server.server_state.connections
-        while connections and loop.time() < end_s:
+        while connections and loop.time() < idle_end_s:
             await asyncio.sleep(_POLL_INTERVAL_S)
         self._server.request_exit()
         if self._task is not None:
-            await asyncio.wait(
-                [self._task], timeout=max(_CLOSE_TIMEOUT_S, grace_s)
-            )
+            left_s = end_s - loop.time()
+            await asyncio.wait([self._task], timeout=max(_MIN_CLOSE_S, left_s))
 
     async def _stop_accepting(self) -> None:
         """Closes the port after accepting the connections in its backlog.
--- a/src/mallowloft/kernel/process.py
+++ b/src/mallowloft/kernel/process.py
@@ -32,19 +32,26 @@
     """Starts the plug-ins of an instance; stops them on SIGTERM or SIGINT.
 
     If SIGTERM or SIGINT arrives during the start, the stop begins after the
-    start has finished. SIGUSR1 logs the state of the instance.
+    start has finished; its time limit counts from the signal. SIGUSR1 logs the
+    state of the instance.
 
     Args:
         kernel: The instance, whose plug-ins have been constructed.
         on_sighup: Function to call on SIGHUP.
     """
-    stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    stop_requested: asyncio.Future[float] = loop.create_future()
+
+    def request_stop() -> None:
+        if not stop_requested.done():
+            stop_requested.set_result(loop.time())
+
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop.set)
+        loop.add_signal_handler(signal_number, request_stop)
     loop.add_signal_handler(signal.SIGUSR1, _log_state, kernel)
     if on_sighup is not None:
         loop.add_signal_handler(signal.SIGHUP, on_sighup)
     await kernel.start()
-    await stop.wait()
-    await kernel.stop(kernel.settings.stop_grace_s)
+    requested_s = await stop_requested
+    elapsed_s = loop.time() - requested_s
+    await kernel.stop(max(0.0, kernel.settings.stop_grace_s - elapsed_s))
--- a/src/mallowloft/routes/admission/gate.py
+++ b/src/mallowloft/routes/admission/gate.py
@@ -54,6 +54,7 @@
         self._waited_s = 0.0
         self._controller: controller_lib.Controller | None = None
         self._ticket: controller_lib.Ticket | None = None
+        self._admitted = False
         self.done = task.done
         self.was_refused = False
 
@@ -90,6 +91,15 @@
         self.done.add_done_callback(self._on_done)
         self._gate.schedule()
 
+    def expire(self) -> None:
+        """Ends the request as at its deadline; refuses one that waits."""
+        if self._admitted:
+            self._task.expire()
+        elif not self.done.done():
+            self._task.refuse(
+                model.refusal(running.STOPPING, running.MIN_RETRY_AFTER_S)
+            )
+
     def cancel(self) -> None:
         """Stops the request; one that waits leaves the queue."""
         self._task.cancel()
@@ -104,6 +114,7 @@
 
     def _run(self) -> None:
         self._waited_s = self._loop.time() - self._submitted_s
+        self._admitted = True
         if self.done.done():
             return
         try:
--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -227,6 +227,14 @@
         if self._local_task is not None:
             self._local_task.cancel()
 
+    def expire(self) -> None:
+        """Ends the request and its local gathering as at the deadline."""
+        if self._local_task is None or self.done.done():
+            super().expire()
+            return
+        self._local_task.expire()
+        self._on_served(self._local_task.done)
+
     def describe(self) -> dict[str, object]:
         """Returns log fields that explain the answer."""
         fields = self._local_task.describe() if self._local_task else {}
@@ -249,7 +257,7 @@
             self._finish(refused)
             return
         if now_s >= self._request_context.end_s:
-            self._finish(refused or self._timeout_answer())
+            self._finish(refused or self._expired_answer())
             return
         entry = None
         if refused or len(self._tried) < self._max_hub_attempts:
@@ -496,7 +504,7 @@
         self._timer = None
         now_s = self._loop.time()
         if now_s >= self._request_context.end_s:
-            self._finish(self._timeout_answer())
+            self._finish(self._expired_answer())
             return
         for attempt in list(self._in_flight):
             late = now_s >= attempt.started_s + self._ack_timeout_s
@@ -505,7 +513,7 @@
         if not self.done.done():
             self._schedule_timer()
 
-    def _timeout_answer(self) -> model.Answer:
+    def _expired_answer(self) -> model.Answer:
         if self._previous_attempts or outcomes.any_sent(self._in_flight):
             return model.failure(504, "hubs_late")
         retry_after_s = max(running.MIN_RETRY_AFTER_S, self._latency.median_s)
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -763,6 +763,11 @@
             missing=missing,
         )
 
+    def _expired_answer(self) -> model.Answer:
+        if self._covered >= self._route.needed_shards:
+            return self._merged_answer()
+        return self._failure_answer(timed_out=True)
+
     def _failure_answer(self, timed_out: bool) -> model.Answer:
         if self._cannot_have_run():
             return self._refusal()
--- a/src/mallowloft/routes/hub_server.py
+++ b/src/mallowloft/routes/hub_server.py
@@ -130,7 +130,8 @@
         task = self._create_task(exchange, call, route, started_s)
         fields = {"route": route.name, "version": routes.version}
         try:
-            answer = await exchange_lib.run_until_answered(exchange, task)
+            with routes.open_requests.track(call.id, started_s, task):
+                answer = await exchange_lib.run_until_answered(exchange, task)
         except exchange_lib.CallerLeftError:
             routes.record_end(call.id, started_s, "abandoned", fields, True)
             return
@@ -160,9 +161,11 @@
         The instance may have no other forwarder. Others have links or hubs.
         """
         now_s = asyncio.get_running_loop().time()
+        schedule = self._routes.stop_schedule
         return (
             call.unlinked is not None
-            and now_s + call.left_s < self._routes.drain_ends_s
+            and schedule is not None
+            and now_s + call.left_s < schedule.drained_s
         )
 
     def _reaches_enough(
--- a/src/mallowloft/routes/open_requests.py
+++ b/src/mallowloft/routes/open_requests.py
@@ -1,5 +1,7 @@
 """The requests that an instance is serving."""
 
+import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Iterator
 import contextlib
 import dataclasses
@@ -20,6 +22,27 @@
     id: bytes
     started_s: float
     task: running.RequestTask | None = None
+    _body_timeout: asyncio.Timeout | None = None
+
+    @contextlib.asynccontextmanager
+    async def reading(self) -> AsyncIterator[None]:
+        """Returns a context in which the body is read.
+
+        Raises:
+            TimeoutError: The request was ended meanwhile.
+        """
+        try:
+            async with asyncio.timeout(None) as self._body_timeout:
+                yield
+        finally:
+            self._body_timeout = None
+
+    def end(self) -> None:
+        """Ends what is awaited, so that the request is answered at once."""
+        if self.task is not None:
+            self.task.expire()
+        elif self._body_timeout is not None:
+            self._body_timeout.reschedule(asyncio.get_running_loop().time())
 
 
 class OpenRequests:
@@ -34,18 +57,29 @@
     def __iter__(self) -> Iterator[OpenRequest]:
         return iter(list(self._requests))
 
+    def end_all(self) -> None:
+        """Ends all requests, so that they are answered at once."""
+        for request in self:
+            request.end()
+
     @contextlib.contextmanager
-    def track(self, request_id: bytes, started_s: float):
+    def track(
+        self,
+        request_id: bytes,
+        started_s: float,
+        task: running.RequestTask | None = None,
+    ) -> Iterator[OpenRequest]:
         """Adds a request until the end of the context.
 
         Args:
             request_id: The caller's id of the request.
             started_s: Loop time at which its head was read.
+            task: What serves it, if it is known.
 
         Yields:
             The request.
         """
-        request = OpenRequest(request_id, started_s)
+        request = OpenRequest(request_id, started_s, task)
         self._requests.add(request)
         try:
             yield request
--- a/src/mallowloft/routes/running.py
+++ b/src/mallowloft/routes/running.py
@@ -21,6 +21,8 @@
 NO_REPLICA_RETRY_AFTER_S = 0.5
 # Reason for refusing a request whose replicas are in evacuated failure domains.
 EVACUATED = "evacuated"
+# Reason for refusing a request that a stopping instance would not finish.
+STOPPING = "stopping"
 # Shortest retry-after: replicas that were all tried may accept a further
 # attempt after about the duration of one request.
 MIN_RETRY_AFTER_S = 0.02
@@ -141,6 +143,15 @@
         """Ends a request that has not been started."""
         self._finish(refusal)
 
+    def expire(self) -> None:
+        """Ends the request now as if its deadline had passed."""
+        if not self.done.done():
+            self._finish(self._expired_answer())
+
+    @abc.abstractmethod
+    def _expired_answer(self) -> model.Answer:
+        """Returns the answer at the deadline."""
+
     def cancel(self) -> None:
         """Stops the request if it is still running.
 
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -25,6 +25,7 @@
 from mallowloft.routes import running
 from mallowloft.routes import selection
 from mallowloft.routes import single
+from mallowloft.routes import stopping
 from mallowloft.routes import table as table_lib
 from mallowloft.routes import timing
 from mallowloft.routes.admission import gate
@@ -44,8 +45,8 @@
 _MAX_DEADLINE_MS = 600_000
 # One in this many requests with an outcome is logged, all others always are.
 # Under overload, hundreds of refusals a second would add to the load.
-_LOG_ONE_IN = {"answered": 50, "answered_partly": 5, "overloaded": 10}
 _STOP_POLL_S = 0.02
+_LOG_ONE_IN = {"answered": 50, "answered_partly": 5, "overloaded": 10}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,16 +69,24 @@
 
     Attributes:
         latency: Durations of attempts at replicas.
+        tail: Durations of requests.
         hub_latency: Durations of requests at hubs.
         answer_size: Size of the gathered answers.
     """
 
-    __slots__ = ("_max_allowed_s", "answer_size", "hub_latency", "latency")
+    __slots__ = (
+        "_max_allowed_s",
+        "answer_size",
+        "hub_latency",
+        "latency",
+        "tail",
+    )
 
     def __init__(self, route: model.Route) -> None:
         self.latency = limits.RouteLatency(route.objective_s)
         self.hub_latency = limits.RouteLatency(route.objective_s)
         self.answer_size = timing.AnswerSize(route)
+        self.tail = stopping.DurationTail()
         self._max_allowed_s = 0.0
 
     def waited_s(self, deadline_s: float, setup_s: float) -> float:
@@ -106,6 +115,14 @@
     )
 
 
+def _refuse_stopping() -> model.Answer:
+    """Returns the refusal of a request that this instance cannot finish.
+
+    Other instances can serve it at once.
+    """
+    return model.refusal(running.STOPPING, running.MIN_RETRY_AFTER_S)
+
+
 @registry.plugins.register("routes")
 class RoutesService:
     """Answers callers' requests by forwarding them to replicas.
@@ -189,11 +206,9 @@
         self._update_limits(fleet.instances)
         self._stats_by_route: dict[str, _RouteStats] = {}
         self.open_requests = open_requests.OpenRequests()
-        # Loop time at which the stop began; None before.
-        self._stop_started_s: float | None = None
+        # Set when the instance stops.
+        self.stop_schedule: stopping.Schedule | None = None
         self._ended_count = 0
-        # Loop time until which this instance serves although it stops.
-        self.drain_ends_s = 0.0
         self._server = server_lib.Server(
             self._app,
             kernel.settings.host,
@@ -235,19 +250,23 @@
         """Drains, then closes all connections.
 
         Requests are still served during the drain time, while load balancers
-        detect that the instance is no longer ready.
+        detect that the instance is no longer ready. All that still run shortly
+        before the end of the grace period are answered then.
         """
         loop = asyncio.get_running_loop()
-        self._stop_started_s = loop.time()
-        end_s = loop.time() + grace_s
-        drain_s = min(self._kernel.settings.drain_s, grace_s)
-        self.drain_ends_s = loop.time() + drain_s
-        await asyncio.sleep(drain_s)
+        schedule = stopping.Schedule.plan(
+            loop.time(), grace_s, self._kernel.settings.drain_s
+        )
+        self.stop_schedule = schedule
+        end_requests = loop.call_at(schedule.answered_s, self._end_requests)
+        await asyncio.sleep(schedule.drained_s - loop.time())
         self._log_stop_step("drained")
-        await self._server.stop(max(0.0, end_s - loop.time()))
+        await self._server.stop(max(0.0, schedule.closed_s - loop.time()))
         self._log_stop_step("server_stopped")
-        while self.open_requests and loop.time() < end_s:
+        # Other instances' requests arrive at another server.
+        while self.open_requests and loop.time() < schedule.closed_s:
             await asyncio.sleep(_STOP_POLL_S)
+        end_requests.cancel()
         for request in self.open_requests:
             _log.warning(
                 "request_dropped",
@@ -259,6 +278,11 @@
         self.directory.close()
         self._log_stop_step("connections_closed")
 
+    def _end_requests(self) -> None:
+        """Gives all open requests their final answer."""
+        self._log_stop_step("serving")
+        self.open_requests.end_all()
+
     def ready(self) -> bool:
         """Whether callers should use this instance.
 
@@ -522,20 +546,29 @@
                 "version": matcher.table.version,
             }
             return _Result(model.failure(404, "no_route"), fields)
-        body = await exchange.read_body(matcher.table.limits.max_body_bytes)
+        fields = {"route": route.name}
+        try:
+            async with open_request.reading():
+                body = await exchange.read_body(
+                    matcher.table.limits.max_body_bytes
+                )
+        except TimeoutError:
+            return _Result(_refuse_stopping(), fields)
         if body is None:
-            refused = model.failure(413, "body_too_large")
-            return _Result(refused, {"route": route.name})
+            return _Result(model.failure(413, "body_too_large"), fields)
+        if not self._can_finish(exchange, route):
+            return _Result(_refuse_stopping(), fields)
         request_context = self._build_request_context(
             exchange, route, started_s, body
         )
         if request_context.end_s <= asyncio.get_running_loop().time():
             refused = model.refusal("deadline_passed", _DEFAULT_RETRY_AFTER_S)
-            return _Result(refused, {"route": route.name})
+            return _Result(refused, fields)
         stats = self.stats_of(route)
         task = self._create_task(request_context, matcher)
         open_request.task = task
-        answer = await exchange_lib.run_until_answered(exchange, task)
+        with stats.tail.measure():
+            answer = await exchange_lib.run_until_answered(exchange, task)
         fields = {
             "route": route.name,
             "version": matcher.table.version,
@@ -552,6 +585,22 @@
             stats.answer_size.record(answer)
         return _Result(answer, fields, task.finished_s)
 
+    def _can_finish(
+        self, exchange: exchange_lib.ServerExchange, route: model.Route
+    ) -> bool:
+        """Whether a request is likely to end before this instance stops."""
+        schedule = self.stop_schedule
+        if schedule is None:
+            return True
+        now_s = asyncio.get_running_loop().time()
+        return stopping.can_finish(
+            route,
+            self.stats_of(route).tail.estimate_s(now_s),
+            min(self._deadline_s(exchange, route), route.timeout_s),
+            schedule,
+            now_s,
+        )
+
     def _create_task(
         self,
         request_context: running.RequestContext,
@@ -629,6 +678,10 @@
             ),
             body=body,
         )
+        end_s = started_s + allowed_s - margin_s
+        if self.stop_schedule is not None:
+            # Replicas stop work at the deadline.
+            end_s = min(end_s, self.stop_schedule.answered_s)
         return running.RequestContext(
             route=route,
             outgoing=attempts_lib.OutgoingRequest(
@@ -644,7 +697,7 @@
                 stats.answer_size.transfer_s(settings.link_mbps),
                 stats.latency.median_s,
             ),
-            end_s=started_s + allowed_s - margin_s,
+            end_s=end_s,
             caller=exchange.caller,
         )
 
@@ -658,7 +711,7 @@
 
     def _since_stop_ms(self, at_s: float) -> int:
         """Returns the time since the stop began; negative before it."""
-        return round((at_s - self._stop_started_s) * 1000)
+        return round((at_s - self.stop_schedule.started_s) * 1000)
 
     def _log_stop_step(self, step: str) -> None:
         """Logs what is still open when a step of the stop ends."""
@@ -713,7 +766,7 @@
             metrics.observe_ms("route_request", elapsed_ms, route=route)
         self._ended_count += 1
         one_in = _LOG_ONE_IN.get(outcome, 1)
-        if self._stop_started_s is not None:
+        if self.stop_schedule is not None:
             one_in = 1
             fields = {**fields, "stop_ms": self._since_stop_ms(started_s)}
         if self._ended_count % one_in:
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -228,7 +228,7 @@
         self._timer = None
         now_s = self._loop.time()
         if now_s >= self._request_context.end_s:
-            self._finish(self._timeout_answer())
+            self._finish(self._expired_answer())
             return
         for attempt in self._in_flight:
             attempt.mark_late(now_s)
@@ -243,7 +243,7 @@
         if not self.done.done():
             self._schedule_timer()
 
-    def _timeout_answer(self) -> model.Answer:
+    def _expired_answer(self) -> model.Answer:
         if self._may_have_run or outcomes.any_sent(self._in_flight):
             return model.failure(504, "replica_late")
         return self._refusal("not_sent")
--- a/tests/test_routes_admission.py
+++ b/tests/test_routes_admission.py
@@ -12,6 +12,7 @@
 
 from mallowloft.kernel import metrics as metrics_lib
 from mallowloft.routes import limits
+from mallowloft.routes import model as model_lib
 from mallowloft.routes import running
 from mallowloft.routes.admission import controller as controller_lib
 from mallowloft.routes.admission import gate as gate_lib
@@ -447,6 +448,9 @@
     def _attempts(self):
         return ()
 
+    def _expired_answer(self):
+        return model_lib.failure(504, "late")
+
     def describe(self):
         return {}
 
