Answer queries and submissions before a planned stop ends

Callers of the product's own interface saw the same as those of routed requests: a query or submission that still ran at the end of the grace period got no answer, its connection was closed when the process ended.

Change: the schedule of a stop moves to the kernel and both interfaces use it. Shortly before the end a query is refused with 503 and a submission gets 'unknown', so that its caller asks again with the same key.

--- a/src/mallowloft/callers/service.py
+++ b/src/mallowloft/callers/service.py
@@ -21,6 +21,7 @@
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
+from mallowloft.kernel import stop_schedule
 from mallowloft.submissions import model as submissions_model
 
 _log = logs.get_logger("callers")
@@ -175,6 +176,8 @@
         self._in_flight = limits.InFlightLimiter()
         self._requests_in_flight = 0
         self._refusing = False
+        # Set when requests in flight must be answered at once.
+        self._must_answer = asyncio.Event()
         self._submission_tasks: set[asyncio.Task] = set()
         self._server: server_lib.Server | None = None
         self.app = applications.Starlette(
@@ -212,19 +215,28 @@
 
         During the drain time, which is at most the grace period, load balancers
         can see from `/readyz` that the instance is stopping. Before the server
-        closes, requests in flight are awaited until the grace period ends.
+        closes, requests in flight are awaited. Those that still run shortly
+        before the grace period ends are answered then.
         """
         clock = self._kernel.clock
-        end_s = clock.now() + grace_s
-        await asyncio.sleep(min(self._kernel.settings.drain_s, grace_s))
+        schedule = stop_schedule.StopSchedule.plan(
+            clock.now(), grace_s, self._kernel.settings.drain_s
+        )
+        await asyncio.sleep(schedule.drained_s - clock.now())
         self._refusing = True
-        while clock.now() < end_s and (
+        await self._await_requests(schedule.answered_s)
+        self._must_answer.set()
+        await self._await_requests(schedule.closed_s)
+        remaining_s = max(0.0, schedule.closed_s - clock.now())
+        if self._server is not None:
+            await self._server.stop(remaining_s, _KEEP_ALIVE_WAIT_S)
+
+    async def _await_requests(self, until_s: float) -> None:
+        """Waits until no request is in flight, or until a time has come."""
+        while self._kernel.clock.now() < until_s and (
             self._requests_in_flight or self._submission_tasks
         ):
             await asyncio.sleep(_POLL_INTERVAL_S)
-        remaining_s = max(0.0, end_s - clock.now())
-        if self._server is not None:
-            await self._server.stop(remaining_s, _KEEP_ALIVE_WAIT_S)
 
     def ready(self) -> bool:
         """Returns whether the server accepts connections."""
@@ -365,11 +377,26 @@
         disconnect_task = asyncio.ensure_future(
             _wait_for_disconnect(caller_request.http_request)
         )
+        must_answer_task = asyncio.ensure_future(self._must_answer.wait())
         try:
             await asyncio.wait(
-                (query_task, disconnect_task),
+                (query_task, disconnect_task, must_answer_task),
                 return_when=asyncio.FIRST_COMPLETED,
             )
+            if not query_task.done() and must_answer_task.done():
+                self._count_query(query, "stopping")
+                _log.info(
+                    "query_refused",
+                    request=query.request_id,
+                    reason="stopping",
+                )
+                return answers.error(
+                    503,
+                    "stopping",
+                    "the instance stopped before the query was answered",
+                    _RETRY_AFTER_STOPPING_MS,
+                    request_id=query.request_id,
+                )
             if not query_task.done():
                 self._count_query(query, "abandoned")
                 _log.info("query_abandoned", request=query.request_id)
@@ -380,6 +407,7 @@
         finally:
             query_task.cancel()
             disconnect_task.cancel()
+            must_answer_task.cancel()
         if gather_result.is_err():
             caller_response = answers.query_refused(gather_result.unwrap_err())
         else:
@@ -519,7 +547,21 @@
         task = asyncio.create_task(self._submit(submission))
         self._submission_tasks.add(task)
         task.add_done_callback(self._submission_tasks.discard)
-        outcome = await asyncio.shield(task)
+        must_answer_task = asyncio.ensure_future(self._must_answer.wait())
+        try:
+            await asyncio.wait(
+                (task, must_answer_task),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            must_answer_task.cancel()
+        outcome = (
+            task.result()
+            if task.done()
+            else submissions_model.Unknown(
+                "stopping", None, _RETRY_AFTER_STOPPING_MS
+            )
+        )
         elapsed_s = self._kernel.clock.now() - caller_request.received_s
         outcome_name = self._record_submission(
             submission, outcome, elapsed_s * 1000
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -9,6 +9,7 @@
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
+from mallowloft.kernel import stop_schedule
 from mallowloft.routes import attempts as attempts_lib
 from mallowloft.routes import batching
 from mallowloft.routes import delegation
@@ -207,7 +208,7 @@
         self._stats_by_route: dict[str, _RouteStats] = {}
         self.open_requests = open_requests.OpenRequests()
         # Set when the instance stops.
-        self.stop_schedule: stopping.Schedule | None = None
+        self.stop_schedule: stop_schedule.StopSchedule | None = None
         self._ended_count = 0
         self._server = server_lib.Server(
             self._app,
@@ -254,7 +255,7 @@
         before the end of the grace period are answered then.
         """
         loop = asyncio.get_running_loop()
-        schedule = stopping.Schedule.plan(
+        schedule = stop_schedule.StopSchedule.plan(
             loop.time(), grace_s, self._kernel.settings.drain_s
         )
         self.stop_schedule = schedule
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -674,6 +674,24 @@
         assert not instance.submissions.seen
         assert answer.status == 200
 
+    async def test_requests_in_flight_are_not_cut_off_at_the_end_of_the_grace(
+        self, instance
+    ):
+        instance.gather.release.clear()
+        instance.submissions.release.clear()
+        running = asyncio.gather(instance.query(), instance.submit())
+        await instance.until(
+            lambda: instance.gather.queries and instance.submissions.seen
+        )
+        instance.kernel.stopping = True
+        await instance.callers.stop(2.0)
+        query, submission = await running
+        assert (query.status, query.body["error"]) == (503, "stopping")
+        assert (submission.status, submission.body["outcome"]) == (
+            504,
+            "unknown",
+        )
+
     @_settings(drain_s=0.5)
     async def test_requests_are_served_until_load_balancers_notice(
         self, instance
--- a/tests/test_routes_stopping.py
+++ b/tests/test_routes_stopping.py
@@ -6,6 +6,7 @@
 import pytest
 
 from mallowloft.kernel import metrics as metrics_lib
+from mallowloft.kernel import stop_schedule
 from mallowloft.routes import gathering
 from mallowloft.routes import open_requests
 from mallowloft.routes import running
@@ -24,7 +25,7 @@
     @pytest.mark.parametrize("grace_s", [0.0, 0.1, 1.0, 5.3, 20.0])
     @pytest.mark.parametrize("drain_s", [0.0, 3.2, 30.0])
     def test_steps_are_in_order_and_within_the_grace(self, grace_s, drain_s):
-        schedule = stopping.Schedule.plan(7.0, grace_s, drain_s)
+        schedule = stop_schedule.StopSchedule.plan(7.0, grace_s, drain_s)
         assert (
             7.0
             <= schedule.drained_s
@@ -41,7 +42,7 @@
 
     def _can_finish(self, idempotent, tail_s, left_s, allowed_s=6.0) -> bool:
         route = replicas_lib.route(idempotent=idempotent, objective_s=0.6)
-        schedule = stopping.Schedule.plan(0.0, 5.3, 3.2)
+        schedule = stop_schedule.StopSchedule.plan(0.0, 5.3, 3.2)
         return stopping.can_finish(
             route, tail_s, allowed_s, schedule, schedule.answered_s - left_s
         )
