Do not wait for idle connections of other instances at a stop

A process that had answered all its callers stayed for up to one more second, since the servers of operators and other instances kept idle connections open. Other instances repeat a call that the close cuts off.

Evidence: stop_step and instance_stopped; 0.3 to 1 s between the last answer and the end.

--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -451,7 +451,10 @@
             pool.abort()
         self.hubs.close()
         if self._server is not None:
-            await self._server.stop(min(grace_s, _CALL_TIMEOUT_S))
+            # Other instances repeat a call that the close cuts off.
+            await self._server.stop(
+                min(grace_s, _CALL_TIMEOUT_S), idle_wait_s=0.0
+            )
 
     def ready(self) -> bool:
         """Always ready; without seeds the default instance count applies."""
