Share a request's body among its attempts

Cause: each attempt had a copy of the whole request in its exchange and in the transport's buffer; a request to 20 shards held its body 20 times.

Change: the body is an attribute of the exchange that all attempts share. A body above 16 KiB is written chunk by chunk, each when the operating system has taken the one before. A connection on which a replica answers before it has read the body is not used again, since the rest is never sent.

With 50 slow servers and a body of 1 MiB the process holds less than 40 KiB a connection (tests/test_http1_bodies.py); that test can't run on the code before, which has no separate body.

--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -85,7 +85,8 @@
 class OutgoingRequest:
     """A request in the form in which it is sent to replicas.
 
-    What is the same for all attempts is encoded once.
+    What is the same for all attempts is encoded once. All attempts share the
+    body.
 
     Attributes:
         request: The request.
@@ -97,7 +98,6 @@
     __slots__ = (
         "_fingerprint",
         "_head",
-        "_tail",
         "has_reply_body",
         "is_part",
         "rank",
@@ -123,7 +123,6 @@
         self.is_part = is_part
         self.has_reply_body = request.method != b"HEAD"
         self._head = b"".join(lines)
-        self._tail = b"\r\n\r\n" + request.body
         self._fingerprint = ""
 
     @property
@@ -136,13 +135,12 @@
     def serialize(
         self, deadline_ms: int, names: model.HeaderNames, replica_id: str
     ) -> bytes:
-        """Returns the encoded request for one replica."""
-        return b"%s%d\r\n%s: %s%s" % (
+        """Returns the encoded request for one replica, without the body."""
+        return b"%s%d\r\n%s: %s\r\n\r\n" % (
             self._head,
             max(_MIN_DEADLINE_MS, deadline_ms),
             names.expected_replica,
             replica_id.encode(),
-            self._tail,
         )
 
 
@@ -327,6 +325,7 @@
             outgoing.rank,
             outgoing.has_reply_body,
             purpose="part" if outgoing.is_part else "request",
+            body=outgoing.request.body,
         )
         if reason and entry.remote and self._traffic is not None:
             attempt.exchange.on_bytes = self._traffic.crossing_counter(
@@ -480,7 +479,7 @@
             # Of a batch, request and parts are not known one by one.
             size = 0
             if is_direct and attempt.exchange is not None:
-                size = len(attempt.exchange.wire) + _size_of(outcome)
+                size = attempt.exchange.size + _size_of(outcome)
             self._record_duration(attempt, now_s, duration_s, latency, size)
         label = _OK if outcome.success else _REPLICA_FAILED
         self._increment_by_outcome[label]()
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -52,6 +52,10 @@
 # are accepted with a longer body.
 _MAX_OVERHEAD_BYTES = 64 << 10
 _MAX_OVERHEAD_PER_BODY_BYTE = 8
+# A body up to this size is sent together with the head. A larger one is sent in
+# chunks of this size, each when the one before has been passed to the operating
+# system, so that a connection holds a copy of one chunk at most.
+_CHUNK_BYTES = 16 << 10
 # Bodies that the process may hold until they are complete. Above it, responses
 # fail that hold more than the smaller size.
 _MAX_BUFFERED_BYTES = 64 << 20
@@ -108,7 +112,8 @@
     A callback gets the outcome, at most once and never after `cancel`.
 
     Attributes:
-        wire: The serialized request.
+        wire: The serialized request, without the body if that is separate.
+        body: The body if it is separate, so that several exchanges share it.
         id_name: Name, in lower case, of the response header that repeats the
             request id. A response with another id belongs to an earlier
             request and is skipped; a response without the header is
@@ -130,6 +135,7 @@
 
     __slots__ = (
         "_on_end",
+        "body",
         "interim_received",
         "connection",
         "has_body",
@@ -154,8 +160,10 @@
         purpose: str = "other",
         on_data: Callable[[bytes], None] | None = None,
         may_send: Callable[[], bool] | None = None,
+        body: bytes = b"",
     ) -> None:
         self.wire = wire
+        self.body = body
         self.id_name = id_name
         self.id = id_value
         self.rank = rank
@@ -168,6 +176,11 @@
         self.connection: Connection | None = None
         self._on_end: Callable | None = on_end
 
+    @property
+    def size(self) -> int:
+        """Size of the serialized request with its body."""
+        return len(self.wire) + len(self.body)
+
     @property
     def sent(self) -> bool:
         """Whether any byte of the request may have reached the server."""
@@ -220,6 +233,9 @@
         self._streamed: list[bytes] = []
         self._response: Response | None = None
         self._has_surplus_data = False
+        # Rest of the request's body that is still to be written.
+        self._unwritten = memoryview(b"")
+        self._is_writable = True
         self._reusable = True
         self._idle_timeout_s = _DEFAULT_IDLE_TIMEOUT_S
         self.opened_s = pool.now()
@@ -231,6 +247,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and sets the TCP user timeout."""
         self._transport = transport
+        # Writing pauses as soon as data is left in the buffer.
+        transport.set_write_buffer_limits(high=0)
         sock = transport.get_extra_info("socket")
         if sock is not None and sock.family != socket.AF_UNIX:
             sock.setsockopt(
@@ -247,12 +265,30 @@
         self._response = None
         self._in_body = False
         self._message_body_size = self._overhead_size = 0
-        self._pool.count_bytes(
-            exchange.purpose, traffic.SENT, len(exchange.wire)
-        )
+        self._pool.count_bytes(exchange.purpose, traffic.SENT, exchange.size)
         if exchange.on_bytes is not None:
-            exchange.on_bytes(traffic.SENT, len(exchange.wire))
+            exchange.on_bytes(traffic.SENT, exchange.size)
+        if len(exchange.body) <= _CHUNK_BYTES:
+            self._transport.write(exchange.wire + exchange.body)
+            return
+        self._unwritten = memoryview(exchange.body)
         self._transport.write(exchange.wire)
+        self._write_body()
+
+    def pause_writing(self) -> None:
+        """Stops writing the body until the buffer is empty."""
+        self._is_writable = False
+
+    def resume_writing(self) -> None:
+        """Writes more of the body."""
+        self._is_writable = True
+        self._write_body()
+
+    def _write_body(self) -> None:
+        while self._unwritten and self._is_writable and not self.closed:
+            chunk = self._unwritten[:_CHUNK_BYTES]
+            self._unwritten = self._unwritten[_CHUNK_BYTES:]
+            self._transport.write(chunk)
 
     def round_trip_s(self) -> float | None:
         """Returns the round-trip time to the server, None if unknown."""
@@ -266,6 +302,7 @@
         if self.closed:
             return
         self.closed = True
+        self._unwritten = memoryview(b"")
         if self._transport is not None:
             self._transport.abort()
         self._fail_exchange(FailureReason.BROKEN, reason)
@@ -327,6 +364,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fails the exchange in flight, if any."""
+        self._unwritten = memoryview(b"")
         if self.closed:
             return
         self.closed = True
@@ -438,12 +476,15 @@
         self._update_idle_timeout(response)
         exchange, self._exchange = self._exchange, None
         self._response = None
-        if self._has_surplus_data:
+        if self._has_surplus_data or self._unwritten:
+            # A request without the rest of its body cannot be followed by
+            # another one.
             self._reusable = False
         if self._reusable:
             self.idle_deadline_s = self._pool.now() + self._idle_timeout_s
         else:
             self.closed = True
+            self._unwritten = memoryview(b"")
             self._transport.close()
         self._pool.release(self)
         exchange.set_outcome(response)
