Discard the trailers of replicas' responses

Callers saw a second Server-Stamp; a trailer with another request id made the connection skip the response, so that the request timed out, and one that says that the request was not run was believed after the replica had run it.

Cause: on_header did not distinguish headers from trailers. Trailers are discarded now, as RFC 9110, section 6.5.1, asks of a recipient that does not know them.

--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -214,6 +214,7 @@
         self._message_body_size = 0
         self._overhead_size = 0
         self._has_declared_length = False
+        self._in_head = False
         self._in_body = False
         # Received data of a body that is passed on as it arrives.
         self._streams_body = False
@@ -344,13 +345,16 @@
         self._clear_body()
         self._message_body_size = 0
         self._has_declared_length = False
+        self._in_head = True
         self._in_body = False
         self._streams_body = False
         if self._response is not None:
             self._has_surplus_data = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a response header."""
+        """Stores a response header; trailers are discarded."""
+        if not self._in_head:
+            return
         name = name.lower()
         if name in (b"content-length", b"transfer-encoding"):
             self._has_declared_length = True
@@ -362,6 +366,7 @@
         If `has_body` of the exchange is False, as for HEAD, the message is
         complete here, and its connection is not reused.
         """
+        self._in_head = False
         self._in_body = True
         self._streams_body = (
             self._exchange.on_data is not None
