Refuse replicas' responses whose end is ambiguous

What was passed on as an answer: - the body of a response with `Transfer-Encoding: gzip, chunked` (or chunked twice) without its outer chunks, still encoded (MIXED); - bytes after an interim response that declares a body: llhttp skips the body or reads it as the next response, depending on the status; - a response that names two requests, one of them another; - a 204 that declares a body, status 099 and 600, other versions than HTTP/1.0 and 1.1, chunks in HTTP/1.0; - in streams only (used between instances, without request ids): the body of a response to an earlier request, or of one after the end, as part of this one. A 101 raised HttpParserUpgrade, which is no HttpParserError, out of data_received; the loop logged it and closed the connection.

One function, framing.check, decides whether a head says where the response ends; the connection asks it when the head is complete. What does not pass is malformed: the caller gets the answer of another attempt or a failure. Data after the response is discarded.

--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -20,6 +20,7 @@
 
 from mallowloft.kernel import logs
 from mallowloft.kernel import tcp
+from mallowloft.upstream import framing
 from mallowloft.upstream import traffic
 
 _log = logs.get_logger("http1")
@@ -216,6 +217,8 @@
         self._has_declared_length = False
         self._in_head = False
         self._in_body = False
+        # Whether the present message belongs to an earlier request.
+        self._is_stale = False
         # Received data of a body that is passed on as it arrives.
         self._streams_body = False
         self._streamed: list[bytes] = []
@@ -287,7 +290,7 @@
         self._overhead_size += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if self._response is None:
                 self._fail_malformed()
                 return
@@ -353,36 +356,51 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a response header; trailers are discarded."""
-        if not self._in_head:
-            return
-        name = name.lower()
-        if name in (b"content-length", b"transfer-encoding"):
-            self._has_declared_length = True
-        self._headers.append((name, value))
+        if self._in_head:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Handles the end of the headers.
 
         If `has_body` of the exchange is False, as for HEAD, the message is
         complete here, and its connection is not reused.
+
+        Raises:
+            framing.FramingError: The headers contradict each other.
         """
+        status = self._parser.get_status_code()
+        framing.check(self._parser.get_http_version(), status, self._headers)
+        self._is_stale = self._belongs_to_other_request()
+        self._has_declared_length = framing.has_length(self._headers)
         self._in_head = False
         self._in_body = True
         self._streams_body = (
             self._exchange.on_data is not None
-            and self._parser.get_status_code() == 200
+            and status == 200
+            and not self._is_stale
         )
-        if not self._exchange.has_body:
+        if not self._exchange.has_body and not self._is_stale:
             self._reusable = False
             self._has_declared_length = True
             self.on_message_complete()
 
+    def _belongs_to_other_request(self) -> bool:
+        exchange = self._exchange
+        ids = {
+            value for name, value in self._headers if name == exchange.id_name
+        }
+        if len(ids) > 1:
+            raise framing.FramingError("ids of several requests")
+        return bool(ids) and exchange.id not in ids
+
     def on_body(self, body: bytes) -> None:
         """Stores a part of the response body, up to the size limit.
 
         The rest of a larger body is discarded, and the exchange fails as
-        MALFORMED.
+        MALFORMED. Data after the response is discarded, too.
         """
+        if self._response is not None:
+            return
         self._overhead_size -= len(body)
         self._message_body_size += len(body)
         if self._streams_body:
@@ -406,17 +424,14 @@
         if 100 <= status < 200:
             self._exchange.interim_received = True
             return
-        response = Response(status, tuple(self._headers), b"".join(self._body))
-        exchange = self._exchange
-        echoed_id = (
-            response.header(exchange.id_name) if exchange.id_name else None
-        )
-        if echoed_id is not None and echoed_id != exchange.id:
+        if self._is_stale:
             self._pool.on_event(STALE_RESPONSE)
             return
         if not self._parser.should_keep_alive():
             self._reusable = False
-        self._response = response
+        self._response = Response(
+            status, tuple(self._headers), b"".join(self._body)
+        )
 
     def _deliver_streamed(self) -> None:
         """Passes on the body received so far.
--- a/tests/support/responses.py
+++ b/tests/support/responses.py
@@ -14,7 +14,8 @@
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
-_STATUS_LINE = re.compile(rb"HTTP/(1\.[01]) ([1-5]\d\d)(?: " + _TEXT + rb")?")
+# The reason phrase is not passed on.
+_STATUS_LINE = re.compile(rb"HTTP/(1\.[01]) ([1-5]\d\d)(?: [^\r\n]*)?")
 _FIELD = re.compile(rb"(" + _TOKEN + rb"):[ \t]*(" + _TEXT + rb")")
 _CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]+)(?:;[^\r\n]*)?\r\n")
 _LENGTH = re.compile(rb"[0-9]+")
