Close the test server's connections also when a test ends early

When asyncio.run cancels the handler of a connection, _Server did not close the writer; StreamWriter.__del__ then raised in a later garbage collection, after the loop was closed. If that happens while Python 3.11 parses source (hypothesis and pytest do), the parse fails with "SystemError: AST constructor recursion depth mismatch": pytest ended with an internal error or a failed test when test_http1.py ran just before a file with hypothesis. No test is changed.

--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -48,9 +48,13 @@
 
     async def _accept(self, reader, writer) -> None:
         self.connections += 1
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            await self._serve(reader, writer)
-        writer.close()
+        try:
+            with contextlib.suppress(
+                asyncio.IncompleteReadError, ConnectionError
+            ):
+                await self._serve(reader, writer)
+        finally:
+            writer.close()
 
 
 class _Client:
