Tests: the stand-in transport accepts limits of the write buffer

Large bodies are written in chunks, for which a connection sets the limits of its transport; the tests of responses have a transport of their own.

--- a/tests/test_http1_responses.py
+++ b/tests/test_http1_responses.py
@@ -77,6 +77,7 @@
     connection.connection_made(
         types.SimpleNamespace(
             get_extra_info=lambda name: None,
+            set_write_buffer_limits=lambda high: None,
             write=lambda data: None,
             abort=lambda: None,
             close=lambda: None,
