Do not take a reset response of a replica for a whole one

A replica that sends a response without a length and is reset after its head, or within its body, ended a submission as done: the caller got 200 with an empty or short reply, framed as whole. Queries were safe only where the cut JSON could not be decoded. The outcome of a submission is now unknown in that case.

Cause: aiohttp ends a body that ends with the connection in the same way for a reset as for a close in order. It also accepts heads that contradict themselves (transfer codings other than chunked, chunks in HTTP/1.0, HTTP/2.0), and passed on bodies that were still encoded.

The client's responses now ask framing.check, as http1 does, and, for a body without a length, how the connection ended. If that is not known, the response counts as not whole.

A head that stops in the middle was no answer before, either.

Limit: aiohttp hides interim responses, so one that declares a body is not noticed here; the final response is still whole.

--- a/src/mallowloft/upstream/http.py
+++ b/src/mallowloft/upstream/http.py
@@ -5,10 +5,12 @@
 from typing import Any
 
 import aiohttp
+from aiohttp import connector
 import msgspec
 
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import registry
+from mallowloft.upstream import framing
 from mallowloft.upstream import protocol
 
 _CONNECT_TIMEOUT_S = 1.0
@@ -59,6 +61,62 @@
     return protocol.CallReply(protocol.CallOutcome.FAILED, reason=reason)
 
 
+class _Response(aiohttp.ClientResponse):
+    """A response that can be read only if all of it has arrived.
+
+    aiohttp also accepts heads that contradict themselves, and takes a reset for
+    the end of a body that ends with the connection.
+    """
+
+    _ends_with_connection = False
+    _connection_end: asyncio.Future[None] | None = None
+
+    async def start(self, connection: connector.Connection) -> "_Response":
+        """Receives the head.
+
+        Raises:
+            aiohttp.ClientError: There is no valid head.
+        """
+        client_protocol = connection.protocol
+        await super().start(connection)
+        headers = [(name.lower(), value) for name, value in self.raw_headers]
+        version = f"{self.version.major}.{self.version.minor}"
+        try:
+            framing.check(version, self.status, headers)
+        except framing.FramingError as error:
+            raise aiohttp.ClientPayloadError(str(error)) from error
+        has_body = self.status not in (204, 304)
+        self._ends_with_connection = has_body and not framing.has_length(
+            headers
+        )
+        if self._ends_with_connection:
+            self._connection_end = client_protocol.closed
+            if self._connection_end is not None:
+                # Not every response is read; asyncio logs exceptions that
+                # nothing has retrieved.
+                self._connection_end.add_done_callback(_was_reset)
+        return self
+
+    async def read(self) -> bytes:
+        """Returns the body.
+
+        Raises:
+            aiohttp.ClientError: Some of it may be missing.
+        """
+        content = await super().read()
+        if self._ends_with_connection and (
+            self._connection_end is None
+            or not self._connection_end.done()
+            or _was_reset(self._connection_end)
+        ):
+            raise aiohttp.ClientPayloadError("not closed in order")
+        return content
+
+
+def _was_reset(connection_end: asyncio.Future[None]) -> bool:
+    return connection_end.cancelled() or connection_end.exception() is not None
+
+
 @protocol.protocols.register("http")
 class HttpUpstream:
     """HTTP client of one replica.
@@ -71,7 +129,8 @@
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=max_connections, keepalive_timeout=_KEEPALIVE_TIMEOUT_S
-            )
+            ),
+            response_class=_Response,
         )
 
     async def query(self, call: protocol.QueryCall) -> protocol.CallReply:
