--- a/tests/support/responses.py
+++ b/tests/support/responses.py
@@ -4,9 +4,13 @@
 what a client takes for a whole response with it.
 """
 
+from collections.abc import Sequence
 import dataclasses
 import itertools
 import re
+import types
+
+from mallowloft.upstream import http1
 
 ID_NAME = b"x-request-id"
 ID = b"r1"
@@ -207,3 +211,51 @@
             return b"".join(body), position
         if not _FIELD.fullmatch(line):
             raise _IncompleteError
+
+
+class _Pool:
+    """The part of a pool that a connection uses, without an event loop."""
+
+    address = "server:1"
+
+    def now(self) -> float:
+        return 0.0
+
+    def count_bytes(self, purpose: str, direction: str, size: int) -> None:
+        pass
+
+    def on_event(self, event: str) -> None:
+        pass
+
+    def release(self, connection: http1.Connection) -> None:
+        pass
+
+
+def receive(
+    exchange: http1.Exchange, segments: Sequence[bytes], reset: bool
+) -> None:
+    """Sends a request on a connection that then receives data and ends.
+
+    Args:
+        exchange: The request.
+        segments: The data as it arrives.
+        reset: Whether the connection is reset instead of closed in order.
+    """
+    connection = http1.Connection(_Pool())
+    connection.connection_made(
+        types.SimpleNamespace(
+            get_extra_info=lambda name: None,
+            write=lambda data: None,
+            abort=lambda: None,
+            close=lambda: None,
+        )
+    )
+    connection.send(exchange)
+    for segment in segments:
+        if not connection.closed:
+            connection.data_received(segment)
+    if not connection.closed:
+        if not reset:
+            connection.eof_received()
+        connection.connection_lost(ConnectionResetError() if reset else None)
+    assert http1.Connection._buffered_bytes == 0
--- a/tests/test_http1_responses.py
+++ b/tests/test_http1_responses.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
-import types
 
 import hypothesis
 from hypothesis import strategies
@@ -37,27 +36,6 @@
 _FAILURE = responses.Message(500, (_ID_FIELD, _STAMP), b"failed")
 
 
-class _Pool:
-    """The part of a pool that a connection uses, without an event loop."""
-
-    address = "server"
-
-    def __init__(self) -> None:
-        self.released: list[http1.Connection] = []
-
-    def now(self) -> float:
-        return 0.0
-
-    def count_bytes(self, purpose: str, direction: str, size: int) -> None:
-        pass
-
-    def on_event(self, event: str) -> None:
-        pass
-
-    def release(self, connection: http1.Connection) -> None:
-        self.released.append(connection)
-
-
 def _receive(
     segments: Sequence[bytes],
     reset: bool,
@@ -73,33 +51,15 @@
         on_data: Gets the body as it arrives.
     """
     outcomes: list[http1.Response | http1.FailureReason] = []
-    connection = http1.Connection(_Pool())
-    connection.connection_made(
-        types.SimpleNamespace(
-            get_extra_info=lambda name: None,
-            write=lambda data: None,
-            abort=lambda: None,
-            close=lambda: None,
-        )
-    )
-    connection.send(
-        http1.Exchange(
-            b"GET / HTTP/1.1\r\n\r\n",
-            lambda _, outcome: outcomes.append(outcome),
-            responses.ID_NAME,
-            responses.ID,
-            has_body=not head_only,
-            on_data=on_data,
-        )
+    exchange = http1.Exchange(
+        b"GET / HTTP/1.1\r\n\r\n",
+        lambda _, outcome: outcomes.append(outcome),
+        responses.ID_NAME,
+        responses.ID,
+        has_body=not head_only,
+        on_data=on_data,
     )
-    for segment in segments:
-        if not connection.closed:
-            connection.data_received(segment)
-    if not connection.closed:
-        if not reset:
-            connection.eof_received()
-        connection.connection_lost(ConnectionResetError() if reset else None)
-    assert http1.Connection._buffered_bytes == 0
+    responses.receive(exchange, segments, reset)
     (outcome,) = outcomes
     return outcome
 
