Decide again what waits for a connection when it is sent

The same cause acted for a replica that had said it is about to end, that another one had superseded, that had answered 421, had stated or lowered a rate limit, had turned cold, or had moved out of the route's homes; requests for a replica that had left the list waited for its next free connection. Permits of a rate limit were used together after a wait. A replica was handed the time that was left when its attempt began to wait (calls of hubs and collectors as well), and attempts of a collector were written after their deadline. A batch was written although a replica of it drained or wanted a pause. What a collector would not send counted as failures of replicas and of their failure domain.

Cause: each change ended what waits in its own way, and draining in none; only evacuations were checked at the moment of writing.

Change: `sending.SendCheck` decides on every path when an attempt starts, when its replica changes (`Pool.recheck_waiting`) and when it is written. What may not be written is withheld: unsent, no failure, no attempt, no token, and its request chooses again. Exchanges are serialized when they are written. A closed pool ends what waits and takes no new request.

Simulated pools of the tests now apply `may_send`, as real ones do.

--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -12,6 +12,7 @@
 from mallowloft.routes import model
 from mallowloft.routes import reach as reach_lib
 from mallowloft.routes import replica_signals
+from mallowloft.routes import sending
 from mallowloft.routes.cold import limit as cold_limit
 from mallowloft.routes.crossing import crossing as crossing_lib
 from mallowloft.upstream import http1
@@ -175,6 +176,11 @@
         """Whether bytes of the request may have reached the replica."""
         return self.exchange.sent
 
+    @property
+    def withheld(self) -> bool:
+        """Whether it ended unsent because it might not be sent any more."""
+        return self.exchange.withheld
+
     def mark_late(self, now_s: float) -> None:
         """Records that the reply is overdue.
 
@@ -274,11 +280,12 @@
         latency: limits.RouteLatency,
         on_end: Callable[[Attempt, Outcome], None],
         reason: str = "",
+        allows: Callable[[directory_lib.ReplicaEntry], bool] | None = None,
     ) -> Attempt:
         """Sends a request to a replica.
 
-        The attempt ends at once as unsent if the replica is evacuated. The
-        replica may have been chosen before that became known.
+        The attempt ends as unsent if the request may not be written to the
+        replica, at once or when a connection is free.
 
         Args:
             entry: The replica.
@@ -288,15 +295,13 @@
             on_end: Called once with the outcome, unless the attempt is
                 released first.
             reason: Why the attempt goes to another failure domain if it does.
+            allows: Whether the request's route allows a replica; None if it
+                allows every one.
         """
-        now_s = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
         attempt = Attempt(entry, now_s, self._reach)
-        if entry.evacuated:
-            attempt.exchange = http1.Exchange(b"", lambda *_: None)
-            attempt.abandon()
-            self._count_evacuated()
-            on_end(attempt, model.Failure.UNSENT)
-            return attempt
+        check = sending.SendCheck(entry, deadline_s, allows)
         # A replica that leaves ends anyway.
         ends_unexpectedly = entry.stays
 
@@ -316,35 +321,34 @@
                 attempt.pending = False
                 on_end(attempt, outcome)
 
-        wire = outgoing.serialize(
-            int((deadline_s - now_s) * 1000), self._names, entry.replica.id
-        )
+        def serialize() -> bytes:
+            left_ms = int((deadline_s - loop.time()) * 1000)
+            return outgoing.serialize(left_ms, self._names, entry.replica.id)
+
         attempt.exchange = http1.Exchange(
-            wire,
+            serialize,
             on_exchange_end,
             self._names.request_id,
             outgoing.request.id,
             outgoing.rank,
             outgoing.has_reply_body,
             purpose="part" if outgoing.is_part else "request",
+            may_send=lambda: check.may_send(loop.time()),
         )
         if reason and entry.remote and self._traffic is not None:
             attempt.exchange.on_bytes = self._traffic.crossing_counter(
                 entry.replica.failure_domain, reason
             )
         entry.health.record_start(attempt, now_s, latency.median_s)
-        cold = entry.signals.cold
-        if cold is not None and cold.active(now_s):
-            if not cold.take(now_s):
-                # Another request took the permit after the replica was chosen.
-                self.count_denied_cold()
-                attempt.exchange.set_outcome(http1.FailureReason.UNSENT)
-                return attempt
+        limited = entry.signals.limit is not None
+        if entry.signals.limited_while_cold(now_s):
             self._end_if_unsent_later(attempt.exchange)
-        if entry.signals.limit is not None:
-            entry.signals.limit.take(now_s)
-            self._metrics.count("replica_limit_attempts")
         entry.pool.submit(attempt.exchange)
+        if attempt.withheld and entry.signals.lacks_cold_permit(now_s):
+            # Another request took the permit after the replica was chosen.
+            self.count_denied_cold()
+        if limited and not attempt.withheld:
+            self._metrics.count("replica_limit_attempts")
         return attempt
 
     def count_denied_cold(self) -> None:
@@ -359,7 +363,7 @@
 
         def end_if_unsent() -> None:
             if not exchange.sent:
-                exchange.set_outcome(http1.FailureReason.UNSENT)
+                exchange.withhold()
 
         asyncio.get_running_loop().call_later(
             cold_limit.MAX_WAIT_S, end_if_unsent
@@ -421,15 +425,15 @@
         now_s = asyncio.get_running_loop().time()
         health = attempt.entry.health
         domain = attempt.entry.replica.failure_domain
-        if outcome is model.Failure.UNSENT and attempt.entry.evacuated:
-            health.discard(attempt)
-            self._count_evacuated()
-            return
         if outcome is model.Failure.UNSENT and (
-            attempt.entry.signals.restricted(now_s)
+            attempt.withheld
+            or attempt.entry.evacuated
+            or attempt.entry.signals.restricted(now_s)
             or not attempt.entry.connectable
         ):
             health.discard(attempt)
+            if attempt.entry.evacuated:
+                self._metrics.count("evacuated_attempts")
             self._increment_by_outcome[outcome]()
             return
         if isinstance(outcome, model.Failure):
@@ -446,6 +450,7 @@
         # A misdirected reply is from another replica.
         if outcome.cold_s and outcome.status != _STATUS_MISDIRECTED:
             self._directory.cold.on_stated(attempt.entry, outcome.cold_s, now_s)
+            attempt.entry.pool.recheck_waiting()
         health.record_load(outcome.running, outcome.waiting, now_s)
         if outcome.status == _STATUS_MISDIRECTED:
             self._mark_misdirected(attempt.entry)
@@ -485,11 +490,6 @@
         label = _OK if outcome.success else _REPLICA_FAILED
         self._increment_by_outcome[label]()
 
-    def _count_evacuated(self) -> None:
-        """Counts an attempt that was not sent because of an evacuation."""
-        self._metrics.count("evacuated_attempts")
-        self._increment_by_outcome[model.Failure.UNSENT]()
-
     def record_signals(
         self,
         entry: directory_lib.ReplicaEntry,
@@ -522,8 +522,7 @@
             )
         self._metrics.count("replica_pauses")
         entry.signals.record_pause(pause_s, now_s, self._rng)
-        if entry.signals.pause_left_s(now_s):
-            entry.pool.reject_waiting()
+        entry.pool.recheck_waiting()
 
     def _outcome_of(
         self, result: http1.Response | http1.FailureReason
@@ -548,6 +547,7 @@
         if entry.draining:
             return
         entry.draining = True
+        entry.pool.recheck_waiting()
         _log.info(
             "replica_misdirected",
             replica=entry.replica.id,
--- a/src/mallowloft/routes/batching.py
+++ b/src/mallowloft/routes/batching.py
@@ -29,6 +29,7 @@
 from mallowloft.routes import message_types
 from mallowloft.routes import model
 from mallowloft.routes import reach as reach_lib
+from mallowloft.routes import sending
 from mallowloft.upstream import http1
 
 PATH = "/v1/collect"
@@ -95,6 +96,7 @@
         pause_s: For how long the replica wants no requests; None if it states
             no time.
         limit_per_s: Rate limit that the replica states; None if it states none.
+        withheld: Whether it was not sent because that was not allowed any more.
     """
 
     position: message_types.Count
@@ -103,6 +105,7 @@
     not_run: bool = False
     pause_s: message_types.Seconds | None = None
     limit_per_s: message_types.PerSecond | None = None
+    withheld: bool = False
 
 
 class Reply(msgspec.Struct, frozen=True, array_like=True):
@@ -316,9 +319,17 @@
         entry: The replica.
         started_s: Loop time at which the batch was sent.
         pending: Whether the outcome is still awaited.
+        withheld: Whether it ended unsent because it might not be sent any more.
     """
 
-    __slots__ = ("_batch", "entry", "pending", "service", "started_s")
+    __slots__ = (
+        "_batch",
+        "entry",
+        "pending",
+        "service",
+        "started_s",
+        "withheld",
+    )
 
     def __init__(self, batch: "Batch", choice: Choice) -> None:
         self._batch = batch
@@ -326,6 +337,7 @@
         self.entry = choice.entry
         self.started_s = batch.started_s
         self.pending = True
+        self.withheld = False
 
     @property
     def batch(self) -> "Batch":
@@ -381,11 +393,13 @@
         collector: directory_lib.ReplicaEntry,
         choices: Iterable[Choice],
         objective_s: float,
+        end_s: float,
         listener: Listener,
         record: Callable[[Attempt, attempts_lib.Outcome, float], None],
         reach: reach_lib.DomainReachability,
         overheads: Overheads,
         record_signals: RecordSignals,
+        allows: Callable[[directory_lib.ReplicaEntry], bool] | None = None,
     ) -> None:
         """Creates a batch that has not been sent.
 
@@ -393,6 +407,7 @@
             collector: The collector.
             choices: The replicas for the shards.
             objective_s: Latency objective of the route.
+            end_s: Loop time after which no reply is needed.
             listener: Gets the outcomes.
             record: Updates the health of a replica with an outcome and its
                 duration in seconds.
@@ -400,6 +415,8 @@
             overheads: Gets the overhead of the batch.
             record_signals: Records what a replica asked for: whether it leaves,
                 a pause in seconds and a rate limit in requests per second.
+            allows: Whether the request's route allows a replica; None if it
+                allows every one.
         """
         self._loop = asyncio.get_running_loop()
         self.collector = collector
@@ -417,6 +434,11 @@
         self._record_signals = record_signals
         self._reader = ReplyReader()
         self._owed = dict(enumerate(self.attempts))
+        self._end_s = end_s
+        self._checks = [
+            sending.SendCheck(attempt.entry, end_s, allows, takes_permits=False)
+            for attempt in self.attempts
+        ]
         self._first_reply_s = math.inf
         self._exchange: http1.Exchange | None = None
         self._abandon_timer: asyncio.TimerHandle | None = None
@@ -441,7 +463,6 @@
         self,
         request: model.Request,
         route: model.Route,
-        left_s: float,
         first_reply_s: float,
         median_s: float,
     ) -> None:
@@ -450,47 +471,17 @@
         Args:
             request: The request of the caller.
             route: Its route.
-            left_s: Time within which replies are useful.
             first_reply_s: Time after which the first reply is wanted.
             median_s: Median duration of an attempt at a replica.
         """
         self._first_reply_s = first_reply_s
-        round_trip_s = self.collector.pool.round_trip_s() or 0.0
-        positions = {
-            service: number for number, service in enumerate(route.shards)
-        }
-        call = Call(
-            route.name,
-            model.digest(route),
-            request.id,
-            request.method,
-            request.target,
-            request.headers,
-            request.body,
-            max(0.0, left_s - round_trip_s),
-            first_reply_s,
-            tuple(
-                (positions[attempt.service], attempt.entry.replica.id)
-                for attempt in self.attempts
-            ),
-        )
-        body = msgspec.msgpack.encode(call)
-        wire = (
-            b"POST %s HTTP/1.1\r\nhost: %s\r\nexpect: 100-continue\r\n"
-            b"content-length: %d\r\n\r\n%s"
-        ) % (
-            PATH.encode(),
-            self.collector.pool.address.encode(),
-            len(body),
-            body,
-        )
         self._exchange = http1.Exchange(
-            wire,
+            lambda: self._serialize(request, route),
             self._on_end,
             rank=route.rank,
             purpose="batch",
             on_data=self._on_data,
-            may_send=lambda: not self._evacuated,
+            may_send=self._may_send,
         )
         reply_delay_s = first_reply_s + self._overheads.overhead_s(
             self.collector.replica.failure_domain
@@ -514,20 +505,53 @@
         self.collector.health.record_late(self, now_s)
         self._reach.failed(self.collector.replica.failure_domain, now_s)
 
-    @property
-    def _evacuated(self) -> bool:
-        """Whether a replica of the batch is evacuated."""
-        return any(attempt.entry.evacuated for attempt in self.attempts)
+    def _serialize(self, request: model.Request, route: model.Route) -> bytes:
+        """Returns the call with the times that are left now."""
+        now_s = self._loop.time()
+        round_trip_s = self.collector.pool.round_trip_s() or 0.0
+        positions = {
+            service: number for number, service in enumerate(route.shards)
+        }
+        call = Call(
+            route.name,
+            model.digest(route),
+            request.id,
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
+            max(0.0, self._end_s - now_s - round_trip_s),
+            max(0.0, self.started_s + self._first_reply_s - now_s),
+            tuple(
+                (positions[attempt.service], attempt.entry.replica.id)
+                for attempt in self.attempts
+            ),
+        )
+        body = msgspec.msgpack.encode(call)
+        return (
+            b"POST %s HTTP/1.1\r\nhost: %s\r\nexpect: 100-continue\r\n"
+            b"content-length: %d\r\n\r\n%s"
+        ) % (
+            PATH.encode(),
+            self.collector.pool.address.encode(),
+            len(body),
+            body,
+        )
+
+    def _may_send(self) -> bool:
+        """Whether every attempt of the batch may still be sent."""
+        now_s = self._loop.time()
+        return all(check.may_send(now_s) for check in self._checks)
 
-    def withdraw_if_evacuated(self) -> bool:
-        """Ends a batch that still waits if a replica of it is evacuated.
+    def withdraw_if_withheld(self) -> bool:
+        """Ends a batch that still waits if an attempt of it may not be sent.
 
         Returns:
             Whether the batch was ended; its attempts end as unsent.
         """
-        if self.sent or not self._evacuated:
+        if self.sent or self._may_send():
             return False
-        self._exchange.set_outcome(http1.FailureReason.UNSENT)
+        self._exchange.withhold()
         return True
 
     def mark_unresponsive(self, now_s: float) -> None:
@@ -623,7 +647,8 @@
                     reply.records,
                 )
             )
-        for attempt, outcome in failed:
+        for item, (attempt, outcome) in zip(reply.failed, failed, strict=True):
+            attempt.withheld = item.withheld
             self._record(attempt, outcome, now_s - self.started_s)
             if attempt.pending:
                 attempt.pending = False
@@ -644,10 +669,11 @@
         exchange: http1.Exchange,
         outcome: http1.Response | http1.FailureReason,
     ) -> None:
-        del exchange
-        if outcome is http1.FailureReason.UNSENT and self._evacuated:
+        if exchange.withheld:
+            for attempt in self.attempts:
+                attempt.withheld = True
             self.collector.health.discard(self)
-            self._fail("evacuated", False, refused=True)
+            self._fail("withheld", False, refused=True)
         elif isinstance(outcome, http1.FailureReason):
             self._fail(outcome.value, outcome is not http1.FailureReason.UNSENT)
         elif outcome.status >= 500:
--- a/src/mallowloft/routes/cold/limit.py
+++ b/src/mallowloft/routes/cold/limit.py
@@ -89,6 +89,11 @@
         self._permits = permits
         self.until_s = until_s
 
+    @property
+    def generation(self) -> int:
+        """Number of times that the rate has fallen."""
+        return self._permits.generation
+
     def active(self, now_s: float) -> bool:
         """Whether the replica is cold."""
         return now_s < self.until_s
--- a/src/mallowloft/routes/collector.py
+++ b/src/mallowloft/routes/collector.py
@@ -95,10 +95,12 @@
                 or entry.draining
                 or not 0 <= shard < len(self._route.shards)
                 or entry.replica.service != self._route.shards[shard]
-                or not self._routes.directory.homes.allows(
-                    self._route, entry.replica.failure_domain
-                )
+                or not self._allows(entry)
             ):
+                if entry is not None and entry.draining:
+                    self._refused_by_position[position] = _refused_attempt(
+                        position, entry, self._started_s
+                    )
                 self._end(position, model.Failure.UNSENT)
                 continue
             if not entry.admits_if_alone(self._started_s):
@@ -115,8 +117,9 @@
                 self._started_s + call.left_s,
                 latency,
                 lambda attempt, outcome, position=position: self._end(
-                    position, outcome, attempt.entry
+                    position, outcome, attempt
                 ),
+                allows=self._allows,
             )
             if attempt.pending:
                 self._attempts_by_position[position] = attempt
@@ -169,6 +172,12 @@
             attempt.abandon()
         self._attempts_by_position.clear()
 
+    def _allows(self, entry: directory_lib.ReplicaEntry) -> bool:
+        """Whether the route allows a replica."""
+        return self._routes.directory.homes.allows(
+            self._route, entry.replica.failure_domain
+        )
+
     def _on_reply_due(self) -> None:
         self.reply_due = True
         self.changed.set()
@@ -181,12 +190,13 @@
         self,
         position: int,
         outcome: attempts_lib.Outcome,
-        entry: directory_lib.ReplicaEntry | None = None,
+        attempt: attempts_lib.Attempt | None = None,
     ) -> None:
-        if outcome is model.Failure.UNSENT and entry and entry.evacuated:
-            # The replica was evacuated while the attempt waited.
+        if attempt is not None and attempt.withheld:
+            if attempt.entry.signals.leaving:
+                self._leaving.append(position)
             self._refused_by_position[position] = _refused_attempt(
-                position, entry, self._loop.time()
+                position, attempt.entry, self._loop.time()
             )
         self._attempts_by_position.pop(position, None)
         if isinstance(outcome, model.Reply) and outcome.leaving:
@@ -209,6 +219,7 @@
         model.Failure.UNSENT.value,
         pause_s=_bounded(pause_s or None),
         limit_per_s=signals.limit.per_s if signals.limit else None,
+        withheld=True,
     )
 
 
--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -331,10 +331,11 @@
         self._tried.append(entry)
         attempt = _Attempt(entry, now_s)
         attempt.exchange = http1.Exchange(
-            self._encode_request(entry, now_s),
+            lambda: self._encode_request(entry, self._loop.time()),
             lambda _, outcome: self._on_end(attempt, outcome),
             rank=self._route.rank,
             purpose="delegated",
+            may_send=lambda: self._loop.time() < self._request_context.end_s,
         )
         entry.health.record_start(attempt, now_s, self._latency.median_s)
         self._in_flight.append(attempt)
@@ -399,6 +400,10 @@
         """Returns the hub's answer, or None if the hub gave none."""
         now_s = self._loop.time()
         entry = attempt.entry
+        if attempt.exchange.withheld:
+            entry.health.discard(attempt)
+            self._record_outcome(attempt, "withheld")
+            return None
         self._record_reachability(entry, isinstance(outcome, http1.Response))
         if isinstance(outcome, http1.FailureReason):
             entry.health.record_failure(attempt, now_s)
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -129,11 +129,18 @@
         A replica that leaves still serves for a while. One that returns from a
         pause is then asked although it has not replied yet.
         """
+        return self.accepts(now_s) and not self.signals.wait_s(now_s)
+
+    def accepts(self, now_s: float) -> bool:
+        """Whether a request for which the replica was chosen may be written.
+
+        Permits within a rate limit are not considered.
+        """
         return (
             not self.draining
             and not self.evacuated
             and self.signals.left_for_s(now_s) < self._leaving_grace_s
-            and not self.signals.wait_s(now_s)
+            and not self.signals.pause_left_s(now_s)
         )
 
     def usable_in_s(self, now_s: float) -> float:
@@ -331,6 +338,7 @@
                 continue
             self.leaving_ids.add(replica_id)
             self._choose_subset(entry.replica.service)
+            entry.pool.recheck_waiting()
             _log.info(
                 "replica_leaving",
                 replica=replica_id,
@@ -400,10 +408,12 @@
             limit.stated_s = stated_s
             if limit.per_s != per_s:
                 limit.update(per_s, divisor, now_s)
+                entry.pool.recheck_waiting()
             return
         limit = rate_limits.RateLimit(per_s, divisor, self._permit_phase, now_s)
         limit.stated_s = stated_s
         entry.signals.limit = limit
+        entry.pool.recheck_waiting()
         _log.info(
             "replica_limited",
             replica=entry.replica.id,
@@ -455,7 +465,8 @@
         changed = [entry for entry in entries if self._mark_evacuation(entry)]
         for service in {entry.replica.service for entry in entries}:
             self._choose_subset(service)
-        for entry in changed:
+        # Attempts that are routed elsewhere may go to domains that return.
+        for entry in sorted(changed, key=lambda entry: entry.evacuated):
             self._limit_connections(entry)
         self._schedule_returns()
 
@@ -722,6 +733,9 @@
         self.warmer.close()
         if self._return_timer is not None:
             self._return_timer.cancel()
+        for entry in self._entries_by_id.values():
+            # Attempts that end unsent here must not be sent again.
+            entry.draining = True
         for entry in self._entries_by_id.values():
             entry.pool.abort()
 
@@ -764,6 +778,7 @@
             limit = entry.signals.limit
             if limit is not None:
                 limit.update(limit.per_s, self._divisor_of(service), now_s)
+                entry.pool.recheck_waiting()
 
     def _max_connections_of(self, service: str) -> int:
         limit = self._max_connections_by_service.get(service)
@@ -794,6 +809,7 @@
                 (entry, other), key=lambda item: item.replica.started
             )
             oldest.draining = True
+            oldest.pool.recheck_waiting()
             _log.info(
                 "replica_superseded",
                 replica=oldest.replica.id,
@@ -823,6 +839,7 @@
         if replica.draining:
             self.warmer.stop_keeping_open(entry.pool)
         self._choose_subset(replica.service)
+        entry.pool.recheck_waiting()
 
     def _choose_subset(self, service: str) -> None:
         """Chooses the subset of a service's replicas that this instance uses.
--- a/src/mallowloft/routes/gathering.py
+++ b/src/mallowloft/routes/gathering.py
@@ -220,12 +220,18 @@
             if not self._unsent:
                 break
             choice = self._unsent.pop()
-            self._send(
-                self._pending_shards[choice.service],
-                choice.entry,
-                now_s,
-                choice.reason,
-            )
+            shard = self._pending_shards[choice.service]
+            entry = choice.entry
+            if not entry.admits(now_s):
+                # This became so after the replica was chosen.
+                entry = self._choose_next(
+                    shard, now_s, healthy_only=False, extra=False
+                )
+            if entry is None:
+                shard.failure = "no_replica"
+                self._mark_exhausted(shard)
+            else:
+                self._send(shard, entry, now_s, choice.reason)
         if self.done.done():
             return
         if self._unsent:
@@ -284,6 +290,7 @@
             collector,
             choices,
             self._route.objective_s,
+            self._request_context.end_s,
             self,
             lambda attempt, outcome, duration_s: context.sender.record(
                 attempt, outcome, duration_s, latency, is_direct=False
@@ -291,6 +298,7 @@
             context.directory.reach,
             context.batch_overheads,
             context.sender.record_signals,
+            self._allows,
         )
         self._batches.append(batch)
         hedge_due_s = self._earliest_hedge_s(
@@ -310,7 +318,6 @@
         batch.send(
             self._request_context.outgoing.request,
             self._route,
-            self._request_context.end_s - now_s,
             self._hedge_delay_s,
             latency.median_s,
         )
@@ -365,7 +372,7 @@
             shard = self._pending_shards.get(attempt.service)
             if shard is None:
                 continue
-            if not may_have_run:
+            if not may_have_run and not running.was_withheld(attempt, outcome):
                 shard.tried.remove(attempt.entry)
             self._on_end(shard, attempt, outcome)
 
@@ -395,6 +402,7 @@
                 shard, attempt, outcome
             ),
             reason,
+            self._allows,
         )
         if attempt.pending:
             shard.in_flight.append(attempt)
@@ -422,9 +430,8 @@
         if attempt in shard.in_flight:
             shard.in_flight.remove(attempt)
             self._in_flight_count -= 1
-        if running.was_evacuated(attempt, outcome):
+        if running.was_withheld(attempt, outcome):
             self._discard_unsent(shard, attempt)
-        running.forget_denied(shard.tried, attempt, outcome)
         if self.done.done() or shard.service not in self._pending_shards:
             return
         if isinstance(outcome, model.Reply) and outcome.success:
@@ -441,7 +448,7 @@
         return shard.used_attempts >= self._max_attempts
 
     def _discard_unsent(self, shard: _ShardState, attempt: _Attempt) -> None:
-        """Makes an attempt not count that an evacuation has kept back."""
+        """Makes an attempt not count that was not allowed any more."""
         self.sent -= 1
         if attempt.entry in shard.tried:
             shard.tried.remove(attempt.entry)
@@ -455,10 +462,10 @@
         shard.failure = running.outcome_label(outcome)
         if outcome is model.Failure.UNSENT and attempt.entry in shard.tried:
             shard.unsent += 1
-        if running.was_evacuated(attempt, outcome):
-            # A hedge is replaced, too, since it has taken its token.
+        if attempt.entry.evacuated and outcome is model.Failure.UNSENT:
             shard.failure = running.EVACUATED
-        elif shard.in_flight:
+        # A hedge that was withheld is replaced, since it has taken its token.
+        if shard.in_flight and not running.was_withheld(attempt, outcome):
             return
         if not self._covered and self._cut_off_count >= _MAX_CUT_OFF:
             due_s = self._loop.time() + _CRASH_CHECK_S
@@ -583,6 +590,8 @@
         """
         if self._is_exhausted(shard) or self._refused_for_s():
             return None
+        if now_s >= self._request_context.end_s:
+            return None
         if not math.isinf(self._give_up_s):
             return None
         guard = self._extra_guard
@@ -655,7 +664,7 @@
 
         Parts that the collector still returns count.
         """
-        if batch.withdraw_if_evacuated():
+        if batch.withdraw_if_withheld():
             return
         batch.mark_unresponsive(now_s)
         for attempt in batch.attempts:
--- a/src/mallowloft/routes/rate_limits.py
+++ b/src/mallowloft/routes/rate_limits.py
@@ -19,7 +19,7 @@
 from mallowloft.routes import message_types
 
 # A permit that is not used within this time lapses.
-_LAPSE_S = 0.5
+LAPSE_S = 0.5
 # Rate that is used of a replica that accepts less. Without a request, no
 # instance would hear that the replica accepts more again.
 _MIN_PER_S = 0.25
@@ -93,9 +93,17 @@
         per_s: Requests per second that the replica accepts from all instances
             together.
         stated_s: Loop time at which the replica last stated it.
+        generation: Number of times that the rate has fallen.
     """
 
-    __slots__ = ("_due_s", "_interval_s", "_lapse_s", "per_s", "stated_s")
+    __slots__ = (
+        "_due_s",
+        "_interval_s",
+        "_lapse_s",
+        "generation",
+        "per_s",
+        "stated_s",
+    )
 
     def __init__(
         self,
@@ -103,7 +111,7 @@
         divisor: float,
         phase: float,
         now_s: float,
-        lapse_s: float = _LAPSE_S,
+        lapse_s: float = LAPSE_S,
     ) -> None:
         """Creates a limit that has just become known.
 
@@ -116,6 +124,7 @@
         """
         self.per_s = per_s
         self.stated_s = now_s
+        self.generation = 0
         self._lapse_s = lapse_s
         self._interval_s = _interval_s(per_s, divisor)
         # When the next permit is due.
@@ -132,6 +141,8 @@
             _interval_s(per_s, divisor),
         )
         self.per_s = per_s
+        if self._interval_s > before_s:
+            self.generation += 1
         left_s = self._due_s - now_s
         if left_s > 0:
             self._due_s = now_s + left_s * self._interval_s / before_s
--- a/src/mallowloft/routes/running.py
+++ b/src/mallowloft/routes/running.py
@@ -137,6 +137,12 @@
             self._request_context.outgoing.fingerprint, self._loop.time()
         )
 
+    def _allows(self, entry: directory_lib.ReplicaEntry) -> bool:
+        """Whether the route allows a replica, whose domain may change."""
+        return self._context.directory.homes.allows(
+            self._route, entry.replica.failure_domain
+        )
+
     def refuse(self, refusal: model.Answer) -> None:
         """Ends a request that has not been started."""
         self._finish(refusal)
@@ -181,15 +187,18 @@
     return model.refusal("replicas_paused", usable_in_s)
 
 
-def was_evacuated(
+def was_withheld(
     attempt: attempts_lib.Attempt | batching.Attempt,
     outcome: attempts_lib.Outcome,
 ) -> bool:
-    """Whether an attempt was not sent because its replica is evacuated.
+    """Whether an attempt was not sent because that was not allowed any more.
 
-    It then counts neither as an attempt nor as an extra one.
+    It then counts neither as an attempt nor as an extra one, and its replica
+    may be chosen again.
     """
-    return outcome is model.Failure.UNSENT and attempt.entry.evacuated
+    return outcome is model.Failure.UNSENT and (
+        attempt.withheld or attempt.entry.evacuated
+    )
 
 
 def outcome_label(outcome: attempts_lib.Outcome) -> str:
@@ -201,24 +210,6 @@
     return f"status_{outcome.status}"
 
 
-def forget_denied(
-    tried: list[directory_lib.ReplicaEntry],
-    attempt: attempts_lib.Attempt,
-    outcome: attempts_lib.Outcome,
-) -> None:
-    """Removes a cold replica that got no request from the tried ones.
-
-    The attempt had no permit or waited too long, so it uses up no attempt.
-    """
-    now_s = asyncio.get_running_loop().time()
-    if (
-        outcome is model.Failure.UNSENT
-        and attempt.entry.signals.limited_while_cold(now_s)
-        and attempt.entry in tried
-    ):
-        tried.remove(attempt.entry)
-
-
 def take_hedge(
     extra: limits.ExtraAttemptBucket,
     late: Iterable[attempts_lib.Attempt],
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -91,6 +91,8 @@
         used_attempts = len(self._tried) - self._unsent
         if used_attempts >= self._max_attempts or self._refused_for_s():
             return None
+        if self._loop.time() >= self._request_context.end_s:
+            return None
         return self._context.selector.choose(
             self._context.directory.entries_for(self._route, self._service),
             self._loop.time(),
@@ -131,6 +133,7 @@
             self._request_context.latency,
             self._on_end,
             reason,
+            self._allows,
         )
         if attempt.pending:
             self._in_flight.append(attempt)
@@ -140,10 +143,9 @@
     ) -> None:
         if attempt in self._in_flight:
             self._in_flight.remove(attempt)
-        evacuated = running.was_evacuated(attempt, outcome)
-        if evacuated:
+        withheld = running.was_withheld(attempt, outcome)
+        if withheld:
             self._tried.remove(attempt.entry)
-        running.forget_denied(self._tried, attempt, outcome)
         if self.done.done():
             return
         elapsed_ms = (self._loop.time() - attempt.started_s) * 1000
@@ -153,14 +155,14 @@
         )
         if outcomes.may_have_run(outcome):
             self._may_have_run = True
-        elif outcome is model.Failure.UNSENT and attempt.entry in self._tried:
+        elif outcome is model.Failure.UNSENT and not withheld:
             self._unsent += 1
         is_final = isinstance(outcome, model.Reply) and not outcome.not_run
         if is_final and (outcome.status < 500 or not self._route.idempotent):
             self._finish(self._replica_answer(outcome))
             return
         if self._in_flight:
-            if evacuated:
+            if withheld:
                 # The hedge is replaced, since it has taken its token.
                 self._send_retry(outcome)
             return
@@ -189,9 +191,10 @@
             return self._replica_answer(outcome)
         if self._may_have_run:
             return model.failure(502, "replica_failed")
-        if not self._tried and self._evacuated:
+        if not self._tried:
             return running.refuse_unusable(
-                self._usable_in_s(), running.EVACUATED
+                self._usable_in_s(),
+                running.EVACUATED if self._evacuated else "no_replica",
             )
         return self._refusal(running.outcome_label(outcome))
 
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -108,7 +108,6 @@
     A callback gets the outcome, at most once and never after `cancel`.
 
     Attributes:
-        wire: The serialized request.
         id_name: Name, in lower case, of the response header that repeats the
             request id. A response with another id belongs to an earlier
             request and is skipped; a response without the header is
@@ -120,8 +119,11 @@
         purpose: What the exchange is for, a label of the byte counts.
         on_data: Gets the body of a response with status 200 as it arrives; the
             outcome then has no body. If it is None, the outcome has the body.
-        may_send: Is asked just before the request is written; if it returns
-            False, the exchange ends as UNSENT. None if it may always be sent.
+        may_send: Is asked just before the request is written, and earlier while
+            it waits; if it returns False, the exchange ends as UNSENT. None if
+            it may always be sent.
+        withheld: Whether it ended as UNSENT because it might not be sent any
+            more, and not because there was no connection.
         on_bytes: Gets the direction and number of bytes that are sent or
             received for it, if it is set.
         interim_received: Whether an interim (1xx) response has arrived.
@@ -130,6 +132,7 @@
 
     __slots__ = (
         "_on_end",
+        "_wire",
         "interim_received",
         "connection",
         "has_body",
@@ -140,12 +143,12 @@
         "on_data",
         "purpose",
         "rank",
-        "wire",
+        "withheld",
     )
 
     def __init__(
         self,
-        wire: bytes,
+        wire: bytes | Callable[[], bytes],
         on_end: Callable[["Exchange", Response | FailureReason], None],
         id_name: bytes = b"",
         id_value: bytes = b"",
@@ -155,7 +158,21 @@
         on_data: Callable[[bytes], None] | None = None,
         may_send: Callable[[], bool] | None = None,
     ) -> None:
-        self.wire = wire
+        """Creates an exchange that has not been sent.
+
+        Args:
+            wire: The serialized request, or a function that serializes it when
+                it is written.
+            on_end: Gets the outcome.
+            id_name: See the attribute, as for the other arguments.
+            id_value: The request id.
+            rank: Priority among waiting requests.
+            has_body: Whether the response can have a body.
+            purpose: What the exchange is for.
+            on_data: Gets the body as it arrives.
+            may_send: Whether the request may be written.
+        """
+        self._wire = wire
         self.id_name = id_name
         self.id = id_value
         self.rank = rank
@@ -163,11 +180,19 @@
         self.purpose = purpose
         self.on_data = on_data
         self.may_send = may_send
+        self.withheld = False
         self.on_bytes: Callable[[str, int], None] | None = None
         self.interim_received = False
         self.connection: Connection | None = None
         self._on_end: Callable | None = on_end
 
+    @property
+    def wire(self) -> bytes:
+        """The serialized request, as it was written if it was."""
+        if not isinstance(self._wire, bytes):
+            self._wire = self._wire()
+        return self._wire
+
     @property
     def sent(self) -> bool:
         """Whether any byte of the request may have reached the server."""
@@ -184,6 +209,12 @@
         if on_end is not None:
             on_end(self, outcome)
 
+    def withhold(self) -> None:
+        """Ends a request that has not been written as UNSENT."""
+        if not self.done:
+            self.withheld = True
+            self.set_outcome(FailureReason.UNSENT)
+
     def cancel(self) -> None:
         """Cancels the exchange without calling the callback.
 
@@ -247,12 +278,11 @@
         self._response = None
         self._in_body = False
         self._message_body_size = self._overhead_size = 0
-        self._pool.count_bytes(
-            exchange.purpose, traffic.SENT, len(exchange.wire)
-        )
+        wire = exchange.wire
+        self._pool.count_bytes(exchange.purpose, traffic.SENT, len(wire))
         if exchange.on_bytes is not None:
-            exchange.on_bytes(traffic.SENT, len(exchange.wire))
-        self._transport.write(exchange.wire)
+            exchange.on_bytes(traffic.SENT, len(wire))
+        self._transport.write(wire)
 
     def round_trip_s(self) -> float | None:
         """Returns the round-trip time to the server, None if unknown."""
@@ -481,7 +511,8 @@
     Requests that find no idle connection wait, lowest rank first, until a
     connection becomes idle or a new one is established. They end as UNSENT if a
     connection attempt fails while no other connection is open or being
-    established. No byte of a waiting request has been sent.
+    established, and if they may not be sent any more. No byte of a waiting
+    request has been sent.
     """
 
     def __init__(
@@ -518,6 +549,7 @@
         self._checks: list[Callable[[bool], None]] = []
         self._closing = False
         self._suspended = False
+        self._recheck_scheduled = False
 
     @property
     def open_count(self) -> int:
@@ -566,10 +598,10 @@
     def submit(self, exchange: Exchange) -> None:
         """Sends a request on an idle connection or queues it.
 
-        It ends as UNSENT if the pool is suspended.
+        It ends as UNSENT if it may not be sent now.
         """
         if not self._may_send(exchange):
-            exchange.set_outcome(FailureReason.UNSENT)
+            exchange.withhold()
             return
         connection = self._pop_idle()
         if connection is not None:
@@ -621,9 +653,16 @@
         for connection in list(self._idle):
             connection.close("over_limit")
 
-    def reject_waiting(self) -> None:
-        """Ends the requests that wait for a connection as UNSENT."""
-        self._fail_waiting()
+    def recheck_waiting(self) -> None:
+        """Ends the waiting requests that may not be sent any more as UNSENT.
+
+        This happens in the next iteration of the event loop, since their
+        callbacks may choose among servers to which the caller still applies
+        the same change. Until then none of them is sent.
+        """
+        if self._waiting and not self._recheck_scheduled:
+            self._recheck_scheduled = True
+            self._loop.call_soon(self._end_withheld)
 
     def suspend(self) -> None:
         """Sends no request and keeps no connection until `resume`.
@@ -640,7 +679,7 @@
             self._connecting.clear()
         for connection in list(self._idle):
             connection.close("suspended")
-        self._fail_waiting()
+        self._end_withheld()
 
     def resume(self) -> None:
         """Reverts `suspend`.
@@ -655,9 +694,8 @@
     def close(self) -> None:
         """Starts to close the pool.
 
-        Busy connections close after their current response. Waiting requests
-        end as UNSENT: at once if no open connection is left, otherwise when one
-        becomes idle.
+        Busy connections close after their current response. Waiting and later
+        requests end as UNSENT.
         """
         self._closing = True
         self._cancel_reopening()
@@ -665,8 +703,7 @@
         for connection in idle:
             self._open.discard(connection)
             connection.close("pool_closed")
-        if not self._open:
-            self._fail_waiting()
+        self.recheck_waiting()
 
     def abort(self) -> None:
         """Closes every connection at once; waiting requests end as UNSENT."""
@@ -675,7 +712,7 @@
             task.cancel()
         for connection in list(self._open):
             connection.close("pool_aborted")
-        self._fail_waiting()
+        self._end_withheld()
 
     def release(self, connection: Connection) -> None:
         """Handles a connection that is new, has become idle or has closed."""
@@ -690,7 +727,6 @@
         if self._closing or self._suspended:
             self._open.discard(connection)
             connection.close("suspended" if self._suspended else "pool_closed")
-            self._fail_waiting()
             return
         if (
             connection.response_received
@@ -722,9 +758,9 @@
     def _send_or_requeue(
         self, connection: Connection, exchange: Exchange
     ) -> None:
-        if self._closing or not self._may_send(exchange):
+        if not exchange.done and not self._may_send(exchange):
             # This became so after the request was taken from the queue.
-            exchange.set_outcome(FailureReason.UNSENT)
+            exchange.withhold()
         if exchange.done:
             if not connection.closed:
                 self.release(connection)
@@ -734,7 +770,7 @@
             connection.send(exchange)
 
     def _may_send(self, exchange: Exchange) -> bool:
-        if self._suspended:
+        if self._closing or self._suspended:
             return False
         return exchange.may_send is None or exchange.may_send()
 
@@ -750,6 +786,22 @@
             connection.close("idle")
         return None
 
+    def _end_withheld(self) -> None:
+        """Ends the waiting requests that may not be sent now."""
+        self._recheck_scheduled = False
+        waiting, self._waiting = sorted(self._waiting), []
+        withheld = []
+        for item in waiting:
+            exchange = item[2]
+            if exchange.done:
+                continue
+            if self._may_send(exchange):
+                self._waiting.append(item)
+            else:
+                withheld.append(exchange)
+        for exchange in withheld:
+            exchange.withhold()
+
     def _pop_waiting(self) -> Exchange | None:
         while self._waiting:
             _, _, exchange = heapq.heappop(self._waiting)
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -160,7 +160,10 @@
         self.failing = False
 
     def submit(self, exchange: http1.Exchange) -> None:
-        """Sends a request."""
+        """Sends a request, unless it may not be sent."""
+        if exchange.may_send is not None and not exchange.may_send():
+            exchange.withhold()
+            return
         exchange.connection = self
         asyncio.get_running_loop().call_later(
             self._delay_s, self._replica.receive, exchange, self._delay_s
@@ -185,7 +188,7 @@
         """Returns the round-trip time to the replica."""
         return 2 * self._delay_s
 
-    keep_open = stop_keeping_open = renew = abort = reject_waiting = close
+    keep_open = stop_keeping_open = renew = abort = recheck_waiting = close
     suspend = resume = close
 
 
