Let waiting requests follow their route and leave cut domains

What callers saw: requests that waited for a connection when the configuration moved or removed their route, or narrowed its homes, were sent as the older version said. Requests that may run once and waited for a replica of a failure domain that had become unreachable waited there for a connection that delivers nothing, while replicas elsewhere were free.

Cause: the route and its service were fixed when the request arrived, and an unreachable domain changed only later choices.

Change: the check of `SendCheck` and each choice ask for the route as it is now (`RouteMatcher.current`); gathered requests keep the shards of their version. What waits is returned once when its failure domain becomes unreachable (`DomainReachability.on_lost`, `Pool.return_waiting`).

--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -199,6 +199,7 @@
             tuple, replica_signals.ReplicaSignals
         ] = collections.OrderedDict()
         self.reach = reach
+        reach.on_lost = self._return_waiting
         self._entries_by_id: dict[str, ReplicaEntry] = {}
         self._entries_by_service: dict[str, list[ReplicaEntry]] = {}
         self._max_connections_by_service: dict[str, int] = {}
@@ -557,6 +558,8 @@
         self._update_limits()
         for service in self._used_services:
             self._choose_subset(service)
+        for entry in self._entries_by_id.values():
+            entry.pool.recheck_waiting()
 
     def reconnect(self, failure_domains: Collection[str] | None = None) -> None:
         """Replaces idle connections to unreachable failure domains.
@@ -754,6 +757,15 @@
         elif event == http1.CONNECT_FAILED:
             self.reach.direct_failed(failure_domain, now_s)
 
+    def _return_waiting(self, failure_domain: str) -> None:
+        """Makes what waits for replicas of an unreachable domain choose again.
+
+        A connection that delivers nothing keeps them waiting otherwise.
+        """
+        for entry in self._entries_by_id.values():
+            if entry.replica.failure_domain == failure_domain:
+                entry.pool.return_waiting()
+
     def _describe(self, entry: ReplicaEntry) -> dict:
         now_s = asyncio.get_running_loop().time()
         return {
--- a/src/mallowloft/routes/model.py
+++ b/src/mallowloft/routes/model.py
@@ -122,6 +122,10 @@
     # the same as in builds that do not know the field.
     home_regions: tuple[str, ...] = dataclasses.field(default=(), repr=False)
 
+    def names(self, service: str) -> bool:
+        """Whether a service is one of the targets."""
+        return any(target.service == service for target in self.targets)
+
     @property
     def needed_shards(self) -> int:
         """Minimum number of shards in a successful answer."""
--- a/src/mallowloft/routes/reach.py
+++ b/src/mallowloft/routes/reach.py
@@ -11,6 +11,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -66,6 +67,8 @@
     """
 
     def __init__(self) -> None:
+        # Called with a failure domain that has become unreachable.
+        self.on_lost: Callable[[str], None] = lambda failure_domain: None
         self._streak_by_domain: dict[str, _FailureStreak] = {}
         # Failures of direct calls since the last success in any domain.
         self._direct_streak: _FailureStreak | None = None
@@ -86,7 +89,10 @@
         streak = self._streak_by_domain.setdefault(
             failure_domain, _FailureStreak(now_s, now_s)
         )
+        was_lost = streak.is_lost
         streak.record(now_s)
+        if streak.is_lost and not was_lost:
+            self.on_lost(failure_domain)
 
     def direct_succeeded(self, failure_domain: str) -> None:
         """Records a reply of a replica to this instance."""
--- a/src/mallowloft/routes/running.py
+++ b/src/mallowloft/routes/running.py
@@ -53,6 +53,12 @@
     # called directly.
     collect_above: float
 
+    def current_route(self, route: model.Route) -> model.Route | None:
+        """Returns a route as configured now, None if it was removed."""
+
+    def choose_service(self, route: model.Route) -> str:
+        """Chooses the service for a request of a current route."""
+
     def choose_collectors(
         self, failure_domain: str, count: int
     ) -> list[directory_lib.ReplicaEntry]:
@@ -138,9 +144,12 @@
         )
 
     def _allows(self, entry: directory_lib.ReplicaEntry) -> bool:
-        """Whether the route allows a replica, whose domain may change."""
-        return self._context.directory.homes.allows(
-            self._route, entry.replica.failure_domain
+        """Whether the route allows a replica, now and when it was chosen."""
+        domain = entry.replica.failure_domain
+        homes = self._context.directory.homes
+        current = self._context.current_route(self._route)
+        return homes.allows(self._route, domain) and (
+            current is None or homes.allows(current, domain)
         )
 
     def refuse(self, refusal: model.Answer) -> None:
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -345,6 +345,14 @@
             self._extra_by_service[service] = extra
         return extra
 
+    def current_route(self, route: model.Route) -> model.Route | None:
+        """Returns a route as configured now, None if it was removed."""
+        return self._matcher.current(route) if self._matcher else None
+
+    def choose_service(self, route: model.Route) -> str:
+        """Chooses the service for a request of a current route."""
+        return self._matcher.choose_service(route)
+
     def count_unlinked(
         self, services: Sequence[str], route: model.Route | None = None
     ) -> int:
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -93,8 +93,19 @@
             return None
         if self._loop.time() >= self._request_context.end_s:
             return None
+        current = self._context.current_route(self._route)
+        if current is None or not current.targets:
+            return None
+        if not current.names(self._service):
+            # The configuration has moved the route.
+            self._service = self._context.choose_service(current)
+        entries = self._context.directory.entries_for(
+            self._route, self._service
+        )
+        if current is not self._route:
+            entries = [entry for entry in entries if self._allows(entry)]
         return self._context.selector.choose(
-            self._context.directory.entries_for(self._route, self._service),
+            entries,
             self._loop.time(),
             self._tried,
             healthy_only,
@@ -102,6 +113,14 @@
             self._route.rank if first else None,
         )
 
+    def _allows(self, entry: directory_lib.ReplicaEntry) -> bool:
+        current = self._context.current_route(self._route)
+        return (
+            current is not None
+            and current.names(entry.replica.service)
+            and super()._allows(entry)
+        )
+
     def _usable_in_s(self) -> float:
         """Returns the time until a replica of the service accepts requests."""
         now_s = self._loop.time()
--- a/src/mallowloft/routes/table.py
+++ b/src/mallowloft/routes/table.py
@@ -44,6 +44,10 @@
     ) -> None:
         self.table = table
         self._routes_by_host: dict[str, list[model.Route]] = {}
+        self._route_by_rule = {
+            (route.host, route.prefix): route
+            for route in reversed(table.routes)
+        }
         for route in table.routes:
             self._routes_by_host.setdefault(route.host, []).append(route)
         for routes in self._routes_by_host.values():
@@ -66,6 +70,14 @@
                 return route
         return None
 
+    def current(self, route: model.Route) -> model.Route | None:
+        """Returns the present form of a route, None if it was removed.
+
+        Args:
+            route: The route in any version of the table.
+        """
+        return self._route_by_rule.get((route.host, route.prefix))
+
     def choose_service(self, route: model.Route) -> str:
         """Chooses the service for the next request of a route."""
         if len(route.targets) == 1:
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -550,6 +550,7 @@
         self._closing = False
         self._suspended = False
         self._recheck_scheduled = False
+        self._returns_waiting = False
 
     @property
     def open_count(self) -> int:
@@ -664,6 +665,11 @@
             self._recheck_scheduled = True
             self._loop.call_soon(self._end_withheld)
 
+    def return_waiting(self) -> None:
+        """Ends all waiting requests as UNSENT, like `recheck_waiting`."""
+        self._returns_waiting = True
+        self.recheck_waiting()
+
     def suspend(self) -> None:
         """Sends no request and keeps no connection until `resume`.
 
@@ -789,13 +795,14 @@
     def _end_withheld(self) -> None:
         """Ends the waiting requests that may not be sent now."""
         self._recheck_scheduled = False
+        returns_all, self._returns_waiting = self._returns_waiting, False
         waiting, self._waiting = sorted(self._waiting), []
         withheld = []
         for item in waiting:
             exchange = item[2]
             if exchange.done:
                 continue
-            if self._may_send(exchange):
+            if not returns_all and self._may_send(exchange):
                 self._waiting.append(item)
             else:
                 withheld.append(exchange)
--- a/tests/support/memory_replicas.py
+++ b/tests/support/memory_replicas.py
@@ -7,12 +7,14 @@
 
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import gathering
+from mallowloft.routes import homes
 from mallowloft.routes import model
 from mallowloft.routes import running
 from mallowloft.routes import single
 from mallowloft.upstream import http1
 from tests.support import replicas as replicas_lib
 
+SERVICES = ("s0", "s1")
 CONNECT_S = 0.002
 REPLY_S = 0.03
 REPLY = b"HTTP/1.1 200 OK\r\nx-signature: s\r\n%scontent-length: 0\r\n\r\n"
@@ -161,3 +163,15 @@
         self._transports.append(transport)
         protocol.connection_made(transport)
         return transport, protocol
+
+
+def create_network(
+    cold_starts: dict[str, model.ColdStart] | None = None,
+    max_connections: int = 1,
+) -> Network:
+    """Returns an instance in `d1`, with the region `here` in `d1` and `d2`."""
+    network = Network(SERVICES, max_connections, cold_starts=cold_starts)
+    network.directory._leaving_grace_s = 10.0
+    regions = {"d1": "here", "d2": "here", "d3": "there"}
+    network.directory.homes = homes.HomePolicy(regions, "d1")
+    return network
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -189,7 +189,7 @@
         return 2 * self._delay_s
 
     keep_open = stop_keeping_open = renew = abort = recheck_waiting = close
-    suspend = resume = close
+    suspend = resume = return_waiting = close
 
 
 class Instance:
@@ -248,6 +248,7 @@
         self._limit = limits.ExtraAttemptLimit.for_instance(0.2, 54, 10.0, 7)
         self._extra_by_service: dict[str, limits.ExtraAttemptBucket] = {}
         self._latency_by_route: dict[str, limits.RouteLatency] = {}
+        self.changed_routes: dict[str, model.Route | None] = {}
 
     def _open_pool(self, replica: Replica, domain: str) -> Pool:
         return Pool(replica, replica.domain == domain, self._link)
@@ -272,6 +273,14 @@
             self._extra_by_service[service] = extra
         return extra
 
+    def current_route(self, route: model.Route) -> model.Route | None:
+        """Returns a route as the test has changed it, None if it is gone."""
+        return self.changed_routes.get(route.name, route)
+
+    def choose_service(self, route: model.Route) -> str:
+        """Returns the first service of a route."""
+        return route.targets[0].service
+
     def latency_of(self, route: model.Route) -> limits.RouteLatency:
         """Returns the latency statistics of a route."""
         return self._latency_by_route.setdefault(
--- a/tests/test_routes_sending.py
+++ b/tests/test_routes_sending.py
@@ -2,15 +2,13 @@
 
 import asyncio
 import collections
+import dataclasses
 import random
 
-import hypothesis
-from hypothesis import strategies
 import pytest
 
 from mallowloft.routes import delegation
 from mallowloft.routes import directory as directory_lib
-from mallowloft.routes import homes
 from mallowloft.routes import hubs as hubs_lib
 from mallowloft.routes import limits
 from mallowloft.routes import model
@@ -20,7 +18,7 @@
 from tests.support import replicas as replicas_lib
 from tests.support import virtual
 
-_SERVICES = ("s0", "s1")
+_SERVICES = memory_replicas.SERVICES
 _COLD_STARTS = {service: model.ColdStart(12.0, 0.001) for service in _SERVICES}
 _SINGLE = replicas_lib.route(
     targets=(model.Target("s0", 1.0),),
@@ -115,16 +113,6 @@
 _CHANGES = sorted(name for name in vars(_Changes) if not name.startswith("_"))
 
 
-def _create_network(max_connections: int = 1) -> memory_replicas.Network:
-    network = memory_replicas.Network(
-        _SERVICES, max_connections, cold_starts=_COLD_STARTS
-    )
-    network.directory._leaving_grace_s = 10.0
-    regions = {"d1": "here", "d2": "here", "d3": "there"}
-    network.directory.homes = homes.HomePolicy(regions, "d1")
-    return network
-
-
 class TestChanges:
     """Requests that wait for a replica go elsewhere once it changes."""
 
@@ -135,7 +123,7 @@
     ):
         # Guards against requests that wait for the next free connection of a
         # replica that may get none.
-        network = _create_network()
+        network = memory_replicas.create_network(_COLD_STARTS)
         changing = network.put("s0-a")
         for _ in range(4):
             network.request(route)
@@ -157,7 +145,7 @@
     async def test_request_taken_from_the_queue_is_not_written(self, change):
         # Guards against a change between the end of one request and the next
         # iteration of the event loop, which writes the next one.
-        network = _create_network()
+        network = memory_replicas.create_network(_COLD_STARTS)
         changing = network.put("s0-a")
         for _ in range(2):
             network.request(_ONCE)
@@ -176,7 +164,7 @@
 
     async def test_permits_are_not_used_together_after_a_wait(self):
         # Guards against a burst of requests whose permits have lapsed.
-        network = _create_network(max_connections=8)
+        network = memory_replicas.create_network(_COLD_STARTS, 8)
         entry = network.put("s0-a")
         network.headers_by_port[entry.replica.port] = b"x-rate-limit: 4\r\n"
         network.reply_s = 1.5
@@ -192,7 +180,7 @@
         assert 1 <= len(network.arrivals) - 8 <= 3
 
     async def test_lowered_limit_ends_permits_of_the_higher_one(self):
-        network = _create_network()
+        network = memory_replicas.create_network(_COLD_STARTS)
         entry = network.put("s0-a")
         network.headers_by_port[entry.replica.port] = b"x-rate-limit: 1\r\n"
         network.directory.record_limit(entry, 100.0)
@@ -206,13 +194,87 @@
         assert all(task.done.done() for task in network.tasks)
 
 
+class TestConfiguration:
+    """A request that waits follows its route."""
+
+    def _start(self, route: model.Route, **changes: object):
+        """Returns a network in which requests wait while a route changes."""
+        network = memory_replicas.create_network(_COLD_STARTS)
+        network.put("s0-a")
+        network.put("s1-a")
+        for _ in range(4):
+            network.request(route)
+        changed = dataclasses.replace(route, **changes) if changes else None
+        network.instance.changed_routes[route.name] = changed
+        network.directory.set_services(_SERVICES, dict.fromkeys(_SERVICES, 1))
+        return network
+
+    @pytest.mark.parametrize("route", [_SINGLE, _ONCE])
+    async def test_request_goes_to_the_service_that_its_route_names(
+        self, route, no_tokens
+    ):
+        network = self._start(route, targets=(model.Target("s1", 1.0),))
+        answers = [await task.done for task in network.tasks]
+        assert {answer.status for answer in answers} == {200}
+        ports = collections.Counter(item.port for item in network.arrivals)
+        assert ports == {network.port("s1-a"): 4}
+
+    @pytest.mark.parametrize("route", [_SINGLE, _ONCE])
+    @pytest.mark.parametrize("changes", [{}, {"home_regions": ("there",)}])
+    async def test_request_is_refused_if_its_route_allows_no_replica(
+        self, changes, route
+    ):
+        network = self._start(route, **changes)
+        answers = [await task.done for task in network.tasks]
+        assert {answer.status for answer in answers} == {503}
+        assert not network.arrivals
+
+    async def test_parts_stay_with_the_shards_of_one_version(self):
+        network = self._start(_GATHERED, shards=("s1",))
+        answers = [await task.done for task in network.tasks]
+        assert {answer.status for answer in answers} == {200}
+        ports = {item.port for item in network.arrivals}
+        assert ports == {network.port("s0-a")}
+
+
+class TestUnreachableDomain:
+    """Requests do not wait for connections that deliver nothing."""
+
+    async def test_waiting_requests_choose_again(self, no_tokens):
+        network = memory_replicas.create_network(_COLD_STARTS)
+        network.reply_s = 60.0
+        silent = network.put("s0-a")
+        for _ in range(4):
+            network.request(_ONCE)
+        await asyncio.sleep(0.01)
+        network.reply_s = memory_replicas.REPLY_S
+        other = network.put("s0-b", "d2")
+        silent.health.record_failure(None, _now_s())
+        for number in range(6):
+            network.directory.reach.failed("d1", _now_s() + 0.1 * number)
+        await asyncio.sleep(0.2)
+        ports = collections.Counter(item.port for item in network.arrivals)
+        assert ports == {silent.replica.port: 1, other.replica.port: 3}
+
+    async def test_they_wait_on_if_there_is_no_other_replica(self):
+        network = memory_replicas.create_network(_COLD_STARTS)
+        network.put("s0-a")
+        for _ in range(4):
+            network.request(_ONCE)
+        await asyncio.sleep(0.01)
+        for number in range(6):
+            network.directory.reach.failed("d1", _now_s() + 0.1 * number)
+        answers = [await task.done for task in network.tasks]
+        assert {answer.status for answer in answers} == {200}
+
+
 class TestTime:
     """Replicas get the time that is left, and nothing after the deadline."""
 
     async def test_deadline_is_that_of_the_moment_of_writing(self):
         # Guards against a replica that works on a request for as long as the
         # request has waited after its caller has given up.
-        network = _create_network()
+        network = memory_replicas.create_network(_COLD_STARTS)
         network.put("s0-a")
         for _ in range(20):
             network.request(_ONCE)
@@ -225,7 +287,7 @@
 
     async def test_nothing_is_written_after_the_deadline(self):
         # A collector's attempts end a little after their time.
-        network = _create_network()
+        network = memory_replicas.create_network(_COLD_STARTS)
         entry = network.put("s0-a")
         network.request(_ONCE)
         context = network.instance.create_request_context(_ONCE)
@@ -242,7 +304,7 @@
         assert outcomes == [model.Failure.UNSENT]
 
     async def test_caller_that_has_left_is_not_served(self):
-        network = _create_network()
+        network = memory_replicas.create_network(_COLD_STARTS)
         entry = network.put("s0-a")
         network.request(_ONCE)
         leaving = [network.request(route) for route in _ROUTES]
@@ -349,185 +411,3 @@
         for entry in sender.directory._entries_by_id.values():
             assert not entry.health.ejected(_now_s())
         assert not sender.directory.reach._streak_by_domain
-
-
-_NAMES = tuple(f"{service}-{key}" for service in _SERVICES for key in "ab")
-_KINDS = (
-    _SINGLE,
-    replicas_lib.route(
-        name="once",
-        targets=_SINGLE.targets,
-        timeout_s=0.1,
-        idempotent=False,
-        home_regions=("here",),
-    ),
-    replicas_lib.route(
-        name="g", shards=_SERVICES, timeout_s=1.0, objective_s=0.5
-    ),
-)
-_LIMIT_PER_S = 5.0
-
-
-class _Oracle:
-    """What the replicas of one instance may get, kept beside its own state."""
-
-    def __init__(self, network: memory_replicas.Network) -> None:
-        self._network = network
-        self._directory = network.directory
-        self._changes = _Changes(network)
-        self._starts: collections.Counter[str] = collections.Counter()
-        self._draining: set[int] = set()
-        self._domain_by_port: dict[int, str] = {}
-        self._evacuated: frozenset[str] = frozenset()
-        self._paused_until_s: dict[int, float] = {}
-        self._limited_from_s: dict[int, float] = {}
-        self._ends_by_id: dict[bytes, tuple[model.Route, float]] = {}
-        self._left: set[bytes] = set()
-        self.violations: list[str] = []
-        network.on_arrival = self._check
-
-    def list(self, name: str, domain: str = "d1", **fields: object) -> None:
-        port = self._network.port(name, self._starts[name])
-        self._domain_by_port[port] = domain
-        if fields.get("draining"):
-            self._draining.add(port)
-        else:
-            self._draining.discard(port)
-        self._network.put(name, domain, self._starts[name], **fields)
-
-    def act(self, action: str, name: str, kind: int) -> None:
-        """Applies a change of the world or starts requests."""
-        port = self._network.port(name, self._starts[name])
-        entry = self._directory.entry(name)
-        if action == "request":
-            for _ in range(5):
-                self._request(_KINDS[kind])
-        elif action == "restart":
-            self._draining.add(port)
-            self._starts[name] += 1
-            self.list(name)
-        elif action == "cut":
-            self._network.cut(port)
-        elif action == "evacuate":
-            self._evacuated ^= {("d1", "d2", "d3")[kind]}
-            self._directory.set_evacuated(self._evacuated, 7)
-        elif action == "give_up":
-            for task in self._network.tasks[-4:]:
-                request = task._request_context.outgoing.request
-                self._left.add(request.id)
-                task.cancel()
-        elif action in ("list", "drain"):
-            domain = ("d1", "d2", "d3")[kind]
-            self.list(name, domain, draining=action == "drain")
-        elif entry is not None:
-            getattr(self, "_" + action)(entry, port)
-
-    def _remove(self, entry, port: int) -> None:
-        self._draining.add(port)
-        self._directory.remove(entry.replica.id, "delisted")
-
-    def _pause(self, entry, port: int) -> None:
-        self._paused_until_s[port] = _now_s() + 0.2
-        self._network.instance.sender.record_signals(entry, False, 0.2)
-
-    def _limit(self, entry, port: int) -> None:
-        if entry.signals.limit is None:
-            self._limited_from_s[port] = _now_s()
-            header = b"x-rate-limit: %d\r\n" % _LIMIT_PER_S
-            self._network.headers_by_port[port] = header
-            self._directory.record_limit(entry, _LIMIT_PER_S)
-
-    def _leave(self, entry, port: int) -> None:
-        del port
-        self._network.instance.sender.record_signals(entry, True, None)
-
-    def _request(self, route: model.Route) -> None:
-        loop = asyncio.get_running_loop()
-        before = len(self._network.tasks)
-        end_s = loop.time() + route.timeout_s
-        create = self._network.instance.create_request_context
-
-        def create_known(*arguments):
-            context = create(*arguments)
-            self._ends_by_id[context.outgoing.request.id] = (route, end_s)
-            return context
-
-        self._network.instance.create_request_context = create_known
-        self._network.request(route)
-        self._network.instance.create_request_context = create
-        assert len(self._network.tasks) == before + 1
-
-    def _check(self, arrival: memory_replicas.Arrival) -> None:
-        port, now_s = arrival.port, arrival.at_s
-        route, end_s = self._ends_by_id[arrival.request_id]
-        domain = self._domain_by_port[port]
-        limited_s = self._limited_from_s.get(port, now_s)
-        since = [
-            item
-            for item in self._network.arrivals
-            if item.port == port and item.at_s >= max(limited_s, now_s - 1.0)
-        ]
-        reasons = {
-            "draining": port in self._draining,
-            "evacuated": domain in self._evacuated,
-            "paused": now_s < self._paused_until_s.get(port, 0.0),
-            "limited": limited_s < now_s
-            and len(since) > 2 + _LIMIT_PER_S * min(1.5, now_s - limited_s),
-            "not at home": bool(route.home_regions) and domain == "d3",
-            "caller left": arrival.request_id in self._left,
-            "too much time": arrival.left_s > end_s - now_s + 0.0011,
-            "late": now_s >= end_s,
-        }
-        self.violations += [
-            f"{reason}: {arrival}" for reason, true in reasons.items() if true
-        ]
-
-
-class TestInterleavings:
-    """No change comes too late for what waits, and nothing is forgotten."""
-
-    @hypothesis.settings(max_examples=200, deadline=None)
-    @hypothesis.given(
-        strategies.lists(
-            strategies.tuples(
-                strategies.sampled_from(
-                    ["request"] * 6
-                    + ["drain", "remove", "restart", "list", "pause"] * 2
-                    + ["limit", "leave", "cut", "evacuate", "give_up"]
-                ),
-                strategies.sampled_from(_NAMES),
-                strategies.integers(0, 2),
-                # Some changes come in one iteration of the loop, others while
-                # requests wait, are answered, or after that.
-                strategies.sampled_from([None, None, 0.0, 0.002, 0.03, 0.3]),
-            ),
-            min_size=8,
-            max_size=40,
-        )
-    )
-    def test_nothing_is_written_that_may_not_be(self, actions):
-        async def main():
-            network = _create_network()
-            oracle = _Oracle(network)
-            for name in _NAMES:
-                oracle.list(name)
-            for action, name, kind, wait_s in actions:
-                oracle.act(action, name, kind)
-                if wait_s is not None:
-                    await asyncio.sleep(wait_s)
-            await asyncio.sleep(max(route.timeout_s for route in _KINDS) + 0.1)
-            assert not oracle.violations
-            assert all(task.done.done() for task in network.tasks)
-            assert not network.count_waiting()
-            sent = collections.Counter(
-                item.request_id for item in network.arrivals
-            )
-            for task in network.tasks:
-                request = task._request_context.outgoing.request
-                once = not task._route.idempotent
-                assert not once or sent[request.id] <= 1
-                if not task.done.cancelled() and once:
-                    refused = task.done.result().status == 503
-                    assert not refused or not sent[request.id]
-
-        virtual.run(main())
--- a/tests/test_routes_table.py
+++ b/tests/test_routes_table.py
@@ -43,6 +43,12 @@
         # The prefix ends with a slash, so "/x" does not match.
         assert matcher.find("a.example", "/x") is None
 
+    def test_current_form_of_a_route_of_an_earlier_version(self):
+        old = _route("r", "/x/", targets=(model.Target("a", 1.0),))
+        new = _route("renamed", "/x/", targets=(model.Target("b", 1.0),))
+        assert _matcher(new).current(old) is new
+        assert _matcher(_route("r", "/y/")).current(old) is None
+
 
 class TestWeightedSplit:
     """Every sequence of requests keeps the weights."""
