--- a/src/mallowloft/routes/running.py
+++ b/src/mallowloft/routes/running.py
@@ -55,6 +55,12 @@
     # called directly.
     collect_above: float
 
+    def current_route(self, route: model.Route) -> model.Route | None:
+        """Returns a route as configured now, None if it was removed."""
+
+    def choose_service(self, route: model.Route) -> str:
+        """Chooses the service for a request of a current route."""
+
     def choose_collectors(
         self, failure_domain: str, count: int
     ) -> list[directory_lib.ReplicaEntry]:
@@ -139,6 +145,15 @@
             self._request_context.outgoing.fingerprint, self._loop.time()
         )
 
+    def _allows(self, entry: directory_lib.ReplicaEntry) -> bool:
+        """Whether the route allows a replica, now and when it was chosen."""
+        domain = entry.replica.failure_domain
+        homes = self._context.directory.homes
+        current = self._context.current_route(self._route)
+        return homes.allows(self._route, domain) and (
+            current is None or homes.allows(current, domain)
+        )
+
     def refuse(self, refusal: model.Answer) -> None:
         """Ends a request that has not been started."""
         self._finish(refusal)
@@ -192,15 +207,18 @@
     return model.refusal("replicas_paused", usable_in_s)
 
 
-def was_evacuated(
+def was_withheld(
     attempt: attempts_lib.Attempt | batching.Attempt,
     outcome: attempts_lib.Outcome,
 ) -> bool:
-    """Whether an attempt was not sent because its replica is evacuated.
+    """Whether an attempt was not sent because that was not allowed any more.
 
-    It then counts neither as an attempt nor as an extra one.
+    It then counts neither as an attempt nor as an extra one, and its replica
+    may be chosen again.
     """
-    return outcome is model.Failure.UNSENT and attempt.entry.evacuated
+    return outcome is model.Failure.UNSENT and (
+        attempt.withheld or attempt.entry.evacuated
+    )
 
 
 def outcome_label(outcome: attempts_lib.Outcome) -> str:
@@ -212,24 +230,6 @@
     return f"status_{outcome.status}"
 
 
-def forget_denied(
-    tried: list[directory_lib.ReplicaEntry],
-    attempt: attempts_lib.Attempt,
-    outcome: attempts_lib.Outcome,
-) -> None:
-    """Removes a cold replica that got no request from the tried ones.
-
-    The attempt had no permit or waited too long, so it uses up no attempt.
-    """
-    now_s = asyncio.get_running_loop().time()
-    if (
-        outcome is model.Failure.UNSENT
-        and attempt.entry.signals.limited_while_cold(now_s)
-        and attempt.entry in tried
-    ):
-        tried.remove(attempt.entry)
-
-
 def take_hedge(
     extra: limits.ExtraAttemptBucket,
     late: Iterable[attempts_lib.Attempt],
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -113,7 +113,6 @@
     A callback gets the outcome, at most once and never after `cancel`.
 
     Attributes:
-        wire: The serialized request, without the body if that is separate.
         body: The body if it is separate, so that several exchanges share it.
         id_name: Name, in lower case, of the response header that repeats the
             request id. A response with another id belongs to an earlier
@@ -126,8 +125,11 @@
         purpose: What the exchange is for, a label of the byte counts.
         on_data: Gets the body of a response with status 200 as it arrives; the
             outcome then has no body. If it is None, the outcome has the body.
-        may_send: Is asked just before the request is written; if it returns
-            False, the exchange ends as UNSENT. None if it may always be sent.
+        may_send: Is asked just before the request is written, and earlier while
+            it waits; if it returns False, the exchange ends as UNSENT. None if
+            it may always be sent.
+        withheld: Whether it ended as UNSENT because it might not be sent any
+            more, and not because there was no connection.
         on_bytes: Gets the direction and number of bytes that are sent or
             received for it, if it is set.
         interim_received: Whether an interim (1xx) response has arrived.
@@ -137,6 +139,7 @@
     __slots__ = (
         "_on_end",
         "body",
+        "_wire",
         "interim_received",
         "connection",
         "has_body",
@@ -147,12 +150,12 @@
         "on_data",
         "purpose",
         "rank",
-        "wire",
+        "withheld",
     )
 
     def __init__(
         self,
-        wire: bytes,
+        wire: bytes | Callable[[], bytes],
         on_end: Callable[["Exchange", Response | FailureReason], None],
         id_name: bytes = b"",
         id_value: bytes = b"",
@@ -163,7 +166,22 @@
         may_send: Callable[[], bool] | None = None,
         body: bytes = b"",
     ) -> None:
-        self.wire = wire
+        """Creates an exchange that has not been sent.
+
+        Args:
+            wire: The serialized request, without the body if that is separate,
+                or a function that serializes it when it is written.
+            on_end: Gets the outcome.
+            id_name: See the attribute, as for the other arguments.
+            id_value: The request id.
+            rank: Priority among waiting requests.
+            has_body: Whether the response can have a body.
+            purpose: What the exchange is for.
+            on_data: Gets the body as it arrives.
+            may_send: Whether the request may be written.
+            body: The body if it is separate.
+        """
+        self._wire = wire
         self.body = body
         self.id_name = id_name
         self.id = id_value
@@ -172,6 +190,7 @@
         self.purpose = purpose
         self.on_data = on_data
         self.may_send = may_send
+        self.withheld = False
         self.on_bytes: Callable[[str, int], None] | None = None
         self.interim_received = False
         self.connection: Connection | None = None
@@ -182,6 +201,13 @@
         """Size of the serialized request with its body."""
         return len(self.wire) + len(self.body)
 
+    @property
+    def wire(self) -> bytes:
+        """The serialized request without a separate body."""
+        if not isinstance(self._wire, bytes):
+            self._wire = self._wire()
+        return self._wire
+
     @property
     def sent(self) -> bool:
         """Whether any byte of the request may have reached the server."""
@@ -198,6 +224,12 @@
         if on_end is not None:
             on_end(self, outcome)
 
+    def withhold(self) -> None:
+        """Ends a request that has not been written as UNSENT."""
+        if not self.done:
+            self.withheld = True
+            self.set_outcome(FailureReason.UNSENT)
+
     def cancel(self) -> None:
         """Cancels the exchange without calling the callback.
 
@@ -542,7 +574,8 @@
     Requests that find no idle connection wait, lowest rank first, until a
     connection becomes idle or a new one is established. They end as UNSENT if a
     connection attempt fails while no other connection is open or being
-    established. No byte of a waiting request has been sent.
+    established, and if they may not be sent any more. No byte of a waiting
+    request has been sent.
     """
 
     def __init__(
@@ -579,6 +612,8 @@
         self._checks: list[Callable[[bool], None]] = []
         self._closing = False
         self._suspended = False
+        self._recheck_scheduled = False
+        self._returns_waiting = False
 
     @property
     def open_count(self) -> int:
@@ -627,10 +662,10 @@
     def submit(self, exchange: Exchange) -> None:
         """Sends a request on an idle connection or queues it.
 
-        It ends as UNSENT if the pool is suspended.
+        It ends as UNSENT if it may not be sent now.
         """
         if not self._may_send(exchange):
-            exchange.set_outcome(FailureReason.UNSENT)
+            exchange.withhold()
             return
         connection = self._pop_idle()
         if connection is not None:
@@ -682,9 +717,21 @@
         for connection in list(self._idle):
             connection.close("over_limit")
 
-    def reject_waiting(self) -> None:
-        """Ends the requests that wait for a connection as UNSENT."""
-        self._fail_waiting()
+    def recheck_waiting(self) -> None:
+        """Ends the waiting requests that may not be sent any more as UNSENT.
+
+        This happens in the next iteration of the event loop, since their
+        callbacks may choose among servers to which the caller still applies
+        the same change. Until then none of them is sent.
+        """
+        if self._waiting and not self._recheck_scheduled:
+            self._recheck_scheduled = True
+            self._loop.call_soon(self._end_withheld)
+
+    def return_waiting(self) -> None:
+        """Ends all waiting requests as UNSENT, like `recheck_waiting`."""
+        self._returns_waiting = True
+        self.recheck_waiting()
 
     def suspend(self) -> None:
         """Sends no request and keeps no connection until `resume`.
@@ -701,7 +748,7 @@
             self._connecting.clear()
         for connection in list(self._idle):
             connection.close("suspended")
-        self._fail_waiting()
+        self._end_withheld()
 
     def resume(self) -> None:
         """Reverts `suspend`.
@@ -716,9 +763,8 @@
     def close(self) -> None:
         """Starts to close the pool.
 
-        Busy connections close after their current response. Waiting requests
-        end as UNSENT: at once if no open connection is left, otherwise when one
-        becomes idle.
+        Busy connections close after their current response. Waiting and later
+        requests end as UNSENT.
         """
         self._closing = True
         self._cancel_reopening()
@@ -726,8 +772,7 @@
         for connection in idle:
             self._open.discard(connection)
             connection.close("pool_closed")
-        if not self._open:
-            self._fail_waiting()
+        self.recheck_waiting()
 
     def abort(self) -> None:
         """Closes every connection at once; waiting requests end as UNSENT."""
@@ -736,7 +781,7 @@
             task.cancel()
         for connection in list(self._open):
             connection.close("pool_aborted")
-        self._fail_waiting()
+        self._end_withheld()
 
     def release(self, connection: Connection) -> None:
         """Handles a connection that is new, has become idle or has closed."""
@@ -751,7 +796,6 @@
         if self._closing or self._suspended:
             self._open.discard(connection)
             connection.close("suspended" if self._suspended else "pool_closed")
-            self._fail_waiting()
             return
         if (
             connection.response_received
@@ -783,9 +827,9 @@
     def _send_or_requeue(
         self, connection: Connection, exchange: Exchange
     ) -> None:
-        if self._closing or not self._may_send(exchange):
+        if not exchange.done and not self._may_send(exchange):
             # This became so after the request was taken from the queue.
-            exchange.set_outcome(FailureReason.UNSENT)
+            exchange.withhold()
         if exchange.done:
             if not connection.closed:
                 self.release(connection)
@@ -795,7 +839,7 @@
             connection.send(exchange)
 
     def _may_send(self, exchange: Exchange) -> bool:
-        if self._suspended:
+        if self._closing or self._suspended:
             return False
         return exchange.may_send is None or exchange.may_send()
 
@@ -811,6 +855,23 @@
             connection.close("idle")
         return None
 
+    def _end_withheld(self) -> None:
+        """Ends the waiting requests that may not be sent now."""
+        self._recheck_scheduled = False
+        returns_all, self._returns_waiting = self._returns_waiting, False
+        waiting, self._waiting = sorted(self._waiting), []
+        withheld = []
+        for item in waiting:
+            exchange = item[2]
+            if exchange.done:
+                continue
+            if not returns_all and self._may_send(exchange):
+                self._waiting.append(item)
+            else:
+                withheld.append(exchange)
+        for exchange in withheld:
+            exchange.withhold()
+
     def _pop_waiting(self) -> Exchange | None:
         while self._waiting:
             _, _, exchange = heapq.heappop(self._waiting)
