Tests: batches of cut responses have a deadline

A batch gets its deadline when it is created since requests that wait are decided again when they are sent; this test was written beside that change.

--- a/tests/test_routes_cut_responses.py
+++ b/tests/test_routes_cut_responses.py
@@ -141,6 +141,7 @@
                 for service in services
             ],
             1.0,
+            asyncio.get_running_loop().time() + 1.0,
             listener,
             lambda *arguments: None,
             reach_lib.DomainReachability(),
@@ -150,7 +151,6 @@
         batch.send(
             model.Request(b"1", b"GET", b"/", (), b""),
             replicas_lib.route(shards=services),
-            1.0,
             0.1,
             0.01,
         )
