Do not refuse late requests because one of their route hangs

A stopping instance took the age of the oldest request in progress for the duration of all, so that one request at a silent replica had it refuse the others of its route for the rest of the stop. The age that half of the requests exceed counts now.

Found by reading. test_one_hanging_request_does_not_make_others_seem_slow shows it (3.0 s instead of 0.2 s before). The routes of TestExpiry have targets where a single replica is asked, since the check at the moment of sending asks whether the route names the replica's service.

--- a/src/mallowloft/routes/stopping.py
+++ b/src/mallowloft/routes/stopping.py
@@ -21,8 +21,8 @@
 class DurationTail:
     """Estimates how long the longest requests of a route take.
 
-    Requests in progress count with their age, since a request that lasts
-    unusually long is recorded only when it ends.
+    Requests in progress and the one that asks count with the age that half of
+    them exceed: when all become slow, the first are recorded only at their end.
     """
 
     __slots__ = ("_running", "_tail")
@@ -49,8 +49,9 @@
         tail_ms = self._tail.estimate_ms()
         if tail_ms is None:
             return None
-        oldest_s = next(iter(self._running.values()), now_s)
-        return max(tail_ms / 1000, now_s - oldest_s)
+        started_s = [*self._running.values(), now_s]
+        median_age_s = now_s - started_s[len(started_s) // 2]
+        return max(tail_ms / 1000, median_age_s)
 
 
 def can_finish(
--- a/tests/test_routes_stopping.py
+++ b/tests/test_routes_stopping.py
@@ -8,6 +8,7 @@
 from mallowloft.kernel import metrics as metrics_lib
 from mallowloft.kernel import stop_schedule
 from mallowloft.routes import gathering
+from mallowloft.routes import model
 from mallowloft.routes import open_requests
 from mallowloft.routes import running
 from mallowloft.routes import single
@@ -17,6 +18,12 @@
 from tests.support import virtual
 
 _SHARDS = 4
+_TARGETS = (model.Target("s0", 1.0),)
+_GATHERED = {
+    "shards": tuple(f"s{number}" for number in range(_SHARDS)),
+    "top_records": 1,
+    "min_coverage": 0.5,
+}
 
 
 class TestSchedule:
@@ -73,18 +80,41 @@
 class TestDurationTail:
     """The estimate follows ended requests and those in progress."""
 
-    def test_requests_in_progress_count_with_their_age(self):
+    async def _measure(self, tail: stopping.DurationTail, for_s: float) -> None:
+        with tail.measure():
+            await asyncio.sleep(for_s)
+
+    async def _create_tail(self) -> stopping.DurationTail:
+        """Returns a tail of requests that last 0.2 s."""
+        tail = stopping.DurationTail()
+        assert tail.estimate_s(0.0) is None
+        for _ in range(40):
+            await self._measure(tail, 0.2)
+        return tail
+
+    def test_slow_requests_in_progress_count_with_their_age(self):
         async def main():
             loop = asyncio.get_running_loop()
-            tail = stopping.DurationTail()
-            assert tail.estimate_s(loop.time()) is None
-            for _ in range(40):
-                with tail.measure():
-                    await asyncio.sleep(0.2)
+            tail = await self._create_tail()
             assert tail.estimate_s(loop.time()) == pytest.approx(0.2, abs=0.05)
-            with tail.measure():
+            async with asyncio.TaskGroup() as group:
+                for _ in range(5):
+                    group.create_task(self._measure(tail, 4.0))
                 await asyncio.sleep(3.0)
-                assert tail.estimate_s(loop.time()) == pytest.approx(3.0)
+                estimate_s = tail.estimate_s(loop.time())
+            assert estimate_s == pytest.approx(3.0)
+
+        virtual.run(main())
+
+    def test_one_hanging_request_does_not_make_others_seem_slow(self):
+        async def main():
+            loop = asyncio.get_running_loop()
+            tail = await self._create_tail()
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._measure(tail, 4.0))
+                await asyncio.sleep(3.0)
+                estimate_s = tail.estimate_s(loop.time())
+            assert estimate_s == pytest.approx(0.2, abs=0.05)
 
         virtual.run(main())
 
@@ -92,14 +122,13 @@
 class TestExpiry:
     """Requests that are ended early get the answer of their deadline."""
 
-    def _run(self, silent, create_task, idempotent=True, replicas=True):
+    def _run(self, silent, create_task, **fields):
         """Returns the answer and the arrivals after an early end.
 
         Args:
             silent: Whether a replica, given by its number, never replies.
             create_task: Returns the task of an instance and a context.
-            idempotent: Whether the request may be repeated.
-            replicas: Whether there are replicas.
+            **fields: Fields of the route.
         """
 
         async def main():
@@ -113,17 +142,10 @@
                     lambda _: 0.01,
                     unresponsive=lambda _, number=number: silent(number),
                 )
-                for number in range(_SHARDS if replicas else 0)
+                for number in range(_SHARDS)
             ]
             instance = replicas_lib.Instance("d1", instance_replicas, rng)
-            route = replicas_lib.route(
-                idempotent=idempotent,
-                timeout_s=6.0,
-                objective_s=3.0,
-                shards=tuple(f"s{number}" for number in range(_SHARDS)),
-                top_records=1,
-                min_coverage=0.5,
-            )
+            route = replicas_lib.route(timeout_s=6.0, objective_s=3.0, **fields)
             context = instance.create_request_context(route)
             requests = open_requests.OpenRequests()
             task = create_task(instance, context)
@@ -147,17 +169,24 @@
         return single.Forwarding(instance, context, "s0")
 
     def test_gathered_request_is_answered_with_the_parts_that_are_there(self):
-        answer, _ = self._run(lambda number: number == 0, self._gather)
+        answer, _ = self._run(
+            lambda number: number == 0, self._gather, **_GATHERED
+        )
         assert (answer.status, answer.missing) == (200, 1)
 
     def test_gathered_request_without_enough_parts_fails(self):
-        answer, _ = self._run(lambda number: number > 0, self._gather)
+        answer, _ = self._run(
+            lambda number: number > 0, self._gather, **_GATHERED
+        )
         assert answer.status == 504
 
     @pytest.mark.parametrize("idempotent", [True, False])
     def test_request_that_a_replica_may_run_is_not_refused(self, idempotent):
         answer, arrivals = self._run(
-            lambda number: True, self._forward, idempotent
+            lambda number: True,
+            self._forward,
+            idempotent=idempotent,
+            targets=_TARGETS,
         )
         assert arrivals[0] == 1
         assert answer.status == 504
@@ -177,7 +206,9 @@
                 self._forward(instance, context), context, ("s0",)
             )
 
-        answer, arrivals = self._run(lambda number: True, create_task)
+        answer, arrivals = self._run(
+            lambda number: True, create_task, targets=_TARGETS
+        )
         assert answer.status == 503
         assert arrivals[0] == 1
 
