Count a replica that starts again under its id as cold at once

Cause: only the list and `Cold-Ms` made a replica cold.

Change: the first connection after a refused one makes it cold for `coldStartS`, before a request is sent on it; what waits for it is decided again. Where `coldPerS` is set, a pool opens one connection when the server closes its last one before the stated timeout.

Partial: an instance that had no connection to the replica does not learn of its restart, and none asks `healthPath`. Not run on real processes.

--- a/src/mallowloft/routes/cold/replicas.py
+++ b/src/mallowloft/routes/cold/replicas.py
@@ -52,6 +52,8 @@
         self._known_since_s: dict[str, float] = {}
         # Replicas that were logged as cold.
         self._cold_by_id: dict[str, directory.ReplicaEntry] = {}
+        # Replicas that have started again and have not said that they are cold.
+        self._assumed_ids: set[str] = set()
 
     @property
     def divisor(self) -> int:
@@ -105,6 +107,22 @@
             entry.health.set_cold(until_s)
         self.refresh(entry, now_s)
 
+    def on_restarted(
+        self, entry: "directory.ReplicaEntry", now_s: float
+    ) -> None:
+        """Assumes that a replica which accepts connections again is cold.
+
+        It has started again, which its entry shows only later.
+        """
+        service = self._services.get(entry.replica.service)
+        if service is None or service.per_s <= 0:
+            return
+        until_s = now_s + service.start_s
+        if until_s > entry.health.cold_until_s:
+            self._assumed_ids.add(entry.replica.id)
+            entry.health.set_cold(until_s)
+            self.refresh(entry, now_s)
+
     def on_changed(
         self,
         entry: "directory.ReplicaEntry",
@@ -130,10 +148,11 @@
         a replica has become cold again.
         """
         until_s = now_s + left_s
-        if (
-            entry.replica.service in self._services
-            and until_s > entry.health.cold_until_s + _MIN_EXTENSION_S
+        is_assumed = entry.replica.id in self._assumed_ids
+        if entry.replica.service in self._services and (
+            is_assumed or until_s > entry.health.cold_until_s + _MIN_EXTENSION_S
         ):
+            self._assumed_ids.discard(entry.replica.id)
             entry.health.set_cold(until_s)
             self.refresh(entry, now_s)
 
@@ -141,6 +160,9 @@
         """Applies the end of the cold time and the rates to a replica."""
         service = self._services.get(entry.replica.service)
         signals = entry.signals
+        entry.pool.checks_early_close = service is not None and (
+            service.per_s > 0
+        )
         if service is None or service.per_s <= 0:
             signals.cold = None
             return
@@ -172,6 +194,7 @@
 
     def on_removed(self, entry: "directory.ReplicaEntry") -> None:
         """Forgets a replica that is not listed any more."""
+        self._assumed_ids.discard(entry.replica.id)
         if self._cold_by_id.get(entry.replica.id) is entry:
             del self._cold_by_id[entry.replica.id]
 
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -283,6 +283,7 @@
         )
         entry.may_connect = functools.partial(self._may_connect, entry)
         entry.pool.may_connect = entry.may_connect
+        entry.pool.on_restarted = functools.partial(self._on_restarted, entry)
         if entry.signals.leaving:
             self.leaving_ids.add(replica.id)
         self._entries_by_id[replica.id] = entry
@@ -757,6 +758,11 @@
         elif event == http1.CONNECT_FAILED:
             self.reach.direct_failed(failure_domain, now_s)
 
+    def _on_restarted(self, entry: ReplicaEntry) -> None:
+        """Limits a replica that has started again before it is listed so."""
+        self.cold.on_restarted(entry, asyncio.get_running_loop().time())
+        entry.pool.recheck_waiting()
+
     def _return_waiting(self, failure_domain: str) -> None:
         """Makes what waits for replicas of an unreachable domain choose again.
 
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -253,6 +253,8 @@
         self._has_surplus_data = False
         self._reusable = True
         self._idle_timeout_s = _DEFAULT_IDLE_TIMEOUT_S
+        # Whether the server has stated it.
+        self._has_idle_timeout = False
         self.opened_s = pool.now()
         self.response_received = False
         self.closed_by_server = False
@@ -284,6 +286,15 @@
             exchange.on_bytes(traffic.SENT, len(wire))
         self._transport.write(wire)
 
+    @property
+    def closed_before_timeout(self) -> bool:
+        """Whether the server closed it earlier than it had stated."""
+        return (
+            self.closed_by_server
+            and self._has_idle_timeout
+            and self._pool.now() < self.idle_deadline_s
+        )
+
     def round_trip_s(self) -> float | None:
         """Returns the round-trip time to the server, None if unknown."""
         return tcp.round_trip_s(self._transport)
@@ -485,6 +496,7 @@
         for part in keep_alive.split(b","):
             name, _, value = part.strip().partition(b"=")
             if name.lower() == b"timeout" and value.isdigit():
+                self._has_idle_timeout = True
                 self._idle_timeout_s = max(
                     0.0, int(value) - _IDLE_TIMEOUT_MARGIN_S
                 )
@@ -528,6 +540,12 @@
         self.on_event = on_event
         # Whether a connection may be opened although none is open.
         self.may_connect: Callable[[], bool] = lambda: True
+        # Called with the first connection after the server refused one, before
+        # a request is sent on it. The server has started again.
+        self.on_restarted: Callable[[], None] = lambda: None
+        # Whether a new connection replaces the last one if the server closes
+        # it early, which shows at once whether the server has ended.
+        self.checks_early_close = False
         self._meter = meter
         self._host = host
         self._port = port
@@ -551,6 +569,7 @@
         self._suspended = False
         self._recheck_scheduled = False
         self._returns_waiting = False
+        self._refused = False
 
     @property
     def open_count(self) -> int:
@@ -728,6 +747,8 @@
             if connection in self._idle:
                 self._idle.remove(connection)
             self._connect_for_waiting()
+            if self.checks_early_close and connection.closed_before_timeout:
+                self._connect_if_needed()
             self._schedule_reopen()
             return
         if self._closing or self._suspended:
@@ -872,8 +893,10 @@
                 )
         except (OSError, TimeoutError) as error:
             self._connecting.discard(task)
+            refused = isinstance(error, ConnectionRefusedError)
+            self._refused = self._refused or refused
             self._on_connect_failed(type(error).__name__)
-            self._end_checks(isinstance(error, ConnectionRefusedError))
+            self._end_checks(refused)
             return
         except asyncio.CancelledError:
             self._connecting.discard(task)
@@ -881,6 +904,9 @@
             raise
         self._connecting.discard(task)
         self._connect_failures = 0
+        if self._refused:
+            self._refused = False
+            self.on_restarted()
         self._end_checks(False)
         self.on_event(CONNECTED)
         if connection.closed:
--- a/tests/support/memory_replicas.py
+++ b/tests/support/memory_replicas.py
@@ -95,6 +95,7 @@
         self.tasks: list[running.RequestTask] = []
         self._pools: list[http1.Pool] = []
         self._transports: list[_Transport] = []
+        self._down: set[int] = set()
         self._port_by_start: dict[tuple[str, int], int] = {}
 
     def port(self, name: str, started: int = 1) -> int:
@@ -134,6 +135,15 @@
             if transport.port == port:
                 transport.close()
 
+    def stop(self, port: int) -> None:
+        """Ends the process of a replica."""
+        self._down.add(port)
+        self.cut(port)
+
+    def restart(self, port: int) -> None:
+        """Starts a replica again at its address."""
+        self._down.discard(port)
+
     def count_waiting(self) -> int:
         """Returns the number of requests that wait for a connection."""
         return sum(
@@ -158,6 +168,8 @@
     async def _connect(self, factory, host: str, port: int):
         del host
         await asyncio.sleep(CONNECT_S)
+        if port in self._down:
+            raise ConnectionRefusedError
         protocol = factory()
         transport = _Transport(self, protocol, port)
         self._transports.append(transport)
