Tell senders of batches to avoid what a collector withholds

What callers saw: a collector that knew first that a replica drains, or is cold, gave its part back, and the sender of the batch asked the replica itself, since parts that were withheld may be chosen again.

Cause: only evacuated replicas were reported with a pause. Before parts were withheld, the sender counted such a replica as failing instead.

Change: a collector reports a pause of 0.5 s, which every build understands, also for replicas that drain or are cold.

Evidence: test_withheld_parts_are_no_failure_of_their_replicas now also requires that nothing reaches such a replica; both of its cases fail without the change.

--- a/src/mallowloft/routes/collector.py
+++ b/src/mallowloft/routes/collector.py
@@ -23,10 +23,11 @@
 _MAX_CALL_BYTES = 16 << 20
 # One in this many batches whose replicas all gave a part is logged.
 _LOG_ONE_IN_COMPLETE = 50
-# A sender that does not know of an evacuation yet is told that the replica
-# pauses for this long, which every build understands. It covers most of the
-# time by which instances learn of a change of the source one after the other.
-_EVACUATED_PAUSE_S = 0.5
+# A sender that does not know yet that a replica drains, is cold or evacuated is
+# told that it pauses for this long, which every build understands. It covers
+# most of the time by which instances learn of a change of the source one after
+# the other.
+_ASSUMED_PAUSE_S = 0.5
 
 
 class _Collection:
@@ -212,8 +213,8 @@
     """Returns the outcome of an attempt that its replica would not accept."""
     signals = entry.signals
     pause_s = signals.pause_left_s(now_s)
-    if entry.evacuated:
-        pause_s = max(pause_s, _EVACUATED_PAUSE_S)
+    if entry.draining or entry.evacuated or signals.limited_while_cold(now_s):
+        pause_s = max(pause_s, _ASSUMED_PAUSE_S)
     return batching.FailedAttempt(
         position,
         model.Failure.UNSENT.value,
--- a/tests/test_routes_sending.py
+++ b/tests/test_routes_sending.py
@@ -12,6 +12,8 @@
 from mallowloft.routes import hubs as hubs_lib
 from mallowloft.routes import limits
 from mallowloft.routes import model
+from mallowloft.routes import rate_limits
+from mallowloft.routes.cold import limit as cold_limit
 from mallowloft.upstream import http1
 from tests.support import collectors as collectors_lib
 from tests.support import memory_replicas
@@ -398,16 +400,25 @@
         assert (await task).status == 200
         assert sum(item.arrivals for item in replicas[::2]) == 0
 
+    @pytest.mark.parametrize("change", ["drains", "turns_cold"])
     async def test_withheld_parts_are_no_failure_of_their_replicas(
-        self, no_tokens
+        self, change, no_tokens
     ):
         # Guards against replicas, and a whole failure domain, that count as
         # failing because a collector knows first that they drain.
         route, replicas = self._replicas()
-        sender, collecting, _ = self._instances(route, replicas)
+        sender, collecting, pool = self._instances(route, replicas)
+        permits = rate_limits.RateLimit(1.0, 1e4, 0.9, 0.0)
         for entry in collecting.directory._entries_by_id.values():
-            entry.draining = entry.replica.failure_domain == "d2"
+            if entry.replica.failure_domain != "d2":
+                continue
+            if change == "drains":
+                entry.draining = True
+            else:
+                entry.signals.cold = cold_limit.ColdLimit(1.0, permits, 12.0)
         assert (await sender.serve(route)).status == 200
+        assert pool.calls == 1
+        assert not any(item.arrivals for item in replicas[::2])
         for entry in sender.directory._entries_by_id.values():
             assert not entry.health.ejected(_now_s())
         assert not sender.directory.reach._streak_by_domain
