Keep the only connection while it is renewed

Cause: Pool.renew closed an idle connection of a full pool before a new one was established. For a moment the pool may now have one more; a replica that has no room for it closes it, and the old one stays.

The pool also shows when data arrived last, and whether the kernel of the server's host has acknowledged what was sent (TCP_INFO).

Evidence: test_only_connection_is_renewed_without_being_closed_first (without its checks of the new attribute) failed before, at "assert 0 not in counts": no connection was open for a moment. It passes now.

--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -13,6 +13,7 @@
 import enum
 import heapq
 import itertools
+import math
 import socket
 from typing import Any
 
@@ -258,6 +259,13 @@
         """Returns the round-trip time to the server, None if unknown."""
         return tcp.round_trip_s(self._transport)
 
+    @property
+    def acknowledged(self) -> bool | None:
+        """Whether the server's host has all sent data, None if unknown."""
+        if self.closed or self._transport is None:
+            return None
+        return tcp.is_acknowledged(self._transport)
+
     def close(self, reason: str) -> None:
         """Closes the connection at once.
 
@@ -272,6 +280,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received data and delivers a complete response."""
+        self._pool.received_s = self._pool.now()
         if self._exchange is None:
             # No request is in flight, so this is a second response to an
             # earlier request, an unsolicited response such as 408, or data that
@@ -482,6 +491,9 @@
     connection becomes idle or a new one is established. They end as UNSENT if a
     connection attempt fails while no other connection is open or being
     established. No byte of a waiting request has been sent.
+
+    Attributes:
+        received_s: Loop time at which data arrived last.
     """
 
     def __init__(
@@ -497,6 +509,7 @@
         self.on_event = on_event
         # Whether a connection may be opened although none is open.
         self.may_connect: Callable[[], bool] = lambda: True
+        self.received_s = -math.inf
         self._meter = meter
         self._host = host
         self._port = port
@@ -544,6 +557,27 @@
             or self.now() - self._failed_s < _FAILING_EXPIRY_S
         )
 
+    @property
+    def renewing(self) -> bool:
+        """Whether the connections are to be replaced."""
+        return self._renewed_from_s is not None
+
+    @property
+    def opened_s(self) -> float:
+        """Loop time at which the newest connection was opened."""
+        return max(
+            (connection.opened_s for connection in self._open),
+            default=-math.inf,
+        )
+
+    @property
+    def acknowledged(self) -> bool | None:
+        """Whether the server's host has all sent data, None if unknown."""
+        states = {connection.acknowledged for connection in self._open}
+        if False in states:
+            return False
+        return True if True in states else None
+
     def now(self) -> float:
         """Returns the event loop's clock in seconds."""
         return self._loop.time()
@@ -589,13 +623,10 @@
     def renew(self) -> None:
         """Replaces the idle connections as soon as a new one is established.
 
-        If the pool already has all the connections that it may have, one is
-        closed first. The pool tries to connect until it succeeds if `keep_open`
-        is in effect.
+        For a moment, the pool may have one connection more than it may keep.
+        The pool tries to connect until it succeeds if `keep_open` is in effect.
         """
         self._renewed_from_s = self.now()
-        if len(self._open) >= self.max_connections and self._idle:
-            self._idle.pop(0).close("renewed")
         self._connect_if_needed()
 
     def check_refusal(self, on_checked: Callable[[bool], None]) -> None:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -548,6 +548,46 @@
 
         _run_with_server(serve, test, max_connections=2)
 
+    def test_only_connection_is_renewed_without_being_closed_first(self):
+        # Guards against replicas that are all disconnected at once by an
+        # instance that may have only one connection to each.
+        async def serve(server, reader, writer):
+            await reader.read()
+
+        async def test(server, client):
+            pool = client.pool
+            pool.keep_open()
+            while not pool.open_count:
+                await asyncio.sleep(0.005)
+            (old,) = pool._open
+            pool.renew()
+            assert pool.renewing
+            counts = {pool.open_count}
+            while old in pool._open:
+                await asyncio.sleep(0.001)
+                counts.add(pool.open_count)
+            assert 0 not in counts
+            assert pool.open_count == 1
+            assert not pool.renewing
+
+        _run_with_server(serve, test, max_connections=1)
+
+    def test_request_that_a_server_has_is_acknowledged(self):
+        async def serve(server, reader, writer):
+            await reader.read()
+
+        async def test(server, client):
+            exchange, _ = client.send(b"1")
+            while not exchange.sent:
+                await asyncio.sleep(0.005)
+            # The kernel may delay an acknowledgement by 0.2 s.
+            await asyncio.sleep(0.3)
+            assert exchange.connection.acknowledged
+            assert client.pool.acknowledged
+            assert client.pool.received_s < 0
+
+        _run_with_server(serve, test)
+
     def test_unused_pool_recovers_from_early_closes(self, monkeypatch):
         # Guards against a replica that no request is sent to for good because
         # it once had too many connections.
