Judge links by silence, and do not change the view at each check

Requests waited for connections or were forwarded, and lasted for seconds.

Cause: five failures in a row over 0.3 s counted as lost links, whatever they were: a few replicas that refuse connections while all others are connected and idle; replies later than an adaptive delay, whose attempts were given up before the reply could arrive; requests that waited for the very connections that had just been replaced. Any new connection ended the state of a domain, also one that its loss had asked for, and all its connections were replaced at each loss.

Change: - A request whose replica's host has acknowledged it is late, not lost: then one attempt must have waited for 1 s. One attempt of each silent domain is kept for up to 2 s, so that its reply is heard. Where acknowledgements are unknown or missing, 0.3 s apply as before. - Failures of one replica are no evidence for its domain, those of one domain none for all links, unless there are no others or, in the latter case, for 1 s. - Requests that wait for a first connection say nothing; connections that fail do only where most replicas are not connected. - A new connection allows a trial of a lost domain after 0.5 s, then at intervals that double up to 5 s. A loss that data refutes doubles the time for the next one, up to 2 s; 10 s of calm halve it. - At each check, connections of three replicas of a lost domain are replaced instead of all at once.

--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -178,18 +178,26 @@
     def mark_late(self, now_s: float) -> None:
         """Records that the reply is overdue.
 
-        This counts as a failure of the replica's failure domain.
+        This counts as a failure of the replica's failure domain unless data
+        has arrived from the replica meanwhile.
         """
         self.entry.health.record_late(self, now_s)
-        self._reach.direct_failed(self.entry.replica.failure_domain, now_s)
+        self._record_silence(now_s)
+        if self.exchange.sent:
+            self._watch()
 
-    def release(self) -> None:
+    def release(self, may_listen: bool = True) -> None:
         """Stops waiting for the reply.
 
         A request that was sent stays open for `_ABANDON_DELAY_S`, so that a
         late reply still updates the health of the replica. If there is no reply
         by then, the attempt counts as a failure of the replica and of its
         failure domain.
+
+        Args:
+            may_listen: Whether it may stay open for longer if nothing else is
+                heard of the failure domain. This is not so once the caller has
+                left.
         """
         if not self.pending:
             return
@@ -199,7 +207,11 @@
         if not self.exchange.sent:
             self._cancel()
             return
-        asyncio.get_running_loop().call_later(_ABANDON_DELAY_S, self._cancel)
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + _ABANDON_DELAY_S
+        if may_listen and self._watch():
+            end_s = max(end_s, self.started_s + reach_lib.MAX_SPAN_S)
+        loop.call_at(end_s, self._cancel)
 
     def abandon(self) -> None:
         """Stops waiting and cancels the request at once."""
@@ -209,14 +221,37 @@
     def _cancel(self) -> None:
         if self.exchange.done:
             return
-        sent = self.exchange.sent
-        self.exchange.cancel()
         now_s = asyncio.get_running_loop().time()
-        if sent:
+        if self.exchange.sent:
             self.entry.health.record_failure(self, now_s)
-            self._reach.direct_failed(self.entry.replica.failure_domain, now_s)
+            self._record_silence(now_s)
         else:
             self.entry.health.discard(self)
+        self.exchange.cancel()
+
+    def _watch(self) -> bool:
+        return self._reach.watch(
+            self.entry.replica.failure_domain, self.exchange, self.started_s
+        )
+
+    def _record_silence(self, now_s: float) -> None:
+        """Records that no data has arrived from the replica.
+
+        While the request waits for a first connection, the outcome of the
+        connection attempt is what shows whether the replica is reached.
+        """
+        pool = self.entry.pool
+        if pool.received_s >= self.started_s:
+            return
+        connection = self.exchange.connection
+        if connection is None and not pool.open_count:
+            return
+        self._reach.direct_failed(
+            self.entry.replica.failure_domain,
+            now_s,
+            self.entry.replica.id,
+            bool((connection or pool).acknowledged),
+        )
 
 
 class Sender:
@@ -437,8 +472,8 @@
             # A malformed reply shows that the failure domain is reachable.
             if outcome is model.Failure.MALFORMED:
                 reached(domain)
-            else:
-                self._reach.failed(domain, now_s)
+            elif outcome is not model.Failure.UNSENT or not is_direct:
+                self._reach.failed(domain, now_s, attempt.entry.replica.id)
             self._increment_by_outcome[outcome]()
             return
         reached(domain)
--- a/src/mallowloft/routes/batching.py
+++ b/src/mallowloft/routes/batching.py
@@ -341,8 +341,9 @@
         """Records that the reply is overdue."""
         self._batch.mark_late(self, now_s)
 
-    def release(self) -> None:
+    def release(self, may_listen: bool = True) -> None:
         """Stops waiting for the reply."""
+        del may_listen
         self.pending = False
         self._batch.release_if_unused()
 
@@ -512,7 +513,11 @@
             attempt.entry.health.record_late(attempt, now_s)
             return
         self.collector.health.record_late(self, now_s)
-        self._reach.failed(self.collector.replica.failure_domain, now_s)
+        self._record_unreached(now_s)
+
+    def _record_unreached(self, now_s: float) -> None:
+        collector = self.collector.replica
+        self._reach.failed(collector.failure_domain, now_s, collector.id)
 
     @property
     def _evacuated(self) -> bool:
@@ -535,7 +540,7 @@
         self.unresponsive = True
         self._outcome = "not_acknowledged"
         self.collector.health.record_failure(self, now_s)
-        self._reach.failed(self.collector.replica.failure_domain, now_s)
+        self._record_unreached(now_s)
 
     def release_if_unused(self) -> None:
         """Cancels the batch after a delay if no attempt is awaited."""
@@ -668,7 +673,7 @@
         self._outcome = reason
         if not refused:
             self.collector.health.record_failure(self, now_s)
-            self._reach.failed(self.collector.replica.failure_domain, now_s)
+            self._record_unreached(now_s)
         owed = list(self._owed.values())
         self._owed.clear()
         for attempt in owed:
--- a/src/mallowloft/routes/delegation.py
+++ b/src/mallowloft/routes/delegation.py
@@ -166,8 +166,9 @@
         """Whether the request was written to a connection."""
         return self.exchange.sent
 
-    def release(self) -> None:
+    def release(self, may_listen: bool = True) -> None:
         """Cancels the attempt; the hub stops when the connection closes."""
+        del may_listen
         self.pending = False
         self.entry.health.discard(self)
         self.exchange.cancel()
@@ -471,7 +472,9 @@
         if responded:
             self._context.directory.reach.succeeded(domain)
         else:
-            self._context.directory.reach.failed(domain, self._loop.time())
+            self._context.directory.reach.failed(
+                domain, self._loop.time(), entry.replica.id
+            )
 
     def _record_outcome(self, attempt: _Attempt, outcome: str) -> None:
         elapsed_ms = (self._loop.time() - attempt.started_s) * 1000
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -39,8 +39,9 @@
 # healthy. In large fleets a replica accepts fewer connections than there are
 # instances.
 _SUBSET_SIZE = 2
-# Replicas of a failure domain to which a connection is tried after a cut if
-# none is open there. They show when the domain is reachable again.
+# Replicas of a failure domain whose connections are replaced at a time, or to
+# which one is tried if none is open there. They show when the domain is
+# reachable again.
 _MAX_RECONNECT_TRIALS = 3
 # Limit on the suspects reported to other instances. If there are more, the
 # others see the same fault themselves.
@@ -192,6 +193,7 @@
             tuple, replica_signals.ReplicaSignals
         ] = collections.OrderedDict()
         self.reach = reach
+        reach.count_by_domain = self._count_used_by_domain
         self._entries_by_id: dict[str, ReplicaEntry] = {}
         self._entries_by_service: dict[str, list[ReplicaEntry]] = {}
         self._max_connections_by_service: dict[str, int] = {}
@@ -264,7 +266,9 @@
                 replica.port,
                 self._max_connections_of(replica.service),
                 functools.partial(
-                    self._on_connection_event, replica.failure_domain
+                    self._on_connection_event,
+                    replica.failure_domain,
+                    replica.id,
                 ),
                 self._traffic.meter(remote) if self._traffic else None,
             ),
@@ -548,34 +552,47 @@
             self._choose_subset(service)
 
     def reconnect(self, failure_domains: Collection[str] | None = None) -> None:
-        """Replaces idle connections to unreachable failure domains.
+        """Replaces some idle connections to unreachable failure domains.
 
         An open connection may never deliver data again, while a new one shows
         when the failure domain is reachable again. An open connection may also
         be the only kind that still works, so it is kept until there is a new
-        one. Connections to other replicas are not opened: after a cut, all
-        instances would exceed the replicas' limits at once.
+        one. Each call replaces those of a few replicas in each domain, because
+        the connections may work after all. Connections to other replicas are
+        opened only in domains without any: after a cut, all instances would
+        exceed the replicas' limits at once.
 
         Args:
             failure_domains: The failure domains; by default all.
         """
-        others_by_domain: dict[str, list[ReplicaEntry]] = {}
-        renewed_domains = set()
+        entries_by_domain: dict[str, list[ReplicaEntry]] = {}
         for entry in self.used_entries():
             domain = entry.replica.failure_domain
-            if failure_domains is not None and domain not in failure_domains:
-                continue
-            if entry.pool.open_count or self.warmer.keeps_open(entry.pool):
-                renewed_domains.add(domain)
+            if failure_domains is None or domain in failure_domains:
+                entries_by_domain.setdefault(domain, []).append(entry)
+        for domain, entries in entries_by_domain.items():
+            silent_from_s = self.reach.silent_from_s(domain)
+            # Instances differ, so that they do not all try the same ones.
+            entries.sort(key=self._subset_order)
+            connected = [
+                entry
+                for entry in entries
+                if entry.pool.open_count or self.warmer.keeps_open(entry.pool)
+            ]
+            unproven = [
+                entry
+                for entry in connected or entries[:_MAX_RECONNECT_TRIALS]
+                if entry.pool.received_s < silent_from_s
+                and entry.pool.opened_s < silent_from_s
+                and not self._is_reconnecting(entry)
+            ]
+            unproven.sort(key=lambda entry: entry.pool.renewing)
+            for entry in unproven[:_MAX_RECONNECT_TRIALS]:
                 entry.pool.renew()
-            else:
-                others_by_domain.setdefault(domain, []).append(entry)
-        for domain, entries in others_by_domain.items():
-            if domain not in renewed_domains:
-                # Instances differ, so that they do not all try the same ones.
-                entries.sort(key=self._subset_order)
-                for entry in entries[:_MAX_RECONNECT_TRIALS]:
-                    entry.pool.renew()
+
+    def _is_reconnecting(self, entry: ReplicaEntry) -> bool:
+        """Whether the pool tries by itself until there is a new connection."""
+        return entry.pool.renewing and self.warmer.keeps_open(entry.pool)
 
     def suspects(self) -> list[str]:
         """Returns the ids of replicas to report to other instances.
@@ -732,13 +749,38 @@
             for service, entries in self._entries_by_service.items()
         }
 
-    def _on_connection_event(self, failure_domain: str, event: str) -> None:
+    def _on_connection_event(
+        self, failure_domain: str, replica_id: str, event: str
+    ) -> None:
         self._on_event(event)
         now_s = asyncio.get_running_loop().time()
         if event == http1.CONNECTED:
             self.reach.connected(failure_domain, now_s)
-        elif event == http1.CONNECT_FAILED:
-            self.reach.direct_failed(failure_domain, now_s)
+        elif event == http1.CONNECT_FAILED and not self._mostly_connected(
+            failure_domain
+        ):
+            self.reach.direct_failed(failure_domain, now_s, replica_id)
+
+    def _mostly_connected(self, failure_domain: str) -> bool:
+        """Whether most replicas to be connected in a domain are connected.
+
+        Requests then show whether these connections deliver data.
+        """
+        states = [
+            bool(entry.pool.open_count)
+            for entry in self.used_entries()
+            if entry.replica.failure_domain == failure_domain
+            and (entry.pool.open_count or self.warmer.keeps_open(entry.pool))
+        ]
+        return 2 * sum(states) > len(states)
+
+    def _count_used_by_domain(self) -> collections.Counter[str]:
+        """Returns the number of replicas in use that stay, by domain."""
+        return collections.Counter(
+            entry.replica.failure_domain
+            for entry in self.used_entries()
+            if entry.stays and not entry.evacuated
+        )
 
     def _describe(self, entry: ReplicaEntry) -> dict:
         now_s = asyncio.get_running_loop().time()
--- a/src/mallowloft/routes/isolation.py
+++ b/src/mallowloft/routes/isolation.py
@@ -139,26 +139,28 @@
     async def _check(self, before: frozenset[str]) -> frozenset[str]:
         """Updates the state and returns the unreachable failure domains.
 
-        Connections to newly unreachable ones are replaced.
+        Connections to them are replaced, a few at each check.
 
         Args:
             before: Failure domains that were unreachable at the last check.
         """
         hubs, directory = self._hubs, self._routes.directory
+        now_s = asyncio.get_running_loop().time()
+        directory.reach.update(now_s)
         unreachable = directory.reach.unreachable_domains()
-        if unreachable - before:
-            directory.reconnect(unreachable - before)
         table = self._routes.table
         domain_isolated = table is not None and reach.isolated(
             table.routes,
             directory,
             self._failure_domain,
             unreachable,
-            asyncio.get_running_loop().time(),
+            now_s,
         )
         links_lost = directory.reach.links_lost or domain_isolated
-        if links_lost and not hubs.links_lost:
+        if directory.reach.links_lost:
             directory.reconnect()
+        elif unreachable:
+            directory.reconnect(unreachable)
         hub_isolated = await self._check_isolated_hub()
         hubs.isolated_by_hub = hub_isolated and not domain_isolated
         isolated = (
--- a/src/mallowloft/routes/running.py
+++ b/src/mallowloft/routes/running.py
@@ -146,7 +146,7 @@
 
         For example, the caller may have disconnected.
         """
-        self._release()
+        self._release(may_listen=False)
         if not self.done.done():
             self.done.cancel()
 
@@ -156,12 +156,12 @@
             self.finished_s = self._loop.time()
             self.done.set_result(answer)
 
-    def _release(self) -> None:
+    def _release(self, may_listen: bool = True) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         for attempt in self._attempts():
-            attempt.release()
+            attempt.release(may_listen)
 
 
 def refuse_unusable(
--- a/tests/support/replicas.py
+++ b/tests/support/replicas.py
@@ -58,6 +58,8 @@
         work_s: Draws the service time of a request.
         slowdown: Factor for service times by current time.
         unresponsive: Whether requests and replies are lost, by current time.
+        acknowledged: Whether its host acknowledged requests, None if unknown,
+            by current time.
         status: Status of replies by current time.
         body: Body of replies.
         headers: Headers of replies besides the signature, by current time.
@@ -75,6 +77,7 @@
     pause_every_s: float = math.inf
     slowdown: Callable[[float], float] = lambda now_s: 1.0
     unresponsive: Callable[[float], bool] = lambda now_s: False
+    acknowledged: Callable[[float], bool | None] = lambda now_s: None
     status: Callable[[float], int] = lambda now_s: 200
     body: bytes = b"\0" * 16
     headers: Callable[[float], model.Headers] = lambda now_s: ()
@@ -148,12 +151,23 @@
 
 
 class Pool:
-    """Simulated connections of one instance to one replica."""
+    """Simulated connections of one instance to one replica.
+
+    Attributes:
+        received_s: Loop time at which data arrived last.
+        opened_s: Loop time at which a connection was opened last.
+        on_event: Is told of new connections.
+        renewals: Number of calls of `renew`.
+    """
 
     def __init__(self, replica: Replica, local: bool, link: Link) -> None:
         self._replica = replica
         self._link = link
         self._delay_s = _LOCAL_DELAY_S if local else _REMOTE_DELAY_S
+        self.on_event: Callable[[str], None] = lambda event: None
+        self.renewals = 0
+        self.renewing = False
+        self.received_s = self.opened_s = -math.inf
         self.address = replica.id
         self.max_connections = 8
         self.open_count = 1
@@ -174,10 +188,17 @@
         loop.call_later(
             delay_s,
             lambda: loop.call_later(
-                self._link.delay_s(), exchange.set_outcome, response
+                self._link.delay_s(), self._receive, exchange, response
             ),
         )
 
+    def _receive(
+        self, exchange: http1.Exchange, response: http1.Response
+    ) -> None:
+        if not exchange.done:
+            self.received_s = asyncio.get_running_loop().time()
+        exchange.set_outcome(response)
+
     def close(self, reason: str = "") -> None:
         """Does nothing."""
 
@@ -185,7 +206,23 @@
         """Returns the round-trip time to the replica."""
         return 2 * self._delay_s
 
-    keep_open = stop_keeping_open = renew = abort = reject_waiting = close
+    def renew(self) -> None:
+        """Opens a connection, unless the replica is not reached."""
+        self.renewals += 1
+        loop = asyncio.get_running_loop()
+        if not self._replica.unresponsive(loop.time()):
+            loop.call_later(self.round_trip_s(), self._on_renewed)
+
+    def _on_renewed(self) -> None:
+        self.opened_s = asyncio.get_running_loop().time()
+        self.on_event(http1.CONNECTED)
+
+    @property
+    def acknowledged(self) -> bool | None:
+        """Whether the replica's host has all sent data, None if unknown."""
+        return self._replica.acknowledged(asyncio.get_running_loop().time())
+
+    keep_open = stop_keeping_open = abort = reject_waiting = close
     suspend = resume = close
 
 
@@ -206,12 +243,19 @@
         self._link = link or Link()
         by_id = {replica.id: replica for replica in replicas}
         ids = itertools.cycle(by_id)
+
+        def open_pool(host, port, max_connections, on_event, meter) -> Pool:
+            del host, port, max_connections, meter
+            pool = self._open_pool(by_id[next(ids)], domain)
+            pool.on_event = on_event
+            return pool
+
         self.directory = directory_lib.Directory(
             f"instance-{rng.random()}",
             domain,
             lambda event: None,
             reach.DomainReachability(),
-            lambda *args: self._open_pool(by_id[next(ids)], domain),
+            open_pool,
         )
         for replica in replicas:
             self.directory.put(
--- a/tests/test_routes_placement.py
+++ b/tests/test_routes_placement.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 
 import msgspec
@@ -32,6 +33,8 @@
     open_count = 1
     failing = False
     address = "busy:1"
+    received_s = -math.inf
+    acknowledged = None
 
     def submit(self, exchange: http1.Exchange) -> None:
         """Leaves the request waiting."""
@@ -186,6 +189,8 @@
     """Connections of one instance to one replica, without a network."""
 
     connecting_count = 0
+    renewing = False
+    received_s = opened_s = -math.inf
 
     def __init__(self, host, port, max_connections, *others) -> None:
         del others
--- a/tests/test_routes_reach.py
+++ b/tests/test_routes_reach.py
@@ -1,10 +1,12 @@
 """Detection of unreachable failure domains and of isolation."""
 
+import itertools
 import random
 
 import pytest
 
 from mallowloft.routes import reach
+from mallowloft.upstream import http1
 from tests.support import replicas as replicas_lib
 from tests.support import virtual
 
@@ -45,6 +47,95 @@
         domains.failed("d2", 9.0)
         assert not domains.unreachable_domains()
 
+    def test_replica_that_is_asked_often_is_no_domain(self):
+        domains = reach.DomainReachability()
+        domains.count_by_domain = lambda: {"d2": 9}
+        for step in range(100):
+            domains.direct_failed("d2", 0.1 * step, "r1")
+        assert not domains.unreachable_domains()
+        assert not domains.links_lost
+
+    def test_only_replica_of_a_domain_shows_its_loss(self):
+        domains = reach.DomainReachability()
+        domains.count_by_domain = lambda: {"d2": 1}
+        for step in range(10):
+            domains.direct_failed("d2", 0.05 * step, "r1")
+        assert domains.unreachable_domains() == {"d2"}
+
+    def _lost_s(self, domains: reach.DomainReachability, **fields) -> float:
+        """Returns after how many seconds of failures a domain is lost."""
+        for step in range(100):
+            domains.failed("d2", 0.05 * step, **fields)
+            if domains.unreachable_domains():
+                return 0.05 * step
+        return float("inf")
+
+    def test_acknowledged_requests_are_lost_only_after_long_silence(self):
+        # Guards against taking replicas that are slower than usual for lost.
+        assert self._lost_s(reach.DomainReachability()) < 0.5
+        domains = reach.DomainReachability()
+        domains.failed("d2", 0.0)
+        exchange = http1.Exchange(b"", lambda *_: None)
+        assert domains.watch("d2", exchange, 0.0)
+        assert not domains.watch(
+            "d2", http1.Exchange(b"", lambda *_: None), 0.0
+        )
+        assert 1.0 < self._lost_s(domains, acknowledged=True) < 1.5
+
+    def test_short_acknowledged_requests_never_show_a_loss(self):
+        # Guards against attempts that are given up before the reply arrives.
+        domains = reach.DomainReachability()
+        assert self._lost_s(domains, acknowledged=True) == float("inf")
+
+    def test_losses_that_data_refuted_make_the_next_one_later(self):
+        domains = reach.DomainReachability()
+        lost_after_s = []
+        start_s = 0.0
+        for _ in range(8):
+            step = 0
+            while not domains.unreachable_domains():
+                step += 1
+                domains.failed("d2", start_s + 0.05 * step)
+            lost_after_s.append(0.05 * step)
+            start_s += lost_after_s[-1]
+            domains.succeeded("d2")
+        assert lost_after_s[0] < 0.5
+        assert lost_after_s[0] < lost_after_s[1] < min(lost_after_s[2:])
+        assert min(lost_after_s[2:]) > 1.0
+        assert max(lost_after_s) < 2.0
+
+    def test_losses_long_ago_do_not_delay_the_next_one(self):
+        domains = reach.DomainReachability()
+        for _ in range(5):
+            _fail(domains, "d2", 40)
+            domains.succeeded("d2")
+        for step in range(10):
+            domains.failed("d2", 60.0 + 0.05 * step)
+        assert domains.unreachable_domains() == {"d2"}
+
+    def test_new_connections_without_data_rarely_make_a_domain_reachable(self):
+        # Guards against changes at each check while connections are
+        # established but no data passes.
+        domains = reach.DomainReachability()
+        states = []
+        for step in range(2000):
+            now_s = 0.01 * step
+            if step % 5 == 0:
+                domains.failed("d2", now_s)
+            domains.connected("d2", now_s)
+            states.append(bool(domains.unreachable_domains()))
+        changes = sum(a != b for a, b in itertools.pairwise(states))
+        assert 8 <= changes <= 14
+        assert sum(states) > 1200
+
+    def test_new_connection_makes_a_domain_reachable_soon(self):
+        domains = reach.DomainReachability()
+        _fail(domains, "d2", 10)
+        domains.connected("d2", 0.5)
+        assert domains.unreachable_domains() == {"d2"}
+        domains.update(1.0)
+        assert not domains.unreachable_domains()
+
 
 class TestDirectLinks:
     """Links are lost if no replica responds to this instance itself."""
@@ -133,6 +224,17 @@
 
         self._run_with_two_services(main)
 
+    def test_one_slow_domain_does_not_mean_that_the_links_are_lost(self):
+        domains = reach.DomainReachability()
+        domains.count_by_domain = lambda: {"d1": 9, "d2": 9}
+        for step in range(20):
+            domains.direct_failed("d1", 0.05 * step)
+        assert domains.unreachable_domains() == {"d1"}
+        assert not domains.links_lost
+        for step in range(20, 24):
+            domains.direct_failed("d2", 0.05 * step)
+        assert domains.links_lost
+
     def test_closed_connections_are_no_evidence(self):
         domains = reach.DomainReachability()
         _fail(domains, "d2", 10)
