Mend what the review of the planned stop found

Cause: no handling of errors in end_all; no check after the body was read; tasks of submissions were awaited after their callers had an answer; only the signals of a stop were blocked.

Change: each of these. The callers' interface leaves a quarter of the grace period, 3 s at most, to the plug-ins that stop later.

--- a/src/mallowloft/callers/service.py
+++ b/src/mallowloft/callers/service.py
@@ -37,6 +37,10 @@
 _RETRY_AFTER_LIMIT_REACHED_MS = 100.0
 _RETRY_AFTER_DEADLINE_MS = 100.0
 _POLL_INTERVAL_S = 0.01
+# Share of the grace period, up to a time, for the plug-ins that stop later: the
+# outcomes of submissions are handed over to another instance.
+_LATER_SHARE = 0.25
+_MAX_LATER_S = 3.0
 # How long a stop waits for open keep-alive connections to close. A connection
 # closes after its next response, so one that is still open after this time is
 # considered unused.
@@ -219,25 +223,23 @@
         before the grace period ends are answered then.
         """
         clock = self._kernel.clock
+        later_s = min(_LATER_SHARE * grace_s, _MAX_LATER_S)
         schedule = stop_schedule.StopSchedule.plan(
-            clock.now(), grace_s, self._kernel.settings.drain_s
+            clock.now(), grace_s - later_s, self._kernel.settings.drain_s
         )
         await asyncio.sleep(schedule.drained_s - clock.now())
         self._refusing = True
-        await self._await_requests(schedule.answered_s)
+        while clock.now() < schedule.answered_s and (
+            self._requests_in_flight or self._submission_tasks
+        ):
+            await asyncio.sleep(_POLL_INTERVAL_S)
         self._must_answer.set()
-        await self._await_requests(schedule.closed_s)
+        while clock.now() < schedule.closed_s and self._requests_in_flight:
+            await asyncio.sleep(_POLL_INTERVAL_S)
         remaining_s = max(0.0, schedule.closed_s - clock.now())
         if self._server is not None:
             await self._server.stop(remaining_s, _KEEP_ALIVE_WAIT_S)
 
-    async def _await_requests(self, until_s: float) -> None:
-        """Waits until no request is in flight, or until a time has come."""
-        while self._kernel.clock.now() < until_s and (
-            self._requests_in_flight or self._submission_tasks
-        ):
-            await asyncio.sleep(_POLL_INTERVAL_S)
-
     def ready(self) -> bool:
         """Returns whether the server accepts connections."""
         return self._server is not None and self._server.listening
@@ -297,14 +299,7 @@
         self, caller_request: _CallerRequest, handler: Handler
     ) -> answers.CallerResponse:
         if self._refusing:
-            return answers.error(
-                503,
-                "stopping",
-                "the instance is stopping and did not run this copy",
-                _RETRY_AFTER_STOPPING_MS,
-                request_id=caller_request.request_id,
-                this_copy_ran=False,
-            )
+            return self._refuse_stopping(caller_request)
         if not self._kernel.plugin("configuration").ready():
             return answers.error(
                 503,
@@ -316,8 +311,22 @@
                 this_copy_ran=False,
             )
         await caller_request.read_body(self._kernel.settings.max_body_bytes)
+        if self._must_answer.is_set():
+            return self._refuse_stopping(caller_request)
         return await handler(caller_request)
 
+    def _refuse_stopping(
+        self, caller_request: _CallerRequest
+    ) -> answers.CallerResponse:
+        return answers.error(
+            503,
+            "stopping",
+            "the instance is stopping and did not run this copy",
+            _RETRY_AFTER_STOPPING_MS,
+            request_id=caller_request.request_id,
+            this_copy_ran=False,
+        )
+
     def _validate(self, caller_request: _CallerRequest, validate) -> Any:
         """Returns the valid request, or the errors in reading and content."""
         snapshot = self._kernel.plugin("configuration").store.current
--- a/src/mallowloft/kernel/process.py
+++ b/src/mallowloft/kernel/process.py
@@ -61,8 +61,10 @@
     elapsed_s = loop.time() - requested_s
     await kernel.stop(max(0.0, kernel.settings.stop_grace_s - elapsed_s))
     # The event loop restores the default actions when it is closed, with which
-    # a repeated signal would end the process with another status.
-    signal.pthread_sigmask(signal.SIG_BLOCK, _STOP_SIGNALS)
+    # a further signal would end the process with another status.
+    signal.pthread_sigmask(
+        signal.SIG_BLOCK, (*_STOP_SIGNALS, signal.SIGHUP, signal.SIGUSR1)
+    )
 
 
 def exit_at_once(status: int) -> NoReturn:
--- a/src/mallowloft/routes/open_requests.py
+++ b/src/mallowloft/routes/open_requests.py
@@ -6,8 +6,12 @@
 import contextlib
 import dataclasses
 
+from mallowloft.kernel import logs
+from mallowloft.routes import model
 from mallowloft.routes import running
 
+_log = logs.get_logger("routes")
+
 
 @dataclasses.dataclass(eq=False, slots=True)
 class OpenRequest:
@@ -60,7 +64,14 @@
     def end_all(self) -> None:
         """Ends all requests, so that they are answered at once."""
         for request in self:
-            request.end()
+            try:
+                request.end()
+            except Exception:  # noqa: BLE001
+                _log.exception(
+                    "request_failed", request=request.id.decode("latin1")
+                )
+                if not request.task.done.done():
+                    request.task.done.set_result(model.failure(500, "internal"))
 
     @contextlib.contextmanager
     def track(
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -684,7 +684,10 @@
             lambda: instance.gather.queries and instance.submissions.seen
         )
         instance.kernel.stopping = True
-        await instance.callers.stop(2.0)
+        started_s = time.monotonic()
+        await instance.callers.stop(4.0)
+        # The rest is for the hand-over of the submission's outcome.
+        assert time.monotonic() - started_s < 4.0
         query, submission = await running
         assert (query.status, query.body["error"]) == (503, "stopping")
         assert (submission.status, submission.body["outcome"]) == (
--- a/tests/test_routes_stopping.py
+++ b/tests/test_routes_stopping.py
@@ -1,6 +1,7 @@
 """Which requests a stopping instance accepts, and how it ends the others."""
 
 import asyncio
+import contextlib
 import random
 
 import pytest
@@ -238,3 +239,26 @@
             assert not len(requests)
 
         virtual.run(main())
+
+    def test_failure_of_one_request_does_not_keep_others_open(self):
+        class _Task:
+            def __init__(self, fails: bool) -> None:
+                self.done = asyncio.get_running_loop().create_future()
+                self._fails = fails
+
+            def expire(self) -> None:
+                if self._fails:
+                    raise ValueError
+                self.done.set_result(None)
+
+        async def main():
+            requests = open_requests.OpenRequests()
+            tasks = [_Task(number == 3) for number in range(10)]
+            with contextlib.ExitStack() as stack:
+                for task in tasks:
+                    stack.enter_context(requests.track(b"r1", 0.0, task))
+                requests.end_all()
+            assert all(task.done.done() for task in tasks)
+            assert tasks[3].done.result().status == 500
+
+        virtual.run(main())
