Let the sender of a waiting request ask another hub at a stop

A request that waited for admission at a stopping hub was refused with 503, which the sender passed on as final although it had run nowhere. The hub now says that it stops, as for requests that arrive later. Found by the review; by reading, without a run.

--- a/src/mallowloft/routes/hub_server.py
+++ b/src/mallowloft/routes/hub_server.py
@@ -135,6 +135,12 @@
         except exchange_lib.CallerLeftError:
             routes.record_end(call.id, started_s, "abandoned", fields, True)
             return
+        if answer.reason == running.STOPPING:
+            # It waited here; other hubs can serve it.
+            reason = running.STOPPING.encode()
+            await exchange_lib.respond(exchange.send, 409, reason)
+            routes.record_end(call.id, started_s, answer, fields, True)
+            return
         if answer.reason == gate.OVERLOADED:
             # Nothing was sent, so the sender may ask another hub.
             await exchange_lib.respond(
