Keep a renewed connection until the server has kept the new one

Callers would have seen: a replica at its connection limit closes the new connection at once, after the old one was closed; the pool then has none for 0.2 s and longer.

Change: if the pool has more connections than it may keep, the old ones are closed 0.3 s after the new one was established, if that is still open. 0.3 s is the time within which a close counts as early.

Evidence: test_old_connection_stays_if_the_server_has_no_room_for_another failed before ("assert pool._open == {old}"); tests/test_http1.py passes.

--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -822,11 +822,27 @@
         ):
             self._start_connecting()
 
-    def _close_renewed(self) -> None:
-        """Closes the idle connections that a new one replaces."""
+    def _replace_renewed(self, connection: Connection) -> None:
+        """Closes the idle connections that a new one replaces.
+
+        If the server may have no room for both, they are closed once it has
+        kept the new one.
+        """
         renewed_from_s, self._renewed_from_s = self._renewed_from_s, None
         if renewed_from_s is None:
             return
+        if len(self._open) > self.max_connections:
+            self._loop.call_later(
+                _EARLY_CLOSE_S, self._close_renewed, connection, renewed_from_s
+            )
+        else:
+            self._close_renewed(connection, renewed_from_s)
+
+    def _close_renewed(
+        self, replacement: Connection, renewed_from_s: float
+    ) -> None:
+        if replacement.closed:
+            return
         for connection in list(self._idle):
             if connection.opened_s < renewed_from_s:
                 connection.close("renewed")
@@ -859,7 +875,7 @@
             self._connect_for_waiting()
             return
         self._open.add(connection)
-        self._close_renewed()
+        self._replace_renewed(connection)
         connection.idle_deadline_s = self.now() + _DEFAULT_IDLE_TIMEOUT_S
         self.release(connection)
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -572,6 +572,33 @@
 
         _run_with_server(serve, test, max_connections=1)
 
+    def test_old_connection_stays_if_the_server_has_no_room_for_another(self):
+        # Guards against losing the only connection to a replica that is at
+        # its connection limit.
+        accepted = []
+
+        async def serve(server, reader, writer):
+            accepted.append(writer)
+            if len(accepted) > 1:
+                writer.transport.abort()
+            await reader.read()
+
+        async def test(server, client):
+            pool = client.pool
+            pool.keep_open()
+            while not pool.open_count:
+                await asyncio.sleep(0.005)
+            (old,) = pool._open
+            pool.renew()
+            while http1.CLOSED_EARLY not in client.events:
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(0.4)
+            assert pool._open == {old}
+            assert not pool.failing
+            assert len(accepted) == 2
+
+        _run_with_server(serve, test, max_connections=1)
+
     def test_request_that_a_server_has_is_acknowledged(self):
         async def serve(server, reader, writer):
             await reader.read()
