Close the older of two connections of a full pool

Callers would have seen: while a connection is being renewed, a full pool has two; the one that had just delivered a response was closed as one too many, and the older one stayed, which may be dead.

Change: an older idle connection is closed first, also when the limit of a pool is lowered.

Evidence: test_new_connection_that_was_used_stays_rather_than_the_old_one failed before ("assert pool._open == {exchange.connection}"); tests/test_http1.py and tests/test_routes_placement.py pass.

--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -727,9 +727,11 @@
             connection.response_received
             and len(self._open) > self.max_connections
         ):
-            # The limit was lowered, or the connection has been replaced.
-            connection.close("over_limit")
-            return
+            # The limit was lowered, or a connection is being replaced.
+            replaced = self._find_older_idle(connection) or connection
+            replaced.close("over_limit")
+            if replaced is connection:
+                return
         exchange = self._pop_waiting()
         if exchange is not None:
             # The response to the previous request is delivered only after this
@@ -739,6 +741,12 @@
             return
         self._idle.append(connection)
 
+    def _find_older_idle(self, connection: Connection) -> Connection | None:
+        for other in self._idle:
+            if other.opened_s < connection.opened_s:
+                return other
+        return None
+
     def _count_early_close(self, connection: Connection) -> None:
         if connection.response_received:
             self._early_closes = 0
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -599,6 +599,29 @@
 
         _run_with_server(serve, test, max_connections=1)
 
+    def test_new_connection_that_was_used_stays_rather_than_the_old_one(self):
+        # Guards against going back to a connection that may be dead.
+        async def serve(server, reader, writer):
+            while True:
+                request = await server.read_request_id(reader)
+                writer.write(_response(request, request))
+
+        async def test(server, client):
+            pool = client.pool
+            pool.keep_open()
+            while not pool.open_count:
+                await asyncio.sleep(0.005)
+            (old,) = pool._open
+            pool.renew()
+            while client.events.count(http1.CONNECTED) < 2:
+                await asyncio.sleep(0.001)
+            exchange, future = client.send(b"1")
+            await future
+            assert pool._open == {exchange.connection}
+            assert old.closed
+
+        _run_with_server(serve, test, max_connections=1)
+
     def test_request_that_a_server_has_is_acknowledged(self):
         async def serve(server, reader, writer):
             await reader.read()
