--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -853,9 +853,11 @@
             connection.response_received
             and len(self._open) > self.max_connections
         ):
-            # The limit was lowered, or the connection has been replaced.
-            connection.close("over_limit")
-            return
+            # The limit was lowered, or a connection is being replaced.
+            replaced = self._find_older_idle(connection) or connection
+            replaced.close("over_limit")
+            if replaced is connection:
+                return
         exchange = self._pop_waiting()
         if exchange is not None:
             # The response to the previous request is delivered only after this
@@ -865,6 +867,12 @@
             return
         self._idle.append(connection)
 
+    def _find_older_idle(self, connection: Connection) -> Connection | None:
+        for other in self._idle:
+            if other.opened_s < connection.opened_s:
+                return other
+        return None
+
     def _count_early_close(self, connection: Connection) -> None:
         if connection.response_received:
             self._early_closes = 0
@@ -965,11 +973,27 @@
         ):
             self._start_connecting()
 
-    def _close_renewed(self) -> None:
-        """Closes the idle connections that a new one replaces."""
+    def _replace_renewed(self, connection: Connection) -> None:
+        """Closes the idle connections that a new one replaces.
+
+        If the server may have no room for both, they are closed once it has
+        kept the new one.
+        """
         renewed_from_s, self._renewed_from_s = self._renewed_from_s, None
         if renewed_from_s is None:
             return
+        if len(self._open) > self.max_connections:
+            self._loop.call_later(
+                _EARLY_CLOSE_S, self._close_renewed, connection, renewed_from_s
+            )
+        else:
+            self._close_renewed(connection, renewed_from_s)
+
+    def _close_renewed(
+        self, replacement: Connection, renewed_from_s: float
+    ) -> None:
+        if replacement.closed:
+            return
         for connection in list(self._idle):
             if connection.opened_s < renewed_from_s:
                 connection.close("renewed")
@@ -1007,7 +1031,7 @@
             self._connect_for_waiting()
             return
         self._open.add(connection)
-        self._close_renewed()
+        self._replace_renewed(connection)
         connection.idle_deadline_s = self.now() + _DEFAULT_IDLE_TIMEOUT_S
         self.release(connection)
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -576,6 +576,56 @@
 
         _run_with_server(serve, test, max_connections=1)
 
+    def test_old_connection_stays_if_the_server_has_no_room_for_another(self):
+        # Guards against losing the only connection to a replica that is at
+        # its connection limit.
+        accepted = []
+
+        async def serve(server, reader, writer):
+            accepted.append(writer)
+            if len(accepted) > 1:
+                writer.transport.abort()
+            await reader.read()
+
+        async def test(server, client):
+            pool = client.pool
+            pool.keep_open()
+            while not pool.open_count:
+                await asyncio.sleep(0.005)
+            (old,) = pool._open
+            pool.renew()
+            while http1.CLOSED_EARLY not in client.events:
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(0.4)
+            assert pool._open == {old}
+            assert not pool.failing
+            assert len(accepted) == 2
+
+        _run_with_server(serve, test, max_connections=1)
+
+    def test_new_connection_that_was_used_stays_rather_than_the_old_one(self):
+        # Guards against going back to a connection that may be dead.
+        async def serve(server, reader, writer):
+            while True:
+                request = await server.read_request_id(reader)
+                writer.write(_response(request, request))
+
+        async def test(server, client):
+            pool = client.pool
+            pool.keep_open()
+            while not pool.open_count:
+                await asyncio.sleep(0.005)
+            (old,) = pool._open
+            pool.renew()
+            while client.events.count(http1.CONNECTED) < 2:
+                await asyncio.sleep(0.001)
+            exchange, future = client.send(b"1")
+            await future
+            assert pool._open == {exchange.connection}
+            assert old.closed
+
+        _run_with_server(serve, test, max_connections=1)
+
     def test_request_that_a_server_has_is_acknowledged(self):
         async def serve(server, reader, writer):
             await reader.read()
