Give the callers' protocol a module of its own

The protocol of callers' connections moves from callers/server.py to callers/protocol.py, and the list of headers that concern one connection only from routes/attempts.py to callers/connection_headers.py. Nothing changes.

--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -41,47 +41,6 @@
 _OUTCOMES = (_OK, _REPLICA_FAILED, _NOT_RUN, *model.Failure)
 
 
-_UNFORWARDED_HEADERS = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
-
-
-def end_to_end_headers(
-    headers: model.Headers, excluded: frozenset[bytes]
-) -> model.Headers:
-    """Returns the headers that are forwarded.
-
-    Hop-by-hop headers are left out, and so are `content-length`, which is set
-    for each message that needs it, and `expect`, which is not forwarded.
-
-    Args:
-        headers: Headers with names in lower case.
-        excluded: Names of further headers to leave out.
-    """
-    excluded_names = set(excluded)
-    for name, value in headers:
-        if name == b"connection":
-            tokens = value.lower().split(b",")
-            excluded_names.update(token.strip() for token in tokens)
-    return tuple(
-        (name, value)
-        for name, value in headers
-        if name not in excluded_names and name not in _UNFORWARDED_HEADERS
-    )
-
-
 class OutgoingRequest:
     """A request in the form in which it is sent to replicas.
 
--- a/src/mallowloft/routes/exchange.py
+++ b/src/mallowloft/routes/exchange.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from mallowloft.callers import server as server_lib
+from mallowloft.callers import protocol
 from mallowloft.routes import model
 from mallowloft.routes import running
 from mallowloft.routes import timing
@@ -49,7 +49,7 @@
             default_round_trip_s: Round-trip time if the kernel knows none.
         """
         connection = self.scope.get("extensions", {}).get(
-            server_lib.CONNECTION_EXTENSION
+            protocol.CONNECTION_EXTENSION
         )
         if connection is None:
             return timing.CallerPath(default_round_trip_s, False)
@@ -63,7 +63,7 @@
     def is_open(self) -> bool:
         """Whether the connection is not known to be closed."""
         connection = self.scope.get("extensions", {}).get(
-            server_lib.CONNECTION_EXTENSION
+            protocol.CONNECTION_EXTENSION
         )
         return connection is None or not connection.transport.is_closing()
 
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import Any
 
+from mallowloft.callers import connection_headers
 from mallowloft.callers import server as server_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
@@ -604,7 +605,7 @@
             id=exchange.header(self.names.request_id),
             method=exchange.scope["method"].encode(),
             target=target + b"?" + query if query else target,
-            headers=attempts_lib.end_to_end_headers(
+            headers=connection_headers.end_to_end(
                 exchange.headers, self._dropped_headers
             ),
             body=body,
--- a/src/mallowloft/routes/single.py
+++ b/src/mallowloft/routes/single.py
@@ -2,6 +2,7 @@
 
 import math
 
+from mallowloft.callers import connection_headers
 from mallowloft.routes import attempts as attempts_lib
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import model
@@ -207,7 +208,7 @@
         return model.refusal(reason, retry_after_s)
 
     def _replica_answer(self, reply: model.Reply) -> model.Answer:
-        headers = attempts_lib.end_to_end_headers(reply.headers, frozenset())
+        headers = connection_headers.end_to_end(reply.headers)
         if not self._request_context.outgoing.has_reply_body:
             # The length of the body that a GET request would get.
             headers += tuple(
