--- a/src/mallowloft/callers/connection_headers.py
+++ b/src/mallowloft/callers/connection_headers.py
@@ -5,6 +5,7 @@
         b"connection",
         b"content-length",
         b"expect",
+        b"http2-settings",
         b"keep-alive",
         b"proxy-authenticate",
         b"proxy-authorization",
