Pass on a caller's request just as it was sent, or not at all

What callers and replicas saw, each shown by a test that failed before: - `/a?` lost its question mark, `/a#b` its fragment; a target in absolute form was run whatever host it named; - trailers became headers: an id in them was forwarded beside the caller's; - `Connection: X-Request-Id, Host` removed the id and the host; - two `Host` headers, two ids, `Transfer-Encoding: gzip, chunked`, chunks in HTTP/1.0, and HTTP/0.9 and 2.0 were passed on; - a faulty message behind a pipelined request was answered with 400 before that request, which the caller had to take for its answer; - 100 Continue was written between head and body of an earlier answer; - a running request was not told that its caller had left if another one was pipelined behind it.

The target is forwarded as received. `Connection` cannot name the host and the id.

Known difference: llhttp accepts `RTSP/1.0` and `ICE/1.0` in place of `HTTP/1.0` and does not tell; such a request is passed on as HTTP, otherwise unchanged. A caller that closes its sending side still gets no answer: that cannot be told from a caller that has left.

--- a/src/mallowloft/callers/connection_headers.py
+++ b/src/mallowloft/callers/connection_headers.py
@@ -21,6 +21,7 @@
 def end_to_end(
     headers: tuple[tuple[bytes, bytes], ...],
     excluded: frozenset[bytes] = frozenset(),
+    kept: frozenset[bytes] = frozenset(),
 ) -> tuple[tuple[bytes, bytes], ...]:
     """Returns the headers that are forwarded.
 
@@ -31,12 +32,14 @@
     Args:
         headers: Headers with names in lower case.
         excluded: Names of further headers to leave out.
+        kept: Names of headers to forward even if `connection` names them.
     """
     excluded_names = set(excluded)
     for name, value in headers:
         if name == b"connection":
             tokens = value.lower().split(b",")
             excluded_names.update(token.strip() for token in tokens)
+            excluded_names -= kept
     return tuple(
         (name, value)
         for name, value in headers
--- a/src/mallowloft/routes/exchange.py
+++ b/src/mallowloft/routes/exchange.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+from mallowloft.callers import connection_headers
 from mallowloft.callers import protocol
 from mallowloft.routes import model
 from mallowloft.routes import running
@@ -36,6 +37,40 @@
                 return value
         return b""
 
+    @property
+    def target(self) -> bytes:
+        """Path and query as the caller sent them."""
+        return self.scope["extensions"][protocol.TARGET_EXTENSION]
+
+    async def read_request(
+        self, names: model.HeaderNames, max_body_bytes: int
+    ) -> model.Request | model.Answer:
+        """Returns the request to forward, or the answer if it is refused.
+
+        Args:
+            names: Names of the headers that the service interprets.
+            max_body_bytes: Limit of the body in bytes.
+
+        Raises:
+            CallerLeftError: The caller has closed its connection.
+        """
+        if sum(name == names.request_id for name, _ in self.headers) > 1:
+            return model.failure(400, "repeated_id")
+        body = await self.read_body(max_body_bytes)
+        if body is None:
+            return model.failure(413, "body_too_large")
+        return model.Request(
+            id=self.header(names.request_id),
+            method=self.scope["method"].encode(),
+            target=self.target,
+            headers=connection_headers.end_to_end(
+                self.headers,
+                frozenset((names.deadline, names.expected_replica)),
+                frozenset((b"host", names.request_id)),
+            ),
+            body=body,
+        )
+
     @property
     def caller(self) -> str:
         """Address of the peer without its port; empty if it is unknown."""
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -5,7 +5,6 @@
 import dataclasses
 from typing import Any
 
-from mallowloft.callers import connection_headers
 from mallowloft.callers import server as server_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
@@ -159,9 +158,6 @@
             self.sender.count_denied_cold,
             self.crossing if kernel.settings.crossing else None,
         )
-        self._dropped_headers = frozenset(
-            (self.names.deadline, self.names.expected_replica)
-        )
         self.admission = gate.Gate(
             kernel.settings.admission,
             kernel.settings.admission_min_share,
@@ -504,12 +500,13 @@
                 "version": matcher.table.version,
             }
             return _Result(model.failure(404, "no_route"), fields)
-        body = await exchange.read_body(matcher.table.limits.max_body_bytes)
-        if body is None:
-            refused = model.failure(413, "body_too_large")
-            return _Result(refused, {"route": route.name})
+        request = await exchange.read_request(
+            self.names, matcher.table.limits.max_body_bytes
+        )
+        if isinstance(request, model.Answer):
+            return _Result(request, {"route": route.name})
         request_context = self._build_request_context(
-            exchange, route, started_s, body
+            exchange, route, started_s, request
         )
         if request_context.end_s <= asyncio.get_running_loop().time():
             refused = model.refusal("deadline_passed", _DEFAULT_RETRY_AFTER_S)
@@ -591,25 +588,14 @@
         exchange: exchange_lib.ServerExchange,
         route: model.Route,
         started_s: float,
-        body: bytes,
+        request: model.Request,
     ) -> running.RequestContext:
         deadline_s = self._deadline_s(exchange, route)
         stats = self.stats_of(route)
         settings = self._kernel.settings
         path = exchange.caller_path(settings.caller_round_trip_s)
-        query = exchange.scope["query_string"]
-        target = exchange.scope["raw_path"]
         allowed_s = min(deadline_s, route.timeout_s)
         margin_s = min(_DEADLINE_MARGIN_S, allowed_s * _DEADLINE_MARGIN_SHARE)
-        request = model.Request(
-            id=exchange.header(self.names.request_id),
-            method=exchange.scope["method"].encode(),
-            target=target + b"?" + query if query else target,
-            headers=connection_headers.end_to_end(
-                exchange.headers, self._dropped_headers
-            ),
-            body=body,
-        )
         return running.RequestContext(
             route=route,
             outgoing=attempts_lib.OutgoingRequest(
