--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -177,9 +177,6 @@
             self.sender.count_denied_cold,
             self.crossing if kernel.settings.crossing else None,
         )
-        self._dropped_headers = frozenset(
-            (self.names.deadline, self.names.expected_replica)
-        )
         self.admission = gate.Gate(
             kernel.settings.admission,
             kernel.settings.admission_min_share,
@@ -558,17 +555,17 @@
         fields = {"route": route.name}
         try:
             async with open_request.reading():
-                body = await exchange.read_body(
-                    matcher.table.limits.max_body_bytes
+                request = await exchange.read_request(
+                    self.names, matcher.table.limits.max_body_bytes
                 )
         except TimeoutError:
             return _Result(_refuse_stopping(), fields)
-        if body is None:
-            return _Result(model.failure(413, "body_too_large"), fields)
+        if isinstance(request, model.Answer):
+            return _Result(request, fields)
         if not self._can_finish(exchange, route):
             return _Result(_refuse_stopping(), fields)
         request_context = self._build_request_context(
-            exchange, route, started_s, body
+            exchange, route, started_s, request
         )
         if request_context.end_s <= asyncio.get_running_loop().time():
             refused = model.refusal("deadline_passed", _DEFAULT_RETRY_AFTER_S)
@@ -668,25 +665,14 @@
         exchange: exchange_lib.ServerExchange,
         route: model.Route,
         started_s: float,
-        body: bytes,
+        request: model.Request,
     ) -> running.RequestContext:
         deadline_s = self._deadline_s(exchange, route)
         stats = self.stats_of(route)
         settings = self._kernel.settings
         path = exchange.caller_path(settings.caller_round_trip_s)
-        query = exchange.scope["query_string"]
-        target = exchange.scope["raw_path"]
         allowed_s = min(deadline_s, route.timeout_s)
         margin_s = min(_DEADLINE_MARGIN_S, allowed_s * _DEADLINE_MARGIN_SHARE)
-        request = model.Request(
-            id=exchange.header(self.names.request_id),
-            method=exchange.scope["method"].encode(),
-            target=target + b"?" + query if query else target,
-            headers=attempts_lib.end_to_end_headers(
-                exchange.headers, self._dropped_headers
-            ),
-            body=body,
-        )
         end_s = started_s + allowed_s - margin_s
         if self.stop_schedule is not None:
             # Replicas stop work at the deadline.
