Return only what waits when a failure domain becomes unreachable

What callers saw: if nothing waited for a replica at that moment, requests that waited later were returned once, at the next change of the replica.

Cause: `Pool.return_waiting` noted the return although nothing waited, and the next check of the waiting requests acted on it.

Evidence: test_later_requests_are_not_returned fails without the change.

--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -686,8 +686,9 @@
 
     def return_waiting(self) -> None:
         """Ends all waiting requests as UNSENT, like `recheck_waiting`."""
-        self._returns_waiting = True
-        self.recheck_waiting()
+        if self._waiting:
+            self._returns_waiting = True
+            self.recheck_waiting()
 
     def suspend(self) -> None:
         """Sends no request and keeps no connection until `resume`.
--- a/tests/test_routes_sending.py
+++ b/tests/test_routes_sending.py
@@ -269,6 +269,22 @@
         answers = [await task.done for task in network.tasks]
         assert {answer.status for answer in answers} == {200}
 
+    async def test_later_requests_are_not_returned(self):
+        # Guards against a loss that acts on what waits at the next change.
+        network = memory_replicas.create_network(_COLD_STARTS)
+        entry = network.put("s0-a")
+        for number in range(6):
+            network.directory.reach.failed("d1", _now_s() + 0.1 * number)
+        tasks = [network.request(_ONCE) for _ in range(4)]
+        await asyncio.sleep(0.01)
+        network.put("s0-a", slots=2)
+        await asyncio.sleep(0.01)
+        assert network.count_waiting() == 3
+        assert not any(task.retries for task in tasks)
+        answers = [await task.done for task in tasks]
+        assert {answer.status for answer in answers} == {200}
+        assert not entry.pool.failing
+
 
 class TestTime:
     """Replicas get the time that is left, and nothing after the deadline."""
