--- a/src/mallowloft/routes/stopping.py
+++ b/src/mallowloft/routes/stopping.py
@@ -75,6 +75,6 @@
     if not route.idempotent:
         needed_s *= _RUN_ONCE_FACTOR
         if tail_s is None and now_s >= schedule.drained_s:
-            # By now, new connections of refused callers lead to other instances.
+            # A refused caller that connects again reaches another instance.
             return allowed_s <= schedule.answered_s - now_s
     return min(needed_s, allowed_s) <= schedule.answered_s - now_s
