--- a/tests/test_routes_evacuation.py
+++ b/tests/test_routes_evacuation.py
@@ -46,6 +46,9 @@
     def get_extra_info(self, name: str) -> None:
         del name
 
+    def set_write_buffer_limits(self, high: int) -> None:
+        del high
+
     def write(self, data: bytes) -> None:
         del data
         self._network.record(self._port)
