Wait for answers that are written after a late end of a stop

With an event loop that is late beyond the end of the stop, open requests were ended and reported as dropped at once (request_dropped), although their answers were written by the steps that follow, which wait for their own servers and not for these answers.

Change: answers get 0.1 s, however late the end is. A comment goes back to its constant.

--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -44,9 +44,12 @@
 _DEFAULT_IDLE_TIMEOUT_S = 60
 # Upper bound for the deadline header, above every deadline that callers use.
 _MAX_DEADLINE_MS = 600_000
+_STOP_POLL_S = 0.02
+# Shortest wait for answers to be written after open requests have been ended,
+# even if the event loop was late.
+_MIN_ANSWER_WAIT_S = 0.1
 # One in this many requests with an outcome is logged, all others always are.
 # Under overload, hundreds of refusals a second would add to the load.
-_STOP_POLL_S = 0.02
 _LOG_ONE_IN = {"answered": 50, "answered_partly": 5, "overloaded": 10}
 
 
@@ -262,7 +265,8 @@
         await self._server.stop(max(0.0, schedule.closed_s - loop.time()))
         self._log_stop_step("server_stopped")
         # Other instances' requests arrive at another server.
-        while self.open_requests and loop.time() < schedule.closed_s:
+        end_s = max(schedule.closed_s, loop.time() + _MIN_ANSWER_WAIT_S)
+        while self.open_requests and loop.time() < end_s:
             await asyncio.sleep(_STOP_POLL_S)
         end_requests.cancel()
         for request in self.open_requests:
