--- a/tests/support/memory_replicas.py
+++ b/tests/support/memory_replicas.py
@@ -34,10 +34,13 @@
     left_s: float
 
 
-class _Transport:
-    """A connection to a replica, which answers each request after a time."""
+class Transport:
+    """A connection to a replica, which answers each request after a time.
 
-    def __init__(self, network: "Network", protocol, port: int) -> None:
+    Its network has `record_write`, `reply` and `reply_s`.
+    """
+
+    def __init__(self, network, protocol, port: int) -> None:
         self._network = network
         self._protocol = protocol
         self.port = port
@@ -50,16 +53,14 @@
 
     def write(self, data: bytes) -> None:
         del data
-        exchange = self._protocol._exchange
-        self._network.record(self.port, exchange)
+        self._network.record_write(self.port, self._protocol._exchange)
         asyncio.get_running_loop().call_later(
             self._network.reply_s, self._reply
         )
 
     def _reply(self) -> None:
         if not self._protocol.closed:
-            headers = self._network.headers_by_port.get(self.port, b"")
-            self._protocol.data_received(REPLY % headers)
+            self._protocol.data_received(self._network.reply(self.port))
 
     def close(self) -> None:
         loop = asyncio.get_running_loop()
@@ -97,7 +98,7 @@
         self.on_arrival: Callable[[Arrival], None] = lambda arrival: None
         self.tasks: list[running.RequestTask] = []
         self._pools: list[http1.Pool] = []
-        self._transports: list[_Transport] = []
+        self._transports: list[Transport] = []
         self._down: set[int] = set()
         self._port_by_start: dict[tuple[str, int], int] = {}
 
@@ -155,7 +156,11 @@
             for _, _, exchange in pool._waiting
         )
 
-    def record(self, port: int, exchange: http1.Exchange) -> None:
+    def reply(self, port: int) -> bytes:
+        """Returns the answer of a replica."""
+        return REPLY % self.headers_by_port.get(port, b"")
+
+    def record_write(self, port: int, exchange: http1.Exchange) -> None:
         head = exchange.wire.partition(b"\r\n\r\n")[0]
         deadline = head.partition(b"x-deadline-ms: ")[2].split()[0]
         now_s = asyncio.get_running_loop().time()
@@ -174,7 +179,7 @@
         if port in self._down:
             raise ConnectionRefusedError
         protocol = factory()
-        transport = _Transport(self, protocol, port)
+        transport = Transport(self, protocol, port)
         self._transports.append(transport)
         protocol.connection_made(transport)
         return transport, protocol
--- a/tests/test_routes_evacuation.py
+++ b/tests/test_routes_evacuation.py
@@ -15,6 +15,7 @@
 from mallowloft.routes.evacuation import ramp as ramp_lib
 from mallowloft.upstream import http1
 from tests.support import collectors as collectors_lib
+from tests.support import memory_replicas
 from tests.support import replicas as replicas_lib
 from tests.support import virtual
 
@@ -35,39 +36,11 @@
     monkeypatch.setattr(limits.ExtraAttemptBucket, "_withdraw", withdraw)
 
 
-class _Transport:
-    """A connection to a replica, which answers each request after a time."""
-
-    def __init__(self, network: "_Network", protocol, port: int) -> None:
-        self._network = network
-        self._protocol = protocol
-        self._port = port
-
-    def get_extra_info(self, name: str) -> None:
-        del name
-
-    def set_write_buffer_limits(self, high: int) -> None:
-        del high
-
-    def write(self, data: bytes) -> None:
-        del data
-        self._network.record(self._port)
-        asyncio.get_running_loop().call_later(0.03, self._reply)
-
-    def _reply(self) -> None:
-        if not self._protocol.closed:
-            self._protocol.data_received(_REPLY)
-
-    def close(self) -> None:
-        loop = asyncio.get_running_loop()
-        loop.call_soon(self._protocol.connection_lost, None)
-
-    abort = close
-
-
 class _Network:
     """One instance with real pools, on connections in memory."""
 
+    reply_s = 0.03
+
     def __init__(self) -> None:
         self.instance = replicas_lib.Instance("d1", [], random.Random(1))
         self.directory = self.instance.directory
@@ -78,7 +51,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.violations: list[str] = []
         self.sent: collections.Counter[str] = collections.Counter()
-        self._transports: list[_Transport] = []
+        self._transports: list[memory_replicas.Transport] = []
         self._port_by_start: dict[tuple[str, int], int] = {}
         self.answers: list[asyncio.Task] = []
         self.put_all()
@@ -103,7 +76,12 @@
         self.evacuated = frozenset(domains)
         self.directory.set_evacuated(self.evacuated, 7)
 
-    def record(self, port: int) -> None:
+    def reply(self, port: int) -> bytes:
+        del port
+        return _REPLY
+
+    def record_write(self, port: int, exchange: http1.Exchange) -> None:
+        del exchange
         domain = self.domain_by_port[port]
         self.sent[domain] += 1
         if domain in self.evacuated:
@@ -117,7 +95,7 @@
     def cut(self, domain: str) -> None:
         """Closes all connections to the replicas of a domain."""
         for transport in self._transports:
-            if self.domain_by_port[transport._port] == domain:
+            if self.domain_by_port[transport.port] == domain:
                 transport.close()
 
     def entries(self) -> list[directory_lib.ReplicaEntry]:
@@ -127,7 +105,7 @@
         del host
         await asyncio.sleep(0.002)
         protocol = factory()
-        transport = _Transport(self, protocol, port)
+        transport = memory_replicas.Transport(self, protocol, port)
         self._transports.append(transport)
         protocol.connection_made(transport)
         return transport, protocol
