--- a/src/mallowloft/routes/reach.py
+++ b/src/mallowloft/routes/reach.py
@@ -90,8 +90,7 @@
     def __init__(self) -> None:
         self.is_lost = False
         self._streak: _FailureStreak | None = None
-        # Failures of requests that were not acknowledged, as far as known,
-        # since a later request was.
+        # Failures of unacknowledged requests since the last acknowledged one.
         self._unacknowledged: _FailureStreak | None = None
         self._lost_s = -math.inf
         self._is_loss_unrefuted = False
