Numbers in headers have a range

Cause: int() raises ValueError for texts of more than 4,300 digits. The check before it, isdigit(), accepts any length. The error ended the processing of the connection's data, or of the request.

Change: kernel/whole_numbers.py converts a text only if it is a number within a range, which is stated where the header is read. Other values count as not stated. A Deadline-Ms of more than 600 s now means the route's time limit, before it meant 600 s; both are limited by the route's.

--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -6,6 +6,7 @@
 
 from mallowloft.kernel import logs
 from mallowloft.kernel import metrics as metrics_lib
+from mallowloft.kernel import whole_numbers
 from mallowloft.routes import crashes as crashes_lib
 from mallowloft.routes import directory as directory_lib
 from mallowloft.routes import limits
@@ -29,6 +30,8 @@
 # address.
 _STATUS_MISDIRECTED = 421
 _STATUS_UNAVAILABLE = 503
+# Counts of a replica's requests above this are not taken for counts.
+_MAX_LOAD = 1_000_000
 # Malformed header values are logged at most once in this time.
 _LOG_INTERVAL_S = 10.0
 
@@ -655,6 +658,8 @@
     if load is None:
         return (0, 0)
     fields = [field.strip() for field in load.split(b",")]
-    if len(fields) < 2 or not fields[1].isdigit():
+    if len(fields) < 2:
         return (0, 0)
-    return (int(fields[0]) if fields[0].isdigit() else 0, int(fields[1]))
+    running = whole_numbers.parse(fields[0], _MAX_LOAD)
+    waiting = whole_numbers.parse(fields[1], _MAX_LOAD)
+    return (0, 0) if waiting is None else (running or 0, waiting)
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -10,6 +10,7 @@
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
 from mallowloft.kernel import stop_schedule
+from mallowloft.kernel import whole_numbers
 from mallowloft.routes import attempts as attempts_lib
 from mallowloft.routes import batching
 from mallowloft.routes import delegation
@@ -704,9 +705,8 @@
         self, exchange: exchange_lib.ServerExchange, route: model.Route
     ) -> float:
         value = exchange.header(self.names.deadline)
-        if value.isdigit():
-            return min(int(value), _MAX_DEADLINE_MS) / 1000
-        return route.timeout_s
+        deadline_ms = whole_numbers.parse(value, _MAX_DEADLINE_MS)
+        return route.timeout_s if deadline_ms is None else deadline_ms / 1000
 
     def _since_stop_ms(self, at_s: float) -> int:
         """Returns the time since the stop began; negative before it."""
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -21,6 +21,7 @@
 
 from mallowloft.kernel import logs
 from mallowloft.kernel import tcp
+from mallowloft.kernel import whole_numbers
 from mallowloft.upstream import framing
 from mallowloft.upstream import traffic
 
@@ -37,6 +38,8 @@
 # lost, so the client stops using the connection this long before the server's
 # keep-alive timeout.
 _IDLE_TIMEOUT_MARGIN_S = 0.5
+# Longer idle timeouts count as not stated.
+_MAX_IDLE_TIMEOUT_S = 86_400
 _DEFAULT_IDLE_TIMEOUT_S = 60.0
 # Backoff before reconnecting when no connection is left. The delay doubles with
 # each failure, including the first, up to the maximum.
@@ -567,10 +570,13 @@
             return
         for part in keep_alive.split(b","):
             name, _, value = part.strip().partition(b"=")
-            if name.lower() == b"timeout" and value.isdigit():
+            if name.lower() != b"timeout":
+                continue
+            timeout_s = whole_numbers.parse(value, _MAX_IDLE_TIMEOUT_S)
+            if timeout_s is not None:
                 self._has_idle_timeout = True
                 self._idle_timeout_s = max(
-                    0.0, int(value) - _IDLE_TIMEOUT_MARGIN_S
+                    0.0, timeout_s - _IDLE_TIMEOUT_MARGIN_S
                 )
 
     def _fail_malformed(self) -> None:
