Keep an error in one item of the source from the others

What callers saw: after an entry that raised an error, the changes behind it in the same answer were missing until the next call. Over a restored source the same entry raised it again in each listing, so that an instance followed no change any more. A replica whose entry was replaced by such a value stayed in use, also after the entry was removed.

Cause: the mirror calls its listener for one item after the other. An error for one ended the processing of all. The order of a value was read again at a restore and at a removal, with the same error, before anything was applied.

Change: errors of the listener are caught for each item and logged. A value that cannot be applied counts as removed. The order of a key's last readable value is stored, so that neither its removal nor a restore needs to read it again, and an unreadable value neither hides the copy's value nor makes the order of the one before it unknown.

--- a/src/mallowloft/routes/mirror.py
+++ b/src/mallowloft/routes/mirror.py
@@ -14,6 +14,10 @@
 import dataclasses
 from typing import Protocol
 
+from mallowloft.kernel import logs
+
+_log = logs.get_logger("mirror")
+
 # Removals are delayed for this long after an outage: entries that expired
 # during an outage of the source are written again within 2 s of its recovery if
 # their replicas are alive; the rest is margin.
@@ -80,7 +84,11 @@
 
 
 class Listener(Protocol):
-    """Receiver of changes to the local copy."""
+    """Receiver of changes to the local copy.
+
+    A value that it cannot read or apply must not remain in use, and must have
+    an empty order.
+    """
 
     def changed(self, key: str, value: bytes, replaces_any: bool) -> None:
         """Called after a key got a new value.
@@ -99,6 +107,40 @@
         """Returns the order that the writer gave to a value."""
 
 
+class _IsolatedListener:
+    """Keeps an error in the handling of one item from the other items.
+
+    Without it, the items after the faulty one in a batch would be skipped, and
+    a faulty item of each listing would make every call fail.
+    """
+
+    def __init__(self, listener: Listener) -> None:
+        self._listener = listener
+
+    def changed(self, key: str, value: bytes, replaces_any: bool) -> None:
+        """Passes a new value on; one that cannot be applied is removed."""
+        try:
+            self._listener.changed(key, value, replaces_any)
+        except Exception:  # noqa: BLE001
+            _log.exception("item_failed", key=key)
+            self.removed(key)
+
+    def removed(self, key: str) -> None:
+        """Passes a removal on."""
+        try:
+            self._listener.removed(key)
+        except Exception:  # noqa: BLE001
+            _log.exception("removal_failed", key=key)
+
+    def order_of(self, key: str, value: bytes) -> WriterOrder:
+        """Returns the order of a value, empty if it has none."""
+        try:
+            return self._listener.order_of(key, value)
+        except Exception:  # noqa: BLE001
+            _log.exception("order_failed", key=key)
+            return ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Removal:
     """A removal that was applied; numbers are consecutive."""
@@ -110,7 +152,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _RemovedItem:
-    """Position of a removal, and the order of the value that was removed."""
+    """Position of a removal, and the last order of the removed item."""
 
     position: tuple[int, int]
     order: WriterOrder
@@ -139,8 +181,10 @@
     """
 
     def __init__(self, listener: Listener) -> None:
-        self._listener = listener
+        self._listener = _IsolatedListener(listener)
         self._items_by_key: dict[str, Item] = {}
+        # Order of the last value of each key that has one.
+        self._order_by_key: dict[str, WriterOrder] = {}
         self._removed_by_key: collections.OrderedDict[str, _RemovedItem] = (
             collections.OrderedDict()
         )
@@ -311,7 +355,10 @@
         removed = self._removed_by_key.get(item.key)
         if known is not None and item.era > known.era:
             order = self._listener.order_of(item.key, known.value)
-            self._apply_restored(item, order, known.value, now_s)
+            if order:
+                self._apply_restored(item, order, known.value, now_s)
+            else:
+                self._replace_unreadable(item, now_s)
         elif known is None and removed and item.era > removed.position[0]:
             self._apply_restored(item, removed.order, None, now_s)
         elif known is None or item.position > known.position:
@@ -322,6 +369,18 @@
         # may contain changes that are newer than its revision, which states
         # only up to where it is complete; a later call returns them again.
 
+    def _replace_unreadable(self, item: Item, now_s: float) -> None:
+        """Applies an item of a later era than a known one without an order.
+
+        The known one is not in use, so it must not keep the item from use. Only
+        an earlier value with a greater order may.
+        """
+        last_order = self._order_by_key.get(item.key, ())
+        if self._listener.order_of(item.key, item.value) >= last_order:
+            self._accept(item, replaces_any=True)
+        else:
+            self._apply_restored(item, last_order, None, now_s)
+
     def _apply_restored(
         self,
         item: Item,
@@ -334,7 +393,7 @@
         Args:
             item: The item.
             known_order: Order of the value that is known or was removed.
-            known_value: The known value; None if the key was removed.
+            known_value: The known value; None if none is in use.
             now_s: Current time.
         """
         order = self._listener.order_of(item.key, item.value)
@@ -366,6 +425,9 @@
         self._pending_removals_by_key.pop(item.key, None)
         self._removed_by_key.pop(item.key, None)
         self._items_by_key[item.key] = item
+        order = self._listener.order_of(item.key, item.value)
+        if order:
+            self._order_by_key[item.key] = order
         self._listener.changed(item.key, item.value, replaces_any)
 
     def _remove(
@@ -384,7 +446,7 @@
         item = self._items_by_key.pop(key, None)
         if item is None:
             return
-        order = self._listener.order_of(key, item.value)
+        order = self._order_by_key.pop(key, ())
         self._removed_by_key[key] = _RemovedItem(position, order)
         while len(self._removed_by_key) > _MAX_STORED_REMOVALS:
             self._removed_by_key.popitem(last=False)
--- a/tests/test_routes_mirror.py
+++ b/tests/test_routes_mirror.py
@@ -44,6 +44,30 @@
         return _order_of(value)
 
 
+class _FaultyListener(_Listener):
+    """Raises errors for the items of one key."""
+
+    def __init__(self, key: str) -> None:
+        super().__init__()
+        self._key = key
+
+    def changed(self, key: str, value: bytes, replaces_any: bool) -> None:
+        self._raise_for(key)
+        super().changed(key, value, replaces_any)
+
+    def removed(self, key: str) -> None:
+        self._raise_for(key)
+        super().removed(key)
+
+    def order_of(self, key: str, value: bytes) -> tuple[int, ...]:
+        self._raise_for(key)
+        return super().order_of(key, value)
+
+    def _raise_for(self, key: str) -> None:
+        if key == self._key:
+            raise ValueError(key)
+
+
 def _batch(era: int, revision: int, *items) -> mirror_lib.Batch:
     return mirror_lib.Batch(
         tuple(
@@ -55,6 +79,57 @@
     )
 
 
+class TestFaultyItem:
+    """An error in the handling of one item does not affect the others."""
+
+    def _mirror(self) -> tuple[mirror_lib.Mirror, _Listener]:
+        listener = _FaultyListener("odd")
+        mirror = mirror_lib.Mirror(listener)
+        mirror.replace(
+            _batch(
+                0,
+                100,
+                ("a", 90, _value(1)),
+                ("odd", 95, b"odd"),
+                ("b", 100, _value(1)),
+            ),
+            0.0,
+        )
+        return mirror, listener
+
+    def test_items_after_it_in_a_listing(self):
+        _, listener = self._mirror()
+        assert set(listener.values_by_key) == {"a", "b"}
+
+    def test_listing_of_a_restored_source(self):
+        # Guards against a follower whose every call fails after a restore.
+        mirror, listener = self._mirror()
+        items = (("odd", 95, b"odd"), ("a", 99, _value(2)))
+        mirror.replace(_batch(1, 99, *items), 1.0)
+        mirror.apply_due(9.0)
+        assert listener.values_by_key == {"a": _value(2)}
+
+    def test_removal_of_it_and_of_another(self):
+        mirror, listener = self._mirror()
+        mirror.update(_batch(0, 102, ("odd", 101, None), ("a", 102, None)), 9.0)
+        assert set(listener.values_by_key) == {"b"}
+        assert mirror.removal_count == 2
+
+    def test_value_that_cannot_be_applied_ends_the_use_of_the_last_one(self):
+        class Listener(_Listener):
+            def changed(self, key, value, replaces_any):
+                super().changed(key, json.loads(value), replaces_any)
+
+            def order_of(self, key, value):
+                return ()
+
+        listener = Listener()
+        mirror = mirror_lib.Mirror(listener)
+        mirror.replace(_batch(0, 1, ("a", 1, _value(1))), 0.0)
+        mirror.update(_batch(0, 2, ("a", 2, b"odd")), 1.0)
+        assert listener.values_by_key == {}
+
+
 class TestRestore:
     """What is known stays until its writer has written again."""
 
