Bodies on the product's own interface that cannot be read raise no error

What callers saw: a replica's reply that is nested 100,000 deep, or that states an odd time to wait or list of versions, made the call raise an error instead of ending with an outcome, among them the answer to a submission that had run. A NaN was taken for a time to wait. An answer of the platform that is nested so deep raised an error, too.

Change: such bodies count as malformed. Versions and times have a range.

--- a/src/mallowloft/callers/answers.py
+++ b/src/mallowloft/callers/answers.py
@@ -130,7 +130,7 @@
     """Returns an upstream's reply as JSON; other content becomes a string."""
     try:
         return msgspec.json.decode(content, type=msgspec.Raw)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, ValueError, RecursionError):
         return content.decode(errors="replace")
 
 
--- a/src/mallowloft/configuration/platform.py
+++ b/src/mallowloft/configuration/platform.py
@@ -145,7 +145,7 @@
                 return result.Ok(decode(json.loads(await response.read())))
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return result.Err(f"{type(error).__name__}: {error}")
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
             return result.Err(f"malformed answer: {error!r}")
 
 
--- a/src/mallowloft/upstream/http.py
+++ b/src/mallowloft/upstream/http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from typing import Annotated
 from typing import Any
 
 import aiohttp
@@ -22,31 +23,53 @@
 # whether the replica is healthy, so the client waits slightly longer.
 _DEADLINE_MARGIN_S = 0.05
 _KEEPALIVE_TIMEOUT_S = 300.0
+# Greater numbers in replies are malformed.
+_MAX_VERSION = 1 << 53
+_MAX_RETRY_AFTER_MS = 3_600_000.0
 
 
 class _QueryResponse(msgspec.Struct):
     """Body of a successful query response; results stay encoded as JSON."""
 
-    index_version: int
+    index_version: Annotated[int, msgspec.Meta(ge=0, le=_MAX_VERSION)]
     results: dict[str, msgspec.Raw]
 
 
 _query_response_decoder = msgspec.json.Decoder(_QueryResponse)
 
 
-def _parse_error_response(status: int, body: bytes) -> protocol.CallReply:
-    """Returns the reply for a response with a status other than 200."""
+def _parse_object(body: bytes) -> dict[str, Any]:
+    """Returns the fields of a JSON object, none if the body is no object."""
     try:
         content = json.loads(body)
-    except ValueError:
-        content = {}
-    if not isinstance(content, dict):
-        content = {}
+    except (ValueError, RecursionError):
+        return {}
+    return content if isinstance(content, dict) else {}
+
+
+def _parse_versions(value: Any) -> tuple[int, ...] | None:
+    """Returns a list of index versions, None if it is malformed."""
+    if not isinstance(value, list) or not all(
+        type(item) is int and 0 <= item <= _MAX_VERSION for item in value
+    ):
+        return None
+    return tuple(value)
+
+
+def _parse_retry_after_ms(value: Any) -> float:
+    """Returns a time to wait in milliseconds, 0 if it is malformed."""
+    is_valid = type(value) in (int, float) and 0 <= value <= _MAX_RETRY_AFTER_MS
+    return float(value) if is_valid else 0.0
+
+
+def _parse_error_response(status: int, body: bytes) -> protocol.CallReply:
+    """Returns the reply for a response with a status other than 200."""
+    content = _parse_object(body)
     reason = str(content.get("reason", f"status {status}"))
     if status == 409:
         return protocol.CallReply(
             protocol.CallOutcome.WRONG_VERSION,
-            versions=tuple(content.get("versions", ())),
+            versions=_parse_versions(content.get("versions")) or (),
             reason=reason,
         )
     if status == 503 and content.get("not_run") is True:
@@ -56,7 +79,7 @@
         return protocol.CallReply(
             outcome,
             reason=reason,
-            retry_after_ms=float(content.get("retry_after_ms", 0)),
+            retry_after_ms=_parse_retry_after_ms(content.get("retry_after_ms")),
         )
     return protocol.CallReply(protocol.CallOutcome.FAILED, reason=reason)
 
@@ -147,7 +170,7 @@
             return content
         try:
             decoded = _query_response_decoder.decode(content)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, ValueError, RecursionError) as error:
             return protocol.CallReply(
                 protocol.CallOutcome.FAILED, reason=f"malformed: {error}"
             )
@@ -185,17 +208,16 @@
             async with self._session.get(
                 self._url + "/v1/health", timeout=timeout
             ) as response:
-                content = json.loads(await response.read())
-                return protocol.Health(
-                    str(content["state"]), tuple(content["versions"])
-                )
+                content = _parse_object(await response.read())
+                versions = _parse_versions(content.get("versions"))
+                if versions is None or "state" not in content:
+                    return None
+                return protocol.Health(str(content["state"]), versions)
         except (
             TimeoutError,
             aiohttp.ClientError,
             OSError,
             ValueError,
-            KeyError,
-            TypeError,
         ):
             return None
 
