A replica comes back when the entry that superseded it is removed

What callers saw: after an entry with the address of a live replica and a later start was written and removed again, the live replica got no requests any more, until its own entry changed. A replica that only reports that it lives does not change it.

Cause: of two replicas at one address the earlier one is drained, and nothing ended that when the later one was removed.

Change: the directory remembers what a later start has superseded. When that is removed, the latest of the others comes back with the state of its entry.

--- a/src/mallowloft/explain.py
+++ b/src/mallowloft/explain.py
@@ -25,6 +25,7 @@
         "replica_misdirected",
         "replica_paused",
         "replica_removed",
+        "replica_returned",
         "replica_superseded",
         "routes_changed",
         "settings_reloaded",
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -194,6 +194,8 @@
         self._count_by_domain: collections.Counter[str] = collections.Counter()
         self._return_timer: asyncio.TimerHandle | None = None
         self._id_by_address: dict[tuple[str, int], str] = {}
+        # Ids of listed replicas that a later start at their address drains.
+        self._superseded_by_address: dict[tuple[str, int], set[str]] = {}
         # Signals of removed replicas by the identity of their start. A source
         # that was restored may list such replicas again.
         self._signals_by_key: collections.OrderedDict[
@@ -316,8 +318,7 @@
         self._count_by_domain[entry.replica.failure_domain] -= 1
         self.cold.on_removed(entry)
         self.leaving_ids.discard(replica_id)
-        if self._id_by_address.get(entry.replica.address) == replica_id:
-            del self._id_by_address[entry.replica.address]
+        self._release_address(entry)
         self._signals_by_key[entry.replica.key] = entry.signals
         if len(self._signals_by_key) > _MAX_STORED_SIGNALS:
             self._signals_by_key.popitem(last=False)
@@ -870,6 +871,9 @@
             )
             oldest.draining = True
             oldest.pool.recheck_waiting()
+            self._superseded_by_address.setdefault(
+                entry.replica.address, set()
+            ).add(oldest.replica.id)
             _log.info(
                 "replica_superseded",
                 replica=oldest.replica.id,
@@ -878,6 +882,35 @@
             )
         self._id_by_address[entry.replica.address] = newest.replica.id
 
+    def _release_address(self, entry: ReplicaEntry) -> None:
+        """Brings back what a removed replica had superseded at its address.
+
+        Only the latest start of the others comes back.
+        """
+        address, replica_id = entry.replica.address, entry.replica.id
+        superseded = self._superseded_by_address.get(address, set())
+        superseded.discard(replica_id)
+        if self._id_by_address.get(address) != replica_id:
+            return
+        del self._id_by_address[address]
+        if not superseded:
+            self._superseded_by_address.pop(address, None)
+            return
+        latest = max(
+            (self._entries_by_id[other_id] for other_id in superseded),
+            key=lambda other: other.replica.started,
+        )
+        superseded.discard(latest.replica.id)
+        self._id_by_address[address] = latest.replica.id
+        latest.draining = latest.replica.draining
+        self._choose_subset(latest.replica.service)
+        _log.info(
+            "replica_returned",
+            replica=latest.replica.id,
+            address=latest.pool.address,
+            without=replica_id,
+        )
+
     def _update(self, entry: ReplicaEntry, replica: model.Replica) -> None:
         if replica == entry.replica:
             return
