--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -30,7 +30,7 @@
 # address.
 _STATUS_MISDIRECTED = 421
 _STATUS_UNAVAILABLE = 503
-# Counts of a replica's requests above this are not taken for counts.
+# Greater counts of a replica's requests are malformed.
 _MAX_LOAD = 1_000_000
 # Malformed header values are logged at most once in this time.
 _LOG_INTERVAL_S = 10.0
--- a/src/mallowloft/routes/directory.py
+++ b/src/mallowloft/routes/directory.py
@@ -888,13 +888,15 @@
         Only the latest start of the others comes back.
         """
         address, replica_id = entry.replica.address, entry.replica.id
-        superseded = self._superseded_by_address.get(address, set())
+        superseded = self._superseded_by_address.pop(address, set())
         superseded.discard(replica_id)
-        if self._id_by_address.get(address) != replica_id:
-            return
-        del self._id_by_address[address]
+        is_latest = self._id_by_address.get(address) == replica_id
+        if is_latest:
+            del self._id_by_address[address]
         if not superseded:
-            self._superseded_by_address.pop(address, None)
+            return
+        self._superseded_by_address[address] = superseded
+        if not is_latest:
             return
         latest = max(
             (self._entries_by_id[other_id] for other_id in superseded),
--- a/src/mallowloft/routes/mirror.py
+++ b/src/mallowloft/routes/mirror.py
@@ -86,8 +86,7 @@
 class Listener(Protocol):
     """Receiver of changes to the local copy.
 
-    A value that it cannot read or apply must not remain in use, and must have
-    an empty order.
+    A value that it cannot read has an empty order.
     """
 
     def changed(self, key: str, value: bytes, replaces_any: bool) -> None:
@@ -358,7 +357,7 @@
             if order:
                 self._apply_restored(item, order, known.value, now_s)
             else:
-                self._replace_unreadable(item, now_s)
+                self._replace_unordered(item, now_s)
         elif known is None and removed and item.era > removed.position[0]:
             self._apply_restored(item, removed.order, None, now_s)
         elif known is None or item.position > known.position:
@@ -369,11 +368,11 @@
         # may contain changes that are newer than its revision, which states
         # only up to where it is complete; a later call returns them again.
 
-    def _replace_unreadable(self, item: Item, now_s: float) -> None:
+    def _replace_unordered(self, item: Item, now_s: float) -> None:
         """Applies an item of a later era than a known one without an order.
 
-        The known one is not in use, so it must not keep the item from use. Only
-        an earlier value with a greater order may.
+        A known value that is unreadable is not in use, so it must not keep the
+        item from use. The last value that had an order may.
         """
         last_order = self._order_by_key.get(item.key, ())
         if self._listener.order_of(item.key, item.value) >= last_order:
