Test: a late second response to an id that is sent again (failing, KNOWN-RED)

A replica may send a second answer late; its id tells that it is not the answer to the present request. But an instance that collects parts for one gatherer and is the hub of another for the same request sends its replica the same id twice, and may do so on one connection. The late answer to the first is then delivered as that to the second; a body that belongs to no request is merged.

--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -137,6 +137,29 @@
 
         _run_with_server(serve, test)
 
+    def test_late_second_response_is_skipped_if_the_id_is_sent_again(self):
+        # Guards against a body that belongs to no request: an instance that
+        # collects parts for one gatherer and is the hub of another sends a
+        # replica the same id twice.
+        async def serve(server, reader, writer):
+            if server.connections > 1:
+                request = await server.read_request_id(reader)
+                writer.write(_response(b"second", request))
+                return
+            request = await server.read_request_id(reader)
+            writer.write(_response(b"first", request))
+            await server.read_request_id(reader)
+            writer.write(_response(b"again", request))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            writer.write(_response(b"second", request))
+
+        async def test(server, client):
+            assert (await client.get(b"a")).body == b"first"
+            assert (await client.get(b"a")).body == b"second"
+
+        _run_with_server(serve, test)
+
     def test_second_response_in_the_same_data_closes_the_connection(self):
         async def serve(server, reader, writer):
             request = await server.read_request_id(reader)
