--- a/src/mallowloft/routes/crashes.py
+++ b/src/mallowloft/routes/crashes.py
@@ -13,6 +13,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import math
 
@@ -244,6 +245,19 @@
         }
         if left:
             self._runs_by_request[request] = left
+        else:
+            self._log_forgotten(request, runs, "success")
+
+    def _log_forgotten(
+        self, request: str, runs: Mapping[str, _Run], reason: str
+    ) -> None:
+        if len(runs) >= _MIN_CRASHES:
+            _log.info(
+                "crashes_forgotten",
+                fingerprint=request,
+                crashes=len(runs),
+                reason=reason,
+            )
 
     def _forget_old(self, now_s: float) -> None:
         oldest_s = now_s - _RETENTION_S
@@ -274,6 +288,7 @@
                 break
             del self._runs_by_request[request]
             count -= len(runs)
+            self._log_forgotten(request, runs, "memory_full")
 
     def _find_causes(self, now_s: float) -> set[str]:
         """Returns the requests that explain the crashes.
