--- a/tests/test_routes_crashes.py
+++ b/tests/test_routes_crashes.py
@@ -4,6 +4,7 @@
 import random
 
 import msgspec
+import pytest
 
 from mallowloft.routes import crashes as crashes_lib
 from mallowloft.routes import fleet as fleet_lib
@@ -25,6 +26,17 @@
         _crash(registry, request, f"r{number}", from_s + number)
 
 
+def _exchange(sender, receiver, now_s: float) -> None:
+    """Tells another instance what one knows."""
+    report = fleet_lib.Report(
+        "i", crash_digest=sender.digest(), crashes=sender.traces(now_s)
+    )
+    decoded = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(report), type=fleet_lib.Report
+    )
+    receiver.apply(decoded.crashes, now_s)
+
+
 class TestBlame:
     """A request is refused if it explains the end of several replicas."""
 
@@ -111,27 +123,38 @@
         assert registry.refused_for_s("bad", 13.0)
 
 
+class TestCrowdedMemory:
+    """Crashes of other requests do not displace what a refusal is based on."""
+
+    @pytest.mark.parametrize(
+        ("requests", "parts"), [(3, 100), (10, 30), (2000, 1), (500, 20)]
+    )
+    def test_refused_request_is_not_forgotten_when_others_are_cut_off(
+        self, requests, parts
+    ):
+        registry, other = (crashes_lib.CrashRegistry() for _ in range(2))
+        _crash_in_turn(registry, "bad", 3)
+        assert registry.refused_for_s("bad", 5.0)
+        for request in range(requests):
+            for part in range(parts):
+                _crash(registry, f"g{request}", f"s{request}-{part}", 6.0)
+        assert registry.refused_for_s("bad", 8.0)
+        _exchange(registry, other, 8.0)
+        assert other.refused_for_s("bad", 9.0)
+
+
 class TestExchange:
     """All instances draw the same conclusions."""
 
-    def _exchange(self, sender, receiver, now_s: float) -> None:
-        report = fleet_lib.Report(
-            "i", crash_digest=sender.digest(), crashes=sender.traces(now_s)
-        )
-        decoded = msgspec.msgpack.decode(
-            msgspec.msgpack.encode(report), type=fleet_lib.Report
-        )
-        receiver.apply(decoded.crashes, now_s)
-
     def test_crashes_at_several_instances_add_up(self):
         seed = crashes_lib.CrashRegistry()
         fleet = [crashes_lib.CrashRegistry() for _ in range(3)]
         for number, instance in enumerate(fleet):
             _crash(instance, "bad", f"r{number}", 1.0 + number)
-            self._exchange(instance, seed, 4.0)
+            _exchange(instance, seed, 4.0)
         started_later = crashes_lib.CrashRegistry()
         for instance in (*fleet, started_later):
-            self._exchange(seed, instance, 5.0)
+            _exchange(seed, instance, 5.0)
             assert instance.refused_for_s("bad", 6.0)
             assert instance.digest() == seed.digest()
 
@@ -140,21 +163,21 @@
         for number in range(4000):
             _crash(registry, "bad", f"r{number}", 1.0 + number / 1000)
         assert len(registry.traces(6.0)) <= 500
-        self._exchange(registry, other, 6.0)
+        _exchange(registry, other, 6.0)
         assert other.refused_for_s("bad", 7.0)
 
     def test_restarted_seed_learns_again(self):
         instance, seed = (crashes_lib.CrashRegistry() for _ in range(2))
         _crash_in_turn(instance, "bad", 3)
-        self._exchange(instance, seed, 10.0)
+        _exchange(instance, seed, 10.0)
         assert seed.refused_for_s("bad", 10.0)
 
     def test_success_is_told(self):
         first, second = (crashes_lib.CrashRegistry() for _ in range(2))
         _crash_in_turn(first, "good", 3)
-        self._exchange(first, second, 4.0)
+        _exchange(first, second, 4.0)
         second.record_success("good", 5.0)
-        self._exchange(second, first, 6.0)
+        _exchange(second, first, 6.0)
         assert not first.refused_for_s("good", 7.0)
 
     def test_builds_without_crashes_read_and_write_reports(self):
