Keep what a refusal of a crashing request is based on, whatever else crashes

Callers saw no replica of a service for seconds, again and again: a request that ends each replica that runs it was refused after its third crash, and later sent again, to 5 to 8 more replicas (BUDGET).

Cause: an instance kept 300 crashes and forgot the requests with the fewest first. Gathered requests end a replica of each shard; two of them filled the memory of all instances and pushed out a request with three crashes, refused or not. Messages between instances had the same bound and order.

Change: 2,000 crashes are kept. The evidence, up to six crashes of a request, comes first in memory and in messages: of refused requests, then of those with the longest sequences of crashes that no refused request explains. With each goes the run that may explain it, so harmless requests are not blamed for what was dropped. Instances tell each seed once what they noticed themselves, and compare only the evidence if there is too much for a message, so that messages end. A judgement is kept for 0.2 s; it has moved to blame.py.

--- a/src/mallowloft/routes/crashes.py
+++ b/src/mallowloft/routes/crashes.py
@@ -4,35 +4,36 @@
 caller repeats at any instance. Without a memory of it, every repeat ends
 another replica, and soon no other request of the service is served.
 
-A replica that ends cuts off all requests that it runs, most of which are
-harmless. So a request is blamed only after several replicas have ended under
-it, without a success in between, and only if no other request was cut off by
-the same crashes and more. All instances tell each other by way of the seeds
-which requests were cut off, and each one draws the same conclusions.
+A request is blamed only after several replicas have ended under it, without a
+success in between, and only if no other request explains these crashes. All
+instances tell each other by way of the seeds which requests were cut off, and
+each one draws the same conclusions.
+
+A gathered request, or a failure domain that goes down, cuts off hundreds of
+requests at hundreds of replicas. What is known of a request that is refused, or
+that has ended replicas one after the other, takes precedence over these, in
+memory and in messages.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
+import itertools
 import math
 
 import msgspec
 import xxhash
 
 from mallowloft.kernel import logs
+from mallowloft.routes import blame
 from mallowloft.routes import message_types
 from mallowloft.routes import model
 
 _log = logs.get_logger("crashes")
 
-# Replicas that must have ended under a request, and how many of these crashes
-# must have followed one another. Replicas that fail together for a reason of
-# their own cut off the same requests at the same time.
-_MIN_CRASHES = 3
-_MIN_SEQUENCE = 2
-# Requests that are always cut off together are all refused after more crashes.
-_MAX_AMBIGUOUS_SEQUENCE = 4
 # By this time after a crash, other instances have told of the requests that it
 # cut off there.
 _SETTLE_S = 1.0
@@ -42,9 +43,23 @@
 # A success is remembered for this long, so that crashes before it that others
 # still tell of do not count.
 _SUCCESS_RETENTION_S = 60.0
-# Limits on what is kept and passed on in one message.
-_MAX_RUNS = 300
+# Limits on what is kept and on what is passed on in one message.
+_MAX_RUNS = 2000
+_MAX_RUNS_AFTER_DROP = 1500
+_MAX_TOLD_RUNS = 300
+# Instances that know of more crashes than this compare only the evidence. Who
+# is told as much as fits in a message then does so, too.
+_MAX_COMPARED_RUNS = 240
+_MAX_TOLD_EVIDENCE = 120
+_MAX_TOLD_NOTICED = 100
+_MAX_NOTICED = 1000
 _MAX_SUCCESSES = 200
+# Crashes of one request that are kept and passed on before others.
+_MAX_EVIDENCE = 6
+# Crashes within this time of each other are about equally recent.
+_RECENT_S = 10.0
+# Judging many crashes takes milliseconds, so it is not done more often.
+_JUDGEMENT_INTERVAL_S = 0.2
 
 
 class Trace(msgspec.Struct, frozen=True, array_like=True):
@@ -65,11 +80,39 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Run:
-    """A run of a request that the end of its replica cut off."""
+class _Suspect:
+    """What the crashes say of a request.
 
-    started_s: float
-    ended_s: float
+    Attributes:
+        is_refused: Whether the request explains crashes.
+        crashes: Number of its crashes that no refused request explains; all
+            if it is refused.
+        sequence: How many of its crashes followed one another. More than
+            are ever needed count as that many.
+        last_ended_s: Loop time of its last crash.
+        evidence: Replicas whose crashes show this.
+    """
+
+    is_refused: bool
+    crashes: int
+    sequence: int
+    last_ended_s: float
+    evidence: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Judgement:
+    """What the crashes that are known say.
+
+    Attributes:
+        judged_s: Loop time at which it was made.
+        until_s: Loop time from which further crashes count.
+        causes: The requests that explain crashes.
+    """
+
+    judged_s: float
+    until_s: float
+    causes: frozenset[str]
 
 
 def fingerprint(request: model.Request) -> str:
@@ -87,17 +130,6 @@
     return digest.hexdigest()
 
 
-def _count_sequence(runs: Iterable[_Run]) -> int:
-    """Returns the largest number of runs of which none overlap."""
-    count = 0
-    ended_s = -math.inf
-    for run in sorted(runs, key=lambda run: run.ended_s):
-        if run.started_s >= ended_s:
-            count += 1
-            ended_s = run.ended_s
-    return count
-
-
 class CrashRegistry:
     """The requests that were cut off when replicas ended.
 
@@ -105,13 +137,28 @@
 
     Attributes:
         on_crash: Called if this instance has noticed another crash.
+        noticed: Number of runs that this instance has seen cut off.
     """
 
     def __init__(self) -> None:
-        self._runs_by_request: dict[str, dict[str, _Run]] = {}
+        self._runs_by_request: dict[str, dict[str, blame.Run]] = {}
+        self._run_count = 0
         # When requests that had been cut off succeeded last.
         self._succeeded_s_by_request: dict[str, float] = {}
+        # Request and replica of the last runs that this instance has seen cut
+        # off.
+        self._noticed: collections.deque[tuple[str, str]] = collections.deque(
+            maxlen=_MAX_NOTICED
+        )
+        self.noticed = 0
         self._refused: set[str] = set()
+        self._oldest_s = math.inf
+        self._judgement: _Judgement | None = None
+        # As of a judgement, those that matter most first.
+        self._suspects_by_request: dict[str, _Suspect] = {}
+        self._foremost_by_replica: dict[str, str] = {}
+        self._assessed: _Judgement | None = None
+        self._is_changed = False
         self.on_crash: Callable[[], None] = lambda: None
 
     @property
@@ -130,7 +177,10 @@
             started_s: Loop time at which the attempt was started.
             ended_s: Loop time at which the connection was lost.
         """
-        if self._add_run(request, replica, _Run(started_s, ended_s)):
+        run = blame.Run(started_s, ended_s)
+        if self._add_run(request, replica, run, ended_s):
+            self._noticed.append((request, replica))
+            self.noticed += 1
             self.on_crash()
 
     def record_success(self, request: str, now_s: float) -> None:
@@ -144,10 +194,10 @@
 
     def refused_for_s(self, request: str, now_s: float) -> float:
         """Returns for how long a request is refused, 0 if it is not."""
-        if self.count_crashes(request) < _MIN_CRASHES:
+        if self.count_crashes(request) < blame.MIN_CRASHES:
             return 0.0
         self._forget_old(now_s)
-        if request not in self._find_causes(now_s):
+        if request not in self._judge(now_s).causes:
             self._refused.discard(request)
             return 0.0
         runs = self._runs_by_request[request]
@@ -156,51 +206,87 @@
             _log.warning(
                 "request_blamed",
                 fingerprint=request,
-                replicas=",".join(list(runs)[-_MIN_CRASHES:]),
+                replicas=",".join(list(runs)[-blame.MIN_CRASHES :]),
                 crashes=len(runs),
             )
         # Enough crashes must be forgotten that too few are left.
         ends_s = sorted(run.ended_s for run in runs.values())
-        return ends_s[-_MIN_CRASHES] + _RETENTION_S - now_s
+        return ends_s[-blame.MIN_CRASHES] + _RETENTION_S - now_s
+
+    def traces(
+        self, now_s: float, told: int | None = None
+    ) -> tuple[Trace, ...]:
+        """Returns what to tell another instance.
 
-    def traces(self, now_s: float) -> tuple[Trace, ...]:
-        """Returns what to tell other instances.
+        If it is too much for a message, the evidence of the requests with the
+        longest sequences of crashes comes first, then the crashes that this
+        instance has noticed since, then the requests with the most crashes,
+        because they explain those of the others.
 
-        If it is too much for a message, the requests with the most crashes come
-        first, because they explain those of the others.
+        Args:
+            now_s: Current loop time.
+            told: How many of the runs that this instance has noticed are known
+                to the other; None if it does not need them one by one.
         """
         self._forget_old(now_s)
-        by_crashes = sorted(
-            self._runs_by_request.items(),
-            key=lambda item: len(item[1]),
-            reverse=True,
-        )
-        crashes = [
-            Trace(
-                request,
-                replica,
-                min(message_types.MAX_SECONDS, run.ended_s - run.started_s),
-                max(0.0, now_s - run.ended_s),
+        if self._run_count <= _MAX_COMPARED_RUNS:
+            keys = self._list_runs()
+        else:
+            foremost, others = self._rank_suspects(now_s)
+            keys = itertools.chain(
+                self._list_evidence(foremost),
+                () if told is None else self._list_noticed(told),
+                self._list_evidence(others),
+                self._list_runs(),
             )
-            for request, runs in by_crashes
-            for replica, run in runs.items()
-        ]
+        crashes = []
+        for request, replica in dict.fromkeys(keys):
+            run = self._runs_by_request.get(request, {}).get(replica)
+            if run is None:
+                continue
+            crashes.append(
+                Trace(
+                    request,
+                    replica,
+                    min(message_types.MAX_SECONDS, run.ended_s - run.started_s),
+                    max(0.0, now_s - run.ended_s),
+                )
+            )
+            if len(crashes) == _MAX_TOLD_RUNS:
+                break
         successes = [
             Trace(request, "", 0.0, max(0.0, now_s - succeeded_s))
             for request, succeeded_s in self._succeeded_s_by_request.items()
         ]
-        return tuple(crashes[:_MAX_RUNS] + successes)
+        return tuple(crashes + successes)
+
+    def told_after(self, told: int) -> int:
+        """Returns how many noticed runs are known after `traces` is told.
 
-    def digest(self) -> str:
+        Args:
+            told: How many were known before.
+        """
+        if self._run_count <= _MAX_COMPARED_RUNS:
+            return self.noticed
+        return min(self.noticed, self._kept_from(told) + _MAX_TOLD_NOTICED)
+
+    def digest(self, now_s: float) -> str:
         """Returns a digest of what is known; empty if there is nothing.
 
         It is equal on instances that know of the same crashes and successes.
+        If these are too many for a message, only the evidence that comes first
+        in each message counts.
         """
-        items = [
-            f"{request} {replica}"
-            for request, runs in self._runs_by_request.items()
-            for replica in runs
-        ]
+        if self._run_count <= _MAX_COMPARED_RUNS:
+            items = [
+                f"{request} {replica}" for request, replica in self._list_runs()
+            ]
+        else:
+            foremost, _ = self._rank_suspects(now_s)
+            items = [
+                _describe(request, suspect)
+                for request, suspect in foremost.items()
+            ]
         items += self._succeeded_s_by_request
         if not items:
             return ""
@@ -211,12 +297,34 @@
         for item in traces:
             ended_s = now_s - item.age_s
             if item.replica and item.age_s < _RETENTION_S:
-                run = _Run(ended_s - item.lasted_s, ended_s)
-                self._add_run(item.request, item.replica, run)
+                run = blame.Run(ended_s - item.lasted_s, ended_s)
+                self._add_run(item.request, item.replica, run, now_s)
             elif not item.replica and item.age_s < _SUCCESS_RETENTION_S:
                 self._add_success(item.request, ended_s)
 
-    def _add_run(self, request: str, replica: str, run: _Run) -> bool:
+    def _list_runs(self) -> Iterator[tuple[str, str]]:
+        """Yields all runs, those of the requests with most crashes first."""
+        for request, runs in sorted(
+            self._runs_by_request.items(),
+            key=lambda item: len(item[1]),
+            reverse=True,
+        ):
+            for replica in runs:
+                yield request, replica
+
+    def _kept_from(self, told: int) -> int:
+        return max(told, self.noticed - len(self._noticed))
+
+    def _list_noticed(self, told: int) -> Iterator[tuple[str, str]]:
+        """Returns the first noticed runs that another instance lacks."""
+        skipped = self._kept_from(told) - (self.noticed - len(self._noticed))
+        return itertools.islice(
+            self._noticed, skipped, skipped + _MAX_TOLD_NOTICED
+        )
+
+    def _add_run(
+        self, request: str, replica: str, run: blame.Run, now_s: float
+    ) -> bool:
         """Adds a run; returns whether it was not known."""
         succeeded_s = self._succeeded_s_by_request.get(request, -math.inf)
         if run.ended_s <= succeeded_s:
@@ -225,7 +333,11 @@
         if replica in runs:
             return False
         runs[replica] = run
-        self._drop_excess(run.ended_s)
+        self._run_count += 1
+        self._oldest_s = min(self._oldest_s, run.ended_s)
+        self._is_changed = True
+        if self._run_count > _MAX_RUNS:
+            self._drop_excess(now_s)
         return True
 
     def _add_success(self, request: str, succeeded_s: float) -> None:
@@ -237,96 +349,212 @@
         if len(self._succeeded_s_by_request) > _MAX_SUCCESSES:
             oldest = next(iter(self._succeeded_s_by_request))
             del self._succeeded_s_by_request[oldest]
-        runs = self._runs_by_request.pop(request, {})
+        runs = self._runs_by_request.get(request, {})
         left = {
             replica: run
             for replica, run in runs.items()
             if run.ended_s > succeeded_s
         }
-        if left:
-            self._runs_by_request[request] = left
-        else:
-            self._log_forgotten(request, runs, "success")
+        if len(left) == len(runs):
+            return
+        if not left:
+            self._log_forgotten(request, len(runs), "success")
+        self._set_runs(request, left)
+        self._is_changed = True
+        judgement = self._judgement
+        if judgement is not None and request in judgement.causes:
+            self._judgement = dataclasses.replace(
+                judgement, causes=judgement.causes - {request}
+            )
 
-    def _log_forgotten(
-        self, request: str, runs: Mapping[str, _Run], reason: str
-    ) -> None:
-        if len(runs) >= _MIN_CRASHES:
+    def _set_runs(self, request: str, runs: dict[str, blame.Run]) -> None:
+        """Replaces the runs of a request by some of them."""
+        known = self._runs_by_request.pop(request, {})
+        self._run_count -= len(known) - len(runs)
+        if runs:
+            self._runs_by_request[request] = runs
+
+    def _log_forgotten(self, request: str, crashes: int, reason: str) -> None:
+        if crashes >= blame.MIN_CRASHES:
             _log.info(
                 "crashes_forgotten",
                 fingerprint=request,
-                crashes=len(runs),
+                crashes=crashes,
                 reason=reason,
             )
 
     def _forget_old(self, now_s: float) -> None:
-        oldest_s = now_s - _RETENTION_S
-        for request, runs in list(self._runs_by_request.items()):
-            for replica, run in list(runs.items()):
-                if run.ended_s <= oldest_s:
-                    del runs[replica]
-            if not runs:
-                del self._runs_by_request[request]
+        oldest_s = now_s - _SUCCESS_RETENTION_S
         self._succeeded_s_by_request = {
             request: succeeded_s
             for request, succeeded_s in self._succeeded_s_by_request.items()
-            if succeeded_s > now_s - _SUCCESS_RETENTION_S
+            if succeeded_s > oldest_s
         }
-        self._refused &= self._runs_by_request.keys()
-
-    def _drop_excess(self, now_s: float) -> None:
-        """Forgets the requests with the fewest crashes if there are many."""
-        count = sum(map(len, self._runs_by_request.values()))
-        if count <= _MAX_RUNS:
+        oldest_s = now_s - _RETENTION_S
+        if self._oldest_s > oldest_s:
             return
-        self._forget_old(now_s)
-        by_crashes = sorted(
-            self._runs_by_request.items(), key=lambda item: len(item[1])
-        )
-        for request, runs in by_crashes[:-1]:
-            if count <= _MAX_RUNS:
-                break
-            del self._runs_by_request[request]
-            count -= len(runs)
-            self._log_forgotten(request, runs, "memory_full")
-
-    def _find_causes(self, now_s: float) -> set[str]:
-        """Returns the requests that explain the crashes.
-
-        The request under which most replicas ended explains these crashes. The
-        others are judged by the crashes that it does not explain.
-        """
-        settled_s = now_s - _SETTLE_S
-        left_by_request = {
-            request: {
+        for request, runs in list(self._runs_by_request.items()):
+            left = {
                 replica: run
                 for replica, run in runs.items()
-                if run.ended_s <= settled_s
+                if run.ended_s > oldest_s
             }
-            for request, runs in self._runs_by_request.items()
+            if len(left) < len(runs):
+                self._set_runs(request, left)
+        self._oldest_s = min(
+            (
+                run.ended_s
+                for runs in self._runs_by_request.values()
+                for run in runs.values()
+            ),
+            default=math.inf,
+        )
+        self._refused &= self._runs_by_request.keys()
+        self._judgement = None
+
+    def _judge(self, now_s: float) -> _Judgement:
+        judgement = self._judgement
+        if judgement is not None:
+            due_s = judgement.judged_s + _JUDGEMENT_INTERVAL_S
+            if not self._is_changed:
+                due_s = max(due_s, judgement.until_s)
+            if judgement.judged_s <= now_s < due_s:
+                return judgement
+        settled_s = now_s - _SETTLE_S
+        until_s = min(
+            (
+                run.ended_s + _SETTLE_S
+                for runs in self._runs_by_request.values()
+                for run in runs.values()
+                if run.ended_s > settled_s
+            ),
+            default=math.inf,
+        )
+        self._judgement = _Judgement(
+            now_s,
+            until_s,
+            frozenset(blame.find_causes(self._runs_by_request, settled_s)),
+        )
+        self._is_changed = False
+        return self._judgement
+
+    def _assess(self, now_s: float) -> dict[str, _Suspect]:
+        """Returns all requests, those that matter most first."""
+        judgement = self._judge(now_s)
+        if judgement is self._assessed:
+            return self._suspects_by_request
+        explained = {
+            replica
+            for request in judgement.causes
+            for replica in self._runs_by_request.get(request, ())
         }
-        causes: set[str] = set()
-        while left_by_request:
-            request = max(
-                left_by_request, key=lambda item: len(left_by_request[item])
+        self._foremost_by_replica = {
+            replica: request
+            for request, runs in sorted(
+                self._runs_by_request.items(),
+                key=lambda item: (len(item[1]), item[0]),
             )
-            runs = left_by_request.pop(request)
-            if len(runs) < _MIN_CRASHES:
-                break
-            sequence = _count_sequence(runs.values())
-            if sequence < _MIN_SEQUENCE:
-                continue
-            rivals = [
-                other
-                for other, others_runs in left_by_request.items()
-                if others_runs.keys() == runs.keys()
-            ]
-            if not rivals or sequence >= _MAX_AMBIGUOUS_SEQUENCE:
-                causes.update((request, *rivals))
-            for other in list(left_by_request):
-                left_by_request[other] = {
+            for replica in runs
+        }
+        suspects = {}
+        for request, runs in self._runs_by_request.items():
+            is_refused = request in judgement.causes
+            if not is_refused:
+                runs = {
                     replica: run
-                    for replica, run in left_by_request[other].items()
-                    if replica not in runs
+                    for replica, run in runs.items()
+                    if replica not in explained
                 }
-        return causes
+            sequence = blame.select_sequence(runs)
+            sequence = sequence[-blame.MAX_AMBIGUOUS_SEQUENCE :]
+            evidence = dict.fromkeys((*sequence, *sorted(runs)))
+            suspects[request] = _Suspect(
+                is_refused,
+                len(runs),
+                len(sequence),
+                max((run.ended_s for run in runs.values()), default=-math.inf),
+                tuple(itertools.islice(evidence, _MAX_EVIDENCE)),
+            )
+        # All instances must rank alike, so the times are not considered.
+        self._suspects_by_request = dict(
+            sorted(
+                suspects.items(),
+                key=lambda item: (
+                    not item[1].is_refused,
+                    -item[1].sequence,
+                    -len(item[1].evidence),
+                    item[0],
+                ),
+            )
+        )
+        self._assessed = judgement
+        return self._suspects_by_request
+
+    def _rank_suspects(
+        self, now_s: float
+    ) -> tuple[dict[str, _Suspect], dict[str, _Suspect]]:
+        """Returns the requests whose evidence comes first, and the others."""
+        foremost: dict[str, _Suspect] = {}
+        others: dict[str, _Suspect] = {}
+        count = 0
+        for request, suspect in self._assess(now_s).items():
+            count += len(suspect.evidence)
+            group = foremost if count <= _MAX_TOLD_EVIDENCE else others
+            group[request] = suspect
+        return foremost, others
+
+    def _list_evidence(
+        self, suspects_by_request: Mapping[str, _Suspect]
+    ) -> Iterator[tuple[str, str]]:
+        """Yields the runs that are evidence against some requests.
+
+        Each one is followed by what may explain it, the run of the request
+        that most replicas ended under. Without it, a harmless request would
+        seem to have ended the replica.
+        """
+        for request, suspect in suspects_by_request.items():
+            for replica in suspect.evidence:
+                yield request, replica
+                yield self._foremost_by_replica[replica], replica
+
+    def _drop_excess(self, now_s: float) -> None:
+        """Forgets the crashes that matter least, because there are too many.
+
+        First, only the evidence is kept, then the requests with the longest
+        sequences of crashes, and of these the last ones.
+        """
+        self._forget_old(now_s)
+        self._judgement = None
+        suspects = self._assess(now_s)
+        kept: dict[str, dict[str, blame.Run]] = {}
+        for request, replica in self._list_evidence(suspects):
+            run = self._runs_by_request[request][replica]
+            kept.setdefault(request, {})[replica] = run
+        for request in suspects:
+            self._set_runs(request, kept.get(request, {}))
+        for request in sorted(
+            self._runs_by_request,
+            key=lambda request: (
+                suspects[request].is_refused,
+                suspects[request].sequence,
+                suspects[request].last_ended_s // _RECENT_S,
+                suspects[request].crashes,
+            ),
+        ):
+            if self._run_count <= _MAX_RUNS_AFTER_DROP:
+                break
+            if suspects[request].sequence > 1:
+                crashes = self.count_crashes(request)
+                self._log_forgotten(request, crashes, "memory_full")
+            self._set_runs(request, {})
+        self._judgement = None
+
+
+def _describe(request: str, suspect: _Suspect) -> str:
+    """Returns what instances that know the same of a request have in common.
+
+    Which crashes are the evidence may differ once there are enough.
+    """
+    count = len(suspect.evidence)
+    names = suspect.evidence if count < _MAX_EVIDENCE else ()
+    return " ".join((request, str(suspect.sequence), str(count), *names))
--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -375,6 +375,8 @@
         self._crash_noticed = asyncio.Event()
         self.crashes.on_crash = self._crash_noticed.set
         self._crash_digests_by_seed: dict[str, str] = {}
+        # How many of the crashes that this instance has noticed a seed knows.
+        self._told_crashes_by_seed: dict[str, int] = {}
         self._crash_task: asyncio.Task | None = None
         self._hub_digest = ""
         self.seeds_answered = False
@@ -541,8 +543,13 @@
             self._pools_by_seed[seed] = pool
         settings = self._kernel.settings
         now_s = asyncio.get_running_loop().time()
-        crash_digest = self.crashes.digest()
-        is_known = self._crash_digests_by_seed.get(seed, "") == crash_digest
+        crash_digest = self.crashes.digest(now_s)
+        told = self._told_crashes_by_seed.get(seed, 0)
+        told_after = self.crashes.told_after(told)
+        is_known = (
+            told == self.crashes.noticed
+            and self._crash_digests_by_seed.get(seed, "") == crash_digest
+        )
         report = Report(
             settings.instance_id,
             tuple(self.find_suspects()),
@@ -554,22 +561,27 @@
             self._hub_digest,
             self.find_limits(),
             crash_digest,
-            () if is_known else self.crashes.traces(now_s),
+            () if is_known else self.crashes.traces(now_s, told),
             self._instance_registry.largest_count(now_s),
         )
         summary = await self._call_seed(seed, pool, report, timeout_s)
         if summary is None:
             return
-        if report.crashes or self.crashes.digest() == summary.crash_digest:
+        self._told_crashes_by_seed[seed] = told_after
+        now_s = asyncio.get_running_loop().time()
+        crash_digest = self.crashes.digest(now_s)
+        if report.crashes or crash_digest == summary.crash_digest:
             return
         # The seed has restarted since it was told of the crashes. Until it
         # knows of them again, no instance that restarts learns of them.
-        crashes = self.crashes.traces(asyncio.get_running_loop().time())
+        crashes = self.crashes.traces(now_s, 0)
         if crashes:
+            told_after = self.crashes.told_after(0)
             report = msgspec.structs.replace(
-                report, crash_digest=self.crashes.digest(), crashes=crashes
+                report, crash_digest=crash_digest, crashes=crashes
             )
-            await self._call_seed(seed, pool, report, timeout_s)
+            if await self._call_seed(seed, pool, report, timeout_s):
+                self._told_crashes_by_seed[seed] = told_after
 
     async def _call_seed(
         self, seed: str, pool: http1.Pool, report: Report, timeout_s: float
@@ -588,6 +600,7 @@
             self.hubs.suspect_isolation()
             # It may have restarted, and then knows of no crashes.
             self._crash_digests_by_seed.pop(seed, None)
+            self._told_crashes_by_seed.pop(seed, None)
             # The seed may have been removed for good; other seeds answer.
             _log.debug("fleet_report_failed", seed=seed, reason=str(response))
             return None
@@ -657,7 +670,7 @@
         now_s = asyncio.get_running_loop().time()
         summary = self._instance_registry.record_report(report, now_s)
         self.crashes.apply(report.crashes, now_s)
-        digest = self.crashes.digest()
+        digest = self.crashes.digest(now_s)
         is_known = report.crash_digest == digest
         summary = msgspec.structs.replace(
             summary,
--- a/tests/test_routes_crashes.py
+++ b/tests/test_routes_crashes.py
@@ -1,8 +1,11 @@
 """Requests under which replicas end."""
 
 import asyncio
+import itertools
 import random
 
+import hypothesis
+from hypothesis import strategies as st
 import msgspec
 import pytest
 
@@ -29,7 +32,7 @@
 def _exchange(sender, receiver, now_s: float) -> None:
     """Tells another instance what one knows."""
     report = fleet_lib.Report(
-        "i", crash_digest=sender.digest(), crashes=sender.traces(now_s)
+        "i", crash_digest=sender.digest(now_s), crashes=sender.traces(now_s)
     )
     decoded = msgspec.msgpack.decode(
         msgspec.msgpack.encode(report), type=fleet_lib.Report
@@ -143,6 +146,121 @@
         assert other.refused_for_s("bad", 9.0)
 
 
+class TestManyCrashes:
+    """What holds in any order of crashes, successes, reports and restarts."""
+
+    @hypothesis.settings(
+        max_examples=25,
+        deadline=None,
+        suppress_health_check=[hypothesis.HealthCheck.too_slow],
+    )
+    @hypothesis.given(data=st.data())
+    def test_request_that_was_never_served_is_refused_by_all_who_heard(
+        self, data
+    ):
+        seed, *fleet = (crashes_lib.CrashRegistry() for _ in range(4))
+        told: dict[int, int] = {}
+        now_s = 0.0
+
+        def report(number: int) -> None:
+            """Reports to the seed as `FleetService` does."""
+            instance = fleet[number]
+            before = told.get(number, 0)
+            seed.apply(instance.traces(now_s, before), now_s)
+            told[number] = instance.told_after(before)
+            instance.apply(seed.traces(now_s), now_s)
+
+        steps = data.draw(
+            st.lists(
+                st.tuples(
+                    st.sampled_from(("bad", "crowd", "crowd", "restart")),
+                    st.integers(0, 2),
+                    st.integers(1, 25),
+                    st.integers(1, 60),
+                ),
+                max_size=8,
+            )
+        )
+        steps += [("bad", number, 1, 1) for number in range(3)]
+        for step, (event, number, requests, parts) in enumerate(steps):
+            now_s += 2.0
+            instance = fleet[number]
+            if event == "bad":
+                _crash(instance, "bad", f"b{step}", now_s)
+            elif event == "crowd":
+                for request, part in itertools.product(
+                    range(requests), range(parts)
+                ):
+                    _crash(
+                        instance, f"g{step}-{request}", f"{step}-{part}", now_s
+                    )
+            else:
+                fleet[number] = crashes_lib.CrashRegistry()
+                told.pop(number, None)
+            report(number)
+        for number in (0, 1, 2, 0, 1, 2):
+            now_s += 1.0
+            report(number)
+        now_s += 1.0
+        for instance in (seed, *fleet):
+            assert instance.refused_for_s("bad", now_s)
+        assert len(seed.traces(now_s)) <= 500
+        fleet[0].record_success("bad", now_s)
+        for number in (0, 1, 2):
+            report(number)
+            assert not fleet[number].refused_for_s("bad", now_s + 1.0)
+
+    def test_reports_end_once_all_know_what_is_refused(self):
+        seed, *fleet = (crashes_lib.CrashRegistry() for _ in range(4))
+        told = [0] * len(fleet)
+        for number, instance in enumerate(fleet):
+            for request in range(40):
+                for part in range(20):
+                    _crash(instance, f"g{number}-{request}", f"{part}", 1.0)
+            _crash(instance, "bad", f"b{number}", 2.0 + number)
+        sizes = []
+        for turn in range(30):
+            now_s = 10.0 + turn
+            if turn == 20:
+                fleet.append(crashes_lib.CrashRegistry())
+                told.append(0)
+            for number, instance in enumerate(fleet):
+                if told[number] == instance.noticed and instance.digest(
+                    now_s
+                ) == seed.digest(now_s):
+                    continue
+                sizes.append(len(instance.traces(now_s, told[number])))
+                seed.apply(instance.traces(now_s, told[number]), now_s)
+                told[number] = instance.told_after(told[number])
+                instance.apply(seed.traces(now_s), now_s)
+        assert max(sizes) <= 300
+        digests = {instance.digest(50.0) for instance in (seed, *fleet)}
+        assert len(digests) == 1
+        for instance in (seed, *fleet):
+            assert instance.refused_for_s("bad", 50.0)
+
+    def test_harmless_request_beside_many_crashes_is_not_refused(self):
+        registry = crashes_lib.CrashRegistry()
+        for turn in range(12):
+            for part in range(270):
+                name = f"s{part}-{turn}"
+                _crash(registry, f"bad{turn % 3}", name, 2.0 * turn)
+                if part % 3 == 0:
+                    _crash(registry, f"good{part % 20}", name, 2.0 * turn)
+        now_s = 30.0
+        refused = {
+            name
+            for name in (
+                "bad0",
+                "bad1",
+                "bad2",
+                *map("good{}".format, range(20)),
+            )
+            if registry.refused_for_s(name, now_s)
+        }
+        assert refused == {"bad0", "bad1", "bad2"}
+
+
 class TestExchange:
     """All instances draw the same conclusions."""
 
@@ -156,7 +274,7 @@
         for instance in (*fleet, started_later):
             _exchange(seed, instance, 5.0)
             assert instance.refused_for_s("bad", 6.0)
-            assert instance.digest() == seed.digest()
+            assert instance.digest(6.0) == seed.digest(6.0)
 
     def test_request_that_ends_thousands_of_replicas_fits_in_a_report(self):
         registry, other = (crashes_lib.CrashRegistry() for _ in range(2))
