--- a/src/mallowloft/routes/crashes.py
+++ b/src/mallowloft/routes/crashes.py
@@ -137,7 +137,8 @@
 
     Attributes:
         on_crash: Called if this instance has noticed another crash.
-        noticed: Number of runs that this instance has seen cut off.
+        noticed: Number of runs that this instance has seen cut off and that
+            it tells each seed.
     """
 
     def __init__(self) -> None:
@@ -145,8 +146,7 @@
         self._run_count = 0
         # When requests that had been cut off succeeded last.
         self._succeeded_s_by_request: dict[str, float] = {}
-        # Request and replica of the last runs that this instance has seen cut
-        # off.
+        # Request and replica of the last of these runs.
         self._noticed: collections.deque[tuple[str, str]] = collections.deque(
             maxlen=_MAX_NOTICED
         )
@@ -178,10 +178,14 @@
             ended_s: Loop time at which the connection was lost.
         """
         run = blame.Run(started_s, ended_s)
-        if self._add_run(request, replica, run, ended_s):
+        if not self._add_run(request, replica, run, ended_s):
+            return
+        # Later ones either follow these, which makes the request rank high, or
+        # are no further evidence.
+        if self.count_crashes(request) <= _MAX_EVIDENCE:
             self._noticed.append((request, replica))
             self.noticed += 1
-            self.on_crash()
+        self.on_crash()
 
     def record_success(self, request: str, now_s: float) -> None:
         """Records that a replica has run a request with success."""
--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -524,6 +524,12 @@
                 )
             )
             await asyncio.sleep(_CRASH_REPORT_INTERVAL_S)
+            # More crashes were noticed than fit in a message.
+            if any(
+                told < self.crashes.noticed
+                for told in self._told_crashes_by_seed.values()
+            ):
+                self._crash_noticed.set()
 
     def _list_seeds(self) -> list[str]:
         return [
