Tell what explains the crashes that an instance has noticed

What is left of a message after the evidence now goes to what an instance has noticed (all of it, not six crashes a request), to the runs that may explain what the other one tells, and to those of refused requests, no more to any runs; the digest covers the verdict.

--- a/src/mallowloft/routes/crashes.py
+++ b/src/mallowloft/routes/crashes.py
@@ -51,7 +51,7 @@
 # is told as much as fits in a message then does so, too.
 _MAX_COMPARED_RUNS = 240
 _MAX_TOLD_EVIDENCE = 120
-_MAX_TOLD_NOTICED = 100
+_MAX_TOLD_NOTICED = 180
 _MAX_NOTICED = 1000
 _MAX_SUCCESSES = 200
 # Crashes of one request that are kept and passed on before others.
@@ -180,11 +180,8 @@
         run = blame.Run(started_s, ended_s)
         if not self._add_run(request, replica, run, ended_s):
             return
-        # Later ones either follow these, which makes the request rank high, or
-        # are no further evidence.
-        if self.count_crashes(request) <= _MAX_EVIDENCE:
-            self._noticed.append((request, replica))
-            self.noticed += 1
+        self._noticed.append((request, replica))
+        self.noticed += 1
         self.on_crash()
 
     def record_success(self, request: str, now_s: float) -> None:
@@ -218,30 +215,41 @@
         return ends_s[-blame.MIN_CRASHES] + _RETENTION_S - now_s
 
     def traces(
-        self, now_s: float, told: int | None = None
+        self,
+        now_s: float,
+        told: int | None = None,
+        heard: Iterable[Trace] = (),
     ) -> tuple[Trace, ...]:
         """Returns what to tell another instance.
 
-        If it is too much for a message, the evidence of the requests with the
-        longest sequences of crashes comes first, then the crashes that this
-        instance has noticed since, then the requests with the most crashes,
-        because they explain those of the others.
+        If it is too much for a message, the evidence of refused requests comes
+        first, then what this instance has noticed since and what explains the
+        crashes that the other one tells of, then the evidence of the requests
+        with the longest sequences of crashes.
 
         Args:
             now_s: Current loop time.
             told: How many of the runs that this instance has noticed are known
                 to the other; None if it does not need them one by one.
+            heard: What the other one has told.
         """
         self._forget_old(now_s)
         if self._run_count <= _MAX_COMPARED_RUNS:
             keys = self._list_runs()
         else:
             foremost, others = self._rank_suspects(now_s)
+            refused = {
+                request: suspect
+                for request, suspect in foremost.items()
+                if suspect.is_refused
+            }
             keys = itertools.chain(
-                self._list_evidence(foremost),
+                self._list_evidence(refused),
                 () if told is None else self._list_noticed(told),
+                self._list_explanations(heard),
+                self._list_evidence(foremost),
+                self._list_refused(now_s),
                 self._list_evidence(others),
-                self._list_runs(),
             )
         crashes = []
         for request, replica in dict.fromkeys(keys):
@@ -507,6 +515,21 @@
             group[request] = suspect
         return foremost, others
 
+    def _list_explanations(
+        self, traces: Iterable[Trace]
+    ) -> Iterator[tuple[str, str]]:
+        """Yields the runs that may explain crashes."""
+        for item in traces:
+            request = self._foremost_by_replica.get(item.replica)
+            if request is not None and request != item.request:
+                yield request, item.replica
+
+    def _list_refused(self, now_s: float) -> Iterator[tuple[str, str]]:
+        """Yields all runs of the requests that are refused."""
+        for request in sorted(self._judge(now_s).causes):
+            for replica in self._runs_by_request.get(request, ()):
+                yield request, replica
+
     def _list_evidence(
         self, suspects_by_request: Mapping[str, _Suspect]
     ) -> Iterator[tuple[str, str]]:
@@ -561,4 +584,5 @@
     """
     count = len(suspect.evidence)
     names = suspect.evidence if count < _MAX_EVIDENCE else ()
-    return " ".join((request, str(suspect.sequence), str(count), *names))
+    facts = (suspect.is_refused, suspect.sequence, count)
+    return " ".join((request, *map(str, facts), *names))
--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -681,6 +681,8 @@
         summary = msgspec.structs.replace(
             summary,
             crash_digest=digest,
-            crashes=() if is_known else self.crashes.traces(now_s),
+            crashes=()
+            if is_known
+            else self.crashes.traces(now_s, heard=report.crashes),
         )
         return 200, msgspec.msgpack.encode(summary)
