--- a/tests/test_routes_crashes.py
+++ b/tests/test_routes_crashes.py
@@ -263,6 +263,20 @@
         }
         assert refused == {"bad0", "bad1", "bad2"}
 
+    def test_reply_explains_what_another_instance_has_noticed(self):
+        seed, instance = (crashes_lib.CrashRegistry() for _ in range(2))
+        for number in range(900):
+            _crash(seed, "bad", f"s{number}", 1.0 + number // 300)
+        for number in (570, 580, 590, 870, 880, 890):
+            _crash(instance, "good", f"s{number}", 1.0 + number // 300)
+        now_s = 5.0
+        assert instance.refused_for_s("good", now_s)
+        told = instance.traces(now_s, 0)
+        seed.apply(told, now_s)
+        instance.apply(seed.traces(now_s, heard=told), now_s)
+        assert instance.refused_for_s("bad", now_s + 1.0)
+        assert not instance.refused_for_s("good", now_s + 1.0)
+
 
 class TestExchange:
     """All instances draw the same conclusions."""
