--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # dependencies, so this checks that they compile.
 set -e
 cd "$(dirname "$0")/.."
-python3 - lab 6 7 8 9 10 <<'EOF'
+python3 - lab rig 6 7 8 9 10 <<'EOF'
 import pathlib
 import sys
 
