Bound the head of a request in bytes and in time

Callers saw: while 40 clients sent heads without end, hardly any other caller was served, and an instance of 300 MB held up to 2 GB, more than its machine.

Cause: nothing limits a first line, a header or the number of headers; the operator's maxHeaderBytes and headerTimeoutMs were not decoded. uvicorn has no such setting for this parser (h11_max_incomplete_event_size is for h11 only), and its keep-alive timeout begins after the first response, so a connection on which nothing arrives was never closed. Each read took up to 256 KiB, which small headers turn into many times as much.

Change: kernel/connections.py states what one connection may hold. The first line and the headers each have maxHeaderBytes; more, and empty lines before a request beyond that, get 431. A head that is late gets 408, a connection without a request closes after the idle timeout. Reads take 16 KiB. A refused client gets its answer before the connection is reset: what it still sends is discarded for a second. All four listeners share this; those without limits of the operator's use 64 KiB and 10 s. Heads are counted as they arrive, so that malformed ones are still refused at once.

--- a/src/mallowloft/callers/operators.py
+++ b/src/mallowloft/callers/operators.py
@@ -49,7 +49,12 @@
         if settings.metrics_port:
             ports.add(settings.metrics_port)
         self._servers = [
-            server_lib.Server(self.serve, settings.host, port, {})
+            server_lib.Server(
+                self.serve,
+                settings.host,
+                port,
+                kernel.connections.group("operators"),
+            )
             for port in sorted(ports)
         ]
 
--- a/src/mallowloft/callers/protocol.py
+++ b/src/mallowloft/callers/protocol.py
@@ -4,6 +4,8 @@
 they were sent. A message that cannot be read as one request is answered with
 status 400 or 501 once earlier requests have their responses; the connection is
 then closed.
+
+`kernel.connections` has the limits on what a connection may hold.
 """
 
 import asyncio
@@ -13,19 +15,41 @@
 import httptools
 from uvicorn.protocols.http import httptools_impl
 
+from mallowloft.kernel import connections as connections_lib
 from mallowloft.kernel import tcp
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _STATUS_BAD_REQUEST = 400
+_STATUS_TIMEOUT = 408
+_STATUS_HEAD_TOO_LARGE = 431
 _STATUS_NOT_IMPLEMENTED = 501
+# Method, version and separators of the first line of a request.
+_FIRST_LINE_REST_BYTES = 64
+# Most that is discarded after a last response.
+_MAX_DISCARDED_BYTES = 1 << 20
+# How long data is discarded after a last response. Closing a connection with
+# unread data resets it, and the client could miss the response.
+_LINGER_S = 1.0
+# Receives the data of all connections; each read is processed at once.
+_read_buffer = memoryview(bytearray(connections_lib.FREE_BYTES))
+
 _VERSIONS = ("1.0", "1.1")
 _SLASH = ord("/")
+_LINE_END = b"\r\n"
+# End of a line and an empty line.
+_EMPTY_LINE = b"\n\r\n"
 _CHECKED_HEADERS = frozenset((b"expect", b"host", b"transfer-encoding"))
 # Keys in the `extensions` of the ASGI scope: the `Connection` of the request,
 # and its path and query in the bytes that were sent.
 CONNECTION_EXTENSION = "mallowloft.connection"
 TARGET_EXTENSION = "mallowloft.target"
 
+# Why a connection was closed, by the status of its last response.
+_END_REASONS = {
+    _STATUS_TIMEOUT: "late",
+    _STATUS_HEAD_TOO_LARGE: "head_too_large",
+}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Connection:
@@ -56,7 +80,7 @@
         self.status = status
 
 
-class Protocol(httptools_impl.HttpToolsProtocol):
+class Protocol(httptools_impl.HttpToolsProtocol, asyncio.BufferedProtocol):
     """HTTP/1.1 protocol of one connection.
 
     Offers to upgrade the connection are ignored. The parser cannot do that: it
@@ -67,49 +91,190 @@
     # With more attributes in its dictionary, an instance would no longer share
     # the keys with others, and access to all attributes would be slower.
     __slots__ = (
+        "_body_left",
         "_checked_headers",
+        "_deadline_s",
+        "_discarded_bytes",
         "_error_status",
+        "_group",
         "_has_carried_request",
+        "_head_bytes",
         "_head_without_offer",
         "_in_body",
+        "_in_head",
+        "_limits",
+        "_lingers",
+        "_skipped_bytes",
         "_started",
     )
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
+    def __init__(
+        self,
+        *args: Any,
+        group: connections_lib.ConnectionGroup,
+        **kwargs: Any,
+    ) -> None:
         super().__init__(*args, **kwargs)
+        self._group = group
+        self._limits = group.limits
+        self.timeout_keep_alive = self._limits.idle_timeout_s
         self._has_carried_request = False
+        # Whether a part of a head was read.
+        self._in_head = False
         # Whether the head of a request was read, but not all of its body.
         self._in_body = False
+        # Size of the present head so far, and of empty lines before it.
+        self._head_bytes = 0
+        self._skipped_bytes = 0
+        # Rest of a body with a stated length; 0 for other bodies.
+        self._body_left = 0
+        self._discarded_bytes = 0
+        # When the present head or wait ends at the latest.
+        self._deadline_s: float | None = None
         self._checked_headers: list[tuple[bytes, bytes]] = []
         # Head of the present request, without its offer to upgrade.
         self._head_without_offer = b""
         # The last request that the application was given.
         self._started: httptools_impl.RequestResponseCycle | None = None
-        # Status of the response to a message that cannot be served. Nothing is
-        # read after it.
+        # Status of the response to a message that cannot be served. What
+        # follows it is discarded.
         self._error_status = 0
+        # Whether data is discarded until the client closes the connection.
+        self._lingers = False
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Starts waiting for a request."""
+        super().connection_made(transport)
+        self._arm_idle_timeout()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells the application, also if further requests are waiting."""
+        self._unset_keepalive_if_required()
         if self._is_serving():
             self._disconnect(self._started)
         super().connection_lost(exc)
+        self._group.budget.forget(self)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parses data that was read into the buffer."""
+        self.data_received(bytes(_read_buffer[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Parses data; refuses what is not a request."""
-        if self._error_status:
-            return
-        self._unset_keepalive_if_required()
+        if self._error_status or self._lingers:
+            self._discard(len(data))
+        else:
+            self._read(data)
+
+    def _read(self, data: bytes) -> None:
         try:
-            self._parse(data)
+            self._feed(data)
+        except _RequestError as error:
+            self._refuse(error.status)
         except httptools.HttpParserError as error:
-            self.logger.warning("Invalid HTTP request received.")
             cause = error.__context__
-            self._refuse(
-                cause.status
-                if isinstance(cause, _RequestError)
-                else _STATUS_BAD_REQUEST
-            )
+            if isinstance(cause, _RequestError):
+                self._refuse(cause.status)
+            else:
+                self.logger.warning("Invalid HTTP request received.")
+                self._refuse(_STATUS_BAD_REQUEST)
+
+    def _feed(self, data: bytes) -> None:
+        """Parses requests.
+
+        Raises:
+            _RequestError: The data is no request within the limits.
+            httptools.HttpParserError: The data is not a request.
+        """
+        start = 0
+        while start < len(data):
+            if not (self._in_head or self._in_body):
+                start = self._skip_empty_lines(data, start)
+                if start == len(data):
+                    return
+                self._begin_head()
+            end = self._message_bound(data, start)
+            if self._in_head:
+                self._head_bytes += end - start
+            # At most one message ends with this piece.
+            self._parse(data[start:end])
+            start = end
+            if self._in_head:
+                self._check_head()
+        if self._in_head:
+            self._set_deadline(self._limits.head_timeout_s)
+
+    def _skip_empty_lines(self, data: bytes, start: int) -> int:
+        """Returns the offset after empty lines, which may precede a request."""
+        if data[start] not in _LINE_END:
+            return start
+        end = len(data) - len(data[start:].lstrip(_LINE_END))
+        self._skipped_bytes += end - start
+        if self._skipped_bytes > self._limits.max_head_bytes:
+            raise _RequestError(_STATUS_HEAD_TOO_LARGE)
+        return end
+
+    def _begin_head(self) -> None:
+        self._unset_keepalive_if_required()
+        self._in_head = True
+        self._head_bytes = self._skipped_bytes = 0
+        self._body_left = 0
+        self._deadline_s = None
+        self.url = b""
+        self.headers = []
+
+    def _message_bound(self, data: bytes, start: int) -> int:
+        """Returns the end of a part in which at most one message ends.
+
+        A head, and a body in chunks, end with an empty line.
+        """
+        if self._body_left:
+            return min(start + self._body_left, len(data))
+        if start == 0 and data[0] in _LINE_END:
+            # May complete a line end that the last read has cut.
+            return data.index(b"\n") + 1 if b"\n" in data[:2] else 1
+        # The line before an empty one may have been the end of the last part.
+        at = data.find(_EMPTY_LINE, max(0, start - 1))
+        return len(data) if at < 0 else at + len(_EMPTY_LINE)
+
+    def _check_head(self) -> None:
+        """Raises `_RequestError` if the present head is too large."""
+        limit = self._limits.max_head_bytes
+        first_line = len(self.url)
+        rest = self._head_bytes - first_line - _FIRST_LINE_REST_BYTES
+        if first_line > limit or rest > limit:
+            raise _RequestError(_STATUS_HEAD_TOO_LARGE)
+
+    def _set_deadline(self, timeout_s: float) -> None:
+        if self._deadline_s is None:
+            self._deadline_s = self.loop.time() + timeout_s
+            self._group.budget.watch(self)
+
+    def _arm_idle_timeout(self) -> None:
+        self._unset_keepalive_if_required()
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
+
+    def timeout_keep_alive_handler(self) -> None:
+        """Closes a connection without a request."""
+        if not self.transport.is_closing():
+            self._group.budget.count_end("idle")
+            self.transport.close()
+
+    def check(self, now_s: float) -> bool:
+        """Ends the connection if it has exceeded a time limit."""
+        if self._deadline_s is not None and now_s >= self._deadline_s:
+            self._deadline_s = None
+            if self._lingers:
+                self.transport.abort()
+            else:
+                self._refuse(_STATUS_TIMEOUT)
+        return self._deadline_s is not None
 
     def on_message_begin(self) -> None:
         """Creates the scope of a request."""
@@ -130,6 +295,8 @@
         header = (name, value.rstrip(b" \t"))
         if name in _CHECKED_HEADERS:
             self._checked_headers.append(header)
+        elif name == b"content-length" and header[1].isdigit():
+            self._body_left = int(header[1])
         self.headers.append(header)
 
     def on_headers_complete(self) -> None:
@@ -140,6 +307,7 @@
         event loop is some iterations later. Other instances take a late
         acknowledgement for a fault of this one.
         """
+        self._check_head()
         version = self.parser.get_http_version()
         if version not in _VERSIONS:
             raise _RequestError(_STATUS_BAD_REQUEST)
@@ -156,6 +324,8 @@
             self._check_target()
         self.scope["extensions"][TARGET_EXTENSION] = self.url
         super().on_headers_complete()
+        self._in_head = False
+        self._deadline_s = None
         self._in_body = True
         self._has_carried_request = True
         # Between two parts of the response to an earlier request, the
@@ -165,10 +335,18 @@
             cycle.waiting_for_100_continue = False
             self.transport.write(_CONTINUE)
 
+    def on_body(self, body: bytes) -> None:
+        """Passes a part of a body on."""
+        if self._body_left:
+            self._body_left -= len(body)
+        super().on_body(body)
+
     def on_message_complete(self) -> None:
         """Completes the request, unless it will be parsed a second time."""
         if self._in_body:
             self._in_body = False
+            self._body_left = 0
+            self._deadline_s = None
             cycle = self.cycle
             if not cycle.response_complete:
                 cycle.more_body = False
@@ -268,12 +446,14 @@
 
         The application gets no further part of its request.
         """
+        self._group.budget.count_end(_END_REASONS.get(status, "malformed"))
         self._error_status = status
+        self._deadline_s = None
         cycle = self.cycle
         if self._in_body:
             if cycle.response_started:
                 self._disconnect(cycle)
-                self.transport.close()
+                self._linger()
                 return
             if cycle is not self._started:
                 self.pipeline.popleft()
@@ -287,8 +467,12 @@
 
     def _send_error(self) -> None:
         """Writes the response to an error and closes the connection."""
-        if self.transport.is_closing():
+        if self.transport.is_closing() or self._lingers:
             return
+        self._write_error()
+        self._linger()
+
+    def _write_error(self) -> None:
         lines = [httptools_impl.STATUS_LINE[self._error_status]]
         lines += [
             name + b": " + value + b"\r\n"
@@ -296,4 +480,24 @@
         ]
         lines.append(b"content-length: 0\r\nconnection: close\r\n\r\n")
         self.transport.write(b"".join(lines))
-        self.transport.close()
+
+    def _linger(self) -> None:
+        """Closes the connection once the client has read the response.
+
+        What the client still sends is discarded for a short time.
+        """
+        self._lingers = True
+        self._unset_keepalive_if_required()
+        self._discarded_bytes = 0
+        if not self.transport.can_write_eof():
+            self.transport.close()
+            return
+        self.transport.write_eof()
+        self._deadline_s = None
+        self._set_deadline(_LINGER_S)
+        self.flow.resume_reading()
+
+    def _discard(self, size: int) -> None:
+        self._discarded_bytes += size
+        if self._lingers and self._discarded_bytes > _MAX_DISCARDED_BYTES:
+            self.transport.abort()
--- a/src/mallowloft/callers/server.py
+++ b/src/mallowloft/callers/server.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import functools
 import socket
 from typing import Any
 
 import uvicorn
 
 from mallowloft.callers import protocol
+from mallowloft.kernel import connections
 
 _POLL_INTERVAL_S = 0.01
 # Interval at which the main loop updates the Date header. uvicorn's own main
@@ -53,7 +55,12 @@
     """HTTP server on one port."""
 
     def __init__(
-        self, app: Any, host: str, port: int, options: dict[str, Any]
+        self,
+        app: Any,
+        host: str,
+        port: int,
+        group: connections.ConnectionGroup,
+        options: dict[str, Any] | None = None,
     ) -> None:
         """Configures the server; `start` opens the port.
 
@@ -61,7 +68,8 @@
             app: The ASGI application.
             host: IP address to listen on.
             port: Port to listen on.
-            options: Further uvicorn settings, such as TLS files and timeouts.
+            group: The connections of listeners of this kind.
+            options: Further uvicorn settings, such as TLS files.
         """
         self._address = (host, port)
         self._config = uvicorn.Config(
@@ -72,9 +80,9 @@
             server_header=False,
             ws="none",
             interface="asgi3",
-            http=protocol.Protocol,
+            http=functools.partial(protocol.Protocol, group=group),
             proxy_headers=False,
-            **options,
+            **(options or {}),
         )
         self._server = _UvicornServer(self._config)
         self._listener: socket.socket | None = None
@@ -90,10 +98,6 @@
         """Number of open connections."""
         return len(self._server.server_state.connections)
 
-    def set_idle_timeout(self, seconds: float) -> None:
-        """Sets the idle timeout of connections that are opened from now on."""
-        self._config.timeout_keep_alive = seconds
-
     async def start(self) -> None:
         """Starts listening.
 
@@ -108,6 +112,12 @@
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         listener = socket.socket(family)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit it.
+        listener.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_RCVBUF,
+            connections.SOCKET_BUFFER_BYTES,
+        )
         listener.bind(self._address)
         self._listener = listener
         self._task = asyncio.create_task(self._server.serve([listener]))
--- a/src/mallowloft/callers/service.py
+++ b/src/mallowloft/callers/service.py
@@ -210,7 +210,11 @@
                 "ssl_keyfile": settings.tls_private_key,
             }
         self._server = server_lib.Server(
-            self.app, settings.host, settings.caller_port, tls
+            self.app,
+            settings.host,
+            settings.caller_port,
+            self._kernel.connections.group("callers"),
+            tls,
         )
         await self._server.start()
 
--- a/src/mallowloft/kernel/lifecycle.py
+++ b/src/mallowloft/kernel/lifecycle.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from mallowloft.kernel import clock as clock_lib
+from mallowloft.kernel import connections as connections_lib
 from mallowloft.kernel import logs
 from mallowloft.kernel import metrics as metrics_lib
 from mallowloft.kernel import registry
@@ -83,6 +84,7 @@
         self.incarnation = incarnation or secrets.randbits(63)
         self.metrics = metrics_lib.Metrics()
         self.metrics.gauge("log_lines_dropped", logs.dropped_lines)
+        self.connections = connections_lib.ConnectionBudget(self.metrics)
         self.pause_detector = clock_lib.PauseDetector(self.clock)
         self.stopping = False
         self.plugins_by_name: dict[str, Any] = {}
--- a/src/mallowloft/routes/fleet.py
+++ b/src/mallowloft/routes/fleet.py
@@ -27,6 +27,7 @@
 import xxhash
 
 from mallowloft.callers import server as server_lib
+from mallowloft.kernel import connections as connections_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
@@ -86,8 +87,8 @@
 # Seeds name the hubs to instances of their own failure domain. An instance that
 # has received no list of hubs for this long requests it from every seed.
 _HUB_LIST_MAX_AGE_S = 2.5 * _REPORT_INTERVAL_S
-# Longer than the other instances keep idle connections to this one.
-_KEEP_ALIVE_S = 75
+# Idle connections stay open for longer than the other instances keep them.
+_CONNECTION_LIMITS = connections_lib.ConnectionLimits(idle_timeout_s=75.0)
 
 Application = Callable[..., Awaitable[None]]
 
@@ -396,11 +397,10 @@
         self._address = ""
         if settings.fleet_port:
             self._address = f"{settings.host}:{settings.fleet_port}"
+            group = kernel.connections.group("fleet")
+            group.limits = _CONNECTION_LIMITS
             self._server = server_lib.Server(
-                self._app,
-                settings.host,
-                settings.fleet_port,
-                {"timeout_keep_alive": _KEEP_ALIVE_S},
+                self._app, settings.host, settings.fleet_port, group
             )
         kernel.metrics.gauge("fleet_instances", lambda: self.instances)
 
--- a/src/mallowloft/routes/model.py
+++ b/src/mallowloft/routes/model.py
@@ -6,6 +6,8 @@
 import hashlib
 import math
 
+from mallowloft.kernel import connections
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -147,7 +149,9 @@
     """Limits on callers' requests and idle connections."""
 
     max_body_bytes: int = 1 << 20
-    idle_timeout_s: float = 15.0
+    connection: connections.ConnectionLimits = connections.ConnectionLimits(
+        idle_timeout_s=15.0
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from mallowloft.callers import server as server_lib
+from mallowloft.kernel import connections as connections_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
 from mallowloft.kernel import registry
@@ -41,10 +42,12 @@
 # allowed for it, whichever is smaller.
 _DEADLINE_MARGIN_S = 0.01
 _DEADLINE_MARGIN_SHARE = 0.04
-# Idle timeout of callers' connections until a route table is applied.
-_DEFAULT_IDLE_TIMEOUT_S = 60
 # Upper bound for the deadline header, above every deadline that callers use.
 _MAX_DEADLINE_MS = 600_000
+# Limits of callers' connections until a route table is applied.
+_DEFAULT_CONNECTION_LIMITS = connections_lib.ConnectionLimits(
+    idle_timeout_s=60.0
+)
 _STOP_POLL_S = 0.02
 # Shortest wait for answers to be written after open requests have been ended,
 # even if the event loop was late.
@@ -211,11 +214,13 @@
         # Set when the instance stops.
         self.stop_schedule: stop_schedule.StopSchedule | None = None
         self._ended_count = 0
+        self._connections = kernel.connections.group("callers")
+        self._connections.limits = _DEFAULT_CONNECTION_LIMITS
         self._server = server_lib.Server(
             self._app,
             kernel.settings.host,
             kernel.settings.caller_port,
-            {"timeout_keep_alive": _DEFAULT_IDLE_TIMEOUT_S},
+            self._connections,
         )
         metrics = kernel.metrics
         metrics.gauge("route_requests_open", lambda: len(self.open_requests))
@@ -364,7 +369,7 @@
             )
         )
         self._update_directory()
-        self._server.set_idle_timeout(table.limits.idle_timeout_s)
+        self._connections.limits = table.limits.connection
         _log.info(
             "routes_changed",
             version=table.version,
--- a/tests/support/wire.py
+++ b/tests/support/wire.py
@@ -10,6 +10,8 @@
 from uvicorn import server as uvicorn_server
 
 from mallowloft.callers import protocol as protocol_lib
+from mallowloft.kernel import connections
+from mallowloft.kernel import metrics
 from mallowloft.routes import attempts
 from mallowloft.routes import exchange as exchange_lib
 from mallowloft.routes import model
@@ -219,6 +221,18 @@
     def close(self) -> None:
         self._closing = True
 
+    def abort(self) -> None:
+        self._closing = True
+
+    def can_write_eof(self) -> bool:
+        return False
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def set_write_buffer_limits(self, high=None, low=None) -> None:
+        pass
+
     def is_closing(self) -> bool:
         return self._closing
 
@@ -268,7 +282,10 @@
         config.load()
         state = uvicorn_server.ServerState()
         self._tasks = state.tasks
-        self._protocol = protocol_lib.Protocol(config, state, {})
+        budget = connections.ConnectionBudget(metrics.Metrics())
+        self._protocol = protocol_lib.Protocol(
+            config, state, {}, group=budget.group("callers")
+        )
         self._protocol.connection_made(self._transport)
 
     async def send(self, pieces: list[bytes], pause: int = 0) -> Outcome:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -25,7 +25,9 @@
 from mallowloft.configuration import platform
 from mallowloft.configuration import store as store_lib
 from mallowloft.gather import model as gather_model
+from mallowloft.kernel import connections
 from mallowloft.kernel import lifecycle
+from mallowloft.kernel import metrics
 from mallowloft.kernel import settings as settings_lib
 from mallowloft.submissions import model as submissions_model
 from standins import ports as ports_lib
@@ -37,6 +39,10 @@
 _SHARD = gather_model.Shard("checker", "s0")
 
 
+def _new_group() -> connections.ConnectionGroup:
+    return connections.ConnectionBudget(metrics.Metrics()).group("callers")
+
+
 def _team_document(token: str, **fields: Any) -> dict[str, Any]:
     digest = hashlib.sha256(token.encode()).hexdigest()
     return {"credential_sha256": digest, "priority": "paying", **fields}
@@ -736,7 +742,7 @@
 
         async def scenario():
             (port,) = ports.reserve(1)
-            server = server_lib.Server(app, "127.0.0.1", port, {})
+            server = server_lib.Server(app, "127.0.0.1", port, _new_group())
             await server.start()
             callers = []
             # There is no await in the loop, so no connection is accepted yet.
@@ -776,7 +782,7 @@
 
         async def scenario():
             (port,) = ports.reserve(1)
-            server = server_lib.Server(None, "127.0.0.1", port, {})
+            server = server_lib.Server(None, "127.0.0.1", port, _new_group())
             await server.start()
             await asyncio.sleep(0.5)
             ticks_while_idle = len(ticks)
--- /dev/null
+++ b/tests/test_callers_limits.py
@@ -0,0 +1,284 @@
+"""What a client's connection may hold, in virtual time without a network."""
+
+import asyncio
+import logging
+
+import pytest
+import uvicorn
+from uvicorn import server as uvicorn_server
+
+from mallowloft.callers import protocol as protocol_lib
+from mallowloft.kernel import connections as connections_lib
+from mallowloft.kernel import metrics as metrics_lib
+from tests.support import wire
+
+_MAX_HEAD_BYTES = 1000
+_LIMITS = connections_lib.ConnectionLimits(
+    max_head_bytes=_MAX_HEAD_BYTES,
+    head_timeout_s=2.0,
+    idle_timeout_s=5.0,
+)
+_GET = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+_CHUNKED = b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+_POST = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+
+
+@pytest.fixture(autouse=True)
+def _no_log(caplog):
+    caplog.set_level(logging.CRITICAL, "uvicorn.error")
+
+
+# Room for the headers of an answer.
+_BUFFER_BYTES = 50
+
+
+class _Transport(asyncio.Transport):
+    """A connection whose client reads, or does not.
+
+    Attributes:
+        written: All that was written.
+        unread: What the client has not read, if it does not read. The first
+            bytes fit into the operating system's buffer.
+        reads: Whether the client reads.
+        paused: Whether the instance does not read.
+        ended: Whether the instance has closed its side.
+    """
+
+    def __init__(self, reads: bool = True) -> None:
+        super().__init__()
+        self.written = b""
+        self.unread = b""
+        self.reads = reads
+        self.paused = False
+        self.ended = False
+        self.protocol: protocol_lib.Protocol | None = None
+        self._closing = False
+        self._room = _BUFFER_BYTES
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+        taken = len(data) if self.reads else min(self._room, len(data))
+        self._room -= taken
+        if taken < len(data):
+            was_empty = not self.unread
+            self.unread += data[taken:]
+            if was_empty:
+                self.protocol.pause_writing()
+
+    def read(self, size: int) -> None:
+        """Makes the client read a part of what it has not read."""
+        self.unread = self.unread[size:]
+        if not self.unread:
+            self.protocol.resume_writing()
+
+    def close(self) -> None:
+        if not self._closing:
+            self._closing = True
+            if not self.unread:
+                self.abort()
+
+    def abort(self) -> None:
+        self._closing = True
+        if not self.ended:
+            self.ended = True
+            asyncio.get_running_loop().call_soon(
+                self.protocol.connection_lost, None
+            )
+
+    def can_write_eof(self) -> bool:
+        return True
+
+    def write_eof(self) -> None:
+        pass
+
+    def is_closing(self) -> bool:
+        return self._closing
+
+    def get_write_buffer_size(self) -> int:
+        return len(self.unread)
+
+    def set_write_buffer_limits(self, high=None, low=None) -> None:
+        pass
+
+    def pause_reading(self) -> None:
+        self.paused = True
+
+    def resume_reading(self) -> None:
+        self.paused = False
+
+
+class _Server:
+    """An application behind connections with limits.
+
+    Attributes:
+        served: Paths of the requests that the application was given.
+        left: Number of requests whose client has left.
+        release: Is set when the application may answer.
+    """
+
+    def __init__(self, answer: bytes = b"x") -> None:
+        self.metrics = metrics_lib.Metrics()
+        self.budget = connections_lib.ConnectionBudget(self.metrics)
+        self.group = self.budget.group("callers")
+        self.group.limits = _LIMITS
+        self.served: list[str] = []
+        self.bodies: list[bytes] = []
+        self.left = 0
+        self.release = asyncio.Event()
+        self.release.set()
+        self._answer = answer
+        self._config = uvicorn.Config(
+            self._serve, log_config=None, lifespan="off", interface="asgi3"
+        )
+        self._config.load()
+        self._state = uvicorn_server.ServerState()
+
+    def connect(self, reads: bool = True) -> _Transport:
+        transport = _Transport(reads)
+        protocol = protocol_lib.Protocol(
+            self._config, self._state, {}, group=self.group
+        )
+        transport.protocol = protocol
+        protocol.connection_made(transport)
+        return transport
+
+    def ended(self, reason: str) -> int:
+        """Returns how many connections were ended for a reason."""
+        return int(
+            self.metrics.counter_value("connections_ended", reason=reason)
+        )
+
+    async def _serve(self, scope, receive, send) -> None:
+        self.served.append(scope["path"])
+        body = b""
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                self.left += 1
+                return
+            body += message["body"]
+            if not message["more_body"]:
+                break
+        self.bodies.append(body)
+        await self.release.wait()
+        length = b"%d" % len(self._answer)
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": [(b"content-length", length)],
+            }
+        )
+        await send({"type": "http.response.body", "body": self._answer})
+
+
+def _statuses(transport: _Transport) -> list[int]:
+    return [status for status, _ in wire.read_answers(transport.written, [])]
+
+
+async def _send(transport: _Transport, data: bytes, cut: int = 0) -> None:
+    """Sends data in pieces and lets the application work."""
+    for start in range(0, len(data), cut or len(data)):
+        if transport.is_closing():
+            return
+        transport.protocol.data_received(
+            data[start : start + (cut or len(data))]
+        )
+    await asyncio.sleep(0.001)
+
+
+def _head(first_line: int, headers: int) -> bytes:
+    """Returns a head with a target and headers of these sizes."""
+    start = b"GET /%s HTTP/1.1\r\nHost: a\r\nX: " % (b"a" * (first_line - 1))
+    return start + b"b" * (headers - len(b"Host: a\r\nX: \r\n")) + b"\r\n\r\n"
+
+
+@pytest.mark.parametrize("cut", [0, 1, 7, 600])
+class TestHeads:
+    """Heads up to the limit are served; others are refused while they come."""
+
+    @pytest.mark.parametrize(
+        ("first_line", "headers"),
+        [(1, _MAX_HEAD_BYTES), (_MAX_HEAD_BYTES, _MAX_HEAD_BYTES)],
+    )
+    async def test_up_to_the_limit(self, first_line, headers, cut):
+        server = _Server()
+        transport = server.connect()
+        await _send(transport, 2 * _head(first_line, headers), cut)
+        assert _statuses(transport) == [200, 200]
+        assert not transport.is_closing()
+
+    @pytest.mark.parametrize(
+        "sent",
+        [
+            _head(1, 2 * _MAX_HEAD_BYTES),
+            _head(_MAX_HEAD_BYTES + 1, 20),
+            b"GET /" + b"a" * 2 * _MAX_HEAD_BYTES,
+            b"GET /a HTTP/1.1\r\nHost: a\r\nX: " + b"a" * 2 * _MAX_HEAD_BYTES,
+            b"GET /a HTTP/1.1\r\nHost: a\r\n" + b"a" * 2 * _MAX_HEAD_BYTES,
+            b"GET /a HTTP/1.1\r\nHost: a\r\n" + b"a:b\r\n" * _MAX_HEAD_BYTES,
+            b"\r\n" * _MAX_HEAD_BYTES + _GET,
+        ],
+        ids=[
+            "headers",
+            "first_line",
+            "endless_line",
+            "endless_value",
+            "endless_name",
+            "endless_headers",
+            "empty_lines",
+        ],
+    )
+    async def test_over_the_limit(self, sent, cut):
+        server = _Server()
+        transport = server.connect()
+        await _send(transport, _GET)
+        await _send(transport, sent, cut)
+        assert _statuses(transport) == [200, 431]
+        assert server.served == ["/a"]
+        assert server.ended("head_too_large") == 1
+        await asyncio.sleep(_LIMITS.idle_timeout_s)
+        assert transport.ended
+
+    async def test_empty_lines_between_requests(self, cut):
+        server = _Server()
+        transport = server.connect()
+        await _send(transport, (b"\r\n" * 20 + _GET) * 3, cut)
+        assert _statuses(transport) == [200] * 3
+
+
+class TestTime:
+    """A client that makes no progress loses its connection."""
+
+    @pytest.mark.parametrize(
+        ("sent", "end_s", "status"),
+        [
+            (b"", _LIMITS.idle_timeout_s, None),
+            (b"\r\n", _LIMITS.idle_timeout_s, None),
+            (_GET, _LIMITS.idle_timeout_s, 200),
+            (b"GET", _LIMITS.head_timeout_s, 408),
+            (_GET[:-2], _LIMITS.head_timeout_s, 408),
+        ],
+    )
+    async def test_silence(self, sent, end_s, status):
+        server = _Server()
+        transport = server.connect()
+        if sent:
+            await _send(transport, sent)
+        await asyncio.sleep(0.9 * end_s)
+        assert not transport.is_closing()
+        await asyncio.sleep(0.3 * end_s)
+        if status is None or status == 200:
+            assert transport.ended
+        assert _statuses(transport) == ([] if status is None else [status])
+        await asyncio.sleep(2.0)
+        assert transport.ended
+
+    async def test_slow_head(self):
+        server = _Server()
+        transport = server.connect()
+        for byte in _GET * 10:
+            await _send(transport, bytes((byte,)))
+            await asyncio.sleep(0.1)
+        assert _statuses(transport) == [408]
+        assert transport.ended
