Parse requests that are sent ahead one after the other

Callers saw: while 40 clients sent requests ahead and read no answers, with or without the usual headers, or at the ready path, hardly any other caller was served, and instances ran out of memory. Some grew on after these clients had left.

Cause: uvicorn parses all data that it has read, and creates the scope and the state of each request in it. It pauses reading then, but every `receive` and every complete response resumes it, so that unread requests piled up without a bound, at 18 bytes for several KB of memory.

Change: data is split where a message may end, so that at most one message ends in a piece, and a request is parsed when the one before it has its answer. What has been read beyond it (16 KiB at most) waits unparsed, and reading stays paused until then; flow control cannot resume it. While a connection is not read, the event loop does not notice that its client leaves; such connections are asked for POLLRDHUP together every 0.1 s, and what they had sent ahead is dropped.

--- a/src/mallowloft/callers/protocol.py
+++ b/src/mallowloft/callers/protocol.py
@@ -1,11 +1,13 @@
 """HTTP/1.1 protocol of connections from callers and other instances.
 
 Only whole requests reach the application, unchanged and in the order in which
-they were sent. A message that cannot be read as one request is answered with
-status 400 or 501 once earlier requests have their responses; the connection is
-then closed.
+they were sent, each after the response to the one before it was written. A
+message that cannot be read as one request is answered with status 400 or 501;
+the connection is then closed.
 
-`kernel.connections` has the limits on what a connection may hold.
+What a client sends ahead is not parsed and, beyond one read, left to the
+operating system. `kernel.connections` has the limits on what a connection may
+hold.
 """
 
 import asyncio
@@ -13,6 +15,7 @@
 from typing import Any
 
 import httptools
+from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
 from mallowloft.kernel import connections as connections_lib
@@ -80,6 +83,23 @@
         self.status = status
 
 
+class _Flow(flow_control.FlowControl):
+    """Flow control of a connection.
+
+    Attributes:
+        holds_input: Whether received data waits, so that reading stays paused.
+    """
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        super().__init__(transport)
+        self.holds_input = False
+
+    def resume_reading(self) -> None:
+        """Resumes reading unless received data waits."""
+        if not self.holds_input:
+            super().resume_reading()
+
+
 class Protocol(httptools_impl.HttpToolsProtocol, asyncio.BufferedProtocol):
     """HTTP/1.1 protocol of one connection.
 
@@ -91,6 +111,7 @@
     # With more attributes in its dictionary, an instance would no longer share
     # the keys with others, and access to all attributes would be slower.
     __slots__ = (
+        "_ahead",
         "_body_left",
         "_checked_headers",
         "_deadline_s",
@@ -129,6 +150,8 @@
         # Rest of a body with a stated length; 0 for other bodies.
         self._body_left = 0
         self._discarded_bytes = 0
+        # Received data that is parsed after the present response.
+        self._ahead = b""
         # When the present head or wait ends at the latest.
         self._deadline_s: float | None = None
         self._checked_headers: list[tuple[bytes, bytes]] = []
@@ -145,10 +168,12 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Starts waiting for a request."""
         super().connection_made(transport)
+        self.flow = _Flow(transport)
         self._arm_idle_timeout()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Tells the application, also if further requests are waiting."""
+        """Tells the application, and drops what was sent ahead."""
+        self._ahead = b""
         self._unset_keepalive_if_required()
         if self._is_serving():
             self._disconnect(self._started)
@@ -167,6 +192,9 @@
         """Parses data; refuses what is not a request."""
         if self._error_status or self._lingers:
             self._discard(len(data))
+        elif self._ahead:
+            # Was read before reading was paused.
+            self._hold(self._ahead + data)
         else:
             self._read(data)
 
@@ -184,7 +212,7 @@
                 self._refuse(_STATUS_BAD_REQUEST)
 
     def _feed(self, data: bytes) -> None:
-        """Parses requests.
+        """Parses requests until one is to be served.
 
         Raises:
             _RequestError: The data is no request within the limits.
@@ -192,6 +220,9 @@
         """
         start = 0
         while start < len(data):
+            if self._must_wait():
+                self._hold(data[start:])
+                return
             if not (self._in_head or self._in_body):
                 start = self._skip_empty_lines(data, start)
                 if start == len(data):
@@ -208,6 +239,13 @@
         if self._in_head:
             self._set_deadline(self._limits.head_timeout_s)
 
+    def _must_wait(self) -> bool:
+        """Whether the response to a whole request is incomplete."""
+        if self._in_head or self._in_body:
+            return False
+        cycle = self.cycle
+        return cycle is not None and not cycle.response_complete
+
     def _skip_empty_lines(self, data: bytes, start: int) -> int:
         """Returns the offset after empty lines, which may precede a request."""
         if data[start] not in _LINE_END:
@@ -249,6 +287,23 @@
         if first_line > limit or rest > limit:
             raise _RequestError(_STATUS_HEAD_TOO_LARGE)
 
+    def _hold(self, data: bytes) -> None:
+        """Keeps data until the present response is sent; stops reading."""
+        self._ahead = data
+        if not self.flow.holds_input:
+            self.flow.pause_reading()
+            self.flow.holds_input = True
+            self._group.budget.watch(self)
+
+    def _read_held(self) -> None:
+        """Parses what was sent ahead, if the next request may be served."""
+        if not self.flow.holds_input or self._must_wait():
+            return
+        data, self._ahead = self._ahead, b""
+        self.flow.holds_input = False
+        self._read(data)
+        self.flow.resume_reading()
+
     def _set_deadline(self, timeout_s: float) -> None:
         if self._deadline_s is None:
             self._deadline_s = self.loop.time() + timeout_s
@@ -274,7 +329,23 @@
                 self.transport.abort()
             else:
                 self._refuse(_STATUS_TIMEOUT)
-        return self._deadline_s is not None
+        return self._deadline_s is not None or self.flow.holds_input
+
+    def paused_descriptor(self) -> int | None:
+        """Returns the descriptor if the connection is open but not read."""
+        if not self.flow.read_paused or self.transport.is_closing():
+            return None
+        connection = self.transport.get_extra_info("socket")
+        return None if connection is None else connection.fileno()
+
+    def client_left(self) -> None:
+        """Ends the connection, because the client has closed its side."""
+        self.transport.abort()
+
+    def _end(self) -> None:
+        """Drops what a connection holds that is being closed."""
+        self._ahead = b""
+        self.flow.holds_input = False
 
     def on_message_begin(self) -> None:
         """Creates the scope of a request."""
@@ -308,6 +379,9 @@
         acknowledgement for a fault of this one.
         """
         self._check_head()
+        if self._is_serving():
+            # The parser takes something else for the end of a message.
+            raise _RequestError(_STATUS_BAD_REQUEST)
         version = self.parser.get_http_version()
         if version not in _VERSIONS:
             raise _RequestError(_STATUS_BAD_REQUEST)
@@ -355,8 +429,11 @@
     def on_response_complete(self) -> None:
         """Starts the next request, or sends the response to an error."""
         super().on_response_complete()
-        if self._error_status and not self._is_serving():
-            self._send_error()
+        if self._error_status:
+            if not self._is_serving():
+                self._send_error()
+        elif not self.transport.is_closing():
+            self._read_held()
 
     def _start_asgi_task(
         self, cycle: httptools_impl.RequestResponseCycle, app: Any
@@ -488,6 +565,7 @@
         """
         self._lingers = True
         self._unset_keepalive_if_required()
+        self._end()
         self._discarded_bytes = 0
         if not self.transport.can_write_eof():
             self.transport.close()
--- a/src/mallowloft/kernel/connections.py
+++ b/src/mallowloft/kernel/connections.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import select
 from typing import Protocol
 
 from mallowloft.kernel import metrics as metrics_lib
@@ -47,6 +48,12 @@
             Whether it must be checked again.
         """
 
+    def paused_descriptor(self) -> int | None:
+        """Returns the descriptor if the connection is open but not read."""
+
+    def client_left(self) -> None:
+        """Ends the connection, because the client has closed its side."""
+
 
 class ConnectionBudget:
     """The connections of the process whose times are checked."""
@@ -91,10 +98,28 @@
         for connection in list(self._watched):
             if not connection.check(now_s):
                 self._watched.pop(connection, None)
+        self._find_departed()
         self._timer = None
         if self._watched:
             self._schedule_check()
 
+    def _find_departed(self) -> None:
+        """Ends connections that are not read and whose clients have left.
+
+        The event loop does not notice the end of a connection that it does not
+        read.
+        """
+        poller = select.poll()
+        paused_by_descriptor: dict[int, Connection] = {}
+        for connection in self._watched:
+            descriptor = connection.paused_descriptor()
+            if descriptor is not None:
+                paused_by_descriptor[descriptor] = connection
+                poller.register(descriptor, select.POLLRDHUP)
+        if paused_by_descriptor:
+            for descriptor, _ in poller.poll(0):
+                paused_by_descriptor[descriptor].client_left()
+
 
 class ConnectionGroup:
     """The connections of all listeners of a kind.
--- a/tests/test_callers_limits.py
+++ b/tests/test_callers_limits.py
@@ -247,6 +247,56 @@
         assert _statuses(transport) == [200] * 3
 
 
+class TestSentAhead:
+    """Requests are parsed one after the other."""
+
+    @pytest.mark.parametrize("cut", [0, 1, 7, 100])
+    async def test_served_in_order(self, cut):
+        server = _Server()
+        transport = server.connect()
+        paths = [f"/{number}" for number in range(20)]
+        data = b"".join(_GET.replace(b"/a", path.encode()) for path in paths)
+        await _send(transport, data, cut)
+        assert server.served == paths
+        assert _statuses(transport) == [200] * len(paths)
+
+    @pytest.mark.parametrize("request_sent", [_GET, _POST % 3 + b"abc"])
+    async def test_wait_unparsed(self, request_sent):
+        server = _Server()
+        server.release.clear()
+        transport = server.connect()
+        await _send(transport, request_sent * 50)
+        assert server.served == ["/a"]
+        assert transport.paused
+        assert not transport.protocol.pipeline
+        server.release.set()
+        await asyncio.sleep(0.1)
+        assert _statuses(transport) == [200] * 50
+        assert not transport.paused
+
+    async def test_chunked_bodies_end_where_they_end(self):
+        # Their data looks like the end of a body, of a head, and of both.
+        data = b"0\r\n\r\nGET /no HTTP/1.1\r\n\r\n\r\n\r\n\n\n\r\n"
+        body = b"%x\r\n%b\r\n0\r\nT: a\r\n\r\n" % (len(data), data)
+        for cut in range(1, 60):
+            server = _Server()
+            transport = server.connect()
+            await _send(transport, (_CHUNKED + body) * 3, cut)
+            assert server.served == ["/a"] * 3
+            assert server.bodies == [data] * 3
+
+    async def test_client_that_leaves(self):
+        server = _Server()
+        server.release.clear()
+        transport = server.connect()
+        await _send(transport, _GET * 3)
+        transport.protocol.client_left()
+        await asyncio.sleep(0.001)
+        server.release.set()
+        await asyncio.sleep(0.1)
+        assert server.served == ["/a"]
+
+
 class TestTime:
     """A client that makes no progress loses its connection."""
 
