Bound what belongs to a body, and refuse early what cannot be served

Callers saw: clients that sent a chunk extension, a trailer or a body without end took the processor and the memory of an instance; a body that stopped kept its request, and its connection, for good.

Cause: the parser keeps an unfinished trailer; what follows an answer was read and dropped without end; no body had a time limit. A body above maxBodyBytes was refused only after as much of it had arrived, although its size was declared.

Change: the framing of a body may have 16 KiB and 8 bytes for each byte of its data, as for replicas' responses. After an answer, 1 MiB of the rest is discarded, then the connection closes. A body must be complete 60 s after its head; one for a route at the request's deadline, else it gets 408, which is true, since nothing of it was passed on. A declared size above the limit gets 413 at once, and the connection can be used again.

--- a/src/mallowloft/callers/protocol.py
+++ b/src/mallowloft/callers/protocol.py
@@ -28,7 +28,11 @@
 _STATUS_NOT_IMPLEMENTED = 501
 # Method, version and separators of the first line of a request.
 _FIRST_LINE_REST_BYTES = 64
-# Most that is discarded after a last response.
+# Bytes of a body besides its data: chunk sizes and trailers. More are accepted
+# with a longer body.
+_MAX_FRAMING_BYTES = 16 << 10
+_MAX_FRAMING_PER_BODY_BYTE = 8
+# Most that is discarded of a body whose request has its response.
 _MAX_DISCARDED_BYTES = 1 << 20
 # How long data is discarded after a last response. Closing a connection with
 # unread data resets it, and the client could miss the response.
@@ -112,11 +116,13 @@
     # the keys with others, and access to all attributes would be slower.
     __slots__ = (
         "_ahead",
+        "_body_bytes",
         "_body_left",
         "_checked_headers",
         "_deadline_s",
         "_discarded_bytes",
         "_error_status",
+        "_framing_bytes",
         "_group",
         "_has_carried_request",
         "_head_bytes",
@@ -149,10 +155,14 @@
         self._skipped_bytes = 0
         # Rest of a body with a stated length; 0 for other bodies.
         self._body_left = 0
+        # Size of the present body so far, with its framing, and without it, and
+        # of what was discarded of it.
+        self._framing_bytes = 0
+        self._body_bytes = 0
         self._discarded_bytes = 0
         # Received data that is parsed after the present response.
         self._ahead = b""
-        # When the present head or wait ends at the latest.
+        # When the present head, body or wait ends at the latest.
         self._deadline_s: float | None = None
         self._checked_headers: list[tuple[bytes, bytes]] = []
         # Head of the present request, without its offer to upgrade.
@@ -231,13 +241,19 @@
             end = self._message_bound(data, start)
             if self._in_head:
                 self._head_bytes += end - start
+            elif not self._body_left:
+                self._framing_bytes += end - start
             # At most one message ends with this piece.
             self._parse(data[start:end])
             start = end
             if self._in_head:
                 self._check_head()
+            elif self._in_body:
+                self._check_body()
         if self._in_head:
             self._set_deadline(self._limits.head_timeout_s)
+        elif self._in_body:
+            self._set_deadline(self._limits.body_timeout_s)
 
     def _must_wait(self) -> bool:
         """Whether the response to a whole request is incomplete."""
@@ -260,7 +276,8 @@
         self._unset_keepalive_if_required()
         self._in_head = True
         self._head_bytes = self._skipped_bytes = 0
-        self._body_left = 0
+        self._body_left = self._body_bytes = self._framing_bytes = 0
+        self._discarded_bytes = 0
         self._deadline_s = None
         self.url = b""
         self.headers = []
@@ -287,6 +304,15 @@
         if first_line > limit or rest > limit:
             raise _RequestError(_STATUS_HEAD_TOO_LARGE)
 
+    def _check_body(self) -> None:
+        """Raises `_RequestError` if the framing of a body is too large."""
+        framing = self._framing_bytes - self._body_bytes
+        if (
+            framing
+            > _MAX_FRAMING_BYTES + _MAX_FRAMING_PER_BODY_BYTE * self._body_bytes
+        ):
+            raise _RequestError(_STATUS_BAD_REQUEST)
+
     def _hold(self, data: bytes) -> None:
         """Keeps data until the present response is sent; stops reading."""
         self._ahead = data
@@ -410,9 +436,15 @@
             self.transport.write(_CONTINUE)
 
     def on_body(self, body: bytes) -> None:
-        """Passes a part of a body on."""
+        """Passes a part of a body on; discards it after the response."""
+        size = len(body)
         if self._body_left:
-            self._body_left -= len(body)
+            self._body_left -= size
+        self._body_bytes += size
+        if self.cycle.response_complete:
+            self._discarded_bytes += size
+            if self._discarded_bytes > _MAX_DISCARDED_BYTES:
+                raise _RequestError(_STATUS_BAD_REQUEST)
         super().on_body(body)
 
     def on_message_complete(self) -> None:
--- a/src/mallowloft/kernel/connections.py
+++ b/src/mallowloft/kernel/connections.py
@@ -30,11 +30,13 @@
             first line.
         head_timeout_s: Time from the first byte of a request to the end of its
             headers.
+        body_timeout_s: Time from the end of the headers to that of the body.
         idle_timeout_s: Time without a request.
     """
 
     max_head_bytes: int = 64 << 10
     head_timeout_s: float = 10.0
+    body_timeout_s: float = 60.0
     idle_timeout_s: float = 10.0
 
 
--- a/src/mallowloft/routes/exchange.py
+++ b/src/mallowloft/routes/exchange.py
@@ -56,6 +56,9 @@
         """
         if sum(name == names.request_id for name, _ in self.headers) > 1:
             return model.failure(400, "repeated_id")
+        declared = self.header(b"content-length")
+        if declared.isdigit() and int(declared) > max_body_bytes:
+            return model.failure(413, "body_too_large")
         body = await self.read_body(max_body_bytes)
         if body is None:
             return model.failure(413, "body_too_large")
@@ -102,6 +105,14 @@
         )
         return connection is None or not connection.transport.is_closing()
 
+    @property
+    def has_body(self) -> bool:
+        """Whether a body follows the headers."""
+        return any(
+            name in (b"content-length", b"transfer-encoding")
+            for name, _ in self.headers
+        )
+
     async def read_body(self, limit: int) -> bytes | None:
         """Returns the body, None if it exceeds the limit in bytes.
 
--- a/src/mallowloft/routes/open_requests.py
+++ b/src/mallowloft/routes/open_requests.py
@@ -29,14 +29,18 @@
     _body_timeout: asyncio.Timeout | None = None
 
     @contextlib.asynccontextmanager
-    async def reading(self) -> AsyncIterator[None]:
+    async def reading(self, end_s: float | None = None) -> AsyncIterator[None]:
         """Returns a context in which the body is read.
 
+        Args:
+            end_s: Loop time at which the whole body must have arrived; None if
+                there is no body.
+
         Raises:
-            TimeoutError: The request was ended meanwhile.
+            TimeoutError: The body was late, or the request was ended meanwhile.
         """
         try:
-            async with asyncio.timeout(None) as self._body_timeout:
+            async with asyncio.timeout_at(end_s) as self._body_timeout:
                 yield
         finally:
             self._body_timeout = None
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -563,13 +563,17 @@
             }
             return _Result(model.failure(404, "no_route"), fields)
         fields = {"route": route.name}
+        allowed_s = min(self._deadline_s(exchange, route), route.timeout_s)
+        body_end_s = started_s + allowed_s if exchange.has_body else None
         try:
-            async with open_request.reading():
+            async with open_request.reading(body_end_s):
                 request = await exchange.read_request(
                     self.names, matcher.table.limits.max_body_bytes
                 )
         except TimeoutError:
-            return _Result(_refuse_stopping(), fields)
+            if self.stop_schedule is not None:
+                return _Result(_refuse_stopping(), fields)
+            return _Result(model.failure(408, "body_late"), fields)
         if isinstance(request, model.Answer):
             return _Result(request, fields)
         if not self._can_finish(exchange, route):
--- a/tests/test_callers_limits.py
+++ b/tests/test_callers_limits.py
@@ -16,6 +16,7 @@
 _LIMITS = connections_lib.ConnectionLimits(
     max_head_bytes=_MAX_HEAD_BYTES,
     head_timeout_s=2.0,
+    body_timeout_s=3.0,
     idle_timeout_s=5.0,
 )
 _GET = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -297,6 +298,44 @@
         assert server.served == ["/a"]
 
 
+class TestBodies:
+    """Bodies are bounded besides their data, too."""
+
+    @pytest.mark.parametrize(
+        "endless", [b"1;" + b"a" * 99, b"0\r\nX: " + b"a" * 99, b"0\r\n"]
+    )
+    async def test_framing(self, endless):
+        server = _Server()
+        transport = server.connect()
+        await _send(transport, _CHUNKED + endless)
+        repeated = b"T: a\r\n" if endless == b"0\r\n" else b"a"
+        await _send(transport, repeated * 20_000)
+        assert _statuses(transport) == [400]
+        assert server.left == 1
+
+    async def test_rest_after_the_answer(self):
+        async def refuse(scope, receive, send):
+            await send(
+                {
+                    "type": "http.response.start",
+                    "status": 413,
+                    "headers": [(b"content-length", b"0")],
+                }
+            )
+            await send({"type": "http.response.body", "body": b""})
+
+        server = _Server()
+        server._config.loaded_app = refuse
+        transport = server.connect()
+        await _send(transport, _POST % 50_000 + b"a" * 50_000 + _GET)
+        assert _statuses(transport) == [413, 413]
+        assert not transport.is_closing()
+        for _ in range(40):
+            await _send(transport, _POST % (1 << 30) + b"a" * 50_000, 10_000)
+        await asyncio.sleep(2.0)
+        assert transport.ended
+
+
 class TestTime:
     """A client that makes no progress loses its connection."""
 
@@ -308,6 +347,8 @@
             (_GET, _LIMITS.idle_timeout_s, 200),
             (b"GET", _LIMITS.head_timeout_s, 408),
             (_GET[:-2], _LIMITS.head_timeout_s, 408),
+            (_POST % 2 + b"a", _LIMITS.body_timeout_s, 408),
+            (_CHUNKED + b"2\r\n", _LIMITS.body_timeout_s, 408),
         ],
     )
     async def test_silence(self, sent, end_s, status):
