Bound what all connections hold together, in bytes and in number

Callers saw: an instance whose clients left answers unread, uploaded slowly or only kept connections open ran out of memory or of descriptors (maxFds), and then took no new connections.

Cause: each limit on one connection was multiplied by any number of connections. uvicorn's limit_concurrency counts connections, but refuses by requests that have arrived: it closes none, answers idle and unfinished ones nothing, and once it is reached refuses everybody. Nothing was set for an answer that is not read; Linux alone buffers up to 4 MB of each.

Change: a process has one ConnectionBudget. A connection may hold 16 KiB freely, so usual requests are served whatever others hold. What it holds beyond that (parsed headers with what they cost, bodies, unread input, unread answers) is charged against a quarter of memoryMb. Beyond it the longest holders end: those that upload get 503, those that do not read are closed; if that is not enough, the request that needs the room gets 503 before anything of it is passed on. Each kind of listener has its own part of the descriptors (0.4 for callers, 0.3 for other instances, 0.05 for operators), so that one leaves room for the others and for replicas. A connection above it is accepted, and in exchange one ends: that lingers after its last answer, without a whole request, idle, with an unread answer, or (after its present answer, the next gets 503) one that sends ahead. A connection on which a request is served is never closed. Answers that make no progress for the idle timeout are dropped; slow reading is progress. The send buffer of the operating system is 64 KiB, as the receive buffer. At most 64 connections are accepted in one iteration of the event loop, so that those that end have closed; the queue stays at 2,048.

--- a/src/mallowloft/callers/protocol.py
+++ b/src/mallowloft/callers/protocol.py
@@ -26,8 +26,13 @@
 _STATUS_TIMEOUT = 408
 _STATUS_HEAD_TOO_LARGE = 431
 _STATUS_NOT_IMPLEMENTED = 501
+_STATUS_UNAVAILABLE = 503
+# When a client may try again that was refused for lack of room.
+_RETRY_AFTER = b"retry-after: 0.3\r\n"
 # Method, version and separators of the first line of a request.
 _FIRST_LINE_REST_BYTES = 64
+# What the parsed form of a header takes besides its name and value.
+_HEADER_COST_BYTES = 160
 # Bytes of a body besides its data: chunk sizes and trailers. More are accepted
 # with a longer body.
 _MAX_FRAMING_BYTES = 16 << 10
@@ -51,10 +56,12 @@
 CONNECTION_EXTENSION = "mallowloft.connection"
 TARGET_EXTENSION = "mallowloft.target"
 
+_SERVING_PHASES = (connections_lib.Phase.SERVING, connections_lib.Phase.AHEAD)
 # Why a connection was closed, by the status of its last response.
 _END_REASONS = {
     _STATUS_TIMEOUT: "late",
     _STATUS_HEAD_TOO_LARGE: "head_too_large",
+    _STATUS_UNAVAILABLE: "memory",
 }
 
 
@@ -110,6 +117,10 @@
     Offers to upgrade the connection are ignored. The parser cannot do that: it
     skips the body of a request with an offer and stops. Such a request is
     therefore parsed a second time, without the header `upgrade`.
+
+    Attributes:
+        charged_bytes: See `connections.Connection`, as for `phase`.
+        phase: What the connection does.
     """
 
     # With more attributes in its dictionary, an instance would no longer share
@@ -127,12 +138,17 @@
         "_has_carried_request",
         "_head_bytes",
         "_head_without_offer",
+        "_held_body_bytes",
         "_in_body",
         "_in_head",
         "_limits",
         "_lingers",
         "_skipped_bytes",
         "_started",
+        "_unread_bytes",
+        "_unread_since_s",
+        "charged_bytes",
+        "phase",
     )
 
     def __init__(
@@ -145,6 +161,8 @@
         self._group = group
         self._limits = group.limits
         self.timeout_keep_alive = self._limits.idle_timeout_s
+        self.charged_bytes = 0
+        self.phase = connections_lib.Phase.RECEIVING
         self._has_carried_request = False
         # Whether a part of a head was read.
         self._in_head = False
@@ -155,15 +173,20 @@
         self._skipped_bytes = 0
         # Rest of a body with a stated length; 0 for other bodies.
         self._body_left = 0
-        # Size of the present body so far, with its framing, and without it, and
-        # of what was discarded of it.
+        # Size of the present body so far, with its framing, and without it; of
+        # what the application holds of it, and of what was discarded.
         self._framing_bytes = 0
         self._body_bytes = 0
+        self._held_body_bytes = 0
         self._discarded_bytes = 0
         # Received data that is parsed after the present response.
         self._ahead = b""
         # When the present head, body or wait ends at the latest.
         self._deadline_s: float | None = None
+        # Size of the answer that the client has not read, and since when it has
+        # not changed.
+        self._unread_bytes = 0
+        self._unread_since_s = 0.0
         self._checked_headers: list[tuple[bytes, bytes]] = []
         # Head of the present request, without its offer to upgrade.
         self._head_without_offer = b""
@@ -176,10 +199,16 @@
         self._lingers = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Starts waiting for a request."""
+        """Starts waiting for a request; refuses if there is no room."""
         super().connection_made(transport)
         self.flow = _Flow(transport)
+        # Writing pauses as soon as the client does not read all at once. With
+        # 0, a TLS transport would pause for good.
+        transport.set_write_buffer_limits(high=int(self.scheme == "https"))
         self._arm_idle_timeout()
+        if not self._group.admit(self):
+            self._group.budget.count_end("too_many")
+            self._end_unserved()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells the application, and drops what was sent ahead."""
@@ -188,7 +217,7 @@
         if self._is_serving():
             self._disconnect(self._started)
         super().connection_lost(exc)
-        self._group.budget.forget(self)
+        self._group.remove(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer for the next read."""
@@ -252,15 +281,19 @@
                 self._check_body()
         if self._in_head:
             self._set_deadline(self._limits.head_timeout_s)
+            if not self._charge():
+                raise _RequestError(_STATUS_UNAVAILABLE)
         elif self._in_body:
             self._set_deadline(self._limits.body_timeout_s)
 
     def _must_wait(self) -> bool:
-        """Whether the response to a whole request is incomplete."""
+        """Whether the response to a whole request is incomplete or unsent."""
         if self._in_head or self._in_body:
             return False
         cycle = self.cycle
-        return cycle is not None and not cycle.response_complete
+        return self.flow.write_paused or (
+            cycle is not None and not cycle.response_complete
+        )
 
     def _skip_empty_lines(self, data: bytes, start: int) -> int:
         """Returns the offset after empty lines, which may precede a request."""
@@ -277,10 +310,12 @@
         self._in_head = True
         self._head_bytes = self._skipped_bytes = 0
         self._body_left = self._body_bytes = self._framing_bytes = 0
-        self._discarded_bytes = 0
+        self._held_body_bytes = self._discarded_bytes = 0
         self._deadline_s = None
         self.url = b""
         self.headers = []
+        if self.phase is not connections_lib.Phase.RECEIVING:
+            self._group.move(self, connections_lib.Phase.RECEIVING)
 
     def _message_bound(self, data: bytes, start: int) -> int:
         """Returns the end of a part in which at most one message ends.
@@ -320,6 +355,9 @@
             self.flow.pause_reading()
             self.flow.holds_input = True
             self._group.budget.watch(self)
+            if self.phase is connections_lib.Phase.SERVING:
+                self._group.move(self, connections_lib.Phase.AHEAD)
+        self._charge()
 
     def _read_held(self) -> None:
         """Parses what was sent ahead, if the next request may be served."""
@@ -330,6 +368,21 @@
         self._read(data)
         self.flow.resume_reading()
 
+    def _charge(self) -> bool:
+        """Records what the connection holds; returns whether it may."""
+        size = self._unread_bytes + len(self._ahead)
+        # The application holds the parts of a body and joins them.
+        size += 2 * self._held_body_bytes
+        if self.flow.holds_input:
+            size += connections_lib.FULL_BUFFER_BYTES
+        if self.flow.write_paused:
+            size += connections_lib.FULL_BUFFER_BYTES
+        if self.headers is not None:
+            size += self._head_bytes + _HEADER_COST_BYTES * len(self.headers)
+        if size <= connections_lib.FREE_BYTES and not self.charged_bytes:
+            return True
+        return self._group.budget.charge(self, size)
+
     def _set_deadline(self, timeout_s: float) -> None:
         if self._deadline_s is None:
             self._deadline_s = self.loop.time() + timeout_s
@@ -343,19 +396,32 @@
 
     def timeout_keep_alive_handler(self) -> None:
         """Closes a connection without a request."""
-        if not self.transport.is_closing():
+        if not self.transport.is_closing() and not self.flow.write_paused:
             self._group.budget.count_end("idle")
             self.transport.close()
 
     def check(self, now_s: float) -> bool:
         """Ends the connection if it has exceeded a time limit."""
+        if self.flow.write_paused:
+            unread_bytes = self.transport.get_write_buffer_size()
+            if unread_bytes != self._unread_bytes:
+                self._unread_bytes = unread_bytes
+                self._unread_since_s = now_s
+                self._charge()
+            elif now_s - self._unread_since_s >= self._limits.idle_timeout_s:
+                self._abort("unread_answer")
+                return False
         if self._deadline_s is not None and now_s >= self._deadline_s:
             self._deadline_s = None
             if self._lingers:
                 self.transport.abort()
             else:
                 self._refuse(_STATUS_TIMEOUT)
-        return self._deadline_s is not None or self.flow.holds_input
+        return (
+            self._deadline_s is not None
+            or self.flow.write_paused
+            or self.flow.holds_input
+        )
 
     def paused_descriptor(self) -> int | None:
         """Returns the descriptor if the connection is open but not read."""
@@ -368,10 +434,71 @@
         """Ends the connection, because the client has closed its side."""
         self.transport.abort()
 
+    def make_room(self) -> None:
+        """Ends the connection, at once or with the present answer."""
+        if self.phase is connections_lib.Phase.AHEAD:
+            # The request after the present one gets the error.
+            self._error_status = _STATUS_UNAVAILABLE
+            self._ahead = b""
+            self._group.move(self, connections_lib.Phase.SERVING)
+            self._charge()
+        elif self.phase is connections_lib.Phase.RECEIVING:
+            self._end_unserved()
+        else:
+            self.transport.abort()
+            self._end()
+
+    def _abort(self, reason: str) -> None:
+        self._group.budget.count_end(reason)
+        self.transport.abort()
+        self._end()
+
+    def _end_unserved(self) -> None:
+        """Refuses the present request for lack of room and closes."""
+        self._error_status = _STATUS_UNAVAILABLE
+        if self._in_body:
+            self._disconnect(self.cycle)
+        if not (self._in_body and self.cycle.response_started):
+            self._write_error()
+        self.transport.close()
+        self._end()
+
     def _end(self) -> None:
         """Drops what a connection holds that is being closed."""
         self._ahead = b""
+        self.headers = []
+        self._head_bytes = self._held_body_bytes = self._unread_bytes = 0
         self.flow.holds_input = False
+        self._group.move(self, connections_lib.Phase.ENDING)
+        self._group.budget.charge(self, 0)
+
+    def pause_writing(self) -> None:
+        """Records that the client does not read all of an answer."""
+        super().pause_writing()
+        self._unread_bytes = self.transport.get_write_buffer_size()
+        self._unread_since_s = self.loop.time()
+        self._group.budget.watch(self)
+        if self.phase in _SERVING_PHASES:
+            self._group.move(self, connections_lib.Phase.UNREAD)
+        self._charge()
+
+    def resume_writing(self) -> None:
+        """Goes on with the next request after an answer has been sent."""
+        super().resume_writing()
+        self._unread_bytes = 0
+        if self.transport.is_closing():
+            return
+        if self.phase is connections_lib.Phase.UNREAD:
+            if self.cycle.response_complete:
+                self._arm_idle_timeout()
+                self._group.move(self, connections_lib.Phase.IDLE)
+            elif self.flow.holds_input:
+                self._group.move(self, connections_lib.Phase.AHEAD)
+            else:
+                self._group.move(self, connections_lib.Phase.SERVING)
+        self._read_held()
+        if self.charged_bytes:
+            self._charge()
 
     def on_message_begin(self) -> None:
         """Creates the scope of a request."""
@@ -423,6 +550,8 @@
         if self.url[0] != _SLASH or b"#" in self.url:
             self._check_target()
         self.scope["extensions"][TARGET_EXTENSION] = self.url
+        if not self._charge():
+            raise _RequestError(_STATUS_UNAVAILABLE)
         super().on_headers_complete()
         self._in_head = False
         self._deadline_s = None
@@ -445,6 +574,10 @@
             self._discarded_bytes += size
             if self._discarded_bytes > _MAX_DISCARDED_BYTES:
                 raise _RequestError(_STATUS_BAD_REQUEST)
+        else:
+            self._held_body_bytes += size
+            if not self._charge():
+                raise _RequestError(_STATUS_UNAVAILABLE)
         super().on_body(body)
 
     def on_message_complete(self) -> None:
@@ -457,15 +590,28 @@
             if not cycle.response_complete:
                 cycle.more_body = False
                 cycle.message_event.set()
+                self._group.move(self, connections_lib.Phase.SERVING)
 
     def on_response_complete(self) -> None:
         """Starts the next request, or sends the response to an error."""
         super().on_response_complete()
+        if self.transport.is_closing():
+            if self.flow.write_paused:
+                self._group.move(self, connections_lib.Phase.UNREAD)
+            return
         if self._error_status:
             if not self._is_serving():
                 self._send_error()
-        elif not self.transport.is_closing():
+            return
+        self._head_bytes = self._held_body_bytes = 0
+        self.headers = []
+        if self.flow.write_paused:
+            self._group.move(self, connections_lib.Phase.UNREAD)
+        else:
+            self._group.move(self, connections_lib.Phase.IDLE)
             self._read_held()
+        if self.charged_bytes:
+            self._charge()
 
     def _start_asgi_task(
         self, cycle: httptools_impl.RequestResponseCycle, app: Any
@@ -587,6 +733,8 @@
             name + b": " + value + b"\r\n"
             for name, value in self.server_state.default_headers
         ]
+        if self._error_status == _STATUS_UNAVAILABLE:
+            lines.append(_RETRY_AFTER)
         lines.append(b"content-length: 0\r\nconnection: close\r\n\r\n")
         self.transport.write(b"".join(lines))
 
@@ -603,6 +751,7 @@
             self.transport.close()
             return
         self.transport.write_eof()
+        self._group.move(self, connections_lib.Phase.LINGERING)
         self._deadline_s = None
         self._set_deadline(_LINGER_S)
         self.flow.resume_reading()
--- a/src/mallowloft/callers/server.py
+++ b/src/mallowloft/callers/server.py
@@ -22,6 +22,10 @@
 # Number of event loop iterations that asyncio takes to set up an accepted
 # connection.
 _CONNECTION_SETUP_ITERATIONS = 3
+# Connections that may wait to be accepted, and that are accepted at once. The
+# second number bounds by how many the limit of connections may be exceeded.
+_BACKLOG = 2048
+_ACCEPTED_AT_ONCE = 64
 # Shortest time limit for closing the connections, even if no grace period is
 # left. Responses still in write buffers can be sent within it.
 _MIN_CLOSE_S = 0.2
@@ -82,6 +86,7 @@
             interface="asgi3",
             http=functools.partial(protocol.Protocol, group=group),
             proxy_headers=False,
+            backlog=_ACCEPTED_AT_ONCE,
             **(options or {}),
         )
         self._server = _UvicornServer(self._config)
@@ -112,12 +117,11 @@
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         listener = socket.socket(family)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # Accepted connections inherit it.
-        listener.setsockopt(
-            socket.SOL_SOCKET,
-            socket.SO_RCVBUF,
-            connections.SOCKET_BUFFER_BYTES,
-        )
+        # Accepted connections inherit these.
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            listener.setsockopt(
+                socket.SOL_SOCKET, option, connections.SOCKET_BUFFER_BYTES
+            )
         listener.bind(self._address)
         self._listener = listener
         self._task = asyncio.create_task(self._server.serve([listener]))
@@ -125,6 +129,10 @@
             # Each start of an instance waits for this, so it polls without
             # delay; a few iterations of the event loop suffice.
             await asyncio.sleep(0)
+        if self._server.started:
+            # The event loop accepts as many connections at once as its own
+            # backlog allows.
+            listener.listen(_BACKLOG)
 
     async def stop(
         self, grace_s: float, idle_wait_s: float = _DEFAULT_IDLE_WAIT_S
--- a/src/mallowloft/kernel/lifecycle.py
+++ b/src/mallowloft/kernel/lifecycle.py
@@ -84,7 +84,9 @@
         self.incarnation = incarnation or secrets.randbits(63)
         self.metrics = metrics_lib.Metrics()
         self.metrics.gauge("log_lines_dropped", logs.dropped_lines)
-        self.connections = connections_lib.ConnectionBudget(self.metrics)
+        self.connections = connections_lib.ConnectionBudget(
+            self.metrics, settings.memory_mb, settings.max_descriptors
+        )
         self.pause_detector = clock_lib.PauseDetector(self.clock)
         self.stopping = False
         self.plugins_by_name: dict[str, Any] = {}
--- a/src/mallowloft/kernel/settings.py
+++ b/src/mallowloft/kernel/settings.py
@@ -67,6 +67,16 @@
     link_mbps: NonNegativeNumber = _setting(
         "bandwidth of this instance's network link, Mbit/s; 0 if unknown", 0.0
     )
+    memory_mb: NonNegativeNumber = _setting(
+        "memory of this instance, MiB, a part of which the connections of"
+        " clients may hold; 0 if unknown",
+        0.0,
+    )
+    max_descriptors: NonNegativeNumber = _setting(
+        "file descriptors of this instance, parts of which the connections of"
+        " clients may use; 0 for the limit of the operating system",
+        0.0,
+    )
     hubs_above: NonNegativeNumber = _setting(
         "number of instances above which a few hubs read the source of routes"
         " for the others and gather answers for instances with slow links",
--- a/tests/test_callers_limits.py
+++ b/tests/test_callers_limits.py
@@ -117,11 +117,13 @@
         release: Is set when the application may answer.
     """
 
-    def __init__(self, answer: bytes = b"x") -> None:
+    def __init__(self, answer: bytes = b"x", max_connections: int = 0) -> None:
         self.metrics = metrics_lib.Metrics()
         self.budget = connections_lib.ConnectionBudget(self.metrics)
         self.group = self.budget.group("callers")
         self.group.limits = _LIMITS
+        if max_connections:
+            self.group._max_connections = max_connections
         self.served: list[str] = []
         self.bodies: list[bytes] = []
         self.left = 0
@@ -286,6 +288,17 @@
             assert server.served == ["/a"] * 3
             assert server.bodies == [data] * 3
 
+    async def test_next_request_waits_until_the_answer_is_read(self):
+        server = _Server(b"x" * 5000)
+        transport = server.connect(reads=False)
+        await _send(transport, _GET * 3)
+        assert server.served == ["/a"]
+        transport.read(len(transport.unread))
+        await asyncio.sleep(0.001)
+        transport.read(len(transport.unread))
+        await asyncio.sleep(0.001)
+        assert server.served == ["/a"] * 2
+
     async def test_client_that_leaves(self):
         server = _Server()
         server.release.clear()
@@ -296,6 +309,7 @@
         server.release.set()
         await asyncio.sleep(0.1)
         assert server.served == ["/a"]
+        assert not len(server.group)
 
 
 class TestBodies:
@@ -364,6 +378,7 @@
         assert _statuses(transport) == ([] if status is None else [status])
         await asyncio.sleep(2.0)
         assert transport.ended
+        assert not len(server.group)
 
     async def test_slow_head(self):
         server = _Server()
@@ -373,3 +388,134 @@
             await asyncio.sleep(0.1)
         assert _statuses(transport) == [408]
         assert transport.ended
+
+    async def test_unread_answer(self):
+        server = _Server(b"x" * 5000)
+        transport = server.connect(reads=False)
+        await _send(transport, _GET)
+        for _ in range(8):
+            await asyncio.sleep(0.9 * _LIMITS.idle_timeout_s)
+            transport.read(500)
+        assert not transport.ended
+        await asyncio.sleep(1.2 * _LIMITS.idle_timeout_s)
+        assert transport.ended
+        assert server.ended("unread_answer") == 1
+        assert not server.budget.held_bytes
+
+
+class TestBudget:
+    """All connections together are bounded, and requests are not lost."""
+
+    async def test_largest_holders_that_wait_the_longest_end(self):
+        server = _Server(b"x" * 100_000)
+        size = 100_000 + connections_lib.FULL_BUFFER_BYTES
+        server.budget.max_held_bytes = 3 * size
+        clients = [server.connect(reads=False) for _ in range(5)]
+        for client in clients:
+            await _send(client, _GET)
+        assert [client.ended for client in clients] == [True] * 2 + [False] * 3
+        other = server.connect()
+        await _send(other, _GET)
+        assert _statuses(other) == [200]
+        assert server.budget.held_bytes <= server.budget.max_held_bytes
+
+    async def test_large_request_is_refused_if_there_is_no_room(self):
+        server = _Server()
+        server.release.clear()
+        server.budget.max_held_bytes = 100_000
+        first, second = server.connect(), server.connect()
+        await _send(first, _POST % 50_000 + b"a" * 50_000)
+        await _send(second, _POST % 50_000 + b"a" * 50_000)
+        assert _statuses(second) == [503]
+        assert server.left == 1
+        server.release.set()
+        await asyncio.sleep(0.1)
+        assert _statuses(first) == [200]
+
+    async def test_upload_ends_for_another(self):
+        server = _Server()
+        server.budget.max_held_bytes = 100_000
+        first, second = server.connect(), server.connect()
+        await _send(first, _POST % 50_000 + b"a" * 49_000)
+        await _send(second, _POST % 50_000 + b"a" * 50_000)
+        assert _statuses(first) == [503]
+        assert _statuses(second) == [200]
+
+    async def test_small_headers_count_with_what_they_cost(self):
+        server = _Server()
+        server.group.limits = connections_lib.ConnectionLimits()
+        transport = server.connect()
+        await _send(transport, _GET[:-2] + b"a:b\r\n" * 10_000)
+        assert server.budget.held_bytes > 1 << 20
+
+    async def test_nothing_is_held_when_all_have_left(self):
+        server = _Server(b"x" * 100_000)
+        sent = (b"GET", _GET * 3, _CHUNKED + b"9000\r\n" + b"a" * 30_000)
+        clients = []
+        for data in sent:
+            for reads in (True, False):
+                clients.append(server.connect(reads))
+                await _send(clients[-1], data)
+        assert server.budget.held_bytes
+        for client in clients:
+            client.abort()
+        await asyncio.sleep(0.5)
+        assert not server.budget.held_bytes
+        assert not len(server.group)
+        assert not server.budget._watched
+
+
+class TestConnections:
+    """There is room for another connection, unless all are in use."""
+
+    async def test_order_in_which_they_end(self):
+        server = _Server(b"x" * 100, max_connections=4)
+        unread = server.connect(reads=False)
+        await _send(unread, _GET)
+        idle = server.connect()
+        await _send(idle, _GET)
+        new = server.connect()
+        begun = server.connect()
+        await _send(begun, b"GET")
+        for victim in (new, begun, idle, unread):
+            server.release.clear()
+            client = server.connect()
+            await _send(client, _GET)
+            assert victim.ended
+        assert _statuses(new) == _statuses(begun) == [503]
+        server.release.set()
+
+    async def test_served_requests_are_answered(self):
+        server = _Server(max_connections=2)
+        server.release.clear()
+        clients = [server.connect() for _ in range(2)]
+        for client in clients:
+            await _send(client, _GET)
+        for _ in range(2):
+            other = server.connect()
+            await _send(other, _GET)
+        assert _statuses(other) == [503]
+        server.release.set()
+        await asyncio.sleep(0.1)
+        for client in clients:
+            assert _statuses(client) == [200]
+
+    async def test_client_that_sends_ahead_makes_room(self):
+        server = _Server(max_connections=1)
+        server.release.clear()
+        ahead = server.connect()
+        await _send(ahead, _GET * 5)
+        other = server.connect()
+        await _send(other, _GET)
+        server.release.set()
+        await asyncio.sleep(0.1)
+        assert _statuses(ahead) == [200, 503]
+        assert server.served == ["/a", "/a"]
+        assert _statuses(other) == [200]
+
+    async def test_one_listener_leaves_room_for_the_others(self):
+        server = _Server(max_connections=2)
+        for _ in range(100):
+            server.connect()
+        assert len(server.budget.group("operators")) == 0
+        assert server.budget.group("operators").admit(server.connect().protocol)
