Return the memory of large bodies to the operating system

Callers saw: as before; an instance whose clients do not read large answers was over its memory although all bounds were kept.

Cause: after the first large block has been freed, glibc takes blocks up to 32 MiB from its heap, where small objects between them keep them from being returned.

Change: mallopt fixes the thresholds when a process starts, at 512 KiB for blocks of their own, which is above the size of a read, so that usual traffic needs no further system calls.

--- a/src/mallowloft/kernel/process.py
+++ b/src/mallowloft/kernel/process.py
@@ -11,6 +11,7 @@
 
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import logs
+from mallowloft.kernel import memory
 
 _log = logs.get_logger("process")
 
@@ -44,6 +45,7 @@
         kernel: The instance, whose plug-ins have been constructed.
         on_sighup: Function to call on SIGHUP.
     """
+    memory.return_large_blocks()
     loop = asyncio.get_running_loop()
     stop_requested: asyncio.Future[float] = loop.create_future()
 
