Render metrics and state one request after the other

Callers saw: while several clients fetched the metrics or the state, requests waited for all of them.

Cause: both take milliseconds, and all that have arrived were rendered in one iteration of the event loop.

Evidence: with 30 fetches at once, 30 were rendered in the same iteration (test_others_are_served_between fails with `assert 1 == 30`).

Change: a lock, and one iteration between two of them, in which other work goes on. A path without a route is logged with 200 bytes at most; it may have as many as the first line of a request.

Result: 30 iterations.

--- a/src/mallowloft/callers/operators.py
+++ b/src/mallowloft/callers/operators.py
@@ -15,6 +15,7 @@
 _METHODS = ("GET", "HEAD")
 _TEXT = "text/plain; charset=utf-8"
 _JSON = "application/json"
+_RENDERED_PATHS = ("/metrics", "/v1/state")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +49,8 @@
         ports = {settings.operator_port}
         if settings.metrics_port:
             ports.add(settings.metrics_port)
+        # Metrics and state take milliseconds to render.
+        self._rendering = asyncio.Lock()
         self._servers = [
             server_lib.Server(
                 self.serve,
@@ -93,10 +96,12 @@
             message = f"{method} {path}: Method Not Allowed"
             response = _error(405, "bad_method", message)
             headers.append((b"allow", ", ".join(_METHODS).encode()))
-        else:
+        elif path in _RENDERED_PATHS:
             if path == "/metrics":
                 # The first rendering loads a library, which takes a while.
                 await asyncio.to_thread(self._kernel.metrics.load_renderer)
+            response = await self._render(handler)
+        else:
             response = handler()
         headers += [
             (b"content-type", response.content_type.encode()),
@@ -112,6 +117,16 @@
         body = b"" if method == "HEAD" else response.body
         await send({"type": "http.response.body", "body": body})
 
+    async def _render(self, handler: Callable[[], _Response]) -> _Response:
+        """Returns the response of a handler that takes long.
+
+        However many are requested, other work goes on after each of them.
+        """
+        async with self._rendering:
+            response = handler()
+            await asyncio.sleep(0)
+            return response
+
     def _get_livez(self) -> _Response:
         return _Response(200, _TEXT, b"live\n")
 
--- a/src/mallowloft/routes/service.py
+++ b/src/mallowloft/routes/service.py
@@ -52,6 +52,8 @@
 # Shortest wait for answers to be written after open requests have been ended,
 # even if the event loop was late.
 _MIN_ANSWER_WAIT_S = 0.1
+# Longest part of a path without a route that is logged.
+_MAX_LOGGED_BYTES = 200
 # One in this many requests with an outcome is logged, all others always are.
 # Under overload, hundreds of refusals a second would add to the load.
 _LOG_ONE_IN = {"answered": 50, "answered_partly": 5, "overloaded": 10}
@@ -558,7 +560,7 @@
         route = matcher.find(host.decode("latin1"), path.decode("latin1"))
         if route is None:
             fields = {
-                "path": path.decode("latin1"),
+                "path": path[:_MAX_LOGGED_BYTES].decode("latin1"),
                 "version": matcher.table.version,
             }
             return _Result(model.failure(404, "no_route"), fields)
