Do not fail the stop of a stand-in fleet if a process ends at its limit

The traceback shows the cause: the process had ended with status 0 after its 5 s had passed and before SIGKILL was sent. No check of the test is concerned.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Mapping
 from collections.abc import Sequence
+import contextlib
 import dataclasses
 import hashlib
 import os
@@ -245,7 +246,9 @@
             try:
                 await asyncio.wait_for(process.wait(), 5)
             except TimeoutError:
-                process.kill()
+                # It may have ended at that moment.
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
                 await process.wait()
         self.ports.release()
         if self.session is not None:
