Do not take a slow link for a client that does not read

Callers would see: an answer cut off after the idle timeout, although the client reads all the time, at 10 KB/s in the test.

Cause: progress was measured by what the process had passed to the operating system. That takes more only when about a third of its buffer is free; on a slow link this lasts longer than the idle timeout.

Found by reading.

Change: what the client's host has acknowledged counts as progress, too. It acknowledges nothing more once its own buffer is full, so clients that do not read are still closed (TestUnreadAnswers).

--- a/src/mallowloft/callers/protocol.py
+++ b/src/mallowloft/callers/protocol.py
@@ -143,6 +143,7 @@
         "_in_head",
         "_limits",
         "_lingers",
+        "_read_progress",
         "_skipped_bytes",
         "_started",
         "_unread_bytes",
@@ -183,9 +184,10 @@
         self._ahead = b""
         # When the present head, body or wait ends at the latest.
         self._deadline_s: float | None = None
-        # Size of the answer that the client has not read, and since when it has
-        # not changed.
+        # Size of the answer that the client has not read, what tells whether it
+        # reads, and since when that has not changed.
         self._unread_bytes = 0
+        self._read_progress: tuple[int, int | None] = (0, None)
         self._unread_since_s = 0.0
         self._checked_headers: list[tuple[bytes, bytes]] = []
         # Head of the present request, without its offer to upgrade.
@@ -403,9 +405,15 @@
     def check(self, now_s: float) -> bool:
         """Ends the connection if it has exceeded a time limit."""
         if self.flow.write_paused:
-            unread_bytes = self.transport.get_write_buffer_size()
-            if unread_bytes != self._unread_bytes:
-                self._unread_bytes = unread_bytes
+            # The operating system takes more only when a large part of its
+            # buffer is free, which takes long on a slow link.
+            progress = (
+                self.transport.get_write_buffer_size(),
+                tcp.acknowledged_bytes(self.transport),
+            )
+            if progress != self._read_progress:
+                self._read_progress = progress
+                self._unread_bytes, _ = progress
                 self._unread_since_s = now_s
                 self._charge()
             elif now_s - self._unread_since_s >= self._limits.idle_timeout_s:
--- a/src/mallowloft/kernel/tcp.py
+++ b/src/mallowloft/kernel/tcp.py
@@ -9,6 +9,7 @@
 # the shortest one does not, but older kernels lack it.
 _UNACKNOWLEDGED_OFFSET = 24
 _SMOOTHED_OFFSET = 68
+_ACKNOWLEDGED_OFFSET = 120
 _SHORTEST_OFFSET = 148
 _INFO_BYTES = 152
 
@@ -42,6 +43,15 @@
     return segments == 0
 
 
+def acknowledged_bytes(transport: asyncio.BaseTransport) -> int | None:
+    """Returns how much the other host has acknowledged, None if unknown."""
+    info = _read_info(transport)
+    if len(info) < _ACKNOWLEDGED_OFFSET + 8:
+        return None
+    (size,) = struct.unpack_from("=Q", info, _ACKNOWLEDGED_OFFSET)
+    return size
+
+
 def _read_info(transport: asyncio.BaseTransport) -> bytes:
     """Returns the kernel's `struct tcp_info`, empty if it is unknown."""
     connection = transport.get_extra_info("socket")
