Render nothing for clients that have left

Callers saw: nothing yet; found by reading. Fetches of the metrics or the state wait for each other, and were rendered although their clients had left meanwhile.

Evidence: 20 clients that leave while they wait: 21 renderings with that of the next client (test_nothing_is_rendered_for_clients_that_left fails on the commit before, `assert 21 == 1`).

Change: the connection is checked when it is a request's turn.

--- a/src/mallowloft/callers/operators.py
+++ b/src/mallowloft/callers/operators.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from mallowloft.callers import protocol
 from mallowloft.callers import server as server_lib
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import process
@@ -100,7 +101,9 @@
             if path == "/metrics":
                 # The first rendering loads a library, which takes a while.
                 await asyncio.to_thread(self._kernel.metrics.load_renderer)
-            response = await self._render(handler)
+            response = await self._render(
+                handler, scope["extensions"][protocol.CONNECTION_EXTENSION]
+            )
         else:
             response = handler()
         headers += [
@@ -117,12 +120,17 @@
         body = b"" if method == "HEAD" else response.body
         await send({"type": "http.response.body", "body": body})
 
-    async def _render(self, handler: Callable[[], _Response]) -> _Response:
+    async def _render(
+        self, handler: Callable[[], _Response], connection: protocol.Connection
+    ) -> _Response:
         """Returns the response of a handler that takes long.
 
         However many are requested, other work goes on after each of them.
+        Nothing is rendered for a client that has left.
         """
         async with self._rendering:
+            if connection.transport.is_closing():
+                return _Response(200, _TEXT, b"")
             response = handler()
             await asyncio.sleep(0)
             return response
