Keep all limits of a connection in one place

What a body may have besides its data, what is discarded and for how long stood in the protocol; kernel/connections.py states them now with the other limits. The values are the same.

--- a/src/mallowloft/callers/protocol.py
+++ b/src/mallowloft/callers/protocol.py
@@ -33,15 +33,6 @@
 _FIRST_LINE_REST_BYTES = 64
 # What the parsed form of a header takes besides its name and value.
 _HEADER_COST_BYTES = 160
-# Bytes of a body besides its data: chunk sizes and trailers. More are accepted
-# with a longer body.
-_MAX_FRAMING_BYTES = 16 << 10
-_MAX_FRAMING_PER_BODY_BYTE = 8
-# Most that is discarded of a body whose request has its response.
-_MAX_DISCARDED_BYTES = 1 << 20
-# How long data is discarded after a last response. Closing a connection with
-# unread data resets it, and the client could miss the response.
-_LINGER_S = 1.0
 # Receives the data of all connections; each read is processed at once.
 _read_buffer = memoryview(bytearray(connections_lib.FREE_BYTES))
 
@@ -344,10 +335,7 @@
     def _check_body(self) -> None:
         """Raises `_RequestError` if the framing of a body is too large."""
         framing = self._framing_bytes - self._body_bytes
-        if (
-            framing
-            > _MAX_FRAMING_BYTES + _MAX_FRAMING_PER_BODY_BYTE * self._body_bytes
-        ):
+        if framing > self._limits.max_framing_bytes(self._body_bytes):
             raise _RequestError(_STATUS_BAD_REQUEST)
 
     def _hold(self, data: bytes) -> None:
@@ -580,7 +568,7 @@
         self._body_bytes += size
         if self.cycle.response_complete:
             self._discarded_bytes += size
-            if self._discarded_bytes > _MAX_DISCARDED_BYTES:
+            if self._discarded_bytes > self._limits.max_discarded_bytes:
                 raise _RequestError(_STATUS_BAD_REQUEST)
         else:
             self._held_body_bytes += size
@@ -749,7 +737,9 @@
     def _linger(self) -> None:
         """Closes the connection once the client has read the response.
 
-        What the client still sends is discarded for a short time.
+        What the client still sends is discarded for a short time: closing a
+        connection with unread data resets it, and the client could miss the
+        response.
         """
         self._lingers = True
         self._unset_keepalive_if_required()
@@ -761,10 +751,13 @@
         self.transport.write_eof()
         self._group.move(self, connections_lib.Phase.LINGERING)
         self._deadline_s = None
-        self._set_deadline(_LINGER_S)
+        self._set_deadline(self._limits.linger_s)
         self.flow.resume_reading()
 
     def _discard(self, size: int) -> None:
         self._discarded_bytes += size
-        if self._lingers and self._discarded_bytes > _MAX_DISCARDED_BYTES:
+        if (
+            self._lingers
+            and self._discarded_bytes > self._limits.max_discarded_bytes
+        ):
             self.transport.abort()
--- a/src/mallowloft/kernel/connections.py
+++ b/src/mallowloft/kernel/connections.py
@@ -41,6 +41,10 @@
 _MAX_DESCRIPTORS = 1 << 20
 # Connections above the limit of a listener that may be open while others end.
 _EXCESS_SHARE = 0.25
+# Bytes of a body besides its data, such as chunk sizes and trailers, and how
+# many more are accepted for each byte of data.
+_MAX_FRAMING_BYTES = 16 << 10
+_MAX_FRAMING_PER_BODY_BYTE = 8
 # Interval at which connections are checked that wait for their clients. Work
 # for a client that has left ends after this time.
 _CHECK_INTERVAL_S = 0.1
@@ -58,12 +62,21 @@
         body_timeout_s: Time from the end of the headers to that of the body.
         idle_timeout_s: Time without a request, and time in which a client
             reads nothing of an answer.
+        max_discarded_bytes: Most that is discarded of a body after its answer,
+            and of what follows a last answer.
+        linger_s: How long data is discarded after a last answer.
     """
 
     max_head_bytes: int = 64 << 10
     head_timeout_s: float = 10.0
     body_timeout_s: float = 60.0
     idle_timeout_s: float = 10.0
+    max_discarded_bytes: int = 1 << 20
+    linger_s: float = 1.0
+
+    def max_framing_bytes(self, body_bytes: int) -> int:
+        """Returns the most that a body of a size may have besides its data."""
+        return _MAX_FRAMING_BYTES + _MAX_FRAMING_PER_BODY_BYTE * body_bytes
 
 
 class Phase(enum.Enum):
