Do not pass on a promise that a replica has not made

Callers of requests that may run once got 503 (or 408, 421, 429) from a replica that had run the request and failed with such a status, without Not-Executed.

Cause: single.Forwarding asked whether a reply states "not run" before a further attempt, but not before it returned the reply. A 421 counted as "not run" even with the replica's signature, which allowed a second run, and so did a 2xx with Not-Executed.

--- a/src/mallowloft/routes/attempts.py
+++ b/src/mallowloft/routes/attempts.py
@@ -16,6 +16,7 @@
 from mallowloft.routes import sending
 from mallowloft.routes.cold import limit as cold_limit
 from mallowloft.routes.crossing import crossing as crossing_lib
+from mallowloft.routes.placement import outcomes
 from mallowloft.upstream import http1
 from mallowloft.upstream import traffic as traffic_lib
 
@@ -39,7 +40,7 @@
 
 _OK = "ok"
 # A complete reply that is neither a success nor marked as not run. This
-# includes 3xx and 4xx replies, which are not a fault of the replica.
+# includes 3xx and most 4xx replies, which are not a fault of the replica.
 _REPLICA_FAILED = "replica_failed"
 _NOT_RUN = "not_run"
 _OUTCOMES = (_OK, _REPLICA_FAILED, _NOT_RUN, *model.Failure)
@@ -444,11 +445,12 @@
         reached(domain)
         self.on_reply(attempt.entry, outcome)
         # A misdirected reply is from another replica.
-        if outcome.cold_s and outcome.status != _STATUS_MISDIRECTED:
+        misdirected = outcome.status == _STATUS_MISDIRECTED and outcome.not_run
+        if outcome.cold_s and not misdirected:
             self._directory.cold.on_stated(attempt.entry, outcome.cold_s, now_s)
             attempt.entry.pool.recheck_waiting()
         health.record_load(outcome.running, outcome.waiting, now_s)
-        if outcome.status == _STATUS_MISDIRECTED:
+        if misdirected:
             self._mark_misdirected(attempt.entry)
         else:
             self.record_signals(
@@ -475,7 +477,7 @@
             ]()
             return
         attempt.entry.signals.record_reply()
-        if outcome.status >= 500:
+        if outcome.status >= 500 or outcomes.is_unconfirmed_refusal(outcome):
             health.record_failure(attempt, now_s)
         else:
             # Of a batch, request and parts are not known one by one.
@@ -527,11 +529,7 @@
         if isinstance(result, http1.FailureReason):
             return model.Failure(result.value)
         reply = self._parse_reply(result)
-        if (
-            not reply.not_run
-            and reply.status < 300
-            and self._is_invalid_success(result, reply)
-        ):
+        if reply.status < 300 and self._is_invalid_success(result, reply):
             return model.Failure.MALFORMED
         return reply
 
@@ -571,6 +569,10 @@
         health.record_reply(attempt, now_s, duration_s)
 
     def _parse_reply(self, response: http1.Response) -> model.Reply:
+        signature = response.header(self._names.signature) or b""
+        # A signature shows that the replica took the request, so the status
+        # alone does not state the opposite.
+        misdirected = response.status == _STATUS_MISDIRECTED and not signature
         not_run = response.header(self._names.not_run) is not None
         load = _parse_load(response.header(self._names.load))
         pause_s = None
@@ -582,8 +584,8 @@
             status=response.status,
             headers=response.headers,
             body=response.body,
-            signature=response.header(self._names.signature) or b"",
-            not_run=not_run or response.status == _STATUS_MISDIRECTED,
+            signature=signature,
+            not_run=not_run or misdirected,
             waiting=load[1],
             leaving=response.header(self._names.leaving) is not None,
             pause_s=pause_s,
@@ -632,11 +634,11 @@
     ) -> bool:
         """Whether a 2xx reply was altered or is not from the replica.
 
-        This is assumed of a reply that has a content encoding or lacks the
-        replica's signature.
+        This is assumed of a reply that has a content encoding, lacks the
+        replica's signature, or states that the request was not run.
         """
         encoded = response.header(b"content-encoding") is not None
-        return encoded or not reply.signature
+        return encoded or not reply.signature or reply.not_run
 
 
 def _is_success(outcome: Outcome) -> bool:
--- a/src/mallowloft/routes/placement/outcomes.py
+++ b/src/mallowloft/routes/placement/outcomes.py
@@ -2,7 +2,8 @@
 
 A refusal promises the caller that no replica has run the request and none will.
 An attempt counts as possibly run unless it ended unsent, was never written to a
-connection, or its reply says that it was not run.
+connection, or its reply says that it was not run. A status alone does not say
+so: replicas also fail with a status that refuses.
 """
 
 from collections.abc import Iterable
@@ -17,6 +18,10 @@
 # two seconds of its start.
 _UNKNOWN_RETRY_AFTER_S = 0.5
 _MIN_RETRY_AFTER_S = 0.02
+# Statuses with which an answer promises that the request has not run and will
+# not run: request timeout, misdirected request, too many requests, and service
+# unavailable.
+_PROMISING_STATUSES = frozenset((408, 421, 429, 503))
 
 
 class Attempt(Protocol):
@@ -34,6 +39,16 @@
     return not outcome.not_run
 
 
+def is_unconfirmed_refusal(reply: model.Reply) -> bool:
+    """Whether a reply refuses by its status, but may have been run."""
+    return reply.status in _PROMISING_STATUSES and not reply.not_run
+
+
+def promises_not_run(answer: model.Answer) -> bool:
+    """Whether an answer promises that the request was not run."""
+    return answer.status in _PROMISING_STATUSES
+
+
 def any_sent(in_flight: Iterable[Attempt]) -> bool:
     """Whether a replica may have run an attempt that is still in flight."""
     return any(attempt.sent for attempt in in_flight)
--- a/src/mallowloft/routes/running.py
+++ b/src/mallowloft/routes/running.py
@@ -15,6 +15,7 @@
 from mallowloft.routes import model
 from mallowloft.routes import selection
 from mallowloft.routes import timing
+from mallowloft.routes.placement import outcomes
 
 # Retry-after of requests without a usable replica. A new replica is listed
 # within one to two seconds of its start.
@@ -23,6 +24,9 @@
 EVACUATED = "evacuated"
 # Reason for refusing a request that a stopping instance would not finish.
 STOPPING = "stopping"
+# Reason for failing a request that may run once, although the replica's status
+# refuses it: nothing else shows that it has not run.
+UNCONFIRMED_REFUSAL = "unconfirmed_refusal"
 # Shortest retry-after: replicas that were all tried may accept a further
 # attempt after about the duration of one request.
 MIN_RETRY_AFTER_S = 0.02
@@ -177,6 +181,17 @@
             self.done.cancel()
 
     def _finish(self, answer: model.Answer) -> None:
+        """Ends the request; passes on no promise that a replica may break.
+
+        Own refusals have a reason, and are given only if nothing has run.
+        Replicas' replies have none, also if another instance passed them on.
+        """
+        if (
+            not self._route.idempotent
+            and not answer.reason
+            and outcomes.promises_not_run(answer)
+        ):
+            answer = model.failure(502, UNCONFIRMED_REFUSAL)
         self._release()
         if not self.done.done():
             self.finished_s = self._loop.time()
--- a/tests/test_routes_placement.py
+++ b/tests/test_routes_placement.py
@@ -174,9 +174,39 @@
         loop.call_soon(exchange.set_outcome, http1.Response(500, (), b""))
 
 
+class _AnsweringPool(_BusyPool):
+    """Connections to an instance that gives an answer."""
+
+    def __init__(self, answer: model.Answer) -> None:
+        super().__init__()
+        self._body = delegation.encode_answer(answer, False)
+
+    def submit(self, exchange: http1.Exchange) -> None:
+        """Answers at once."""
+        exchange.connection = self
+        loop = asyncio.get_running_loop()
+        loop.call_soon(
+            exchange.set_outcome, http1.Response(200, (), self._body)
+        )
+
+
 class TestPassedOn:
     """Guards against wrong promises about requests that were passed on."""
 
+    @pytest.mark.parametrize("status", [408, 421, 429, 503])
+    def test_refusal_of_a_replica_is_no_promise(self, status):
+        # An instance of an earlier build passes on such replies.
+        reply = model.Answer(status, ((b"x-signature", b"s"),), b"reply")
+        answer = _forward(_AnsweringPool(reply), idempotent=False)
+        assert (answer.status, answer.headers) == (502, ())
+        assert answer.body != reply.body
+        assert _forward(_AnsweringPool(reply)).status == status
+
+    def test_refusal_of_the_other_instance_is_a_promise(self):
+        refusal = model.refusal("no_replica", 0.5)
+        answer = _forward(_AnsweringPool(refusal), idempotent=False)
+        assert (answer.status, answer.reason) == (503, "no_replica")
+
     def test_request_that_no_instance_got_is_refused(self):
         answer = _forward(_BusyPool(), idempotent=False)
         assert (answer.status, answer.reason) == (503, "hubs_not_reached")
