Bound the responses before the one that a request waits for

A replica that sends interim responses without end left callers without an answer, also those of sound services: with 40 calls kept open at four such replicas, 1 of 13 requests to a sound service with a time limit of 1.5 s was answered within 4 s (gathered: none of 14; one faulty shard of four: 1 of 13).

Cause: each interim response of 25 bytes is a message with several callbacks, their number had no bound, and a read of 256 KiB has 10,000 of them. Responses to earlier requests are skipped in the same way, and their bodies were kept until they were whole.

A request now fails as malformed after 32 such messages, and the bodies of skipped messages are not kept.

--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -57,6 +57,8 @@
 # are accepted with a longer body.
 _MAX_OVERHEAD_BYTES = 64 << 10
 _MAX_OVERHEAD_PER_BODY_BYTE = 8
+# Interim responses, and responses to earlier requests, before the response.
+_MAX_SKIPPED_MESSAGES = 32
 # A body up to this size is sent together with the head. A larger one is sent in
 # chunks of this size, each when the one before has been passed to the operating
 # system, so that a connection holds a copy of one chunk at most.
@@ -263,6 +265,7 @@
         # Bytes of the present message in its body, and besides it.
         self._message_body_size = 0
         self._overhead_size = 0
+        self._skipped_messages = 0
         self._has_declared_length = False
         self._in_head = False
         self._in_body = False
@@ -307,6 +310,7 @@
         self._response = None
         self._in_body = False
         self._message_body_size = self._overhead_size = 0
+        self._skipped_messages = 0
         self._pool.count_bytes(exchange.purpose, traffic.SENT, exchange.size)
         if exchange.on_bytes is not None:
             exchange.on_bytes(traffic.SENT, exchange.size)
@@ -417,7 +421,11 @@
         """Completes a response that is delimited by the end of the stream."""
         if self._in_body and not self._has_declared_length:
             self._reusable = False
-            self.on_message_complete()
+            try:
+                self.on_message_complete()
+            except framing.FramingError:
+                self._fail_malformed()
+                return False
             self._deliver_response()
         return False
 
@@ -490,12 +498,15 @@
         """Stores a part of the response body, up to the size limit.
 
         The rest of a larger body is discarded, and the exchange fails as
-        MALFORMED. Data after the response is discarded, too.
+        MALFORMED. Data after the response and the bodies of skipped messages
+        are discarded, too.
         """
         if self._response is not None:
             return
         self._overhead_size -= len(body)
         self._message_body_size += len(body)
+        if self._is_stale:
+            return
         if self._streams_body:
             self._streamed.append(body)
             return
@@ -508,17 +519,24 @@
         """Stores the final response unless it belongs to an earlier request.
 
         Of an interim (1xx) response, only the arrival is noted.
+
+        Raises:
+            framing.FramingError: There have been too many other responses.
         """
         self._in_body = False
         self._overhead_size = 0
         if self._response is not None:
             return
         status = self._parser.get_status_code()
-        if 100 <= status < 200:
-            self._exchange.interim_received = True
-            return
-        if self._is_stale:
-            self._pool.on_event(STALE_RESPONSE)
+        is_interim = 100 <= status < 200
+        if is_interim or self._is_stale:
+            self._skipped_messages += 1
+            if self._skipped_messages > _MAX_SKIPPED_MESSAGES:
+                raise framing.FramingError("too many other responses")
+            if is_interim:
+                self._exchange.interim_received = True
+            else:
+                self._pool.on_event(STALE_RESPONSE)
             return
         if not self._parser.should_keep_alive():
             self._reusable = False
