Bound the number of headers of a response

An instance of 300 MB held 507 MiB while 40 gathered calls were open at four replicas that send headers of two bytes without end (260 MiB on single routes, 229 with one faulty shard of four): heads were bounded to 64 KiB each, but a header of four bytes on the wire takes some 200 as objects.

A response now has 256 headers and trailers at most. Two of the four new tests fail before (10,000 headers, 10,000 trailers).

--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -57,6 +57,8 @@
 # are accepted with a longer body.
 _MAX_OVERHEAD_BYTES = 64 << 10
 _MAX_OVERHEAD_PER_BODY_BYTE = 8
+# Headers and trailers of a message.
+_MAX_HEADERS = 256
 # Interim responses, and responses to earlier requests, before the response.
 _MAX_SKIPPED_MESSAGES = 32
 # A body up to this size is sent together with the head. A larger one is sent in
@@ -260,6 +262,7 @@
         self._exchange: Exchange | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: list[tuple[bytes, bytes]] = []
+        self._header_count = 0
         self._body: list[bytes] = []
         self._body_size = 0
         # Bytes of the present message in its body, and besides it.
@@ -446,6 +449,7 @@
         A response after a complete one is noted as surplus data.
         """
         self._headers = []
+        self._header_count = 0
         self._clear_body()
         self._message_body_size = 0
         self._has_declared_length = False
@@ -456,7 +460,14 @@
             self._has_surplus_data = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a response header; trailers are discarded."""
+        """Stores a response header; trailers are discarded.
+
+        Raises:
+            framing.FramingError: There are too many.
+        """
+        self._header_count += 1
+        if self._header_count > _MAX_HEADERS:
+            raise framing.FramingError("too many headers")
         if self._in_head:
             self._headers.append((name.lower(), value))
 
--- a/tests/test_receiving.py
+++ b/tests/test_receiving.py
@@ -82,3 +82,25 @@
                 assert pool.open_count == 0
 
         asyncio.run(_run(serve, test))
+
+
+class TestHeaders:
+    """What headers take is bounded, however short they are."""
+
+    @pytest.mark.parametrize("first", [_OK, _CHUNKED + b"0\r\n"])
+    @pytest.mark.parametrize("count", [200, 10_000])
+    def test_count_is_bounded(self, first, count):
+        async def serve(head, writer):
+            del head
+            rest = b"\r\n" if first is not _OK else _WHOLE[len(_OK) :]
+            writer.write(first + b"a:\r\n" * count + rest)
+            await writer.drain()
+
+        async def test(pool):
+            outcome = await _get(pool)
+            if count == 200:
+                assert outcome.status == 200
+            else:
+                assert outcome is http1.FailureReason.MALFORMED
+
+        asyncio.run(_run(serve, test))
