Bound what unfinished responses hold, and their work in one iteration

Replicas that send bodies in chunks of 1 or 8 bytes without end left callers without an answer: of 13 or 14 requests to a sound service with a time limit of 1.5 s, one or two were answered within 4 s, beside 40 calls at such replicas. Chunks of 8 bytes took 372 to 415 MiB of an instance of 300 MB.

Cause: all that had arrived, 256 KiB a connection, was parsed in one iteration of the event loop, with a callback for every five bytes or so. Each chunk was kept as an object of its own.

kernel/receiving.py counts the work of the parser. Beyond the first part of a response, all connections share a bound for each iteration, and take turns (deficit round robin); meanwhile their data waits and they are not read.

The tests that read _buffered_bytes read held_bytes now, which counts heads and unparsed data as well; test_bodies_without_end_share_a_limit sets the same 4 MiB there.

--- a/src/mallowloft/kernel/lifecycle.py
+++ b/src/mallowloft/kernel/lifecycle.py
@@ -11,6 +11,7 @@
 from mallowloft.kernel import connections as connections_lib
 from mallowloft.kernel import logs
 from mallowloft.kernel import metrics as metrics_lib
+from mallowloft.kernel import receiving as receiving_lib
 from mallowloft.kernel import registry
 from mallowloft.kernel import settings as settings_lib
 
@@ -92,6 +93,7 @@
         self.plugins_by_name: dict[str, Any] = {}
         self._plugin_order: list[str] = []
         self._pause_task: asyncio.Task | None = None
+        self._receiving: receiving_lib.Receiving | None = None
 
     def plugin(self, name: str) -> Any:
         """Returns the plug-in with the given name."""
@@ -117,10 +119,20 @@
     async def start(self) -> None:
         """Starts all plug-ins."""
         self._pause_task = asyncio.create_task(self.pause_detector.run())
+        self._bound_responses()
         for name in self._plugin_order:
             await self.plugins_by_name[name].start()
         _log.info("instance_started", incarnation=self.incarnation)
 
+    def _bound_responses(self) -> None:
+        self._receiving = receiving = receiving_lib.of_running_loop()
+        receiving.set_memory(self.settings.memory_mb)
+        receiving.on_refused = self._count_refused_response
+        self.metrics.gauge("response_bytes_held", lambda: receiving.held_bytes)
+
+    def _count_refused_response(self, reason: str) -> None:
+        self.metrics.count("responses_refused", reason=reason)
+
     def ready(self) -> bool:
         """Returns whether the instance is ready for callers' requests."""
         if self.stopping:
@@ -147,6 +159,8 @@
             await self.plugins_by_name[name].stop(remaining_s)
         if self._pause_task is not None:
             self._pause_task.cancel()
+        if self._receiving is not None:
+            self._receiving.stop_counting()
         _log.info("instance_stopped")
 
     def dump(self) -> dict[str, Any]:
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -19,7 +19,9 @@
 
 import httptools
 
+from mallowloft.kernel import connections as connections_lib
 from mallowloft.kernel import logs
+from mallowloft.kernel import receiving as receiving_lib
 from mallowloft.kernel import tcp
 from mallowloft.kernel import whole_numbers
 from mallowloft.upstream import framing
@@ -57,18 +59,16 @@
 # are accepted with a longer body.
 _MAX_OVERHEAD_BYTES = 64 << 10
 _MAX_OVERHEAD_PER_BODY_BYTE = 8
-# Headers and trailers of a message.
-_MAX_HEADERS = 256
-# Interim responses, and responses to earlier requests, before the response.
-_MAX_SKIPPED_MESSAGES = 32
 # A body up to this size is sent together with the head. A larger one is sent in
 # chunks of this size, each when the one before has been passed to the operating
 # system, so that a connection holds a copy of one chunk at most.
 _CHUNK_BYTES = 16 << 10
-# Bodies that the process may hold until they are complete. Above it, responses
-# fail that hold more than the smaller size.
-_MAX_BUFFERED_BYTES = 64 << 20
-_SMALL_BODY_BYTES = 1 << 20
+# Headers and trailers of a message, and what the objects of a header take
+# besides its text.
+_MAX_HEADERS = 256
+_HEADER_OBJECT_BYTES = 160
+# Interim responses, and responses to earlier requests, before the response.
+_MAX_SKIPPED_MESSAGES = 32
 
 # Events that a pool passes to its `on_event` callback. Their values are metric
 # labels and may differ from the names.
@@ -250,25 +250,35 @@
             self.connection.close("abandoned")
 
 
-class Connection(asyncio.Protocol):
-    """One HTTP/1.1 connection without pipelining."""
+class Connection(asyncio.BufferedProtocol):
+    """One HTTP/1.1 connection without pipelining.
 
-    # Size of the incomplete bodies of all connections of the process.
-    _buffered_bytes = 0
+    Attributes:
+        parse_credit: See `receiving.Receiver`.
+    """
 
     def __init__(self, pool: "Pool") -> None:
         self._pool = pool
+        self._receiving = pool.receiving
+        self.parse_credit = 0
+        # Data that waits for a later iteration of the event loop.
+        self._unparsed = b""
+        # Work of the parser for the present exchange.
+        self._work = 0
+        self._skipped_messages = 0
+        # Whether the buffer of the operating system has a fixed size.
+        self._has_bounded_buffer = False
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_count = 0
-        self._body: list[bytes] = []
+        self._head_size = 0
+        self._body = bytearray()
         self._body_size = 0
         # Bytes of the present message in its body, and besides it.
         self._message_body_size = 0
         self._overhead_size = 0
-        self._skipped_messages = 0
         self._has_declared_length = False
         self._in_head = False
         self._in_body = False
@@ -313,7 +323,7 @@
         self._response = None
         self._in_body = False
         self._message_body_size = self._overhead_size = 0
-        self._skipped_messages = 0
+        self._work = self._skipped_messages = 0
         self._pool.count_bytes(exchange.purpose, traffic.SENT, exchange.size)
         if exchange.on_bytes is not None:
             exchange.on_bytes(traffic.SENT, exchange.size)
@@ -372,8 +382,21 @@
             self._transport.abort()
         self._fail_exchange(FailureReason.BROKEN, reason)
 
-    def data_received(self, data: bytes) -> None:
-        """Parses received data and delivers a complete response."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read."""
+        del sizehint
+        return self._receiving.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handles data that was read into the buffer."""
+        self.data_received(self._receiving.read_buffer[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Parses received data and delivers a complete response.
+
+        Of a long response, some data may be parsed in later iterations of the
+        event loop.
+        """
         self._pool.received_s = self._pool.now()
         if self._exchange is None:
             # No request is in flight, so this is a second response to an
@@ -386,38 +409,123 @@
         )
         if self._exchange.on_bytes is not None:
             self._exchange.on_bytes(traffic.RECEIVED, len(data))
-        self._overhead_size += len(data)
+        position = 0
+        while position < len(data) and not self._is_complete:
+            if self._work < receiving_lib.IMMEDIATE_WORK:
+                self._parse_step(data, position)
+            elif self._receiving.may_parse():
+                self._receiving.record_work(self._parse_step(data, position))
+            else:
+                self._defer(bytes(data[position:]))
+                break
+            position += receiving_lib.STEP_BYTES
+        self._process_parsed()
+
+    def _defer(self, data: bytes) -> None:
+        """Keeps data for a later iteration; reading pauses until then."""
+        self._unparsed = data
+        self._transport.pause_reading()
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None and not self._has_bounded_buffer:
+            # Otherwise the system would buffer more and more.
+            self._has_bounded_buffer = True
+            sock.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_RCVBUF,
+                connections_lib.SOCKET_BUFFER_BYTES,
+            )
+        self._receiving.defer(self)
+
+    @property
+    def has_unparsed(self) -> bool:
+        """Whether data waits for a later iteration of the event loop."""
+        return bool(self._unparsed)
+
+    def parse_some(self, max_work: int) -> int:
+        """Parses data that has waited; see `receiving.Receiver`."""
+        data, self._unparsed = self._unparsed, b""
+        position = work = 0
+        while position < len(data) and not self._is_complete:
+            if work >= max_work:
+                self._unparsed = data[position:]
+                break
+            work += self._parse_step(data, position)
+            position += receiving_lib.STEP_BYTES
+        self._process_parsed()
+        if not self._unparsed:
+            self._transport.resume_reading()
+        return work
+
+    @property
+    def _is_complete(self) -> bool:
+        """Whether a response is complete, or there will be none."""
+        return self.closed or self._response is not None
+
+    def _parse_step(self, data: bytes | memoryview, position: int) -> int:
+        """Parses the data of one step, of which none is left if it completes.
+
+        Closes the connection if the data cannot become a response.
+
+        Returns:
+            The work of the step.
+        """
+        work_before = self._work
+        self._work += receiving_lib.STEP_WORK
+        end = position + receiving_lib.STEP_BYTES
+        step = data[position:end]
+        self._overhead_size += len(step)
+        failure = ""
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(step)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if self._response is None:
-                self._fail_malformed()
-                return
+            failure = "syntax"
+        else:
+            failure = self._exceeded_limit()
+        if self._response is None:
+            if failure:
+                self._fail_malformed(failure)
+        elif failure or bytes(data[end:]).strip(b"\r\n"):
+            # Only empty lines may follow a response.
             self._has_surplus_data = True
-        if self._response is None and self._exceeds_limits():
-            self._fail_malformed()
-            return
-        self._deliver_streamed()
+        return self._work - work_before
+
+    def _process_parsed(self) -> None:
+        """Passes on what has been parsed, and records what is kept."""
+        if not self.closed:
+            self._deliver_streamed()
         if not self.closed:
             self._deliver_response()
+        if not self.closed:
+            self._receiving.charge(
+                self, self._body_size + self._head_size + len(self._unparsed)
+            )
 
-    def _exceeds_limits(self) -> bool:
-        """Whether the present message is too large to be a response."""
+    def _exceeded_limit(self) -> str:
+        """Returns why the message is too large to be a response, or ""."""
         max_overhead = (
             _MAX_OVERHEAD_BYTES
             + _MAX_OVERHEAD_PER_BODY_BYTE * self._message_body_size
         )
         if self._overhead_size > max_overhead:
-            return True
+            return "overhead"
+        return "body" if self._is_body_too_large else ""
+
+    @property
+    def _is_body_too_large(self) -> bool:
         return (
-            Connection._buffered_bytes > _MAX_BUFFERED_BYTES
-            and self._body_size > _SMALL_BODY_BYTES
+            self._message_body_size > _MAX_RESPONSE_BYTES
+            and not self._streams_body
         )
 
-    def _clear_body(self) -> None:
-        """Discards the body that is stored so far."""
-        Connection._buffered_bytes -= self._body_size
-        self._body = []
+    def fail_for_memory(self) -> None:
+        """Fails the exchange; see `receiving.Receiver`."""
+        self._fail_malformed("memory")
+
+    def _clear_message(self) -> None:
+        """Discards what is stored of the present message."""
+        self._headers = []
+        self._header_count = self._head_size = 0
+        self._body = bytearray()
         self._body_size = 0
 
     def eof_received(self) -> bool:
@@ -427,7 +535,7 @@
             try:
                 self.on_message_complete()
             except framing.FramingError:
-                self._fail_malformed()
+                self._fail_malformed("syntax")
                 return False
             self._deliver_response()
         return False
@@ -448,9 +556,8 @@
 
         A response after a complete one is noted as surplus data.
         """
-        self._headers = []
-        self._header_count = 0
-        self._clear_body()
+        self._work += 1
+        self._clear_message()
         self._message_body_size = 0
         self._has_declared_length = False
         self._in_head = True
@@ -465,11 +572,13 @@
         Raises:
             framing.FramingError: There are too many.
         """
+        self._work += 1
         self._header_count += 1
         if self._header_count > _MAX_HEADERS:
             raise framing.FramingError("too many headers")
         if self._in_head:
             self._headers.append((name.lower(), value))
+            self._head_size += len(name) + len(value) + _HEADER_OBJECT_BYTES
 
     def on_headers_complete(self) -> None:
         """Handles the end of the headers.
@@ -480,6 +589,7 @@
         Raises:
             framing.FramingError: The headers contradict each other.
         """
+        self._work += 1
         status = self._parser.get_status_code()
         framing.check(self._parser.get_http_version(), status, self._headers)
         self._is_stale = self._belongs_to_other_request()
@@ -512,6 +622,7 @@
         MALFORMED. Data after the response and the bodies of skipped messages
         are discarded, too.
         """
+        self._work += 1
         if self._response is not None:
             return
         self._overhead_size -= len(body)
@@ -521,10 +632,9 @@
         if self._streams_body:
             self._streamed.append(body)
             return
-        self._body_size += len(body)
-        Connection._buffered_bytes += len(body)
-        if self._body_size <= _MAX_RESPONSE_BYTES:
-            self._body.append(body)
+        if self._message_body_size <= _MAX_RESPONSE_BYTES:
+            self._body += body
+            self._body_size = len(self._body)
 
     def on_message_complete(self) -> None:
         """Stores the final response unless it belongs to an earlier request.
@@ -532,8 +642,10 @@
         Of an interim (1xx) response, only the arrival is noted.
 
         Raises:
-            framing.FramingError: There have been too many other responses.
+            framing.FramingError: There have been too many other responses, or
+                the body is too large.
         """
+        self._work += 1
         self._in_body = False
         self._overhead_size = 0
         if self._response is not None:
@@ -549,10 +661,12 @@
             else:
                 self._pool.on_event(STALE_RESPONSE)
             return
+        if self._is_body_too_large:
+            raise framing.FramingError("body too large")
         if not self._parser.should_keep_alive():
             self._reusable = False
         self._response = Response(
-            status, tuple(self._headers), b"".join(self._body)
+            status, tuple(self._headers), bytes(self._body)
         )
 
     def _deliver_streamed(self) -> None:
@@ -569,13 +683,10 @@
             self._exchange.on_data(data)
 
     def _deliver_response(self) -> None:
-        if self._body_size > _MAX_RESPONSE_BYTES:
-            self._fail_malformed()
-            return
         response = self._response
         if response is None:
             return
-        self._clear_body()
+        self._release_memory()
         self.response_received = True
         self._update_idle_timeout(response)
         exchange, self._exchange = self._exchange, None
@@ -608,13 +719,24 @@
                     0.0, timeout_s - _IDLE_TIMEOUT_MARGIN_S
                 )
 
-    def _fail_malformed(self) -> None:
+    def _release_memory(self) -> None:
+        self._clear_message()
+        self._unparsed = b""
+        self._receiving.charge(self, 0)
+
+    def _fail_malformed(self, limit: str) -> None:
+        """Closes the connection because of the response.
+
+        Args:
+            limit: The limit that it exceeds; `syntax` if it is malformed.
+        """
         self.closed = True
+        self._receiving.on_refused(limit)
         self._transport.abort()
         self._fail_exchange(FailureReason.MALFORMED, "malformed")
 
     def _fail_exchange(self, failure: FailureReason, reason: str) -> None:
-        self._clear_body()
+        self._release_memory()
         exchange, self._exchange = self._exchange, None
         self._pool.release(self)
         if exchange is not None and not exchange.done:
@@ -635,6 +757,7 @@
 
     Attributes:
         received_s: Loop time at which data arrived last.
+        receiving: Bounds on the responses of all pools.
     """
 
     def __init__(
@@ -661,6 +784,7 @@
         self._host = host
         self._port = port
         self._loop = asyncio.get_running_loop()
+        self.receiving = receiving_lib.of_running_loop()
         self._idle: list[Connection] = []
         self._open: set[Connection] = set()
         self._connecting: set[asyncio.Task] = set()
--- a/tests/support/responses.py
+++ b/tests/support/responses.py
@@ -4,12 +4,14 @@
 what a client takes for a whole response with it.
 """
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 import itertools
 import re
 import types
 
+from mallowloft.kernel import receiving as receiving_lib
 from mallowloft.upstream import http1
 
 ID_NAME = b"x-request-id"
@@ -218,6 +220,15 @@
 
     address = "server:1"
 
+    def __init__(self) -> None:
+        self.scheduled: list[Callable[[], None]] = []
+        self.receiving = receiving_lib.Receiving(self.scheduled.append)
+
+    def run_scheduled(self) -> None:
+        """Runs iterations of the event loop until nothing is scheduled."""
+        while self.scheduled:
+            self.scheduled.pop(0)()
+
     def now(self) -> float:
         return 0.0
 
@@ -241,7 +252,8 @@
         segments: The data as it arrives.
         reset: Whether the connection is reset instead of closed in order.
     """
-    connection = http1.Connection(_Pool())
+    pool = _Pool()
+    connection = http1.Connection(pool)
     connection.connection_made(
         types.SimpleNamespace(
             get_extra_info=lambda name: None,
@@ -249,14 +261,17 @@
             write=lambda data: None,
             abort=lambda: None,
             close=lambda: None,
+            pause_reading=lambda: None,
+            resume_reading=lambda: None,
         )
     )
     connection.send(exchange)
     for segment in segments:
         if not connection.closed:
             connection.data_received(segment)
+            pool.run_scheduled()
     if not connection.closed:
         if not reset:
             connection.eof_received()
         connection.connection_lost(ConnectionResetError() if reset else None)
-    assert http1.Connection._buffered_bytes == 0
+    assert pool.receiving.held_bytes == 0
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -308,9 +308,7 @@
     @pytest.mark.parametrize(
         "head", [b"", b"content-length: 99999999999\r\n"], ids=["eof", "length"]
     )
-    def test_bodies_without_end_share_a_limit(self, head, monkeypatch):
-        monkeypatch.setattr(http1, "_MAX_BUFFERED_BYTES", 4 << 20)
-
+    def test_bodies_without_end_share_a_limit(self, head):
         async def serve(server, reader, writer):
             await server.read_request_id(reader)
             writer.write(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n")
@@ -319,11 +317,12 @@
                 await writer.drain()
 
         async def test(server, client):
+            client.pool.receiving.max_held_bytes = 4 << 20
             futures = [client.send(b"%d" % number)[1] for number in range(4)]
             async with asyncio.timeout(10):
                 outcomes = await asyncio.gather(*futures)
             assert set(outcomes) == {http1.FailureReason.MALFORMED}
-            assert http1.Connection._buffered_bytes == 0
+            assert client.pool.receiving.held_bytes == 0
 
         _run_with_server(serve, test, max_connections=4)
 
@@ -338,7 +337,7 @@
 
         async def test(server, client):
             assert (await client.get(b"a")).body == b"y" * 100_000
-            assert http1.Connection._buffered_bytes == 0
+            assert client.pool.receiving.held_bytes == 0
 
         _run_with_server(serve, test)
 
--- a/tests/test_http1_responses.py
+++ b/tests/test_http1_responses.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 import pytest
 
+from mallowloft.kernel import receiving as receiving_lib
 from mallowloft.upstream import http1
 from tests.support import responses
 
@@ -373,3 +374,31 @@
     @hypothesis.given(CASES)
     def test_only_whole_responses_are_taken(self, case):
         check_only_whole_responses_are_taken(case)
+
+
+@pytest.fixture(scope="class")
+def small_steps():
+    """Parses a few bytes at a time, and one step in an iteration."""
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(receiving_lib, "STEP_BYTES", 7)
+        patch.setattr(receiving_lib, "IMMEDIATE_WORK", 0)
+        patch.setattr(receiving_lib, "_WORK_PER_ITERATION", 1)
+        patch.setattr(receiving_lib, "_WORK_PER_TURN", 1)
+        yield
+
+
+@pytest.mark.usefixtures("small_steps")
+class TestCutResponsesInSteps(TestCutResponses):
+    """The same if the rest of the data waits for later iterations."""
+
+
+@pytest.mark.usefixtures("small_steps")
+class TestAnyResponseInSteps:
+    """The same if the rest of the data waits for later iterations."""
+
+    @hypothesis.settings(
+        max_examples=500, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(CASES)
+    def test_only_whole_responses_are_taken(self, case):
+        check_only_whole_responses_are_taken(case)
