Bound the bodies that aiohttp receives

A replica of the product's own interface, or its configuration service, could send a body without end until the deadline of the call: aiohttp keeps all of it, and nothing bounded one body or all of them.

upstream/bodies.py reads these bodies in parts that count toward the bound on all unfinished responses. Four new tests fail before: nothing is refused at the bound, and a body that ends with the connection ends as done.

--- a/src/mallowloft/configuration/platform.py
+++ b/src/mallowloft/configuration/platform.py
@@ -10,6 +10,7 @@
 import result
 
 from mallowloft import messages
+from mallowloft.upstream import bodies
 
 _READ_TIMEOUT_S = 2.0
 _WATCH_MARGIN_S = 5.0
@@ -142,7 +143,9 @@
             ) as response:
                 if response.status != 200:
                     return result.Err(f"status {response.status}")
-                return result.Ok(decode(json.loads(await response.read())))
+                return result.Ok(
+                    decode(json.loads(await bodies.read(response)))
+                )
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return result.Err(f"{type(error).__name__}: {error}")
         except (ValueError, KeyError, TypeError, RecursionError) as error:
--- a/src/mallowloft/kernel/receiving.py
+++ b/src/mallowloft/kernel/receiving.py
@@ -35,7 +35,14 @@
 _DEFAULT_MEMORY_BYTES = 512 << 20
 
 
-class Receiver(Protocol):
+class Holder(Protocol):
+    """What holds an unfinished response."""
+
+    def fail_for_memory(self) -> None:
+        """Ends the response, which then holds nothing."""
+
+
+class Receiver(Holder, Protocol):
     """A connection to a server.
 
     Attributes:
@@ -57,9 +64,6 @@
             The work that was done.
         """
 
-    def fail_for_memory(self) -> None:
-        """Ends the unfinished response, which then holds nothing."""
-
 
 def _call_soon(function: Callable[[], None]) -> None:
     # Objects that are kept by loop (`of_running_loop`) must not refer to it.
@@ -96,7 +100,7 @@
         self.max_held_bytes = int(_HELD_SHARE * _DEFAULT_MEMORY_BYTES)
         self.on_refused: Callable[[str], None] = _ignore
         self.read_buffer = memoryview(bytearray(_READ_BYTES))
-        self._held_by_receiver: dict[Receiver, int] = {}
+        self._held_by_holder: dict[Holder, int] = {}
         # Connections with unparsed data, in the order of their turns.
         self._queue: collections.deque[Receiver] = collections.deque()
         self._work_left = _WORK_PER_ITERATION
@@ -115,20 +119,20 @@
         """Removes the callback for refused responses."""
         self.on_refused = _ignore
 
-    def charge(self, receiver: Receiver, size: int) -> None:
-        """Records what a connection holds.
+    def charge(self, holder: Holder, size: int) -> None:
+        """Records how many bytes an unfinished response holds.
 
         If all hold too much, the response that holds most fails, which may be
-        that of `receiver`.
+        that of `holder`.
         """
-        self.held_bytes += size - self._held_by_receiver.get(receiver, 0)
+        self.held_bytes += size - self._held_by_holder.get(holder, 0)
         if size:
-            self._held_by_receiver[receiver] = size
+            self._held_by_holder[holder] = size
         else:
-            self._held_by_receiver.pop(receiver, None)
+            self._held_by_holder.pop(holder, None)
         while self.held_bytes > self.max_held_bytes:
             largest = max(
-                self._held_by_receiver, key=self._held_by_receiver.__getitem__
+                self._held_by_holder, key=self._held_by_holder.__getitem__
             )
             largest.fail_for_memory()
 
--- a/src/mallowloft/upstream/http.py
+++ b/src/mallowloft/upstream/http.py
@@ -11,6 +11,7 @@
 
 from mallowloft.kernel import lifecycle
 from mallowloft.kernel import registry
+from mallowloft.upstream import bodies
 from mallowloft.upstream import framing
 from mallowloft.upstream import protocol
 
@@ -126,7 +127,7 @@
         Raises:
             aiohttp.ClientError: Some of it may be missing.
         """
-        content = await super().read()
+        content = await bodies.read(self)
         if self._ends_with_connection and (
             self._connection_end is None
             or not self._connection_end.done()
--- a/tests/test_dispatch_responses.py
+++ b/tests/test_dispatch_responses.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from mallowloft.kernel import receiving as receiving_lib
 from mallowloft.upstream import http
 from mallowloft.upstream import protocol
 
@@ -40,12 +41,15 @@
     def __init__(self) -> None:
         self.data = b""
         self.reset = False
+        self.serving: set[asyncio.Task] = set()
 
     async def serve(self, reader, writer) -> None:
+        self.serving.add(asyncio.current_task())
         try:
             await reader.readuntil(b"\r\n\r\n")
             writer.write(self.data)
-            await writer.drain()
+            with contextlib.suppress(ConnectionError):
+                await writer.drain()
             if self.reset:
                 # A reset discards what the client has not read.
                 await asyncio.sleep(0.005)
@@ -54,6 +58,7 @@
                 )
         finally:
             writer.close()
+            self.serving.discard(asyncio.current_task())
 
 
 @contextlib.asynccontextmanager
@@ -75,6 +80,8 @@
 
     yield submit
     server.close()
+    if replica.serving:
+        await asyncio.wait(set(replica.serving))
 
 
 class TestCutResponses:
@@ -149,3 +156,41 @@
         async with _replica() as submit:
             reply = await submit(data, reset=False)
         assert reply.outcome is protocol.CallOutcome.FAILED
+
+
+class TestEndlessBodies:
+    """A body without end fails, and is not kept."""
+
+    @pytest.mark.parametrize(
+        "head,repeated",
+        [
+            (_OK + b"\r\n", b"a" * 8),
+            (_OK + b"Content-Length: 99999999999\r\n\r\n", b"a" * 8),
+            (_OK + b"Transfer-Encoding: chunked\r\n\r\n", b"8\r\nabcdefgh\r\n"),
+            (
+                b"HTTP/1.1 503 -\r\nTransfer-Encoding: chunked\r\n\r\n",
+                b"8\r\nabcdefgh\r\n",
+            ),
+        ],
+        ids=["eof", "length", "chunks", "failure"],
+    )
+    async def test_fails_before_the_deadline(self, head, repeated):
+        receiving = receiving_lib.of_running_loop()
+        receiving.max_held_bytes = 1 << 20
+        refused = []
+        receiving.on_refused = refused.append
+        async with _replica() as submit:
+            async with asyncio.timeout(4):
+                reply = await submit(head + repeated * 500_000, False)
+        assert reply.outcome is protocol.CallOutcome.FAILED
+        assert refused == ["memory"]
+        assert receiving.held_bytes == 0
+
+    async def test_body_within_the_bound_is_whole(self):
+        content = b'{"a": "%s"}' % (b"x" * 500_000)
+        receiving = receiving_lib.of_running_loop()
+        receiving.max_held_bytes = 1 << 20
+        async with _replica() as submit:
+            reply = await submit(_OK + b"\r\n" + content, False)
+        assert (reply.outcome, reply.body) == (protocol.CallOutcome.OK, content)
+        assert receiving.held_bytes == 0
--- a/tests/test_receiving.py
+++ b/tests/test_receiving.py
@@ -146,6 +146,7 @@
                     await serve(head, writer)
         finally:
             writer.transport.abort()
+            tasks.discard(asyncio.current_task())
 
     server = await asyncio.start_server(accept, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
@@ -157,7 +158,8 @@
         server.close()
         for task in tasks:
             task.cancel()
-        await asyncio.wait(tasks)
+        if tasks:
+            await asyncio.wait(set(tasks))
         # Transports are closed in the next iteration.
         await asyncio.sleep(0)
 
