Fail the responses that have held most for longest

Beside many responses without end that share the bound, each holds little (250 KiB of 160 connections at 160 MB), so the largest was often a sound one, such as a listing of the store of 1 MiB. The response fails now whose size times age is the largest. The new test fails with the size alone.

--- a/src/mallowloft/kernel/receiving.py
+++ b/src/mallowloft/kernel/receiving.py
@@ -11,6 +11,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import time
 from typing import Protocol
 import weakref
 
@@ -87,20 +88,25 @@
     """
 
     def __init__(
-        self, call_soon: Callable[[Callable[[], None]], object] | None = None
+        self,
+        call_soon: Callable[[Callable[[], None]], object] | None = None,
+        now: Callable[[], float] = time.monotonic,
     ) -> None:
         """Creates bounds without responses.
 
         Args:
             call_soon: Calls a function in the next iteration of the event loop;
                 by default that of the loop that runs then.
+            now: Returns the time in seconds.
         """
         self._call_soon = call_soon or _call_soon
+        self._now = now
         self.held_bytes = 0
         self.max_held_bytes = int(_HELD_SHARE * _DEFAULT_MEMORY_BYTES)
         self.on_refused: Callable[[str], None] = _ignore
         self.read_buffer = memoryview(bytearray(_READ_BYTES))
         self._held_by_holder: dict[Holder, int] = {}
+        self._since_s_by_holder: dict[Holder, float] = {}
         # Connections with unparsed data, in the order of their turns.
         self._queue: collections.deque[Receiver] = collections.deque()
         self._work_left = _WORK_PER_ITERATION
@@ -122,19 +128,28 @@
     def charge(self, holder: Holder, size: int) -> None:
         """Records how many bytes an unfinished response holds.
 
-        If all hold too much, the response that holds most fails, which may be
-        that of `holder`.
+        If all hold too much, the response fails whose size times age is the
+        largest, which may be that of `holder`.
         """
-        self.held_bytes += size - self._held_by_holder.get(holder, 0)
+        held = self._held_by_holder.get(holder)
+        self.held_bytes += size - (held or 0)
         if size:
             self._held_by_holder[holder] = size
-        else:
-            self._held_by_holder.pop(holder, None)
+            if held is None:
+                self._since_s_by_holder[holder] = self._now()
+        elif held is not None:
+            del self._held_by_holder[holder]
+            del self._since_s_by_holder[holder]
         while self.held_bytes > self.max_held_bytes:
-            largest = max(
-                self._held_by_holder, key=self._held_by_holder.__getitem__
-            )
-            largest.fail_for_memory()
+            now_s = self._now()
+            max(
+                self._held_by_holder, key=lambda item: self._cost(item, now_s)
+            ).fail_for_memory()
+
+    def _cost(self, holder: Holder, now_s: float) -> tuple[float, int]:
+        """Returns how much a response has held for how long."""
+        size = self._held_by_holder[holder]
+        return size * (now_s - self._since_s_by_holder[holder]), size
 
     def may_parse(self) -> bool:
         """Whether a long response may be parsed in this iteration."""
--- a/src/mallowloft/upstream/bodies.py
+++ b/src/mallowloft/upstream/bodies.py
@@ -19,8 +19,8 @@
         """Adds data.
 
         Raises:
-            aiohttp.ClientPayloadError: The body is too large, or it is the
-                largest one and all hold too much.
+            aiohttp.ClientPayloadError: The body is too large, or all hold too
+                much and this one fails for it.
         """
         if not self._failed:
             self._content += data
--- a/tests/test_receiving.py
+++ b/tests/test_receiving.py
@@ -104,10 +104,28 @@
 
 
 class TestMemory:
-    """The response that holds most fails if all hold too much."""
-
-    def test_largest_fails(self):
-        receiving = receiving_lib.Receiving()
+    """The response that has held most for longest fails if it is too much."""
+
+    def test_sound_response_is_kept_beside_many_without_end(self):
+        now_s = [0.0]
+        receiving = receiving_lib.Receiving(now=lambda: now_s[0])
+        receiving.set_memory(160.0)
+        endless = [_Receiver(0, 1) for _ in range(160)]
+        sound = _Receiver(0, 1)
+        for receiver in (sound, *endless):
+            receiver.receiving = receiving
+        for receiver in endless:
+            receiving.charge(receiver, 250 << 10)
+        now_s[0] = 2.0
+        for size in range(64 << 10, (1 << 20) + 1, 64 << 10):
+            receiving.charge(sound, size)
+            assert receiving.held_bytes <= receiving.max_held_bytes
+            now_s[0] += 0.005
+        assert not sound.failed
+        assert sum(receiver.failed for receiver in endless) in (1, 2)
+
+    def test_largest_of_the_same_age_fails(self):
+        receiving = receiving_lib.Receiving(now=lambda: 0.0)
         receiving.set_memory(4.0)
         receivers = [_Receiver(0, 1) for _ in range(4)]
         for receiver, size in zip(receivers, (100, 300, 200, 50), strict=True):
