--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -462,9 +462,13 @@
         return self.closed or self._response is not None
 
     def _parse_step(self, data: bytes | memoryview, position: int) -> int:
-        """Parses the data of one step, of which none is left if it completes.
+        """Parses the data of one step; data after a response is surplus.
 
-        Closes the connection if the data cannot become a response.
+        The connection is closed if the data cannot become a response.
+
+        Args:
+            data: Received data.
+            position: Start of the step.
 
         Returns:
             The work of the step.
@@ -474,7 +478,6 @@
         end = position + receiving_lib.STEP_BYTES
         step = data[position:end]
         self._overhead_size += len(step)
-        failure = ""
         try:
             self._parser.feed_data(step)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -518,7 +521,7 @@
         )
 
     def fail_for_memory(self) -> None:
-        """Fails the exchange; see `receiving.Receiver`."""
+        """Fails the exchange; see `receiving.Holder`."""
         self._fail_malformed("memory")
 
     def _clear_message(self) -> None:
--- a/tests/test_receiving.py
+++ b/tests/test_receiving.py
@@ -1,4 +1,4 @@
-"""Bounds on unfinished responses of all servers together."""
+"""Bounds on unfinished responses, and on all of them together."""
 
 import asyncio
 import contextlib
