Do not lose answers to slow readers at the end of a stop

Callers that read slowly got a part of their answer if its replica ended shortly before the last answers are written, at a planned stop.

The rest of the answer is in the process and ends with it; before, the operating system had all of it.

--- a/src/mallowloft/callers/protocol.py
+++ b/src/mallowloft/callers/protocol.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import dataclasses
+import socket
 from typing import Any
 
 import httptools
@@ -430,6 +431,20 @@
         """Ends the connection, because the client has closed its side."""
         self.transport.abort()
 
+    def buffer_answers(self) -> None:
+        """Lets the operating system take whole answers before the process ends.
+
+        It goes on sending them to clients that read slowly. While the process
+        runs, its small buffer bounds what clients that read nothing can hold.
+        """
+        connection = self.transport.get_extra_info("socket")
+        if connection is not None and not self.transport.is_closing():
+            connection.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_SNDBUF,
+                connections_lib.STOP_BUFFER_BYTES,
+            )
+
     def make_room(self) -> None:
         """Ends the connection, at once or with the present answer."""
         if self.phase is connections_lib.Phase.AHEAD:
--- a/src/mallowloft/callers/server.py
+++ b/src/mallowloft/callers/server.py
@@ -153,10 +153,12 @@
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         await self._stop_accepting()
+        open_connections = self._server.server_state.connections
+        for connection in open_connections:
+            connection.buffer_answers()
         end_s = started_s + grace_s
         idle_end_s = min(end_s, started_s + idle_wait_s)
-        connections = self._server.server_state.connections
-        while connections and loop.time() < idle_end_s:
+        while open_connections and loop.time() < idle_end_s:
             await asyncio.sleep(_POLL_INTERVAL_S)
         self._server.request_exit()
         if self._task is not None:
--- a/src/mallowloft/kernel/connections.py
+++ b/src/mallowloft/kernel/connections.py
@@ -23,6 +23,9 @@
 # while the connection is not read, and while the client does not read.
 SOCKET_BUFFER_BYTES = 64 << 10
 FULL_BUFFER_BYTES = 2 * SOCKET_BUFFER_BYTES
+# Send buffer of a connection during a stop, as far as the operating system
+# allows. What it holds is sent after the end of the process, too.
+STOP_BUFFER_BYTES = 4 << 20
 # Part of the memory that connections may hold beyond `FREE_BYTES` each, and
 # part that all connections with `FREE_BYTES` each may take.
 _HELD_SHARE = 0.25
