Name the limits on responses and on work, with units and defaults

ResponseLimits and WorkLimits replace constants in two modules. Turns are separate from the memory of responses, so that other connections can have turns of their own. No change of behavior.

--- a/src/mallowloft/kernel/receiving.py
+++ b/src/mallowloft/kernel/receiving.py
@@ -1,33 +1,24 @@
-"""Bounds on what the process receives from servers, in bytes and in work.
+"""Bounds on what the process receives from servers.
 
 Replicas, the store and other instances are not trusted either: one may send
-without end, in pieces of any size. `Receiving` bounds what all unfinished
-responses of an event loop hold, and how much of them is parsed in one iteration
-of it, so that short responses and timers are not delayed by long ones.
+without end. `ResponseLimits` bounds a single response, `Receiving` bounds what
+all unfinished responses of an event loop hold, and has the turns in which long
+ones are parsed.
 
 docs/design/server-limits.md has the reasons.
 """
 
 import asyncio
-import collections
 from collections.abc import Callable
+import dataclasses
 import time
 from typing import Protocol
 import weakref
 
+from mallowloft.kernel import turns as turns_lib
+
 # Size of one read.
 _READ_BYTES = 16 << 10
-# Data is parsed in steps of this size.
-STEP_BYTES = 1 << 10
-# Work is counted in calls of the parser's callbacks. This is the work of a step
-# besides them.
-STEP_WORK = 2
-# Work of one response that is done as soon as its data arrives.
-IMMEDIATE_WORK = 256
-# Work on all longer responses in one iteration of the event loop, about a
-# millisecond, and the share of one connection before the next one's turn.
-_WORK_PER_ITERATION = 2_000
-_WORK_PER_TURN = 64
 # Part of the memory that unfinished responses may hold. Clients' connections
 # have a part of their own (`connections.ConnectionBudget`): otherwise replicas
 # without end would end clients' connections, and the other way round.
@@ -36,39 +27,32 @@
 _DEFAULT_MEMORY_BYTES = 512 << 20
 
 
-class Holder(Protocol):
-    """What holds an unfinished response."""
-
-    def fail_for_memory(self) -> None:
-        """Ends the response, which then holds nothing."""
-
-
-class Receiver(Holder, Protocol):
-    """A connection to a server.
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResponseLimits:
+    """What one response may have.
 
     Attributes:
-        parse_credit: Work that the connection may do in its turn; negative if
-            it has done more than its share.
-        has_unparsed: Whether it has received data that is not parsed.
+        max_body_bytes: Size of the body.
+        max_overhead_bytes: Size of heads, chunk sizes, extensions and trailers.
+        max_overhead_per_body_byte: How many more such bytes are accepted for
+            each byte of the body.
+        max_headers: Number of headers and trailers.
+        max_skipped_messages: Number of interim responses, and of responses to
+            earlier requests, before the response.
     """
 
-    parse_credit: int
-    has_unparsed: bool
+    max_body_bytes: int = 64 << 20
+    max_overhead_bytes: int = 64 << 10
+    max_overhead_per_body_byte: int = 8
+    max_headers: int = 256
+    max_skipped_messages: int = 32
 
-    def parse_some(self, max_work: int) -> int:
-        """Parses received data.
-
-        Args:
-            max_work: Work after which no further step begins.
-
-        Returns:
-            The work that was done.
-        """
 
+class Holder(Protocol):
+    """What holds an unfinished response."""
 
-def _call_soon(function: Callable[[], None]) -> None:
-    # Objects that are kept by loop (`of_running_loop`) must not refer to it.
-    asyncio.get_running_loop().call_soon(function)
+    def fail_for_memory(self) -> None:
+        """Ends the response, which then holds nothing."""
 
 
 def _ignore(reason: str) -> None:
@@ -81,36 +65,35 @@
     Attributes:
         held_bytes: What they hold.
         max_held_bytes: Bound on it.
+        limits: Limits of a single response.
         on_refused: Called with the reason for each response that exceeds a
             bound or is malformed.
         read_buffer: Buffer into which connections are read, one after the
             other.
+        turns: Turns in which long responses are parsed.
     """
 
     def __init__(
         self,
-        call_soon: Callable[[Callable[[], None]], object] | None = None,
+        turns: turns_lib.Turns | None = None,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         """Creates bounds without responses.
 
         Args:
-            call_soon: Calls a function in the next iteration of the event loop;
-                by default that of the loop that runs then.
+            turns: Turns in which long responses are parsed; new ones by
+                default.
             now: Returns the time in seconds.
         """
-        self._call_soon = call_soon or _call_soon
+        self.turns = turns or turns_lib.Turns()
         self._now = now
         self.held_bytes = 0
         self.max_held_bytes = int(_HELD_SHARE * _DEFAULT_MEMORY_BYTES)
+        self.limits = ResponseLimits()
         self.on_refused: Callable[[str], None] = _ignore
         self.read_buffer = memoryview(bytearray(_READ_BYTES))
         self._held_by_holder: dict[Holder, int] = {}
         self._since_s_by_holder: dict[Holder, float] = {}
-        # Connections with unparsed data, in the order of their turns.
-        self._queue: collections.deque[Receiver] = collections.deque()
-        self._work_left = _WORK_PER_ITERATION
-        self._is_scheduled = False
 
     def set_memory(self, memory_mb: float) -> None:
         """Sets the bound on the bytes that are held.
@@ -151,52 +134,8 @@
         size = self._held_by_holder[holder]
         return size * (now_s - self._since_s_by_holder[holder]), size
 
-    def may_parse(self) -> bool:
-        """Whether a long response may be parsed in this iteration."""
-        return self._work_left > 0 and not self._queue
-
-    def record_work(self, work: int) -> None:
-        """Records work on a long response."""
-        self._work_left -= work
-        self._schedule()
-
-    def defer(self, receiver: Receiver) -> None:
-        """Parses the unparsed data of a connection in later iterations."""
-        self._queue.append(receiver)
-        self._schedule()
-
-    def _schedule(self) -> None:
-        if not self._is_scheduled:
-            self._is_scheduled = True
-            self._call_soon(self._run)
-
-    def _run(self) -> None:
-        """Begins an iteration; gives connections their turns."""
-        self._is_scheduled = False
-        self._work_left = _WORK_PER_ITERATION
-        try:
-            while self._queue and self._work_left > 0:
-                self._give_turn(self._queue.popleft())
-        finally:
-            if self._queue:
-                self._schedule()
-
-    def _give_turn(self, receiver: Receiver) -> None:
-        # A step may take more than one share. The connection then passes up
-        # turns, so that a step of many small pieces costs others nothing.
-        self._work_left -= 1
-        if not receiver.has_unparsed:
-            return
-        credit = receiver.parse_credit + _WORK_PER_TURN
-        if credit > 0:
-            work = receiver.parse_some(credit)
-            credit -= work
-            self._work_left -= work
-        receiver.parse_credit = min(0, credit)
-        if receiver.has_unparsed:
-            self._queue.append(receiver)
-
 
+# Objects that are kept here must not refer to their event loop.
 _by_loop: weakref.WeakKeyDictionary[asyncio.AbstractEventLoop, Receiving] = (
     weakref.WeakKeyDictionary()
 )
--- a/src/mallowloft/upstream/bodies.py
+++ b/src/mallowloft/upstream/bodies.py
@@ -4,8 +4,6 @@
 
 from mallowloft.kernel import receiving as receiving_lib
 
-_MAX_BODY_BYTES = 64 << 20
-
 
 class _Body:
     """A body in progress, which counts toward the process's bound."""
@@ -25,7 +23,8 @@
         if not self._failed:
             self._content += data
             self._receiving.charge(self, len(self._content))
-        if self._failed or len(self._content) > _MAX_BODY_BYTES:
+        max_bytes = self._receiving.limits.max_body_bytes
+        if self._failed or len(self._content) > max_bytes:
             limit = "memory" if self._failed else "body"
             self._receiving.on_refused(limit)
             raise aiohttp.ClientPayloadError("body too large")
--- a/src/mallowloft/upstream/http1.py
+++ b/src/mallowloft/upstream/http1.py
@@ -54,21 +54,12 @@
 _EARLY_CLOSE_S = 0.3
 _EARLY_CLOSE_BACKOFF_MAX_S = 4.0
 _FAILING_EXPIRY_S = 2.0
-_MAX_RESPONSE_BYTES = 64 << 20
-# Bytes of a response besides its body: heads, chunk sizes and trailers. More
-# are accepted with a longer body.
-_MAX_OVERHEAD_BYTES = 64 << 10
-_MAX_OVERHEAD_PER_BODY_BYTE = 8
 # A body up to this size is sent together with the head. A larger one is sent in
 # chunks of this size, each when the one before has been passed to the operating
 # system, so that a connection holds a copy of one chunk at most.
 _CHUNK_BYTES = 16 << 10
-# Headers and trailers of a message, and what the objects of a header take
-# besides its text.
-_MAX_HEADERS = 256
+# What the objects of a header take besides its text.
 _HEADER_OBJECT_BYTES = 160
-# Interim responses, and responses to earlier requests, before the response.
-_MAX_SKIPPED_MESSAGES = 32
 
 # Events that a pool passes to its `on_event` callback. Their values are metric
 # labels and may differ from the names.
@@ -254,12 +245,14 @@
     """One HTTP/1.1 connection without pipelining.
 
     Attributes:
-        parse_credit: See `receiving.Receiver`.
+        parse_credit: See `turns.Receiver`.
     """
 
     def __init__(self, pool: "Pool") -> None:
         self._pool = pool
         self._receiving = pool.receiving
+        self._limits = pool.receiving.limits
+        self._turns = pool.receiving.turns
         self.parse_credit = 0
         # Data that waits for a later iteration of the event loop.
         self._unparsed = b""
@@ -411,14 +404,14 @@
             self._exchange.on_bytes(traffic.RECEIVED, len(data))
         position = 0
         while position < len(data) and not self._is_complete:
-            if self._work < receiving_lib.IMMEDIATE_WORK:
+            if self._work < self._turns.limits.immediate_work:
                 self._parse_step(data, position)
-            elif self._receiving.may_parse():
-                self._receiving.record_work(self._parse_step(data, position))
+            elif self._turns.may_parse():
+                self._turns.record_work(self._parse_step(data, position))
             else:
                 self._defer(bytes(data[position:]))
                 break
-            position += receiving_lib.STEP_BYTES
+            position += self._turns.limits.step_bytes
         self._process_parsed()
 
     def _defer(self, data: bytes) -> None:
@@ -434,7 +427,7 @@
                 socket.SO_RCVBUF,
                 connections_lib.SOCKET_BUFFER_BYTES,
             )
-        self._receiving.defer(self)
+        self._turns.defer(self)
 
     @property
     def has_unparsed(self) -> bool:
@@ -442,7 +435,7 @@
         return bool(self._unparsed)
 
     def parse_some(self, max_work: int) -> int:
-        """Parses data that has waited; see `receiving.Receiver`."""
+        """Parses data that has waited; see `turns.Receiver`."""
         data, self._unparsed = self._unparsed, b""
         position = work = 0
         while position < len(data) and not self._is_complete:
@@ -450,7 +443,7 @@
                 self._unparsed = data[position:]
                 break
             work += self._parse_step(data, position)
-            position += receiving_lib.STEP_BYTES
+            position += self._turns.limits.step_bytes
         self._process_parsed()
         if not self._unparsed:
             self._transport.resume_reading()
@@ -474,8 +467,8 @@
             The work of the step.
         """
         work_before = self._work
-        self._work += receiving_lib.STEP_WORK
-        end = position + receiving_lib.STEP_BYTES
+        self._work += self._turns.limits.step_work
+        end = position + self._turns.limits.step_bytes
         step = data[position:end]
         self._overhead_size += len(step)
         try:
@@ -506,8 +499,8 @@
     def _exceeded_limit(self) -> str:
         """Returns why the message is too large to be a response, or ""."""
         max_overhead = (
-            _MAX_OVERHEAD_BYTES
-            + _MAX_OVERHEAD_PER_BODY_BYTE * self._message_body_size
+            self._limits.max_overhead_bytes
+            + self._limits.max_overhead_per_body_byte * self._message_body_size
         )
         if self._overhead_size > max_overhead:
             return "overhead"
@@ -516,7 +509,7 @@
     @property
     def _is_body_too_large(self) -> bool:
         return (
-            self._message_body_size > _MAX_RESPONSE_BYTES
+            self._message_body_size > self._limits.max_body_bytes
             and not self._streams_body
         )
 
@@ -577,7 +570,7 @@
         """
         self._work += 1
         self._header_count += 1
-        if self._header_count > _MAX_HEADERS:
+        if self._header_count > self._limits.max_headers:
             raise framing.FramingError("too many headers")
         if self._in_head:
             self._headers.append((name.lower(), value))
@@ -635,7 +628,7 @@
         if self._streams_body:
             self._streamed.append(body)
             return
-        if self._message_body_size <= _MAX_RESPONSE_BYTES:
+        if self._message_body_size <= self._limits.max_body_bytes:
             self._body += body
             self._body_size = len(self._body)
 
@@ -657,7 +650,7 @@
         is_interim = 100 <= status < 200
         if is_interim or self._is_stale:
             self._skipped_messages += 1
-            if self._skipped_messages > _MAX_SKIPPED_MESSAGES:
+            if self._skipped_messages > self._limits.max_skipped_messages:
                 raise framing.FramingError("too many other responses")
             if is_interim:
                 self._exchange.interim_received = True
--- a/tests/support/responses.py
+++ b/tests/support/responses.py
@@ -12,8 +12,11 @@
 import types
 
 from mallowloft.kernel import receiving as receiving_lib
+from mallowloft.kernel import turns as turns_lib
 from mallowloft.upstream import http1
 
+# How much `receive` parses at a time.
+WORK_LIMITS = turns_lib.WorkLimits()
 ID_NAME = b"x-request-id"
 ID = b"r1"
 STALE_ID = b"r0"
@@ -222,7 +225,9 @@
 
     def __init__(self) -> None:
         self.scheduled: list[Callable[[], None]] = []
-        self.receiving = receiving_lib.Receiving(self.scheduled.append)
+        self.receiving = receiving_lib.Receiving(
+            turns_lib.Turns(self.scheduled.append, WORK_LIMITS)
+        )
 
     def run_scheduled(self) -> None:
         """Runs iterations of the event loop until nothing is scheduled."""
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from mallowloft.kernel import receiving as receiving_lib
 from mallowloft.upstream import http1
 
 _ID = b"x-request-id"
@@ -256,17 +257,18 @@
     """A body over the limit fails, however it arrives."""
 
     @pytest.mark.parametrize("size", [50, 150_000])
-    def test_body_over_the_limit_is_malformed(self, monkeypatch, size):
+    def test_body_over_the_limit_is_malformed(self, size):
         # Guards against a truncated body if one read exceeds the limit and
         # completes the response.
-        monkeypatch.setattr(http1, "_MAX_RESPONSE_BYTES", size - 10)
-
         async def serve(server, reader, writer):
             request = await server.read_request_id(reader)
             writer.write(_response(b"x" * size, request))
             await reader.read()
 
         async def test(server, client):
+            client.pool.receiving.limits = receiving_lib.ResponseLimits(
+                max_body_bytes=size - 10
+            )
             assert await client.get(b"a") == http1.FailureReason.MALFORMED
 
         _run_with_server(serve, test)
--- a/tests/test_http1_responses.py
+++ b/tests/test_http1_responses.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies
 import pytest
 
-from mallowloft.kernel import receiving as receiving_lib
+from mallowloft.kernel import turns as turns_lib
 from mallowloft.upstream import http1
 from tests.support import responses
 
@@ -380,10 +380,13 @@
 def small_steps():
     """Parses a few bytes at a time, and one step in an iteration."""
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(receiving_lib, "STEP_BYTES", 7)
-        patch.setattr(receiving_lib, "IMMEDIATE_WORK", 0)
-        patch.setattr(receiving_lib, "_WORK_PER_ITERATION", 1)
-        patch.setattr(receiving_lib, "_WORK_PER_TURN", 1)
+        limits = turns_lib.WorkLimits(
+            step_bytes=7,
+            immediate_work=0,
+            work_per_iteration=1,
+            work_per_turn=1,
+        )
+        patch.setattr(responses, "WORK_LIMITS", limits)
         yield
 
 
--- a/tests/test_receiving.py
+++ b/tests/test_receiving.py
@@ -6,6 +6,7 @@
 import pytest
 
 from mallowloft.kernel import receiving as receiving_lib
+from mallowloft.kernel import turns as turns_lib
 from mallowloft.upstream import http1
 
 _OK = b"HTTP/1.1 200 OK\r\n"
@@ -53,9 +54,9 @@
 
     def _start(self, *receivers: _Receiver):
         scheduled = []
-        receiving = receiving_lib.Receiving(scheduled.append)
+        turns = turns_lib.Turns(scheduled.append)
         for receiver in receivers:
-            receiving.defer(receiver)
+            turns.defer(receiver)
         return scheduled
 
     def test_work_of_one_iteration_is_bounded(self):
@@ -70,7 +71,7 @@
             iterations += 1
             left = sum(receiver.unparsed for receiver in receivers)
             work = (before - left) * 170
-            assert work <= receiving_lib._WORK_PER_ITERATION + 170
+            assert work <= 2_000 + 170
             before = left
         assert before == 0
         assert iterations >= 40 * 1_000 * 170 // 2_170
