--- a/review/rig-3/late_bytes.py
+++ b/review/rig-3/late_bytes.py
@@ -23,6 +23,12 @@
 _TOUCH_S = 4.5
 
 
+def refuse(replica: "FaultyReplica", request_id: str) -> bytes:
+    """Returns a refusal that does not say of which request."""
+    del replica, request_id
+    return rig.response(503, b"", {"Not-Executed": "1"})
+
+
 class FaultyReplica(rig.Replica):
     """Sends bytes after some complete answers, when the next is expected.
 
@@ -85,6 +91,7 @@
     late: Callable[[FaultyReplica, str], bytes],
     method: str,
     kind: str,
+    max_attempts: int = 2,
 ) -> Outcome:
     """Plays a steady load while some replicas are faulty.
 
@@ -95,6 +102,7 @@
         late: Returns the bytes that a replica sends after an answer.
         method: Method of the requests.
         kind: Kind of their route.
+        max_attempts: To how many replicas a request may be sent.
     """
     store = rig.Store()
     await store.start()
@@ -102,7 +110,7 @@
     for replica in replicas:
         await replica.start()
         store.put(f"servers/{replica.id}", replica.entry())
-    routes = [rig.route("base", _SERVICE, kind=kind)]
+    routes = [rig.route("base", _SERVICE, kind=kind, maxAttempts=max_attempts)]
     store.put("op/config", rig.configuration(1, routes, {_SERVICE: 100}))
     for number, zone in enumerate(_ZONES):
         entries.append(rig.Entry(f"front-{number + 1}", zone, folder))
